--- /dev/null
+++ b/Makefile
@@ -0,0 +1,116 @@
+# cactusbeam. "make help" lists the targets.
+ASAN ?= 0
+ifeq ($(ASAN),1)
+B := build/asan
+SANITIZE := -fsanitize=address,undefined -fno-omit-frame-pointer
+else
+B := build/opt
+SANITIZE :=
+endif
+
+CC ?= gcc
+CXX ?= g++
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
+WARNXX := -Wall -Wextra -Werror
+PKGS := libuv libzmq glib-2.0 argtable2 libcurl msgpack libxxhash libsodium gsl libcoap-3-notls
+LIBPKGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+CFLAGS := -std=gnu11 -O2 -g $(WARN) $(SANITIZE) -Icore -Iadapters -Isim $(LIBPKGS)
+CXXFLAGS := -std=gnu++17 -O2 -g $(WARNXX) $(SANITIZE) -Icore -Iadapters -Isim $(LIBPKGS)
+LDLIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm -lstdc++
+LDFLAGS := $(SANITIZE)
+
+CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c))
+ADAPT := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/*.c)) \
+	 $(patsubst %.cc,$(B)/%.o,$(wildcard adapters/*.cc))
+LIBS := $(B)/libcore.a $(B)/libadapters.a
+
+# A program is a directory below cmd/ or sim/ with C files in it.
+PROGDIRS := $(sort $(dir $(wildcard cmd/*/*.c sim/*/*.c bench/*/*.c)))
+PROGS := $(foreach d,$(PROGDIRS),$(B)/bin/$(notdir $(patsubst %/,%,$(d))))
+
+# A test is test/NAME_test.c (cmocka) or test/NAME_prop.cc (RapidCheck);
+# other test/*.c and test/*.cc are their helpers.
+TESTS_C := $(patsubst test/%.c,$(B)/test/%,$(wildcard test/*_test.c))
+TESTS_CC := $(patsubst test/%.cc,$(B)/test/%,$(wildcard test/*_prop.cc))
+TESTHELP := $(patsubst %.c,$(B)/%.o,$(filter-out %_test.c,$(wildcard test/*.c))) \
+	    $(patsubst %.cc,$(B)/%.o,$(filter-out %_prop.cc,$(wildcard test/*.cc)))
+
+.PHONY: all check tests demo bench slopes plot soak lint fmt fmt-check clean install help
+all: $(PROGS)
+
+help:
+	@echo "make            build the programs"
+	@echo "make check      all tests, one closing line"
+	@echo "make demo       the whole path on loopback, with figures"
+	@echo "make bench      ratios against our own baselines"
+	@echo "make slopes     the slopes behind docs/CAPACITY.md"
+	@echo "make plot       draw the bench's results into docs/"
+	@echo "make soak       property tests with random seeds"
+	@echo "make lint fmt   linter, formatter"
+	@echo "make install    programs and manual pages below DESTDIR"
+
+$(B)/libcore.a: $(CORE)
+	@rm -f $@; $(AR) rcs $@ $^
+$(B)/libadapters.a: $(ADAPT)
+	@rm -f $@; $(AR) rcs $@ $^
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+$(B)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+define PROG
+$(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS)
+	@mkdir -p $$(@D)
+	$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
+endef
+$(foreach d,$(PROGDIRS),$(eval $(call PROG,$(d))))
+
+$(B)/test/%_test: $(B)/test/%_test.o $(TESTHELP) $(LIBS)
+	$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
+$(B)/test/%_prop: $(B)/test/%_prop.o $(TESTHELP) $(LIBS)
+	$(CXX) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lrapidcheck $(LDLIBS) -o $@
+
+tests: $(TESTS_C) $(TESTS_CC) all
+
+check:
+	@scripts/need
+	@$(MAKE) --no-print-directory tests
+	@B=$(B) scripts/check $(TESTS_C) $(TESTS_CC)
+
+demo:
+	@scripts/need
+	@$(MAKE) --no-print-directory all
+	@B=$(B) scripts/demo
+
+bench slopes plot: all
+	@B=$(B) scripts/$@
+
+soak: tests
+	@B=$(B) scripts/soak $(TESTS_CC)
+
+SOURCES := $(wildcard core/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
+	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] test/*.[ch] test/*.cc)
+fmt:
+	clang-format -i $(SOURCES)
+fmt-check:
+	clang-format --dry-run -Werror $(SOURCES)
+lint:
+	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+		--enable=warning,portability,performance -j 8 \
+		--suppress=missingIncludeSystem -Icore -Iadapters -Isim \
+		$(filter-out %.cc %.h,$(SOURCES))
+
+DESTDIR ?=
+PREFIX ?= /usr/local
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 755 $(filter $(B)/bin/cb%,$(PROGS)) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(wildcard man/cb*.1) $(DESTDIR)$(PREFIX)/share/man/man1
+
+clean:
+	rm -rf build
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/adapters/http.h
@@ -0,0 +1,36 @@
+/* A small HTTP/1.1 server for operators, on libuv and http-parser. */
+#ifndef CB_HTTP_H
+#define CB_HTTP_H
+
+#include "types.h"
+
+#include <glib.h>
+#include <uv.h>
+
+struct http_server;
+
+/**
+ * struct http_handler - port that answers requests
+ * @ctx: passed back
+ * @handle: write the body for @method @path?@query with request body @in;
+ *	return the status code. HTTP_LATER: answer with http_answer() later
+ */
+struct http_request;
+struct http_handler {
+	void *ctx;
+	int (*handle)(void *ctx, struct http_request *req, const char *method,
+		      const char *path, const char *query, const GString *in,
+		      GString *body);
+};
+
+#define HTTP_LATER 0
+
+int http_open(uv_loop_t *loop, uint64_t addr, struct http_handler handler,
+	      struct http_server **out);
+void http_header(struct http_request *req, const char *name, const char *value);
+void http_answer(struct http_request *req, int status, const GString *body);
+void http_close(struct http_server *s);
+bool http_query(const char *query, const char *name, char *buf,
+		size_t size_bytes);
+
+#endif
--- /dev/null
+++ b/adapters/log.h
@@ -0,0 +1,13 @@
+/* Structured logs through GLib: every line has a step, and a peer if any. */
+#ifndef CB_LOG_H
+#define CB_LOG_H
+
+#include "settings.h"
+
+enum log_level { LOG_ERROR, LOG_WARNING, LOG_INFO, LOG_DEBUG };
+
+int log_open(const char *program, const struct log_settings *s);
+void log_line(enum log_level level, const char *step, const char *peer,
+	      const char *format, ...) __attribute__((format(printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/core/entry.h
@@ -0,0 +1,234 @@
+/*
+ * The data path's decisions: an event and the time go in, a bounded list of
+ * actions comes out. No I/O, clock or allocation a packet; the daemon, the
+ * tests and any bench run this same code.
+ */
+#ifndef CB_ENTRY_H
+#define CB_ENTRY_H
+
+#include "balance.h"
+#include "member.h"
+#include "ring.h"
+
+#define ACTIONS_MAX 128
+
+/**
+ * enum message_kind - what a datagram of a request-aware service is
+ * @MSG_REQUEST: a request
+ * @MSG_ANSWER: an answer, or an update of a feed
+ * @MSG_ACK: empty acknowledgement
+ * @MSG_RESET: receiver knows nothing of it, or wants no more of it
+ * @MSG_PROBE: empty message that asks for a reset as a sign of life
+ */
+enum message_kind { MSG_REQUEST, MSG_ANSWER, MSG_ACK, MSG_RESET, MSG_PROBE };
+
+/**
+ * enum message_flags - what else the adapter read from it
+ * @MSG_CONFIRM: sender repeats it until it is acknowledged
+ * @MSG_PIGGYBACK: an answer that is also the acknowledgement
+ * @MSG_IDEMPOTENT: the method may run twice
+ * @MSG_FEED_OPEN: opens a feed; on an answer: the feed is open
+ * @MSG_FEED_CLOSE: closes a feed
+ * @MSG_PART: block of a larger transfer, has to reach the same target
+ * @MSG_MORE: not the last block
+ * @MSG_SHED: an answer that says: not run, come back later
+ * @MSG_FAILED: an answer that says: the target failed
+ */
+enum message_flags {
+	MSG_CONFIRM = 1 << 0,
+	MSG_PIGGYBACK = 1 << 1,
+	MSG_IDEMPOTENT = 1 << 2,
+	MSG_FEED_OPEN = 1 << 3,
+	MSG_FEED_CLOSE = 1 << 4,
+	MSG_PART = 1 << 5,
+	MSG_MORE = 1 << 6,
+	MSG_SHED = 1 << 7,
+	MSG_FAILED = 1 << 8
+};
+
+/**
+ * struct message - a datagram as the adapter parsed it
+ * @kind: enum message_kind
+ * @flags: enum message_flags
+ * @id: message ID
+ * @token_len: bytes of @token in use
+ * @token: token
+ * @timeout_ns: time the caller still gives it, 0 when not said
+ * @load: target's report of its load, valid when @has_load
+ * @has_load: see above
+ * @data: whole datagram
+ * @size_bytes: its size
+ */
+struct message {
+	uint8_t kind;
+	uint16_t flags;
+	uint16_t id;
+	uint8_t token_len;
+	uint8_t token[TOKEN_MAX_BYTES];
+	uint64_t timeout_ns;
+	struct load_report load;
+	bool has_load;
+	const uint8_t *data;
+	uint32_t size_bytes;
+};
+
+/**
+ * enum action_kind - what the adapter is to do
+ * @ACT_TO_CALLER: send @data to the caller, with @type, @id and @token put in
+ * @ACT_TO_TARGET: send @data to the target, with @type, @id and @token put in
+ * @ACT_ANSWER_CALLER: make an answer of our own, see @answer
+ * @ACT_SIGNAL_CALLER: send an empty message of @type with @id
+ * @ACT_SIGNAL_TARGET: send an empty message of @type with @id
+ * @ACT_CANCEL_TARGET: tell the target to stop a request or feed, by @token
+ * @ACT_PEER: send @peer to the entry @vm
+ * @ACT_NOTE: log @note with flow and target
+ */
+enum action_kind {
+	ACT_TO_CALLER,
+	ACT_TO_TARGET,
+	ACT_ANSWER_CALLER,
+	ACT_SIGNAL_CALLER,
+	ACT_SIGNAL_TARGET,
+	ACT_CANCEL_TARGET,
+	ACT_PEER,
+	ACT_NOTE
+};
+
+/* Type of a message on the wire of a request-aware service. */
+enum wire_type { WIRE_CONFIRM, WIRE_PLAIN, WIRE_ACK, WIRE_RESET };
+
+/**
+ * enum own_answer - answers the balancer itself gives
+ * @ANSWER_NOT_RUN: refused, known not to have run; come back later
+ * @ANSWER_UNKNOWN: may have run; nobody can tell
+ * @ANSWER_FEED_LOST: the feed can't go on, open it again
+ */
+enum own_answer { ANSWER_NOT_RUN, ANSWER_UNKNOWN, ANSWER_FEED_LOST };
+
+/**
+ * struct action - one thing for the adapter to do; pointers are good until
+ *	the next call into the entry
+ */
+struct action {
+	uint8_t kind;
+	uint8_t type;
+	uint8_t answer;
+	uint8_t reason;
+	uint16_t id;
+	uint8_t token_len;
+	uint8_t token[TOKEN_MAX_BYTES];
+	struct flow_key key;
+	uint64_t target;
+	uint64_t vm;
+	uint32_t retry_after_s;
+	uint64_t timeout_ns;
+	const uint8_t *data;
+	uint32_t size_bytes;
+	struct peer_msg peer;
+	const char *note;
+};
+
+/**
+ * struct actions - what a call wants done, in order
+ * @n: how many
+ * @a: the actions
+ */
+struct actions {
+	uint32_t n;
+	struct action a[ACTIONS_MAX];
+};
+
+/**
+ * struct entry_conf - settings of the data path's decisions
+ * @member: membership
+ * @requests_max: requests held at once
+ * @feeds_max: feeds held at once, own and second copies
+ * @claims_max: records of non-idempotent requests
+ * @flows_max: pins that differ from the hash
+ * @settle_ns: spacing of changes to one bucket's pair
+ * @cover_ns: longest time over which a caller repeats one request
+ * @claim_timeout_ns: wait for a grant before asking again
+ * @probe_idle_ns: silence of a feed before it is validated again
+ * @drain_ns: longest planned stop
+ * @peer_bytes_per_s: budget of second copies
+ * @n_buckets: buckets of the ring
+ * @seed: of the random source; differs by process
+ */
+struct entry_conf {
+	struct member_conf member;
+	uint32_t requests_max;
+	uint32_t feeds_max;
+	uint32_t claims_max;
+	uint32_t flows_max;
+	uint64_t settle_ns;
+	uint64_t cover_ns;
+	uint64_t claim_timeout_ns;
+	uint64_t probe_idle_ns;
+	uint64_t drain_ns;
+	uint64_t peer_bytes_per_s;
+	uint32_t n_buckets;
+	uint64_t seed;
+};
+
+/* Counters of an entry; each is named in docs/OPERATIONS.md. */
+#define ENTRY_COUNTERS(X)    \
+	X(requests)          \
+	X(answers)           \
+	X(forwards)          \
+	X(forward_loops)     \
+	X(repeats_absorbed)  \
+	X(answers_replayed)  \
+	X(refused_not_run)   \
+	X(answered_unknown)  \
+	X(claims_sent)       \
+	X(claims_granted)    \
+	X(claims_denied)     \
+	X(claims_uncovered)  \
+	X(no_majority)       \
+	X(late_answers)      \
+	X(unknown_answers)   \
+	X(retries)           \
+	X(cancels)           \
+	X(feeds_opened)      \
+	X(feeds_closed)      \
+	X(feeds_moved)       \
+	X(feeds_taken_over)  \
+	X(feeds_lost)        \
+	X(feeds_revalidated) \
+	X(feed_copies_sent)  \
+	X(pins_made)         \
+	X(flow_table_full)   \
+	X(no_service)        \
+	X(lease_lapses)      \
+	X(handed_over)       \
+	X(stale_sends_stopped)
+
+struct entry_counters {
+#define X(name) uint64_t name;
+	ENTRY_COUNTERS(X)
+#undef X
+};
+
+struct entry;
+
+struct entry *entry_new(const struct entry_conf *conf, uint64_t now_ns);
+void entry_free(struct entry *e);
+void entry_config(struct entry *e, const struct config *c, uint64_t now_ns,
+		  struct actions *out);
+void entry_roster(struct entry *e, const uint64_t *vms, uint32_t n,
+		  uint64_t now_ns, struct actions *out);
+void entry_caller(struct entry *e, const struct flow_key *key,
+		  const struct message *msg, uint64_t now_ns,
+		  struct actions *out);
+void entry_target(struct entry *e, uint64_t target, const struct message *msg,
+		  uint64_t now_ns, struct actions *out);
+void entry_peer(struct entry *e, const struct peer_msg *msg,
+		const struct message *forwarded, uint64_t now_ns,
+		struct actions *out);
+void entry_tick(struct entry *e, uint64_t now_ns, struct actions *out);
+void entry_leave(struct entry *e, uint64_t now_ns, struct actions *out);
+bool entry_left(const struct entry *e);
+uint64_t entry_next_ns(const struct entry *e);
+const struct entry_counters *entry_counters(const struct entry *e);
+
+#endif
