--- /dev/null
+++ b/adapters/toml.cc
@@ -0,0 +1,231 @@
+#include "toml.h"
+
+#include <cstdlib>
+#include <cstring>
+#include <map>
+#include <sstream>
+#include <string>
+
+#include <toml.hpp>
+
+using value = toml::basic_value<toml::discard_comments, std::map, std::vector>;
+
+/*
+ * The parser recurses for each nested array or inline table, so a document of
+ * open brackets would end in a stack overflow, that is, a dead process. Count
+ * them first. Brackets in strings count too; nobody writes 64 unclosed ones.
+ */
+static bool too_deep(const char *text, size_t size_bytes)
+{
+	unsigned depth = 0;
+
+	for (size_t i = 0; i < size_bytes; i++) {
+		if (text[i] == '[' || text[i] == '{')
+			depth++;
+		else if ((text[i] == ']' || text[i] == '}') && depth > 0)
+			depth--;
+		if (depth > TOML_DEPTH_MAX)
+			return true;
+	}
+	return false;
+}
+
+static void *allocate(size_t n, size_t size_bytes)
+{
+	void *p = calloc(n ? n : 1, size_bytes);
+
+	if (!p)
+		throw std::bad_alloc();
+	return p;
+}
+
+static char *copy(const std::string &s)
+{
+	char *p = static_cast<char *>(allocate(s.size() + 1, 1));
+
+	memcpy(p, s.data(), s.size());
+	return p;
+}
+
+static void string_out(const value &v, struct toml_node *out)
+{
+	const std::string &s = v.as_string().str;
+
+	/* C would see the text before the NUL alone, and check only that. */
+	if (s.find('\0') != std::string::npos)
+		throw toml::syntax_error("[error] NUL in a string",
+					 v.location());
+	out->kind = TOML_STRING;
+	out->text = copy(s);
+}
+
+static void out_node(const value &v, const std::string &key,
+		     struct toml_node *out);
+
+static void table_out(const value &v, struct toml_node *out)
+{
+	const auto &t = v.as_table();
+
+	out->kind = TOML_TABLE;
+	out->items =
+		static_cast<toml_node *>(allocate(t.size(), sizeof(toml_node)));
+	for (const auto &kv : t)
+		out_node(kv.second, kv.first, &out->items[out->n_items++]);
+}
+
+static void array_out(const value &v, struct toml_node *out)
+{
+	const auto &a = v.as_array();
+
+	out->kind = TOML_ARRAY;
+	out->items =
+		static_cast<toml_node *>(allocate(a.size(), sizeof(toml_node)));
+	for (const auto &item : a)
+		out_node(item, "", &out->items[out->n_items++]);
+}
+
+static void out_node(const value &v, const std::string &key,
+		     struct toml_node *out)
+{
+	out->key = copy(key);
+	out->line = static_cast<uint32_t>(v.location().line());
+	if (v.is_string()) {
+		string_out(v, out);
+	} else if (v.is_integer()) {
+		out->kind = TOML_INTEGER;
+		out->number = v.as_integer();
+	} else if (v.is_boolean()) {
+		out->kind = TOML_BOOL;
+		out->number = v.as_boolean();
+	} else if (v.is_table()) {
+		table_out(v, out);
+	} else if (v.is_array()) {
+		array_out(v, out);
+	} else {
+		out->kind = TOML_OTHER;
+	}
+}
+
+/* First line of the parser's report, without its own tag and scope. */
+static std::string first_line(const char *what)
+{
+	std::string s(what);
+	size_t from = 0;
+	const std::string tag = "[error] ";
+
+	if (s.compare(0, tag.size(), tag) == 0)
+		from = tag.size();
+	if (s.compare(from, 6, "toml::") == 0) {
+		size_t colon = s.find(": ", from);
+
+		if (colon != std::string::npos)
+			from = colon + 2;
+	}
+	return s.substr(from, s.find('\n', from) - from);
+}
+
+static void parse(const std::string &text, const char *document,
+		  struct toml_node *root)
+{
+	std::istringstream in(text, std::ios::binary);
+	auto v = toml::parse<toml::discard_comments, std::map, std::vector>(
+		in, document);
+
+	out_node(v, "", root);
+}
+
+/**
+ * toml_read() - parse a document
+ * @document: its name, for mistakes
+ * @text: text, need not end in NUL
+ * @size_bytes: its size
+ * @m: a mistake is added for a text that isn't TOML
+ *
+ * Return: the root table, to be freed with toml_free(), or NULL after a
+ * mistake. No exception leaves this function.
+ */
+struct toml_node *toml_read(const char *document, const char *text,
+			    size_t size_bytes, struct mistakes *m)
+{
+	struct toml_node *root = nullptr;
+
+	if (size_bytes > TOML_MAX_BYTES) {
+		mistake_add(m, document, 0, "", "document too large",
+			    "at most 1 MiB");
+		return nullptr;
+	}
+	if (too_deep(text, size_bytes)) {
+		mistake_add(m, document, 0, "", "values nest too deep",
+			    "at most 64 levels");
+		return nullptr;
+	}
+	try {
+		root = static_cast<toml_node *>(allocate(1, sizeof(toml_node)));
+		parse(std::string(text, size_bytes), document, root);
+		return root;
+	} catch (const toml::exception &e) {
+		mistake_add(m, document,
+			    static_cast<uint32_t>(e.location().line()), "",
+			    first_line(e.what()).c_str(), "TOML");
+	} catch (const std::exception &e) {
+		mistake_add(m, document, 0, "", first_line(e.what()).c_str(),
+			    "TOML");
+	} catch (...) {
+		mistake_add(m, document, 0, "", "parser failed", "TOML");
+	}
+	toml_free(root);
+	return nullptr;
+}
+
+static void clear(struct toml_node *node)
+{
+	for (uint32_t i = 0; i < node->n_items; i++)
+		clear(&node->items[i]);
+	free(node->items);
+	free(node->key);
+	free(node->text);
+}
+
+/**
+ * toml_free() - free a tree
+ * @root: from toml_read(), or NULL
+ */
+void toml_free(struct toml_node *root)
+{
+	if (!root)
+		return;
+	clear(root);
+	free(root);
+}
+
+/**
+ * toml_find() - value of a key
+ * @table: a table, or NULL
+ * @key: name
+ *
+ * Return: the value, or NULL when it isn't there or @table is no table.
+ */
+struct toml_node *toml_find(const struct toml_node *table, const char *key)
+{
+	if (!table || table->kind != TOML_TABLE)
+		return nullptr;
+	for (uint32_t i = 0; i < table->n_items; i++)
+		if (!strcmp(table->items[i].key, key))
+			return &table->items[i];
+	return nullptr;
+}
+
+/**
+ * toml_kind_name() - a kind in words
+ * @kind: kind
+ *
+ * Return: a constant string with its article.
+ */
+const char *toml_kind_name(enum toml_kind kind)
+{
+	static const char *const names[] = { "a string",  "an integer",
+					     "a boolean", "a table",
+					     "an array",  "a value" };
+
+	return names[kind];
+}
