--- a/adapters/settings.c
+++ b/adapters/settings.c
@@ -2,21 +2,27 @@
 
 #include "settings_table.h"
 
-#define ENTRY(sec, name, how, member, ...)                                  \
-	{                                                                   \
-		.section = sec, .key = name, .kind = how,                   \
-		.offset = offsetof(struct entry_settings, member),          \
-		.size_bytes = sizeof(((struct entry_settings *)0)->member), \
-		__VA_ARGS__                                                 \
+#define LIMIT(name, low, high, usual)                                 \
+	{                                                             \
+		"limits", LISTEN_NOT,                                 \
+			FIELD(entry_settings, #name, FIELD_U32, name, \
+			      RANGE(low, high, usual))                \
 	}
-#define WATCH(sec, name, how, member, ...)                                  \
-	{                                                                   \
-		.section = sec, .key = name, .kind = how,                   \
-		.offset = offsetof(struct watch_settings, member),          \
-		.size_bytes = sizeof(((struct watch_settings *)0)->member), \
-		__VA_ARGS__                                                 \
+#define TIMING(name, low, high, usual)                                \
+	{                                                             \
+		"timing", LISTEN_NOT,                                 \
+			FIELD(entry_settings, #name, FIELD_U32, name, \
+			      RANGE(low, high, usual))                \
+	}
+#define LOG_SETTINGS(type)                                               \
+	{ "log", LISTEN_NOT,                                             \
+	  FIELD(type, "level", FIELD_WORD, log.level, .choices = levels, \
+		.fallback = 2) },                                        \
+	{                                                                \
+		"log", LISTEN_NOT,                                       \
+			FIELD(type, "format", FIELD_CHOICE, log.format,  \
+			      .choices = formats, .fallback = LOG_TEXT)  \
 	}
-#define RANGE(low, high, usual) .min = low, .max = high, .fallback = usual
 
 #define MS_PER_HOUR 3600000
 
@@ -26,67 +32,68 @@
 				      NULL };
 
 static const struct setting entry_table[] = {
-	ENTRY("vm", "data_centre", SET_NAME, data_centre, .required = true),
-	ENTRY("vm", "peer", SET_ADDR, peer, .required = true,
-	      .listens = LISTEN_UDP),
-	ENTRY("vm", "http", SET_ADDR, http, .required = true,
-	      .listens = LISTEN_TCP),
-	ENTRY("vm", "watch", SET_ENDPOINT, watch, .required = true,
-	      .listens = LISTEN_TCP),
-	ENTRY("vm", "key", SET_KEY, key, .required = true),
-	ENTRY("callers", "mode", SET_CHOICE, callers_mode, .choices = modes,
-	      .fallback = CALLERS_FABRIC),
-	ENTRY("callers", "listen", SET_ADDR, callers_listen,
-	      .listens = LISTEN_UDP),
-	ENTRY("callers", "fabric", SET_ADDR, fabric, .listens = LISTEN_UDP),
-	ENTRY("targets", "source", SET_IP, target_source_ip),
-	ENTRY("limits", "requests", SET_U32, requests,
-	      RANGE(16, 1 << 20, 16384)),
-	ENTRY("limits", "feeds", SET_U32, feeds, RANGE(16, 1 << 22, 262144)),
-	ENTRY("limits", "claims", SET_U32, claims, RANGE(16, 1 << 22, 524288)),
-	ENTRY("limits", "flows", SET_U32, flows, RANGE(16, 1 << 24, 524288)),
-	ENTRY("limits", "peer_bytes_per_s", SET_U32, peer_bytes_per_s,
-	      RANGE(1000, 1 << 30, 16000)),
-	ENTRY("timing", "probe_period_ms", SET_U32, probe_period_ms,
-	      RANGE(10, 60000, 200)),
-	ENTRY("timing", "probe_timeout_ms", SET_U32, probe_timeout_ms,
-	      RANGE(1, 60000, 100)),
-	ENTRY("timing", "suspect_timeout_ms", SET_U32, suspect_timeout_ms,
-	      RANGE(10, 600000, 600)),
-	ENTRY("timing", "lease_ms", SET_U32, lease_ms, RANGE(10, 600000, 1000)),
-	ENTRY("timing", "settle_ms", SET_U32, settle_ms,
-	      RANGE(10, 600000, 500)),
-	ENTRY("timing", "cover_ms", SET_U32, cover_ms,
-	      RANGE(100, MS_PER_HOUR, 93000)),
-	ENTRY("timing", "claim_timeout_ms", SET_U32, claim_timeout_ms,
-	      RANGE(10, 60000, 200)),
-	ENTRY("timing", "probe_idle_ms", SET_U32, probe_idle_ms,
-	      RANGE(100, MS_PER_HOUR, 10000)),
-	ENTRY("timing", "drain_ms", SET_U32, drain_ms,
-	      RANGE(100, MS_PER_HOUR, 20000)),
-	ENTRY("log", "level", SET_WORD, log.level, .choices = levels,
-	      .fallback = 2),
-	ENTRY("log", "format", SET_CHOICE, log.format, .choices = formats,
-	      .fallback = LOG_TEXT),
+	{ "vm", LISTEN_NOT,
+	  FIELD(entry_settings, "data_centre", FIELD_NAME, data_centre,
+		.required = true) },
+	{ "vm", LISTEN_UDP,
+	  FIELD(entry_settings, "peer", FIELD_ADDR, peer, .required = true) },
+	{ "vm", LISTEN_TCP,
+	  FIELD(entry_settings, "http", FIELD_ADDR, http, .required = true) },
+	{ "vm", LISTEN_TCP,
+	  FIELD(entry_settings, "watch", FIELD_ENDPOINT, watch,
+		.required = true) },
+	{ "vm", LISTEN_NOT,
+	  FIELD(entry_settings, "key", FIELD_KEY, key, .required = true) },
+	{ "callers", LISTEN_NOT,
+	  FIELD(entry_settings, "mode", FIELD_CHOICE, callers_mode,
+		.choices = modes, .fallback = CALLERS_FABRIC) },
+	{ "callers", LISTEN_UDP,
+	  FIELD(entry_settings, "listen", FIELD_ADDR, callers_listen) },
+	{ "callers", LISTEN_UDP,
+	  FIELD(entry_settings, "fabric", FIELD_ADDR, fabric) },
+	{ "targets", LISTEN_NOT,
+	  FIELD(entry_settings, "source", FIELD_IP, target_source_ip) },
+	LIMIT(requests, 16, 1 << 20, 16384),
+	LIMIT(feeds, 16, 1 << 22, 262144),
+	LIMIT(claims, 16, 1 << 22, 524288),
+	LIMIT(flows, 16, 1 << 24, 524288),
+	LIMIT(peer_bytes_per_s, 1000, 1 << 30, 16000),
+	TIMING(probe_period_ms, 10, 60000, 200),
+	TIMING(probe_timeout_ms, 1, 60000, 100),
+	TIMING(suspect_timeout_ms, 10, 600000, 600),
+	TIMING(lease_ms, 10, 600000, 1000),
+	TIMING(settle_ms, 10, 600000, 500),
+	TIMING(cover_ms, 100, MS_PER_HOUR, 93000),
+	TIMING(claim_timeout_ms, 10, 60000, 200),
+	TIMING(probe_idle_ms, 100, MS_PER_HOUR, 10000),
+	TIMING(drain_ms, 100, MS_PER_HOUR, 20000),
+	LOG_SETTINGS(entry_settings),
 	{ 0 }
 };
 
 static const struct setting watch_table[] = {
-	WATCH("vm", "data_centre", SET_NAME, data_centre, .required = true),
-	WATCH("vm", "peer", SET_ADDR, peer, .required = true,
-	      .listens = LISTEN_UDP),
-	WATCH("vm", "listen", SET_ENDPOINT, listen, .required = true,
-	      .listens = LISTEN_TCP),
-	WATCH("vm", "port", SET_U16, port, RANGE(1, UINT16_MAX, 7002)),
-	WATCH("vm", "http", SET_ADDR, http, .required = true,
-	      .listens = LISTEN_TCP),
-	WATCH("vm", "key", SET_KEY, key, .required = true),
-	WATCH("platform", "url", SET_URL, platform_url, .required = true),
-	WATCH("platform", "readers", SET_U32, readers, RANGE(1, 64, 2)),
-	WATCH("log", "level", SET_WORD, log.level, .choices = levels,
-	      .fallback = 2),
-	WATCH("log", "format", SET_CHOICE, log.format, .choices = formats,
-	      .fallback = LOG_TEXT),
+	{ "vm", LISTEN_NOT,
+	  FIELD(watch_settings, "data_centre", FIELD_NAME, data_centre,
+		.required = true) },
+	{ "vm", LISTEN_UDP,
+	  FIELD(watch_settings, "peer", FIELD_ADDR, peer, .required = true) },
+	{ "vm", LISTEN_TCP,
+	  FIELD(watch_settings, "listen", FIELD_ENDPOINT, listen,
+		.required = true) },
+	{ "vm", LISTEN_NOT,
+	  FIELD(watch_settings, "port", FIELD_U16, port,
+		RANGE(1, UINT16_MAX, 7002)) },
+	{ "vm", LISTEN_TCP,
+	  FIELD(watch_settings, "http", FIELD_ADDR, http, .required = true) },
+	{ "vm", LISTEN_NOT,
+	  FIELD(watch_settings, "key", FIELD_KEY, key, .required = true) },
+	{ "platform", LISTEN_NOT,
+	  FIELD(watch_settings, "url", FIELD_URL, platform_url,
+		.required = true) },
+	{ "platform", LISTEN_NOT,
+	  FIELD(watch_settings, "readers", FIELD_U32, readers,
+		RANGE(1, 64, 2)) },
+	LOG_SETTINGS(watch_settings),
 	{ 0 }
 };
 
--- a/adapters/toml.cc
+++ b/adapters/toml.cc
@@ -62,6 +62,16 @@
 static void out_node(const value &v, const std::string &key,
 		     struct toml_node *out);
 
+/* @out->document is set; each item takes it over. */
+static void item_out(const value &v, const std::string &key,
+		     struct toml_node *out)
+{
+	struct toml_node *item = &out->items[out->n_items++];
+
+	item->document = out->document;
+	out_node(v, key, item);
+}
+
 static void table_out(const value &v, struct toml_node *out)
 {
 	const auto &t = v.as_table();
@@ -70,7 +80,7 @@
 	out->items =
 		static_cast<toml_node *>(allocate(t.size(), sizeof(toml_node)));
 	for (const auto &kv : t)
-		out_node(kv.second, kv.first, &out->items[out->n_items++]);
+		item_out(kv.second, kv.first, out);
 }
 
 static void array_out(const value &v, struct toml_node *out)
@@ -81,7 +91,7 @@
 	out->items =
 		static_cast<toml_node *>(allocate(a.size(), sizeof(toml_node)));
 	for (const auto &item : a)
-		out_node(item, "", &out->items[out->n_items++]);
+		item_out(item, "", out);
 }
 
 static void out_node(const value &v, const std::string &key,
@@ -131,12 +141,13 @@
 	auto v = toml::parse<toml::discard_comments, std::map, std::vector>(
 		in, document);
 
+	root->document = document;
 	out_node(v, "", root);
 }
 
 /**
  * toml_read() - parse a document
- * @document: its name, for mistakes
+ * @document: its name, for mistakes; has to outlive the tree
  * @text: text, need not end in NUL
  * @size_bytes: its size
  * @m: a mistake is added for a text that isn't TOML
@@ -177,13 +188,18 @@
 	return nullptr;
 }
 
-static void clear(struct toml_node *node)
+/**
+ * toml_clear() - free what a node holds and zero it
+ * @node: node
+ */
+void toml_clear(struct toml_node *node)
 {
 	for (uint32_t i = 0; i < node->n_items; i++)
-		clear(&node->items[i]);
+		toml_clear(&node->items[i]);
 	free(node->items);
 	free(node->key);
 	free(node->text);
+	*node = toml_node();
 }
 
 /**
@@ -194,7 +210,7 @@
 {
 	if (!root)
 		return;
-	clear(root);
+	toml_clear(root);
 	free(root);
 }
 
--- a/adapters/toml.h
+++ b/adapters/toml.h
@@ -28,6 +28,7 @@
 /**
  * struct toml_node - a value
  * @kind: enum toml_kind
+ * @document: name given to toml_read(); not a copy
  * @line: line from 1
  * @key: name in its table; empty for an array's item and for the root
  * @text: a string's text, else NULL
@@ -40,6 +41,7 @@
 	uint8_t kind;
 	uint8_t taken;
 	uint32_t line;
+	const char *document;
 	char *key;
 	char *text;
 	int64_t number;
@@ -50,6 +52,7 @@
 struct toml_node *toml_read(const char *document, const char *text,
 			    size_t size_bytes, struct mistakes *m);
 void toml_free(struct toml_node *root);
+void toml_clear(struct toml_node *node);
 struct toml_node *toml_find(const struct toml_node *table, const char *key);
 const char *toml_kind_name(enum toml_kind kind);
 
