--- a/adapters/publication.h
+++ b/adapters/publication.h
@@ -31,4 +31,83 @@
 					const char *data_centre,
 					struct mistakes *mistakes);
 
+/**
+ * publication_text() - an account's document with its template filled in
+ * @name: account's name
+ * @text: document
+ * @templates: where templates come from
+ * @mistakes: every mistake is added here
+ *
+ * Return: a document that stands alone and renders to the same account, to be
+ * freed with g_free(), or NULL when there is a mistake that is not just a
+ * warning.
+ */
+char *publication_text(const char *name, const char *text,
+		       struct template_source templates,
+		       struct mistakes *mistakes);
+
+/**
+ * publication_compare() - what a publication would do to flows that stand
+ * @old: account in force
+ * @new: account to be published
+ * @mistakes: an error when the generation doesn't grow although the account
+ *	changed; warnings for flows that would be orphaned and for connections
+ *	or slots that fall
+ *
+ * Both have to be rendered for the same data centre, or both for all.
+ */
+void publication_compare(const struct account_conf *old,
+			 const struct account_conf *new,
+			 struct mistakes *mistakes);
+
+/**
+ * enum change_kind - how an account, service or target differs
+ * @CHANGE_ADDED: only the new one has it
+ * @CHANGE_REMOVED: only the old one has it
+ * @CHANGE_VALUE: both have it with another value
+ */
+enum change_kind { CHANGE_ADDED, CHANGE_REMOVED, CHANGE_VALUE };
+
+/**
+ * struct change - one difference; strings are good during the call
+ * @kind: enum change_kind
+ * @account: account's name
+ * @service: service's name, or ""
+ * @target: target's address, or ""
+ * @key: key whose value differs, or ""
+ * @before: old value, or ""
+ * @after: new value, or ""
+ */
+struct change {
+	uint8_t kind;
+	const char *account;
+	const char *service;
+	const char *target;
+	const char *key;
+	const char *before;
+	const char *after;
+};
+
+/**
+ * struct change_watch - port that is told of each difference
+ * @ctx: passed back
+ * @change: a difference
+ */
+struct change_watch {
+	void *ctx;
+	void (*change)(void *ctx, const struct change *c);
+};
+
+/**
+ * publication_diff() - differences between two accounts
+ * @old: account in force, NULL when there is none
+ * @new: account to be published, NULL when it is withdrawn
+ * @watch: told of each
+ *
+ * Return: number of differences.
+ */
+uint32_t publication_diff(const struct account_conf *old,
+			  const struct account_conf *new,
+			  struct change_watch watch);
+
 #endif
