--- /dev/null
+++ b/core/flow.c
@@ -0,0 +1,321 @@
+/*
+ * Open addressing with linear probing. One byte of the hash a slot stands in
+ * an array of its own, so that a miss, the usual case, reads tags only.
+ * Deletion moves later flows of the run back instead of leaving tombstones;
+ * no other call moves a flow.
+ */
+#include "flow.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+#define ADDR_BITS 48
+#define ADDR_MASK ((1ULL << ADDR_BITS) - 1)
+#define TAG_EMPTY 0
+#define TAG_BITS 8
+
+/* Slots a flow may stand from its home: bounds the cost of every call. */
+#define PROBE_MAX 1024
+
+/* Slots a flow: 5/4, so the table is never more than 80 % full. */
+#define SLOTS_NUMERATOR 5
+#define SLOTS_DENOMINATOR 4
+
+/* A deadline is kept in 48 bits of 2^16 ns (66 us). */
+#define DEADLINE_SHIFT 16
+
+/* Three addresses of 48 bits; their high 16 bits hold the deadline. */
+struct slot {
+	uint64_t caller;
+	uint64_t vip;
+	uint64_t target;
+};
+
+struct flow_table {
+	uint32_t homes;
+	uint32_t slots;
+	uint32_t flows;
+	uint32_t flows_max;
+	uint32_t hand;
+	uint64_t idle_ns;
+	uint8_t *tag;
+	struct slot *slot;
+};
+
+static uint32_t home_of(const struct flow_table *t, uint64_t hash)
+{
+	return (uint32_t)(((hash >> 32) * t->homes) >> 32);
+}
+
+/* The low bits choose the ring's bucket: an owner's flows share some. */
+static uint8_t tag_of(uint64_t hash)
+{
+	uint8_t tag = hash >> (32 - TAG_BITS);
+
+	return tag == TAG_EMPTY ? 1 : tag;
+}
+
+static uint64_t deadline_units(const struct slot *s)
+{
+	return s->caller >> ADDR_BITS << 32 | s->vip >> ADDR_BITS << 16 |
+	       s->target >> ADDR_BITS;
+}
+
+static void slot_write(struct slot *s, const struct flow_key *key,
+		       uint64_t target, uint64_t deadline_ns)
+{
+	uint64_t units = deadline_ns >> DEADLINE_SHIFT;
+
+	s->caller = (key->caller & ADDR_MASK) | units >> 32 << ADDR_BITS;
+	s->vip = (key->vip & ADDR_MASK) | units >> 16 << ADDR_BITS;
+	s->target = (target & ADDR_MASK) | units << ADDR_BITS;
+}
+
+static struct flow_key slot_key(const struct slot *s)
+{
+	return (struct flow_key){.caller = s->caller & ADDR_MASK,
+				 .vip = s->vip & ADDR_MASK};
+}
+
+static uint64_t slot_target(const struct slot *s)
+{
+	return s->target & ADDR_MASK;
+}
+
+static bool slot_holds(const struct slot *s, const struct flow_key *key)
+{
+	return (s->caller & ADDR_MASK) == key->caller &&
+	       (s->vip & ADDR_MASK) == key->vip;
+}
+
+static bool slot_idle(const struct slot *s, uint64_t now_ns)
+{
+	return deadline_units(s) < now_ns >> DEADLINE_SHIFT;
+}
+
+/**
+ * flow_table_new() - table allocated once, for its whole life
+ * @flows_max: most flows it holds
+ * @idle_ns: a flow not looked up for this long is forgotten
+ *
+ * Return: table, or NULL when memory is short.
+ */
+struct flow_table *flow_table_new(uint32_t flows_max, uint64_t idle_ns)
+{
+	struct flow_table *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->flows_max = flows_max;
+	t->idle_ns = idle_ns < FLOW_IDLE_MAX_NS ? idle_ns : FLOW_IDLE_MAX_NS;
+	t->homes = (uint64_t)flows_max * SLOTS_NUMERATOR / SLOTS_DENOMINATOR + 1;
+	t->slots = t->homes + PROBE_MAX;
+	t->tag = calloc(t->slots + 1, sizeof(*t->tag));
+	t->slot = calloc(t->slots, sizeof(*t->slot));
+	if (!t->tag || !t->slot) {
+		flow_table_free(t);
+		return NULL;
+	}
+	return t;
+}
+
+/**
+ * flow_table_free() - give back a table
+ * @t: table, or NULL
+ */
+void flow_table_free(struct flow_table *t)
+{
+	if (!t)
+		return;
+	free(t->tag);
+	free(t->slot);
+	free(t);
+}
+
+/* Slot of the flow, or the first empty one of its run; t->slots if neither. */
+static uint32_t find(const struct flow_table *t, const struct flow_key *key,
+		     uint64_t hash)
+{
+	uint32_t at = home_of(t, hash);
+	uint32_t end = at + PROBE_MAX;
+	uint8_t tag = tag_of(hash);
+
+	for (; at < end; at++) {
+		if (t->tag[at] == TAG_EMPTY)
+			return at;
+		if (t->tag[at] == tag && slot_holds(&t->slot[at], key))
+			return at;
+	}
+	return t->slots;
+}
+
+/*
+ * Close the gap at @gap: each later flow of the run that stands past its home
+ * by enough moves into it, so that no search ends too early.
+ */
+static void close_gap(struct flow_table *t, uint32_t gap)
+{
+	struct flow_key key;
+	uint32_t at;
+
+	for (at = gap + 1; t->tag[at] != TAG_EMPTY; at++) {
+		key = slot_key(&t->slot[at]);
+		if (home_of(t, flow_hash(&key)) > gap)
+			continue;
+		t->slot[gap] = t->slot[at];
+		t->tag[gap] = t->tag[at];
+		gap = at;
+	}
+	t->tag[gap] = TAG_EMPTY;
+	t->flows--;
+}
+
+/**
+ * flow_pin() - set a flow's target, new or changed
+ * @t: table
+ * @key: flow
+ * @target: its target, not ADDR_NONE
+ * @now_ns: now; the flow's idle time starts here
+ *
+ * Return: 0; -EINVAL without a target; -ENOSPC when the table is full, or
+ * when PROBE_MAX flows hash alike.
+ */
+int flow_pin(struct flow_table *t, const struct flow_key *key, uint64_t target,
+	     uint64_t now_ns)
+{
+	uint64_t hash = flow_hash(key);
+	uint32_t at;
+
+	if (target == ADDR_NONE)
+		return -EINVAL;
+	at = find(t, key, hash);
+	if (at == t->slots)
+		return -ENOSPC;
+	if (t->tag[at] == TAG_EMPTY) {
+		if (t->flows >= t->flows_max)
+			return -ENOSPC;
+		t->flows++;
+		t->tag[at] = tag_of(hash);
+	}
+	slot_write(&t->slot[at], key, target, now_ns + t->idle_ns);
+	return 0;
+}
+
+/**
+ * flow_lookup() - target of a flow; a hit starts its idle time anew
+ * @t: table
+ * @key: flow
+ * @now_ns: now
+ *
+ * Return: target, or ADDR_NONE when the flow isn't pinned or was idle.
+ */
+uint64_t flow_lookup(struct flow_table *t, const struct flow_key *key,
+		     uint64_t now_ns)
+{
+	uint32_t at = find(t, key, flow_hash(key));
+	uint64_t target;
+
+	if (at == t->slots || t->tag[at] == TAG_EMPTY)
+		return ADDR_NONE;
+	if (slot_idle(&t->slot[at], now_ns)) {
+		close_gap(t, at);
+		return ADDR_NONE;
+	}
+	target = slot_target(&t->slot[at]);
+	slot_write(&t->slot[at], key, target, now_ns + t->idle_ns);
+	return target;
+}
+
+/**
+ * flow_unpin() - forget a flow
+ * @t: table
+ * @key: flow
+ *
+ * Return: 0, or -ENOENT.
+ */
+int flow_unpin(struct flow_table *t, const struct flow_key *key)
+{
+	uint32_t at = find(t, key, flow_hash(key));
+
+	if (at == t->slots || t->tag[at] == TAG_EMPTY)
+		return -ENOENT;
+	close_gap(t, at);
+	return 0;
+}
+
+/**
+ * flow_expire() - forget idle flows, a part of the table at a time
+ * @t: table
+ * @now_ns: now
+ * @budget: slots to look at; the next call goes on from there
+ *
+ * Return: flows forgotten.
+ */
+uint32_t flow_expire(struct flow_table *t, uint64_t now_ns, uint32_t budget)
+{
+	uint32_t before = t->flows;
+
+	while (budget--) {
+		if (t->hand == t->slots)
+			t->hand = 0;
+		if (t->tag[t->hand] != TAG_EMPTY &&
+		    slot_idle(&t->slot[t->hand], now_ns))
+			close_gap(t, t->hand);
+		else
+			t->hand++;
+	}
+	return before - t->flows;
+}
+
+/**
+ * flow_count() - flows held
+ * @t: table
+ *
+ * Return: how many, idle ones not yet forgotten included.
+ */
+uint32_t flow_count(const struct flow_table *t)
+{
+	return t->flows;
+}
+
+/**
+ * flow_bytes() - memory of the table
+ * @t: table
+ *
+ * Return: bytes, the same for its whole life.
+ */
+uint64_t flow_bytes(const struct flow_table *t)
+{
+	return sizeof(*t) + t->slots + 1 +
+	       (uint64_t)t->slots * sizeof(*t->slot);
+}
+
+/**
+ * flow_each() - walk all flows, over as many calls and changes as it takes
+ * @t: table
+ * @cursor: 0 to begin with; where the walk is
+ * @key: filled
+ * @target: filled
+ *
+ * The walk goes from the table's end to its start. Only deletion moves flows,
+ * and only towards the start: a flow that stays in the table is never missed,
+ * and may be seen twice.
+ *
+ * Return: 0, or -ENOENT at the end; the cursor then starts over.
+ */
+int flow_each(const struct flow_table *t, uint32_t *cursor,
+	      struct flow_key *key, uint64_t *target)
+{
+	uint32_t at = *cursor ? *cursor - 1 : t->slots;
+
+	while (at--) {
+		if (t->tag[at] == TAG_EMPTY)
+			continue;
+		*cursor = at + 1;
+		*key = slot_key(&t->slot[at]);
+		*target = slot_target(&t->slot[at]);
+		return 0;
+	}
+	*cursor = 0;
+	return -ENOENT;
+}
--- a/core/flow.h
+++ b/core/flow.h
@@ -6,6 +6,9 @@
 
 struct flow_table;
 
+/* Longest idle time that can be set; longer ones are cut to it. */
+#define FLOW_IDLE_MAX_NS (365ULL * 24 * 3600 * NS_PER_S)
+
 struct flow_table *flow_table_new(uint32_t flows_max, uint64_t idle_ns);
 void flow_table_free(struct flow_table *t);
 int flow_pin(struct flow_table *t, const struct flow_key *key, uint64_t target,
