--- a/Makefile
+++ b/Makefile
@@ -56,22 +56,27 @@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+	@echo CC $<
+	@$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
 $(B)/%.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+	@echo CXX $<
+	@$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
 define PROG
 $(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS)
 	@mkdir -p $$(@D)
-	$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
+	@echo LD $$@
+	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
 endef
 $(foreach d,$(PROGDIRS),$(eval $(call PROG,$(d))))
 
 $(B)/test/%_test: $(B)/test/%_test.o $(TESTHELP) $(LIBS)
-	$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
+	@echo LD $@
+	@$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
 $(B)/test/%_prop: $(B)/test/%_prop.o $(TESTHELP) $(LIBS)
-	$(CXX) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lrapidcheck $(LDLIBS) -o $@
+	@echo LD $@
+	@$(CXX) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lrapidcheck $(LDLIBS) -o $@
 
 tests: $(TESTS_C) $(TESTS_CC) all
 
@@ -91,6 +96,8 @@
 soak: tests
 	@B=$(B) scripts/soak $(TESTS_CC)
 
+.SECONDARY:
+
 SOURCES := $(wildcard core/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
 	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] test/*.[ch] test/*.cc)
 fmt:
--- /dev/null
+++ b/core/allowance.c
@@ -0,0 +1,32 @@
+#include "entry_state.h"
+
+/**
+ * allowance_take() - spend from the budget of second copies
+ * @e: entry
+ * @bytes: size of a message
+ *
+ * A wake on the hour opens thousands of feeds at once; their copies are spread
+ * over time, so that control stays within its bytes a second.
+ *
+ * Return: false when the budget is spent for now.
+ */
+bool allowance_take(struct entry *e, uint32_t bytes)
+{
+	uint64_t rate = e->conf.peer_bytes_per_s;
+	uint64_t past_ns = e->now_ns - e->allowance_ns;
+	uint64_t earned;
+
+	if (past_ns > NS_PER_S)
+		past_ns = NS_PER_S;
+	earned = past_ns * rate / NS_PER_S;
+	if (earned) {
+		e->allowance_ns = e->now_ns;
+		e->allowance_bytes += earned;
+	}
+	if (e->allowance_bytes > rate)
+		e->allowance_bytes = rate;
+	if (e->allowance_bytes < bytes)
+		return false;
+	e->allowance_bytes -= bytes;
+	return true;
+}
--- /dev/null
+++ b/core/claiming.c
@@ -0,0 +1,324 @@
+/*
+ * At most once: a non-idempotent request is sent only after its owner and the
+ * bucket's second both hold a record of it. Views that differ by one member
+ * share at least one of the two, and that one refuses a second claimer.
+ */
+#include "entry_state.h"
+
+/* Whether this process may act on what it knew before: its lease holds. */
+bool claim_safe_now(const struct entry *e)
+{
+	return member_lease_valid(e->members, e->now_ns);
+}
+
+static bool own_claim(const struct entry *e, const struct claim *c)
+{
+	return c->claimer == e->conf.member.self &&
+	       c->boot == e->conf.member.incarnation;
+}
+
+static struct claim claim_of(const struct entry *e, const struct request *r,
+			     uint8_t state)
+{
+	struct claim c = { .request = r->request,
+			   .bucket = r->bucket,
+			   .claimer = e->conf.member.self,
+			   .boot = e->conf.member.incarnation,
+			   .target = r->target,
+			   .state = state,
+			   .slot = request_slot(e, r) };
+
+	return c;
+}
+
+static void send_settlement(struct entry *e, const struct claim *c)
+{
+	struct ring_pair pair = ring_at(e->ring, c->bucket);
+	uint64_t to = pair.second;
+	struct peer_msg *m;
+
+	if (to == e->conf.member.self)
+		to = pair.owner;
+	if (to == ADDR_NONE || to == e->conf.member.self)
+		return;
+	m = emit_peer(e, to, PEER_SETTLE);
+	m->n_claims = 1;
+	m->claims[0] = *c;
+}
+
+/**
+ * claim_settle() - note how a claimed request ended
+ * @e: entry
+ * @r: request
+ * @state: enum claim_state
+ *
+ * Only a refusal is told to the second: done and open mean the same to it, that
+ * the request may have run, and a message less is spent on each request.
+ */
+void claim_settle(struct entry *e, struct request *r, uint8_t state)
+{
+	struct claim *c = claims_find(e->claims, r->request);
+
+	if (!c || !own_claim(e, c))
+		return;
+	c->state = state;
+	if (state == CLAIM_REFUSED)
+		send_settlement(e, c);
+}
+
+static void pass_to_claimer(struct entry *e, struct request *r,
+			    uint64_t claimer, uint8_t hops)
+{
+	forward_to(e, claimer, &r->key, r->data, r->size_bytes, hops, claimer);
+	request_drop(e, r);
+}
+
+/* A request whose record says that it was claimed already. */
+static void claimed_before(struct entry *e, struct request *r, struct claim *c,
+			   uint8_t hops)
+{
+	bool may_run = c->state == CLAIM_OPEN || c->state == CLAIM_DONE;
+
+	if (c->state == CLAIM_REFUSED) {
+		request_refuse(e, r, REFUSE_QUEUE, 1);
+		return;
+	}
+	if (may_run && c->claimer != e->conf.member.self &&
+	    vm_serves(e, c->claimer)) {
+		pass_to_claimer(e, r, c->claimer, hops);
+		return;
+	}
+	/*
+	 * The claimer is gone. Marked unknown here, so that the claimer, if it
+	 * was only paused, is told so when it asks again, and does not send.
+	 */
+	c->state = CLAIM_UNKNOWN;
+	request_unknown(e, r, "claimer of the request is gone");
+}
+
+/**
+ * claim_begin() - claim a non-idempotent request that arrived at its owner
+ * @e: entry
+ * @r: request
+ * @hops: forwards so far
+ */
+void claim_begin(struct entry *e, struct request *r, uint8_t hops)
+{
+	struct claim mine = claim_of(e, r, CLAIM_OPEN);
+	struct claim *c = claims_find(e->claims, r->request);
+
+	if (c && c->state != CLAIM_NONE) {
+		claimed_before(e, r, c, hops);
+		return;
+	}
+	if (c)
+		*c = mine;
+	else
+		c = claims_put(e->claims, &mine, e->now_ns);
+	if (!c) {
+		request_unknown(e, r, "claim table is full");
+		return;
+	}
+	r->state = REQ_CLAIMING;
+	claim_repeat(e, r);
+}
+
+static void granted(struct entry *e, struct request *r, bool covered)
+{
+	if (!covered && !ring_covered(e->ring, r->bucket, e->now_ns)) {
+		e->counters.claims_uncovered++;
+		request_unknown(e, r, "no entry knows the bucket's history");
+		return;
+	}
+	e->counters.claims_granted++;
+	request_submit(e, r);
+}
+
+/* Ownership moved while the claim was out: the new owner starts afresh. */
+static void release_and_pass(struct entry *e, struct request *r, uint64_t owner)
+{
+	struct claim *c = claims_find(e->claims, r->request);
+
+	if (c && own_claim(e, c)) {
+		c->state = CLAIM_NONE;
+		send_settlement(e, c);
+	}
+	forward_to(e, owner, &r->key, r->data, r->size_bytes, 1, ADDR_NONE);
+	request_drop(e, r);
+}
+
+static void send_claim(struct entry *e, struct request *r, uint64_t second)
+{
+	struct peer_msg *m = emit_peer(e, second, PEER_CLAIM);
+
+	e->counters.claims_sent++;
+	m->n_claims = 1;
+	m->claims[0] = claim_of(e, r, CLAIM_OPEN);
+	if (!(r->flags & MSG_PART))
+		return;
+	m->key = r->key;
+	m->target = flow_lookup(e->pins, &r->key, e->now_ns);
+}
+
+/**
+ * claim_repeat() - ask (again) for the grant a request waits for
+ * @e: entry
+ * @r: request in REQ_CLAIMING
+ */
+void claim_repeat(struct entry *e, struct request *r)
+{
+	struct ring_pair pair = ring_at(e->ring, r->bucket);
+	uint64_t next = e->now_ns + e->conf.claim_timeout_ns;
+
+	if (e->now_ns >= r->deadline_ns) {
+		request_unknown(e, r, "claim was not granted in time");
+		return;
+	}
+	timers_set(e->timers, request_slot(e, r),
+		   next < r->deadline_ns ? next : r->deadline_ns);
+	if (!claim_safe_now(e))
+		return;
+	if (!member_majority(e->members)) {
+		e->counters.no_majority++;
+		request_unknown(e, r, "this side has no majority");
+		return;
+	}
+	if (pair.owner != e->conf.member.self && pair.owner != ADDR_NONE) {
+		release_and_pass(e, r, pair.owner);
+		return;
+	}
+	if (pair.second == ADDR_NONE)
+		granted(e, r, false);
+	else
+		send_claim(e, r, pair.second);
+}
+
+/*
+ * Two entries that both believe they own a flow claim the same request at each
+ * other. Without a rule both would refuse; the lower address goes on.
+ */
+static bool yields(struct entry *e, const struct claim *c, uint64_t from)
+{
+	struct request *r;
+
+	if (!own_claim(e, c) || c->state != CLAIM_OPEN)
+		return false;
+	r = &e->requests[c->slot];
+	if (r->state != REQ_CLAIMING || r->request != c->request)
+		return false;
+	if (from > e->conf.member.self)
+		return false;
+	request_drop(e, r);
+	return true;
+}
+
+static void rule_on_claim(struct entry *e, struct claim *line, uint64_t from)
+{
+	struct claim *c = claims_find(e->claims, line->request);
+
+	line->granted = true;
+	line->covered = ring_covered(e->ring, line->bucket, e->now_ns);
+	if (!c) {
+		line->granted = claims_put(e->claims, line, e->now_ns) != NULL;
+		line->state = line->granted ? CLAIM_OPEN : CLAIM_UNKNOWN;
+		return;
+	}
+	if (c->state == CLAIM_NONE || yields(e, c, from)) {
+		*c = *line;
+		return;
+	}
+	if (c->claimer == line->claimer && c->boot == line->boot) {
+		line->granted = c->state == CLAIM_OPEN;
+		line->state = c->state;
+		return;
+	}
+	if (c->state == CLAIM_OPEN && !vm_serves(e, c->claimer))
+		c->state = CLAIM_UNKNOWN;
+	line->granted = false;
+	line->claimer = c->claimer;
+	line->boot = c->boot;
+	line->state = c->state;
+}
+
+/* The second also keeps the pin of a transfer, and gives it to a new owner. */
+static void exchange_pin(struct entry *e, const struct peer_msg *ask,
+			 struct peer_msg *reply)
+{
+	if (ask->key.caller == ADDR_NONE)
+		return;
+	if (ask->target != ADDR_NONE)
+		flow_pin(e->pins, &ask->key, ask->target, e->now_ns);
+	reply->key = ask->key;
+	reply->target = flow_lookup(e->pins, &ask->key, e->now_ns);
+}
+
+/* claim_asked() - another entry asks to run requests: PEER_CLAIM. */
+void claim_asked(struct entry *e, const struct peer_msg *msg)
+{
+	struct peer_msg *reply = emit_peer(e, msg->from, PEER_GRANT);
+
+	for (uint8_t i = 0; i < msg->n_claims; i++) {
+		struct claim line = msg->claims[i];
+
+		if (line.bucket >= e->conf.n_buckets)
+			continue;
+		line.slot = SLOT_NONE;
+		rule_on_claim(e, &line, msg->from);
+		reply->claims[reply->n_claims++] = line;
+	}
+	exchange_pin(e, msg, reply);
+}
+
+static void denied(struct entry *e, struct request *r, struct claim *mine,
+		   const struct claim *line)
+{
+	e->counters.claims_denied++;
+	mine->claimer = line->claimer;
+	mine->boot = line->boot;
+	mine->state = line->state;
+	claimed_before(e, r, mine, 1);
+}
+
+static void answer_to_claim(struct entry *e, const struct claim *line,
+			    uint64_t from)
+{
+	struct claim *c = claims_find(e->claims, line->request);
+	struct request *r;
+
+	if (!c || !own_claim(e, c) || c->slot >= e->conf.requests_max)
+		return;
+	r = &e->requests[c->slot];
+	if (r->state != REQ_CLAIMING || r->request != line->request)
+		return;
+	/* Only the present second's word completes the pair. */
+	if (ring_at(e->ring, r->bucket).second != from || !claim_safe_now(e))
+		return;
+	if (line->granted)
+		granted(e, r, line->covered);
+	else
+		denied(e, r, c, line);
+}
+
+/* claim_granted() - the second's answers to our claims: PEER_GRANT. */
+void claim_granted(struct entry *e, const struct peer_msg *msg)
+{
+	if (msg->key.caller != ADDR_NONE && msg->target != ADDR_NONE)
+		flow_pin(e->pins, &msg->key, msg->target, e->now_ns);
+	for (uint8_t i = 0; i < msg->n_claims; i++)
+		answer_to_claim(e, &msg->claims[i], msg->from);
+	requests_drain(e);
+}
+
+/* claim_settled() - a claimer says how its requests ended: PEER_SETTLE. */
+void claim_settled(struct entry *e, const struct peer_msg *msg)
+{
+	for (uint8_t i = 0; i < msg->n_claims; i++) {
+		const struct claim *line = &msg->claims[i];
+		struct claim *c = claims_find(e->claims, line->request);
+
+		if (!c || c->claimer != line->claimer || c->boot != line->boot)
+			continue;
+		if (c->state == CLAIM_OPEN)
+			c->state = line->state;
+	}
+}
--- /dev/null
+++ b/core/claims.h
@@ -0,0 +1,26 @@
+/*
+ * Records of non-idempotent requests, kept for as long as a caller may repeat
+ * one. The record says who claimed a request, so that no second entry runs it.
+ */
+#ifndef CB_CLAIMS_H
+#define CB_CLAIMS_H
+
+#include "peer.h"
+
+#define CLAIM_SLOT_NONE UINT32_MAX
+
+struct claims;
+
+struct claims *claims_new(uint32_t records_max, uint32_t n_buckets,
+			  uint64_t keep_ns);
+void claims_free(struct claims *c);
+struct claim *claims_find(struct claims *c, uint64_t request);
+struct claim *claims_put(struct claims *c, const struct claim *claim,
+			 uint64_t now_ns);
+void claims_expire(struct claims *c, uint64_t now_ns);
+uint32_t claims_count(const struct claims *c);
+uint32_t claims_first(const struct claims *c, uint32_t bucket);
+uint32_t claims_after(const struct claims *c, uint32_t slot);
+const struct claim *claims_at(const struct claims *c, uint32_t slot);
+
+#endif
--- /dev/null
+++ b/core/emit.c
@@ -0,0 +1,84 @@
+#include "entry_state.h"
+
+#include <string.h>
+
+/**
+ * emit() - add an action to the list being filled
+ * @e: entry
+ * @kind: enum action_kind
+ *
+ * The list is bounded. Work that can make many actions asks emit_room() first;
+ * should the list be full all the same, the action falls on a spare that no
+ * one reads, as if the datagram were lost on the way: senders repeat.
+ *
+ * Return: zeroed action.
+ */
+struct action *emit(struct entry *e, uint8_t kind)
+{
+	struct actions *out = e->out;
+	struct action *a = &out->a[ACTIONS_MAX - 1];
+
+	if (out->n < ACTIONS_MAX - 1)
+		a = &out->a[out->n++];
+	memset(a, 0, offsetof(struct action, peer));
+	a->note = NULL;
+	a->kind = kind;
+	return a;
+}
+
+/* Whether work that can wait for the next tick may still add actions. */
+bool emit_room(const struct entry *e)
+{
+	return e->out->n + ACTIONS_RESERVE < ACTIONS_MAX;
+}
+
+/**
+ * emit_peer() - add a message to another entry
+ * @e: entry
+ * @vm: receiver
+ * @kind: enum peer_kind
+ *
+ * Return: message with sender, incarnation and view filled in.
+ */
+struct peer_msg *emit_peer(struct entry *e, uint64_t vm, uint8_t kind)
+{
+	struct action *a = emit(e, ACT_PEER);
+
+	memset(&a->peer, 0, sizeof(a->peer));
+	a->vm = vm;
+	a->peer.kind = kind;
+	a->peer.from = e->conf.member.self;
+	a->peer.incarnation = e->conf.member.incarnation;
+	a->peer.view = e->view;
+	return &a->peer;
+}
+
+void emit_note(struct entry *e, const char *note, const struct flow_key *key,
+	       uint64_t target)
+{
+	struct action *a = emit(e, ACT_NOTE);
+
+	a->note = note;
+	a->key = *key;
+	a->target = target;
+}
+
+void emit_signal_target(struct entry *e, uint64_t target, uint8_t type,
+			uint16_t id)
+{
+	struct action *a = emit(e, ACT_SIGNAL_TARGET);
+
+	a->target = target;
+	a->type = type;
+	a->id = id;
+}
+
+void emit_signal_caller(struct entry *e, const struct flow_key *key,
+			uint8_t type, uint16_t id)
+{
+	struct action *a = emit(e, ACT_SIGNAL_CALLER);
+
+	a->key = *key;
+	a->type = type;
+	a->id = id;
+}
--- /dev/null
+++ b/core/entry.c
@@ -0,0 +1,446 @@
+#include "entry_state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FLOW_IDLE_NS (300 * NS_PER_S)
+#define FLOW_EXPIRE_BUDGET 64
+#define LINGER_NS (2 * NS_PER_S)
+#define VMS_MAX 1024
+
+static void send_member_message(void *ctx, uint64_t vm, struct peer_msg *msg)
+{
+	struct entry *e = ctx;
+	struct action *a;
+
+	if (!e->out)
+		return;
+	a = emit(e, ACT_PEER);
+	a->vm = vm;
+	a->peer = *msg;
+}
+
+static void pair_changed(void *ctx, uint32_t bucket, struct ring_pair before,
+			 struct ring_pair after)
+{
+	struct entry *e = ctx;
+	uint64_t self = e->conf.member.self;
+
+	if (after.owner == self && before.owner != self)
+		e->owner_since_ns[bucket] = e->now_ns;
+	if (before.owner == ADDR_NONE)
+		return;
+	feeds_pair_changed(e, bucket, before, after);
+	streams_pair_changed(e, bucket, before, after);
+}
+
+static int parts_init(struct entry *e)
+{
+	struct peer_out port = { e, send_member_message };
+	struct ring_watch watch = { e, pair_changed };
+	struct rng member_rng = { rng_next(&e->rng) | 1 };
+	struct rng balance_rng = { rng_next(&e->rng) | 1 };
+	const struct entry_conf *c = &e->conf;
+
+	e->members = member_new(&c->member, port, member_rng);
+	e->ring = ring_new(c->n_buckets, c->member.self, c->settle_ns,
+			   c->cover_ns, watch);
+	e->balancer = balance_new(c->requests_max, balance_rng);
+	e->pins = flow_table_new(c->flows_max, FLOW_IDLE_NS);
+	e->claims = claims_new(c->claims_max, c->n_buckets, c->cover_ns);
+	e->timers = timers_new(c->requests_max + c->feeds_max);
+	e->owner_since_ns = calloc(c->n_buckets, sizeof(uint64_t));
+	if (!e->members || !e->ring || !e->balancer || !e->pins || !e->claims ||
+	    !e->timers || !e->owner_since_ns)
+		return -ENOMEM;
+	if (requests_init(e) < 0 || feeds_init(e) < 0)
+		return -ENOMEM;
+	if (streams_init(e) < 0 || id_spaces_init(e) < 0)
+		return -ENOMEM;
+	return 0;
+}
+
+/**
+ * entry_new() - make the data path's decisions
+ * @conf: settings
+ * @now_ns: time
+ *
+ * Return: entry, or NULL without memory.
+ */
+struct entry *entry_new(const struct entry_conf *conf, uint64_t now_ns)
+{
+	struct entry *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		return NULL;
+	e->conf = *conf;
+	e->now_ns = now_ns;
+	e->rng.s = conf->seed | 1;
+	e->allowance_ns = now_ns;
+	e->allowance_bytes = conf->peer_bytes_per_s;
+	if (parts_init(e) < 0) {
+		entry_free(e);
+		return NULL;
+	}
+	for (uint32_t i = 0; i < conf->n_buckets; i++)
+		e->owner_since_ns[i] = now_ns;
+	return e;
+}
+
+void entry_free(struct entry *e)
+{
+	if (!e)
+		return;
+	requests_free(e);
+	feeds_free(e);
+	streams_free(e);
+	id_spaces_free(e);
+	member_free(e->members);
+	ring_free(e->ring);
+	balance_free(e->balancer);
+	flow_table_free(e->pins);
+	claims_free(e->claims);
+	timers_free(e->timers);
+	index_free(e->services);
+	free(e->service_list);
+	free(e->owner_since_ns);
+	free(e);
+}
+
+static void begin(struct entry *e, uint64_t now_ns, struct actions *out)
+{
+	out->n = 0;
+	e->out = out;
+	e->now_ns = now_ns;
+}
+
+static uint32_t count_services(const struct config *c)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < c->n_accounts; i++)
+		n += c->accounts[i].n_services;
+	return n;
+}
+
+static void list_services(struct entry *e, const struct config *c)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < c->n_accounts; i++) {
+		const struct account_conf *a = &c->accounts[i];
+
+		for (uint32_t k = 0; k < a->n_services; k++) {
+			const struct service_conf *s = &a->services[k];
+
+			e->service_list[n] = s;
+			index_put(e->services, hash_u64(s->vip, 0), n);
+			n++;
+		}
+	}
+	e->n_services = n;
+}
+
+/**
+ * entry_config() - put a configuration in force
+ * @e: entry
+ * @c: all client accounts; stays good until the next call
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_config(struct entry *e, const struct config *c, uint64_t now_ns,
+		  struct actions *out)
+{
+	uint32_t n = count_services(c);
+
+	begin(e, now_ns, out);
+	index_free(e->services);
+	free(e->service_list);
+	e->services = index_new(n + 1);
+	e->service_list = calloc(n + 1, sizeof(*e->service_list));
+	e->config = c;
+	if (e->services && e->service_list)
+		list_services(e, c);
+	balance_config(e->balancer, c, now_ns);
+	requests_drain(e);
+}
+
+static uint32_t live_vms(const struct entry *e, uint64_t *vms)
+{
+	const struct member *all;
+	uint32_t n_all = member_all(e->members, &all);
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < n_all && n < VMS_MAX; i++) {
+		if (all[i].vm == e->conf.member.self && e->leaving)
+			continue;
+		if (all[i].state == MEMBER_ALIVE ||
+		    all[i].state == MEMBER_SUSPECT)
+			vms[n++] = all[i].vm;
+	}
+	return n;
+}
+
+static void tell_balancer(struct entry *e, const uint64_t *vms, uint32_t n)
+{
+	uint32_t rank = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		rank += vms[i] < e->conf.member.self;
+	balance_peers(e->balancer, n ? n : 1, rank);
+}
+
+/* Let the ring follow the membership. */
+static void follow_view(struct entry *e)
+{
+	uint64_t view = member_view(e->members);
+	uint64_t vms[VMS_MAX];
+	uint32_t n;
+
+	if (view == e->view && ring_next_ns(e->ring) > e->now_ns)
+		return;
+	n = live_vms(e, vms);
+	if (view != e->view)
+		tell_balancer(e, vms, n);
+	e->view = view;
+	ring_update(e->ring, vms, n, e->now_ns);
+}
+
+/**
+ * entry_roster() - the platform's list of VMs changed
+ * @e: entry
+ * @vms: peer addresses of VMs that are not leaving
+ * @n: how many
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_roster(struct entry *e, const uint64_t *vms, uint32_t n,
+		  uint64_t now_ns, struct actions *out)
+{
+	begin(e, now_ns, out);
+	member_roster(e->members, vms, n, now_ns);
+	follow_view(e);
+}
+
+/*
+ * A process that was paused may have been replaced as an owner meanwhile. It
+ * would answer "never seen" about claims made without it, so it no longer
+ * counts as one that knows its buckets' history.
+ */
+static void watch_lease(struct entry *e)
+{
+	bool valid = member_lease_valid(e->members, e->now_ns);
+
+	if (!valid && !e->lease_lapsed) {
+		e->counters.lease_lapses++;
+		ring_uncover(e->ring, e->now_ns);
+	}
+	e->lease_lapsed = !valid;
+}
+
+static void run_timers(struct entry *e)
+{
+	uint32_t id;
+
+	while (emit_room(e) && timers_pop(e->timers, e->now_ns, &id)) {
+		if (id < e->conf.requests_max)
+			request_timer(e, &e->requests[id]);
+		else
+			feed_timer(e, &e->feeds[id - e->conf.requests_max]);
+	}
+}
+
+static bool all_handed_over(const struct entry *e)
+{
+	return !e->n_active && !e->n_feeds_held && streams_idle(e);
+}
+
+static void watch_leaving(struct entry *e)
+{
+	if (!e->leaving)
+		return;
+	if (!all_handed_over(e))
+		e->linger_deadline_ns = e->now_ns + LINGER_NS;
+}
+
+/**
+ * entry_tick() - act on deadlines; due at entry_next_ns()
+ * @e: entry
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_tick(struct entry *e, uint64_t now_ns, struct actions *out)
+{
+	begin(e, now_ns, out);
+	watch_lease(e);
+	member_tick(e->members, now_ns);
+	follow_view(e);
+	claims_expire(e->claims, now_ns);
+	run_timers(e);
+	requests_drain(e);
+	streams_tick(e);
+	flow_expire(e->pins, now_ns, FLOW_EXPIRE_BUDGET);
+	watch_leaving(e);
+}
+
+/**
+ * entry_leave() - begin a planned stop
+ * @e: entry
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_leave(struct entry *e, uint64_t now_ns, struct actions *out)
+{
+	begin(e, now_ns, out);
+	if (e->leaving)
+		return;
+	e->leaving = true;
+	e->leave_deadline_ns = now_ns + e->conf.drain_ns;
+	e->linger_deadline_ns = now_ns + LINGER_NS;
+	member_leave(e->members, now_ns);
+	follow_view(e);
+}
+
+/**
+ * entry_left() - whether a planned stop is complete
+ * @e: entry
+ *
+ * Return: true when all is handed over and late answers had their time, or
+ * when the longest planned stop is over.
+ */
+bool entry_left(const struct entry *e)
+{
+	if (!e->leaving)
+		return false;
+	if (e->now_ns >= e->leave_deadline_ns)
+		return true;
+	return all_handed_over(e) && e->now_ns >= e->linger_deadline_ns;
+}
+
+/**
+ * entry_next_ns() - when entry_tick() is due
+ * @e: entry
+ *
+ * Return: deadline.
+ */
+uint64_t entry_next_ns(const struct entry *e)
+{
+	const uint64_t due[] = {
+		member_next_ns(e->members),
+		ring_next_ns(e->ring),
+		timers_next_ns(e->timers),
+		balance_next_ns(e->balancer),
+		streams_next_ns(e),
+		e->leaving ? e->linger_deadline_ns : DEADLINE_NEVER
+	};
+	uint64_t next = DEADLINE_NEVER;
+
+	for (size_t i = 0; i < sizeof(due) / sizeof(due[0]); i++) {
+		if (due[i] < next)
+			next = due[i];
+	}
+	return next;
+}
+
+/**
+ * entry_ready() - whether it serves all that it owns
+ * @e: entry
+ * @now_ns: time
+ *
+ * Return: true with a configuration, a majority, and a known history of each
+ * bucket that it holds.
+ */
+bool entry_ready(const struct entry *e, uint64_t now_ns)
+{
+	uint64_t self = e->conf.member.self;
+
+	if (!e->n_services || !member_majority(e->members))
+		return false;
+	if (ring_at(e->ring, 0).owner == ADDR_NONE)
+		return false;
+	for (uint32_t i = 0; i < e->conf.n_buckets; i++) {
+		struct ring_pair p = ring_at(e->ring, i);
+
+		if (p.owner != self && p.second != self)
+			continue;
+		if (!ring_covered(e->ring, i, now_ns))
+			return false;
+	}
+	return true;
+}
+
+/* entry_load_report() - a target's own word on its load, polled for. */
+void entry_load_report(struct entry *e, uint64_t target,
+		       const struct load_report *report, uint64_t now_ns)
+{
+	balance_report(e->balancer, target, report, now_ns);
+}
+
+static const struct account_conf *account_of(const struct entry *e,
+					     const struct service_conf *s)
+{
+	for (uint32_t i = 0; e->config && i < e->config->n_accounts; i++) {
+		const struct account_conf *a = &e->config->accounts[i];
+
+		if (s >= a->services && s < a->services + a->n_services)
+			return a;
+	}
+	return NULL;
+}
+
+/**
+ * entry_explain() - what this entry would decide for a flow
+ * @e: entry
+ * @key: flow
+ *
+ * Return: the decision and what it rests on.
+ */
+struct entry_view entry_explain(const struct entry *e,
+				const struct flow_key *key)
+{
+	struct entry_view v = { .view = e->view };
+	uint32_t slot;
+
+	v.bucket = ring_bucket(e->ring, key);
+	v.pair = ring_at(e->ring, v.bucket);
+	v.service = service_find(e, key->vip);
+	v.account = v.service ? account_of(e, v.service) : NULL;
+	v.pinned = flow_lookup(e->pins, key, e->now_ns);
+	slot = e->feed_heads[v.bucket];
+	for (; slot != SLOT_NONE; slot = e->feeds[slot].next) {
+		const struct feed *f = &e->feeds[slot];
+
+		if (f->key.caller != key->caller || f->key.vip != key->vip)
+			continue;
+		if (!v.feeds++)
+			v.feed_target = f->target;
+	}
+	return v;
+}
+
+struct entry_gauges entry_gauges(const struct entry *e)
+{
+	struct entry_gauges g = { .requests_active = e->n_active,
+				  .feeds_held = e->n_feeds_held,
+				  .handover_due = stream_lines_pending(e),
+				  .claims = claims_count(e->claims),
+				  .pins = flow_count(e->pins) };
+
+	return g;
+}
+
+uint32_t entry_members(const struct entry *e, const struct member **out)
+{
+	return member_all(e->members, out);
+}
+
+const struct balancer *entry_balancer(const struct entry *e)
+{
+	return e->balancer;
+}
+
+const struct entry_counters *entry_counters(const struct entry *e)
+{
+	return &e->counters;
+}
--- a/core/entry.h
+++ b/core/entry.h
@@ -10,7 +10,7 @@
 #include "member.h"
 #include "ring.h"
 
-#define ACTIONS_MAX 128
+#define ACTIONS_MAX 512
 
 /**
  * enum message_kind - what a datagram of a request-aware service is
@@ -209,8 +209,47 @@
 #undef X
 };
 
+/**
+ * struct entry_view - what an entry would decide for a flow, and why
+ * @view: membership view number
+ * @bucket: bucket of the flow
+ * @pair: owner and second
+ * @service: its service, or NULL
+ * @account: client account of the service
+ * @pinned: target the flow is pinned to, or ADDR_NONE
+ * @feeds: feeds of the flow held here
+ * @feed_target: target of the first of them
+ */
+struct entry_view {
+	uint64_t view;
+	uint32_t bucket;
+	struct ring_pair pair;
+	const struct service_conf *service;
+	const struct account_conf *account;
+	uint64_t pinned;
+	uint32_t feeds;
+	uint64_t feed_target;
+};
+
+/**
+ * struct entry_gauges - sizes of what an entry holds now
+ * @requests_active: requests not answered yet
+ * @feeds_held: feeds served here
+ * @handover_due: buckets whose history is still to be handed over
+ * @claims: records of non-idempotent requests
+ * @pins: flows with a pinned target
+ */
+struct entry_gauges {
+	uint32_t requests_active;
+	uint32_t feeds_held;
+	uint32_t handover_due;
+	uint32_t claims;
+	uint32_t pins;
+};
+
 struct entry;
 
+struct entry_gauges entry_gauges(const struct entry *e);
 struct entry *entry_new(const struct entry_conf *conf, uint64_t now_ns);
 void entry_free(struct entry *e);
 void entry_config(struct entry *e, const struct config *c, uint64_t now_ns,
@@ -228,6 +267,13 @@
 void entry_tick(struct entry *e, uint64_t now_ns, struct actions *out);
 void entry_leave(struct entry *e, uint64_t now_ns, struct actions *out);
 bool entry_left(const struct entry *e);
+bool entry_ready(const struct entry *e, uint64_t now_ns);
+void entry_load_report(struct entry *e, uint64_t target,
+		       const struct load_report *report, uint64_t now_ns);
+struct entry_view entry_explain(const struct entry *e,
+				const struct flow_key *key);
+uint32_t entry_members(const struct entry *e, const struct member **out);
+const struct balancer *entry_balancer(const struct entry *e);
 uint64_t entry_next_ns(const struct entry *e);
 const struct entry_counters *entry_counters(const struct entry *e);
 
--- /dev/null
+++ b/core/entry_state.h
@@ -0,0 +1,330 @@
+/* What the modules of the data path share; private to core/. */
+#ifndef CB_ENTRY_STATE_H
+#define CB_ENTRY_STATE_H
+
+#include "claims.h"
+#include "entry.h"
+#include "flow.h"
+#include "index.h"
+#include "timers.h"
+
+#define SLOT_NONE UINT32_MAX
+#define HOPS_MAX 2
+#define FEED_REQUEST_MAX_BYTES 128
+#define ACTIONS_RESERVE 16
+
+/**
+ * enum request_state - where a request stands
+ * @REQ_FREE: slot not in use
+ * @REQ_CLAIMING: non-idempotent, waits for the second's grant
+ * @REQ_QUEUED: waits for a target
+ * @REQ_SENT: at a target
+ * @REQ_ENDED: answered; kept to replay the answer to a repeat
+ */
+enum request_state { REQ_FREE, REQ_CLAIMING, REQ_QUEUED, REQ_SENT, REQ_ENDED };
+
+/**
+ * struct request - one request at its owner
+ * @key: flow
+ * @identity: hash of flow and message ID, to know a repeat
+ * @request: hash with the token too, the claim's name
+ * @bucket: bucket of the flow
+ * @target: target it was sent to
+ * @avoid: target that shed or failed it
+ * @arrived_ns: when it came
+ * @sent_ns: when it last went to a target
+ * @deadline_ns: when it is given up
+ * @repeat_deadline_ns: when to repeat it to the target, or the claim
+ * @feed: feed it opens, renews or moves; SLOT_NONE for a plain request
+ * @next: list of ended or free slots
+ * @prev: list of ended slots
+ * @generation: of the slot, part of the token towards the target
+ * @state: enum request_state
+ * @flags: enum message_flags of the request
+ * @id: caller's message ID
+ * @up_id: message ID towards the target
+ * @token_len: caller's token
+ * @token: caller's token
+ * @sends: sends to the present target
+ * @tries: targets tried
+ * @internal: made here to renew or move a feed; no caller waits
+ * @acked: target acknowledged it
+ * @running: counted in the balancer
+ * @maybe_run: a target may have run it
+ * @answer: when ended: enum own_answer, or ANSWER_RELAYED
+ * @reason: enum refusal
+ * @retry_after_s: told to the caller
+ * @size_bytes: of @data
+ * @data: the request; once ended, the answer
+ */
+struct request {
+	struct flow_key key;
+	uint64_t identity;
+	uint64_t request;
+	uint32_t bucket;
+	uint64_t target;
+	uint64_t avoid;
+	uint64_t arrived_ns;
+	uint64_t sent_ns;
+	uint64_t deadline_ns;
+	uint64_t repeat_deadline_ns;
+	uint32_t feed;
+	uint32_t next;
+	uint32_t prev;
+	uint32_t generation;
+	uint8_t state;
+	uint16_t flags;
+	uint16_t id;
+	uint16_t up_id;
+	uint8_t token_len;
+	uint8_t token[TOKEN_MAX_BYTES];
+	uint8_t sends;
+	uint8_t tries;
+	bool internal;
+	bool acked;
+	bool running;
+	bool maybe_run;
+	uint8_t answer;
+	uint8_t reason;
+	uint32_t retry_after_s;
+	uint32_t size_bytes;
+	uint8_t data[DATAGRAM_MAX_BYTES];
+};
+
+#define ANSWER_RELAYED 0xff
+
+/**
+ * enum feed_state - where a feed stands
+ * @FEED_FREE: slot not in use
+ * @FEED_COPY: second copy of another entry's feed
+ * @FEED_OPENING: first request is under way
+ * @FEED_OPEN: updates flow through here
+ * @FEED_RENEWING: asked the target again, after silence or a takeover
+ */
+enum feed_state {
+	FEED_FREE,
+	FEED_COPY,
+	FEED_OPENING,
+	FEED_OPEN,
+	FEED_RENEWING
+};
+
+/**
+ * struct feed - one feed, or the second copy of one
+ * @key: flow
+ * @identity: hash of flow and token
+ * @target: target that holds it
+ * @heard_ns: last update
+ * @copy_deadline_ns: when to send the second copy (again)
+ * @hand_deadline_ns: when to ask the new owner (again) to take it over
+ * @handed_from: entry that waits to hear that we took it over
+ * @generation: of the slot, part of the token towards the target
+ * @bucket: bucket of the flow
+ * @next: list of its bucket
+ * @prev: list of its bucket
+ * @request: request slot under way, or SLOT_NONE
+ * @state: enum feed_state
+ * @counted: the balancer counts its connection
+ * @token_len: caller's token
+ * @token: caller's token
+ * @down_id: message ID of the last update to the caller
+ * @up_id: message ID of the same update from the target
+ * @up_seen: @up_id is valid
+ * @unacked: confirmable updates in a row that the caller left unacknowledged
+ * @size_bytes: of @opening
+ * @opening: request that opened it, to open it again
+ */
+struct feed {
+	struct flow_key key;
+	uint64_t identity;
+	uint64_t target;
+	uint64_t heard_ns;
+	uint64_t copy_deadline_ns;
+	uint64_t hand_deadline_ns;
+	uint64_t handed_from;
+	uint32_t generation;
+	uint32_t bucket;
+	uint32_t next;
+	uint32_t prev;
+	uint32_t request;
+	uint8_t state;
+	bool counted;
+	uint8_t token_len;
+	uint8_t token[TOKEN_MAX_BYTES];
+	uint16_t down_id;
+	uint16_t up_id;
+	bool up_seen;
+	uint8_t unacked;
+	uint16_t size_bytes;
+	uint8_t opening[FEED_REQUEST_MAX_BYTES];
+};
+
+struct stream;
+
+/* Message IDs in use towards one target; see message_id.c. */
+struct id_space;
+
+struct entry {
+	struct entry_conf conf;
+	uint64_t now_ns;
+	struct rng rng;
+	struct actions *out;
+	struct membership *members;
+	struct ring *ring;
+	struct balancer *balancer;
+	struct flow_table *pins;
+	struct claims *claims;
+	struct timers *timers;
+	struct index *services;
+	const struct config *config;
+	const struct service_conf **service_list;
+	uint32_t n_services;
+
+	struct request *requests;
+	uint32_t free_request;
+	uint32_t ended_first;
+	uint32_t ended_last;
+	uint32_t n_active;
+	struct index *by_identity;
+	struct index *by_up_id;
+
+	struct feed *feeds;
+	uint32_t free_feed;
+	uint32_t n_feeds_held;
+	uint32_t n_feeds_renewing;
+	uint32_t *feed_heads;
+	uint64_t *owner_since_ns;
+	struct index *feed_by_identity;
+	struct index *feed_by_down_id;
+
+	struct stream *streams;
+	uint64_t allowance_bytes;
+	uint64_t allowance_ns;
+	struct id_space *ids;
+	uint64_t view;
+	bool leaving;
+	bool lease_lapsed;
+	uint64_t leave_deadline_ns;
+	uint64_t linger_deadline_ns;
+	struct entry_counters counters;
+};
+
+/* emit.c */
+struct action *emit(struct entry *e, uint8_t kind);
+bool emit_room(const struct entry *e);
+struct peer_msg *emit_peer(struct entry *e, uint64_t vm, uint8_t kind);
+void emit_note(struct entry *e, const char *note, const struct flow_key *key,
+	       uint64_t target);
+void emit_signal_target(struct entry *e, uint64_t target, uint8_t type,
+			uint16_t id);
+void emit_signal_caller(struct entry *e, const struct flow_key *key,
+			uint8_t type, uint16_t id);
+
+/* route.c */
+const struct service_conf *service_find(const struct entry *e, uint64_t vip);
+bool forward_to(struct entry *e, uint64_t vm, const struct flow_key *key,
+		const uint8_t *data, uint32_t size_bytes, uint8_t hops,
+		uint64_t about);
+void own_message(struct entry *e, const struct flow_key *key,
+		 const struct message *msg, uint8_t hops);
+bool vm_serves(const struct entry *e, uint64_t vm);
+uint64_t up_token(bool feed, uint32_t slot, uint32_t generation, uint64_t seed);
+
+/* request.c */
+int requests_init(struct entry *e);
+void requests_free(struct entry *e);
+struct request *request_new(struct entry *e, const struct flow_key *key);
+uint32_t request_slot(const struct entry *e, const struct request *r);
+void request_arrived(struct entry *e, const struct flow_key *key,
+		     const struct message *msg, uint8_t hops);
+bool request_repeated(struct entry *e, const struct flow_key *key,
+		      const struct message *msg);
+void request_submit(struct entry *e, struct request *r);
+void request_send(struct entry *e, struct request *r, uint64_t target);
+void request_refuse(struct entry *e, struct request *r, uint8_t reason,
+		    uint32_t retry_after_s);
+void request_unknown(struct entry *e, struct request *r, const char *why);
+void request_drop(struct entry *e, struct request *r);
+void request_finish(struct entry *e, struct request *r, enum outcome outcome);
+void request_timer(struct entry *e, struct request *r);
+void request_answered(struct entry *e, struct request *r, uint64_t target,
+		      const struct message *msg);
+struct request *request_by_up_id(struct entry *e, uint64_t target, uint16_t id);
+void answer_own(struct entry *e, const struct flow_key *key,
+		const struct request *r);
+void answer_unknown(struct entry *e, const struct flow_key *key,
+		    const struct message *msg);
+void request_reset_by_caller(struct entry *e, const struct flow_key *key,
+			     uint16_t id);
+void requests_drain(struct entry *e);
+uint64_t request_identity(const struct flow_key *key, uint16_t id);
+
+/* answer.c */
+void target_message(struct entry *e, uint64_t target,
+		    const struct message *msg);
+
+/* claiming.c */
+void claim_begin(struct entry *e, struct request *r, uint8_t hops);
+void claim_repeat(struct entry *e, struct request *r);
+void claim_settle(struct entry *e, struct request *r, uint8_t state);
+void claim_asked(struct entry *e, const struct peer_msg *msg);
+void claim_granted(struct entry *e, const struct peer_msg *msg);
+void claim_settled(struct entry *e, const struct peer_msg *msg);
+bool claim_safe_now(const struct entry *e);
+
+/* feed.c */
+int feeds_init(struct entry *e);
+void feeds_free(struct entry *e);
+uint32_t feed_slot(const struct entry *e, const struct feed *f);
+struct feed *feed_find(struct entry *e, const struct flow_key *key,
+		       const uint8_t *token, uint8_t token_len);
+struct feed *feed_new(struct entry *e, const struct flow_key *key,
+		      const uint8_t *token, uint8_t token_len);
+void feed_drop(struct entry *e, struct feed *f);
+void feed_end(struct entry *e, struct feed *f, bool cancel);
+void feed_state_set(struct entry *e, struct feed *f, uint8_t state);
+void feed_opened(struct entry *e, struct feed *f, uint64_t target);
+void feed_refused(struct entry *e, struct feed *f, struct request *r);
+void feed_update(struct entry *e, struct feed *f, uint64_t target,
+		 const struct message *msg);
+void feed_renew(struct entry *e, struct feed *f, uint64_t avoid);
+void feed_renew_failed(struct entry *e, struct feed *f, struct request *r);
+bool feed_acked_by_caller(struct entry *e, const struct flow_key *key,
+			  uint16_t id);
+bool feed_reset_by_caller(struct entry *e, const struct flow_key *key,
+			  uint16_t id);
+void feed_timer(struct entry *e, struct feed *f);
+void feed_timer_set(struct entry *e, struct feed *f);
+
+/* feed_copy.c */
+void feed_copy_send(struct entry *e, struct feed *f);
+void feed_copy_received(struct entry *e, const struct peer_msg *msg);
+void feed_copy_closed(struct entry *e, const struct peer_msg *msg);
+void feed_copy_close(struct entry *e, struct feed *f);
+void feed_adopt(struct entry *e, struct feed *f);
+void feed_hand_over(struct entry *e, struct feed *f);
+void feed_taken_over(struct entry *e, struct feed *f);
+void feeds_pair_changed(struct entry *e, uint32_t bucket,
+			struct ring_pair before, struct ring_pair after);
+
+/* allowance.c */
+bool allowance_take(struct entry *e, uint32_t bytes);
+
+/* stream.c */
+int streams_init(struct entry *e);
+void streams_free(struct entry *e);
+void streams_pair_changed(struct entry *e, uint32_t bucket,
+			  struct ring_pair before, struct ring_pair after);
+uint32_t stream_lines_pending(const struct entry *e);
+void streams_tick(struct entry *e);
+void stream_received(struct entry *e, const struct peer_msg *msg);
+void stream_acked(struct entry *e, const struct peer_msg *msg);
+bool streams_idle(const struct entry *e);
+uint64_t streams_next_ns(const struct entry *e);
+
+/* message_id.c */
+int id_spaces_init(struct entry *e);
+void id_spaces_free(struct entry *e);
+bool id_next(struct entry *e, uint64_t target, uint16_t *id);
+
+#endif
--- /dev/null
+++ b/core/feed.c
@@ -0,0 +1,492 @@
+/* Feeds that this entry serves: opening, updates, silence, moving, ending. */
+#include "entry_state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define UNACKED_MAX 4
+#define RENEW_NS (3 * NS_PER_S)
+#define RENEW_TRIES_MAX 3
+
+/* feeds_init() - room for feeds_max feeds and second copies, all of it now. */
+int feeds_init(struct entry *e)
+{
+	uint32_t n = e->conf.feeds_max;
+
+	e->feeds = calloc(n, sizeof(*e->feeds));
+	e->feed_heads = malloc(e->conf.n_buckets * sizeof(*e->feed_heads));
+	e->feed_by_identity = index_new(n);
+	e->feed_by_down_id = index_new(n);
+	if (!e->feeds || !e->feed_heads || !e->feed_by_identity ||
+	    !e->feed_by_down_id)
+		return -ENOMEM;
+	memset(e->feed_heads, 0xff, e->conf.n_buckets * sizeof(*e->feed_heads));
+	for (uint32_t i = 0; i < n; i++)
+		e->feeds[i].next = i + 1 < n ? i + 1 : SLOT_NONE;
+	return 0;
+}
+
+void feeds_free(struct entry *e)
+{
+	free(e->feeds);
+	free(e->feed_heads);
+	index_free(e->feed_by_identity);
+	index_free(e->feed_by_down_id);
+}
+
+uint32_t feed_slot(const struct entry *e, const struct feed *f)
+{
+	return (uint32_t)(f - e->feeds);
+}
+
+static uint64_t identity_of(const struct flow_key *key, const uint8_t *token,
+			    uint8_t token_len)
+{
+	uint64_t word = 0;
+
+	memcpy(&word, token, token_len);
+	return hash_u64(word, flow_hash(key) + token_len);
+}
+
+static uint64_t down_id_key(const struct flow_key *key, uint16_t id)
+{
+	return hash_u64(id, ~flow_hash(key));
+}
+
+static bool same_flow(const struct flow_key *a, const struct flow_key *b)
+{
+	return a->caller == b->caller && a->vip == b->vip;
+}
+
+/**
+ * feed_find() - feed of a caller, by its token
+ * @e: entry
+ * @key: flow
+ * @token: caller's token
+ * @token_len: its length in bytes
+ *
+ * Return: feed or second copy, or NULL.
+ */
+struct feed *feed_find(struct entry *e, const struct flow_key *key,
+		       const uint8_t *token, uint8_t token_len)
+{
+	uint32_t slot = index_get(e->feed_by_identity,
+				  identity_of(key, token, token_len));
+	struct feed *f;
+
+	if (slot == INDEX_NONE)
+		return NULL;
+	f = &e->feeds[slot];
+	if (!same_flow(&f->key, key) || f->token_len != token_len ||
+	    memcmp(f->token, token, token_len))
+		return NULL;
+	return f;
+}
+
+/**
+ * feed_new() - take a slot for a feed
+ * @e: entry
+ * @key: flow
+ * @token: caller's token
+ * @token_len: its length in bytes
+ *
+ * Return: feed in FEED_OPENING, or NULL when all slots are taken.
+ */
+struct feed *feed_new(struct entry *e, const struct flow_key *key,
+		      const uint8_t *token, uint8_t token_len)
+{
+	uint32_t slot = e->free_feed;
+	struct feed *f;
+	uint32_t generation;
+
+	if (slot == SLOT_NONE)
+		return NULL;
+	f = &e->feeds[slot];
+	e->free_feed = f->next;
+	generation = f->generation + 1;
+	memset(f, 0, sizeof(*f));
+	f->generation = generation;
+	f->key = *key;
+	f->token_len = token_len;
+	memcpy(f->token, token, token_len);
+	f->identity = identity_of(key, token, token_len);
+	f->bucket = ring_bucket(e->ring, key);
+	f->request = SLOT_NONE;
+	f->copy_deadline_ns = DEADLINE_NEVER;
+	f->hand_deadline_ns = DEADLINE_NEVER;
+	f->down_id = (uint16_t)rng_next(&e->rng);
+	f->state = FEED_OPENING;
+	f->heard_ns = e->now_ns;
+	index_put(e->feed_by_identity, f->identity, slot);
+	f->prev = SLOT_NONE;
+	f->next = e->feed_heads[f->bucket];
+	if (f->next != SLOT_NONE)
+		e->feeds[f->next].prev = slot;
+	e->feed_heads[f->bucket] = slot;
+	return f;
+}
+
+static bool serving(uint8_t state)
+{
+	return state == FEED_OPEN || state == FEED_RENEWING;
+}
+
+/* feed_state_set() - change the state and the counts that hang on it. */
+void feed_state_set(struct entry *e, struct feed *f, uint8_t state)
+{
+	e->n_feeds_held += serving(state) - serving(f->state);
+	e->n_feeds_renewing +=
+		(state == FEED_RENEWING) - (f->state == FEED_RENEWING);
+	f->state = state;
+}
+
+static void count_connection(struct entry *e, struct feed *f, bool on)
+{
+	if (f->counted == on)
+		return;
+	f->counted = on;
+	balance_feed(e->balancer, f->key.vip, f->target, on ? 1 : -1);
+}
+
+/**
+ * feed_drop() - forget a feed or second copy
+ * @e: entry
+ * @f: feed
+ */
+void feed_drop(struct entry *e, struct feed *f)
+{
+	uint32_t slot = feed_slot(e, f);
+
+	if (f->request != SLOT_NONE)
+		e->requests[f->request].feed = SLOT_NONE;
+	count_connection(e, f, false);
+	feed_state_set(e, f, FEED_FREE);
+	index_del(e->feed_by_identity, f->identity, slot);
+	index_del(e->feed_by_down_id, down_id_key(&f->key, f->down_id), slot);
+	timers_clear(e->timers, e->conf.requests_max + slot);
+	if (f->prev == SLOT_NONE)
+		e->feed_heads[f->bucket] = f->next;
+	else
+		e->feeds[f->prev].next = f->next;
+	if (f->next != SLOT_NONE)
+		e->feeds[f->next].prev = f->prev;
+	f->next = e->free_feed;
+	e->free_feed = slot;
+}
+
+static void cancel_at(struct entry *e, const struct feed *f, uint64_t target)
+{
+	struct action *a;
+	uint64_t token =
+		up_token(true, feed_slot(e, f), f->generation, e->conf.seed);
+
+	if (target == ADDR_NONE || !f->size_bytes)
+		return;
+	a = emit(e, ACT_CANCEL_TARGET);
+	a->key = f->key;
+	a->target = target;
+	a->token_len = sizeof(token);
+	memcpy(a->token, &token, sizeof(token));
+	id_next(e, target, &a->id);
+	a->data = f->opening;
+	a->size_bytes = f->size_bytes;
+	e->counters.cancels++;
+}
+
+/**
+ * feed_end() - a feed ends: the caller wants no more, or is gone
+ * @e: entry
+ * @f: feed
+ * @cancel: tell the target
+ */
+void feed_end(struct entry *e, struct feed *f, bool cancel)
+{
+	if (f->state == FEED_COPY) {
+		feed_drop(e, f);
+		return;
+	}
+	if (cancel)
+		cancel_at(e, f, f->target);
+	if (f->request != SLOT_NONE && e->requests[f->request].internal) {
+		struct request *r = &e->requests[f->request];
+
+		request_finish(e, r, OUTCOME_CANCELLED);
+		request_drop(e, r);
+	}
+	feed_copy_close(e, f);
+	e->counters.feeds_closed++;
+	feed_drop(e, f);
+}
+
+/**
+ * feed_timer_set() - arm the next of a feed's deadlines
+ * @e: entry
+ * @f: feed
+ */
+void feed_timer_set(struct entry *e, struct feed *f)
+{
+	uint64_t next = f->heard_ns + e->conf.probe_idle_ns;
+
+	if (f->copy_deadline_ns < next)
+		next = f->copy_deadline_ns;
+	if (f->hand_deadline_ns < next)
+		next = f->hand_deadline_ns;
+	timers_set(e->timers, e->conf.requests_max + feed_slot(e, f), next);
+}
+
+/**
+ * feed_opened() - a target accepted a feed, for the first time or again
+ * @e: entry
+ * @f: feed
+ * @target: target
+ */
+void feed_opened(struct entry *e, struct feed *f, uint64_t target)
+{
+	bool first = f->state == FEED_OPENING;
+	bool moved = f->target != target;
+
+	if (moved) {
+		count_connection(e, f, false);
+		f->target = target;
+		if (!first)
+			e->counters.feeds_moved++;
+	}
+	count_connection(e, f, true);
+	feed_state_set(e, f, FEED_OPEN);
+	f->heard_ns = e->now_ns;
+	if (first)
+		e->counters.feeds_opened++;
+	if (first || moved)
+		f->copy_deadline_ns = e->now_ns;
+	if (f->handed_from != ADDR_NONE)
+		feed_taken_over(e, f);
+	if (ring_at(e->ring, f->bucket).owner != e->conf.member.self)
+		f->hand_deadline_ns = e->now_ns;
+	feed_timer_set(e, f);
+}
+
+/* feed_refused() - the request that was to open a feed did not. */
+void feed_refused(struct entry *e, struct feed *f, struct request *r)
+{
+	f->request = SLOT_NONE;
+	r->feed = SLOT_NONE;
+	if (f->state == FEED_OPENING)
+		feed_drop(e, f);
+}
+
+static uint16_t down_id_for(struct entry *e, struct feed *f,
+			    const struct message *msg)
+{
+	uint32_t slot = feed_slot(e, f);
+
+	if (f->up_seen && f->up_id == msg->id)
+		return f->down_id;
+	index_del(e->feed_by_down_id, down_id_key(&f->key, f->down_id), slot);
+	f->down_id++;
+	f->up_id = msg->id;
+	f->up_seen = true;
+	index_put(e->feed_by_down_id, down_id_key(&f->key, f->down_id), slot);
+	if (msg->flags & MSG_CONFIRM)
+		f->unacked++;
+	return f->down_id;
+}
+
+/**
+ * feed_update() - pass an update on to the caller
+ * @e: entry
+ * @f: feed
+ * @target: sender
+ * @msg: update; one that says no feed ends it
+ */
+void feed_update(struct entry *e, struct feed *f, uint64_t target,
+		 const struct message *msg)
+{
+	struct action *a;
+	uint16_t id = down_id_for(e, f, msg);
+
+	if (f->unacked > UNACKED_MAX) {
+		feed_end(e, f, true);
+		return;
+	}
+	f->heard_ns = e->now_ns;
+	a = emit(e, ACT_TO_CALLER);
+	a->key = f->key;
+	a->target = target;
+	a->type = msg->flags & MSG_CONFIRM && !(msg->flags & MSG_PIGGYBACK)
+			  ? WIRE_CONFIRM
+			  : WIRE_PLAIN;
+	a->id = id;
+	a->token_len = f->token_len;
+	memcpy(a->token, f->token, f->token_len);
+	a->data = msg->data;
+	a->size_bytes = msg->size_bytes;
+	if (msg->flags & MSG_FEED_OPEN) {
+		feed_timer_set(e, f);
+		return;
+	}
+	/* An answer without the feed's mark: the target ended it. */
+	feed_end(e, f, false);
+}
+
+static struct feed *by_down_id(struct entry *e, const struct flow_key *key,
+			       uint16_t id)
+{
+	uint32_t slot = index_get(e->feed_by_down_id, down_id_key(key, id));
+	struct feed *f;
+
+	if (slot == INDEX_NONE)
+		return NULL;
+	f = &e->feeds[slot];
+	return same_flow(&f->key, key) && f->down_id == id ? f : NULL;
+}
+
+/**
+ * feed_acked_by_caller() - pass a caller's acknowledgement on to the target
+ * @e: entry
+ * @key: flow
+ * @id: message ID of the update
+ *
+ * Return: false when no feed here has sent it.
+ */
+bool feed_acked_by_caller(struct entry *e, const struct flow_key *key,
+			  uint16_t id)
+{
+	struct feed *f = by_down_id(e, key, id);
+
+	if (!f)
+		return false;
+	f->unacked = 0;
+	emit_signal_target(e, f->target, WIRE_ACK, f->up_id);
+	return true;
+}
+
+/* feed_reset_by_caller() - the caller knows nothing of an update: end. */
+bool feed_reset_by_caller(struct entry *e, const struct flow_key *key,
+			  uint16_t id)
+{
+	struct feed *f = by_down_id(e, key, id);
+
+	if (!f)
+		return false;
+	emit_signal_target(e, f->target, WIRE_RESET, f->up_id);
+	feed_end(e, f, true);
+	return true;
+}
+
+static void feed_lost(struct entry *e, struct feed *f)
+{
+	struct action *a = emit(e, ACT_ANSWER_CALLER);
+
+	e->counters.feeds_lost++;
+	emit_note(e, "feed can't go on", &f->key, f->target);
+	a->key = f->key;
+	a->type = WIRE_PLAIN;
+	a->id = (uint16_t)rng_next(&e->rng);
+	a->token_len = f->token_len;
+	memcpy(a->token, f->token, f->token_len);
+	a->answer = ANSWER_FEED_LOST;
+	feed_end(e, f, true);
+}
+
+static struct request *renewal(struct entry *e, struct feed *f)
+{
+	struct request *r = request_new(e, &f->key);
+
+	if (!r)
+		return NULL;
+	r->internal = true;
+	r->flags = MSG_IDEMPOTENT | MSG_CONFIRM | MSG_FEED_OPEN;
+	r->deadline_ns = e->now_ns + RENEW_NS;
+	r->feed = feed_slot(e, f);
+	f->request = request_slot(e, r);
+	r->size_bytes = f->size_bytes;
+	memcpy(r->data, f->opening, f->size_bytes);
+	return r;
+}
+
+/**
+ * feed_renew() - open a feed again towards a target, without the caller
+ * @e: entry
+ * @f: feed; silent for too long, or just taken over
+ * @avoid: target that failed it, or ADDR_NONE to ask the one it has
+ *
+ * A target, or something on the way to it, that lost track of a feed shows
+ * nothing but silence while new feeds work. Asking again with the same token
+ * is idempotent, and either proves the feed or mends it.
+ */
+void feed_renew(struct entry *e, struct feed *f, uint64_t avoid)
+{
+	struct request *r;
+
+	if (f->request != SLOT_NONE)
+		return;
+	if (!f->size_bytes) {
+		feed_lost(e, f);
+		return;
+	}
+	r = renewal(e, f);
+	if (!r) {
+		f->heard_ns = e->now_ns;
+		feed_timer_set(e, f);
+		return;
+	}
+	feed_state_set(e, f, FEED_RENEWING);
+	e->counters.feeds_revalidated++;
+	if (avoid == ADDR_NONE && f->target != ADDR_NONE) {
+		request_send(e, r, f->target);
+		return;
+	}
+	r->avoid = avoid;
+	request_submit(e, r);
+}
+
+/**
+ * feed_renew_failed() - a target did not take a feed again: try another
+ * @e: entry
+ * @f: feed
+ * @r: the renewal, which ends here
+ */
+void feed_renew_failed(struct entry *e, struct feed *f, struct request *r)
+{
+	uint64_t failed = r->target;
+	uint8_t tries = r->tries;
+
+	f->request = SLOT_NONE;
+	request_drop(e, r);
+	if (tries >= RENEW_TRIES_MAX) {
+		feed_lost(e, f);
+		return;
+	}
+	cancel_at(e, f, failed);
+	r = renewal(e, f);
+	if (!r) {
+		feed_lost(e, f);
+		return;
+	}
+	r->tries = (uint8_t)(tries + 1);
+	r->avoid = failed;
+	request_submit(e, r);
+}
+
+/* feed_timer() - a deadline of a feed has come. */
+void feed_timer(struct entry *e, struct feed *f)
+{
+	if (f->state == FEED_FREE)
+		return;
+	if (f->state == FEED_COPY) {
+		feed_adopt(e, f);
+		return;
+	}
+	if (e->now_ns >= f->copy_deadline_ns)
+		feed_copy_send(e, f);
+	if (e->now_ns >= f->hand_deadline_ns)
+		feed_hand_over(e, f);
+	if (e->now_ns >= f->heard_ns + e->conf.probe_idle_ns) {
+		f->heard_ns = e->now_ns;
+		feed_renew(e, f, ADDR_NONE);
+		if (f->state == FEED_FREE)
+			return;
+	}
+	feed_timer_set(e, f);
+}
--- a/core/peer.h
+++ b/core/peer.h
@@ -85,20 +85,25 @@
  * @request: hash of caller, VIP and message ID
  * @bucket: bucket of its flow
  * @claimer: VM that may run it
+ * @boot: number of the claimer's process; a restarted one remembers nothing,
+ *	so a claim of its predecessor is not its own
  * @target: target it is meant for, or ADDR_NONE
  * @state: enum claim_state
  * @granted: in a grant: the claimer may go on
  * @covered: in a grant: the granter knows every claim of the bucket that a
  *	caller could still repeat
+ * @slot: request slot at the claimer itself; not coded
  */
 struct claim {
 	uint64_t request;
 	uint32_t bucket;
 	uint64_t claimer;
+	uint64_t boot;
 	uint64_t target;
 	uint8_t state;
 	bool granted;
 	bool covered;
+	uint32_t slot;
 };
 
 /**
--- /dev/null
+++ b/core/route.c
@@ -0,0 +1,251 @@
+#include "entry_state.h"
+
+/**
+ * service_find() - service of a VIP
+ * @e: entry
+ * @vip: address callers send to
+ *
+ * Routing looks at the VIP alone, so a datagram can't reach the targets of
+ * another service.
+ *
+ * Return: service, or NULL when no client account in force has it.
+ */
+const struct service_conf *service_find(const struct entry *e, uint64_t vip)
+{
+	uint32_t slot;
+
+	if (!e->services)
+		return NULL;
+	slot = index_get(e->services, hash_u64(vip, 0));
+	if (slot == INDEX_NONE || e->service_list[slot]->vip != vip)
+		return NULL;
+	return e->service_list[slot];
+}
+
+/**
+ * up_token() - token of a request or feed towards targets
+ * @feed: whether a feed
+ * @slot: slot in its table
+ * @generation: of the slot, so that a late answer does not find its successor
+ * @seed: of this process, so that an answer to an earlier process at this
+ *	address finds nothing
+ *
+ * Return: token.
+ */
+uint64_t up_token(bool feed, uint32_t slot, uint32_t generation, uint64_t seed)
+{
+	uint32_t low = generation ^ (uint32_t)seed;
+
+	return (uint64_t)(slot << 1 | (feed ? 1 : 0)) << 32 | low;
+}
+
+/* Whether an entry still answers for what it claimed. */
+bool vm_serves(const struct entry *e, uint64_t vm)
+{
+	const struct member *m;
+
+	if (vm == e->conf.member.self)
+		return true;
+	m = member_find(e->members, vm);
+	return m && m->state != MEMBER_DEAD;
+}
+
+/**
+ * forward_to() - hand a caller's datagram to another entry
+ * @e: entry
+ * @vm: receiver
+ * @key: flow
+ * @data: datagram
+ * @size_bytes: its size
+ * @hops: forwards so far
+ * @about: the receiver itself when it is asked as the claimer of a repeat,
+ *	else ADDR_NONE
+ *
+ * Two entries that disagree on the owner would hand a datagram to and fro;
+ * the hop count ends that, and the caller's repeat finds them agreed.
+ *
+ * Return: false when it has been forwarded too often and is dropped.
+ */
+bool forward_to(struct entry *e, uint64_t vm, const struct flow_key *key,
+		const uint8_t *data, uint32_t size_bytes, uint8_t hops,
+		uint64_t about)
+{
+	struct peer_msg *m;
+
+	if (hops >= HOPS_MAX) {
+		e->counters.forward_loops++;
+		return false;
+	}
+	m = emit_peer(e, vm, PEER_FORWARD);
+	m->hops = (uint8_t)(hops + 1);
+	m->key = *key;
+	m->about = about;
+	m->data = data;
+	m->size_bytes = size_bytes;
+	e->counters.forwards++;
+	return true;
+}
+
+/**
+ * own_message() - act on a caller's datagram as the owner of its flow
+ * @e: entry
+ * @key: flow
+ * @msg: datagram
+ * @hops: forwards so far
+ */
+void own_message(struct entry *e, const struct flow_key *key,
+		 const struct message *msg, uint8_t hops)
+{
+	switch (msg->kind) {
+	case MSG_REQUEST:
+		request_arrived(e, key, msg, hops);
+		break;
+	case MSG_ACK:
+		feed_acked_by_caller(e, key, msg->id);
+		break;
+	case MSG_RESET:
+		if (!feed_reset_by_caller(e, key, msg->id))
+			request_reset_by_caller(e, key, msg->id);
+		break;
+	case MSG_PROBE:
+		emit_signal_caller(e, key, WIRE_RESET, msg->id);
+		break;
+	default:
+		break;
+	}
+}
+
+/*
+ * Acknowledgements and resets name an update by message ID. During a handover
+ * the entry that sent the update may not be the owner any more, so whoever
+ * knows the ID takes it; only the rest goes to the owner.
+ */
+static bool known_here(struct entry *e, const struct flow_key *key,
+		       const struct message *msg)
+{
+	if (msg->kind == MSG_ACK)
+		return feed_acked_by_caller(e, key, msg->id);
+	if (msg->kind == MSG_RESET)
+		return feed_reset_by_caller(e, key, msg->id);
+	return false;
+}
+
+static void route(struct entry *e, const struct flow_key *key,
+		  const struct message *msg, uint8_t hops)
+{
+	struct ring_pair pair;
+
+	if (!service_find(e, key->vip)) {
+		e->counters.no_service++;
+		return;
+	}
+	if (known_here(e, key, msg))
+		return;
+	if (msg->kind == MSG_REQUEST && request_repeated(e, key, msg))
+		return;
+	pair = ring_at(e->ring, ring_bucket(e->ring, key));
+	if (pair.owner == e->conf.member.self)
+		own_message(e, key, msg, hops);
+	else if (pair.owner != ADDR_NONE)
+		forward_to(e, pair.owner, key, msg->data, msg->size_bytes, hops,
+			   ADDR_NONE);
+}
+
+/**
+ * entry_caller() - a datagram from a caller
+ * @e: entry
+ * @key: caller and VIP
+ * @msg: datagram as parsed
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_caller(struct entry *e, const struct flow_key *key,
+		  const struct message *msg, uint64_t now_ns,
+		  struct actions *out)
+{
+	out->n = 0;
+	e->out = out;
+	e->now_ns = now_ns;
+	route(e, key, msg, 0);
+}
+
+static void forwarded_in(struct entry *e, const struct peer_msg *msg,
+			 const struct message *inner)
+{
+	if (!inner)
+		return;
+	if (msg->about != e->conf.member.self) {
+		route(e, &msg->key, inner, msg->hops);
+		return;
+	}
+	/* Asked as claimer: replay or absorb what is known, run nothing. */
+	if (!request_repeated(e, &msg->key, inner))
+		answer_unknown(e, &msg->key, inner);
+}
+
+/**
+ * entry_peer() - a message from another entry
+ * @e: entry
+ * @msg: message
+ * @forwarded: for PEER_FORWARD the datagram in it as parsed, else NULL
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_peer(struct entry *e, const struct peer_msg *msg,
+		const struct message *forwarded, uint64_t now_ns,
+		struct actions *out)
+{
+	out->n = 0;
+	e->out = out;
+	e->now_ns = now_ns;
+	member_message(e->members, msg, now_ns);
+	switch (msg->kind) {
+	case PEER_FORWARD:
+		forwarded_in(e, msg, forwarded);
+		break;
+	case PEER_CLAIM:
+		claim_asked(e, msg);
+		break;
+	case PEER_GRANT:
+		claim_granted(e, msg);
+		break;
+	case PEER_SETTLE:
+		claim_settled(e, msg);
+		break;
+	case PEER_FEED:
+		feed_copy_received(e, msg);
+		break;
+	case PEER_FEED_CLOSE:
+		feed_copy_closed(e, msg);
+		break;
+	case PEER_PIN:
+		flow_pin(e->pins, &msg->key, msg->target, now_ns);
+		break;
+	case PEER_RECORD:
+		stream_received(e, msg);
+		break;
+	case PEER_HANDOVER:
+		stream_acked(e, msg);
+		break;
+	default:
+		break;
+	}
+}
+
+/**
+ * entry_target() - a datagram from a target
+ * @e: entry
+ * @target: sender
+ * @msg: datagram as parsed
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_target(struct entry *e, uint64_t target, const struct message *msg,
+		  uint64_t now_ns, struct actions *out)
+{
+	out->n = 0;
+	e->out = out;
+	e->now_ns = now_ns;
+	target_message(e, target, msg);
+	requests_drain(e);
+}
