--- a/adapters/coap_wire.h
+++ b/adapters/coap_wire.h
@@ -5,6 +5,8 @@
 #ifndef CB_COAP_WIRE_H
 #define CB_COAP_WIRE_H
 
+#include "sockets.h"
+
 #include "entry.h"
 
 #define OPTION_TIMEOUT 65000
