Balancer: dealt shares, choice, fair queues, refusals, ejection, budget

First working version behind balance.h. Slots of each target are dealt among the entries by rank, so that no word between them is needed; further requests only while a fresh report shows an idle slot.

--- a/core/balance.h
+++ b/core/balance.h
@@ -5,6 +5,7 @@
 #define CB_BALANCE_H
 
 #include "config.h"
+#include "histogram.h"
 
 /**
  * enum refusal - why a request was not run
@@ -46,7 +47,8 @@
 	OUTCOME_SHED,
 	OUTCOME_ERROR,
 	OUTCOME_TIMEOUT,
-	OUTCOME_CANCELLED
+	OUTCOME_CANCELLED,
+	OUTCOME_COUNT
 };
 
 /**
@@ -97,6 +99,52 @@
 	uint32_t connections;
 };
 
+/**
+ * struct class_stats - counters of one class of one client account
+ * @admitted: sent to a target
+ * @queued: had to wait first
+ * @refused: by enum refusal
+ * @outcome: ends by enum outcome
+ * @retries: granted by the budget
+ * @retries_denied: asked for when it was empty
+ * @wait_us: time in the queue of those admitted, microseconds
+ */
+struct class_stats {
+	uint64_t admitted;
+	uint64_t queued;
+	uint64_t refused[REFUSE_COUNT];
+	uint64_t outcome[OUTCOME_COUNT];
+	uint64_t retries;
+	uint64_t retries_denied;
+	struct histogram wait_us;
+};
+
+/**
+ * struct target_stats - what the balancer holds of one target
+ * @addr: target
+ * @inflight: requests of this entry there
+ * @feeds: open feeds of this entry there
+ * @own: requests of this entry's own share
+ * @extra: further ones, while the target is seen to be idle
+ * @connections: feeds of this entry's share
+ * @ejected: gets no new work but trials
+ * @trust_milli: how far its reports are believed, in 1/1000
+ * @latency_ns: mean time of answered requests
+ * @error_milli: share of failures, in 1/1000
+ */
+struct target_stats {
+	uint64_t addr;
+	uint32_t inflight;
+	uint32_t feeds;
+	uint32_t own;
+	uint32_t extra;
+	uint32_t connections;
+	bool ejected;
+	uint32_t trust_milli;
+	uint64_t latency_ns;
+	uint32_t error_milli;
+};
+
 struct balancer;
 
 struct balancer *balance_new(uint32_t work_max, struct rng rng);
@@ -116,5 +164,10 @@
 void balance_report(struct balancer *b, uint64_t target,
 		    const struct load_report *report, uint64_t now_ns);
 uint64_t balance_next_ns(const struct balancer *b);
+bool balance_stats(const struct balancer *b, uint32_t *cursor,
+		   const char **account, uint8_t *class,
+		   const struct class_stats **stats);
+bool balance_targets(const struct balancer *b, uint32_t *cursor,
+		     struct target_stats *out);
 
 #endif
--- /dev/null
+++ b/core/tables.c
@@ -0,0 +1,541 @@
+/* The balancer's tables, built anew from each configuration. */
+#include "balance_state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DEAL_SEED 0x6465616cULL
+
+/* One service on its way into the tables. */
+struct listing {
+	uint64_t vip;
+	uint32_t account;
+	const struct service_conf *conf;
+};
+
+static int compare_u64(uint64_t a, uint64_t b)
+{
+	return (a > b) - (a < b);
+}
+
+static int compare_listing(const void *a, const void *b)
+{
+	const struct listing *x = a;
+	const struct listing *y = b;
+
+	return compare_u64(x->vip, y->vip);
+}
+
+static int compare_target_conf(const void *a, const void *b)
+{
+	const struct target_conf *const *x = a;
+	const struct target_conf *const *y = b;
+
+	return compare_u64((*x)->addr, (*y)->addr);
+}
+
+static int compare_target(const void *a, const void *b)
+{
+	const struct target *x = a;
+	const struct target *y = b;
+
+	return compare_u64(x->addr, y->addr);
+}
+
+/**
+ * tables_service() - find a service
+ * @t: tables
+ * @vip: its address
+ *
+ * Return: index, or INDEX_NONE.
+ */
+uint32_t tables_service(const struct tables *t, uint64_t vip)
+{
+	uint32_t low = 0;
+	uint32_t high = t->n_services;
+
+	while (low < high) {
+		uint32_t mid = low + (high - low) / 2;
+
+		if (t->services[mid].vip < vip)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (low < t->n_services && t->services[low].vip == vip)
+		return low;
+	return INDEX_NONE;
+}
+
+/**
+ * tables_target() - find a target
+ * @t: tables
+ * @addr: its address
+ *
+ * Return: index, or INDEX_NONE.
+ */
+uint32_t tables_target(const struct tables *t, uint64_t addr)
+{
+	uint32_t low = 0;
+	uint32_t high = t->n_targets;
+
+	while (low < high) {
+		uint32_t mid = low + (high - low) / 2;
+
+		if (t->targets[mid].addr < addr)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (low < t->n_targets && t->targets[low].addr == addr)
+		return low;
+	return INDEX_NONE;
+}
+
+/**
+ * tables_place() - find a target of a service
+ * @t: tables
+ * @s: service
+ * @addr: target's address
+ *
+ * Return: index of the place, or INDEX_NONE.
+ */
+uint32_t tables_place(const struct tables *t, const struct service *s,
+		      uint64_t addr)
+{
+	uint32_t target = tables_target(t, addr);
+	uint32_t low = s->first_place;
+	uint32_t end = s->first_place + s->n_places;
+	uint32_t high = end;
+
+	while (low < high) {
+		uint32_t mid = low + (high - low) / 2;
+
+		if (t->places[mid].target < target)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (low < end && t->places[low].target == target)
+		return low;
+	return INDEX_NONE;
+}
+
+/**
+ * tables_clear() - free the tables
+ * @t: tables
+ */
+void tables_clear(struct tables *t)
+{
+	free(t->accounts);
+	free(t->services);
+	free(t->places);
+	free(t->targets);
+	free(t->links);
+	free(t->candidates);
+	free(t->scratch);
+	memset(t, 0, sizeof(*t));
+}
+
+static void *table(uint32_t n, size_t size_bytes)
+{
+	return calloc(n ? n : 1, size_bytes);
+}
+
+static int allocate(struct tables *t, uint32_t n_kept)
+{
+	t->accounts = table(t->n_accounts, sizeof(*t->accounts));
+	t->services = table(t->n_services, sizeof(*t->services));
+	t->places = table(t->n_places, sizeof(*t->places));
+	t->targets = table(t->n_places + n_kept, sizeof(*t->targets));
+	t->links = table(t->n_places, sizeof(*t->links));
+	t->candidates = table(t->n_places, sizeof(*t->candidates));
+	t->scratch = table(t->n_places, sizeof(*t->scratch));
+	if (!t->accounts || !t->services || !t->places || !t->targets ||
+	    !t->links || !t->candidates || !t->scratch)
+		return -ENOMEM;
+	return 0;
+}
+
+static void count(struct tables *t, const struct config *c)
+{
+	t->n_accounts = c->n_accounts;
+	for (uint32_t i = 0; i < c->n_accounts; i++) {
+		const struct account_conf *a = &c->accounts[i];
+
+		t->n_services += a->n_services;
+		for (uint32_t j = 0; j < a->n_services; j++)
+			t->n_places += a->services[j].n_targets;
+	}
+}
+
+static const struct account *find_account(const struct tables *t,
+					  const char *name)
+{
+	for (uint32_t i = 0; i < t->n_accounts; i++)
+		if (!strcmp(t->accounts[i].name, name))
+			return &t->accounts[i];
+	return NULL;
+}
+
+static void fill_accounts(struct tables *t, const struct tables *old,
+			  const struct config *c)
+{
+	for (uint32_t i = 0; i < c->n_accounts; i++) {
+		struct account *a = &t->accounts[i];
+		const struct account *before;
+
+		before = find_account(old, c->accounts[i].name);
+		if (before)
+			*a = *before;
+		else
+			budget_init(&a->budget);
+		memcpy(a->name, c->accounts[i].name, NAME_MAX_BYTES);
+		a->weight = c->accounts[i].weight ? c->accounts[i].weight : 1;
+		a->n_waiting = 0;
+	}
+}
+
+static int list_services(struct listing **out, const struct config *c,
+			 uint32_t n)
+{
+	struct listing *l = table(n, sizeof(*l));
+	uint32_t k = 0;
+
+	if (!l)
+		return -ENOMEM;
+	for (uint32_t i = 0; i < c->n_accounts; i++) {
+		const struct account_conf *a = &c->accounts[i];
+
+		for (uint32_t j = 0; j < a->n_services; j++) {
+			l[k].vip = a->services[j].vip;
+			l[k].account = i;
+			l[k].conf = &a->services[j];
+			k++;
+		}
+	}
+	qsort(l, n, sizeof(*l), compare_listing);
+	*out = l;
+	return 0;
+}
+
+static void fill_service(struct tables *t, const struct tables *old,
+			 uint32_t index, const struct listing *l)
+{
+	struct service *s = &t->services[index];
+	uint32_t before = tables_service(old, l->vip);
+
+	if (before != INDEX_NONE)
+		*s = old->services[before];
+	s->vip = l->vip;
+	s->account = l->account;
+	s->class = l->conf->class;
+	s->queue_max = l->conf->queue_max;
+	s->n_places = l->conf->n_targets;
+	s->n_waiting = 0;
+	queue_init(&s->queue);
+}
+
+/* Every listed address once, and those that still have work of ours. */
+static void fill_targets(struct tables *t, const struct tables *old,
+			 const struct listing *l)
+{
+	uint32_t n = 0;
+	uint32_t unique = 0;
+
+	for (uint32_t i = 0; i < t->n_services; i++)
+		for (uint32_t j = 0; j < l[i].conf->n_targets; j++)
+			t->targets[n++].addr = l[i].conf->targets[j].addr;
+	for (uint32_t i = 0; i < old->n_targets; i++)
+		if (old->targets[i].inflight || old->targets[i].feeds)
+			t->targets[n++].addr = old->targets[i].addr;
+	qsort(t->targets, n, sizeof(*t->targets), compare_target);
+	for (uint32_t i = 0; i < n; i++)
+		if (!i || t->targets[i].addr != t->targets[i - 1].addr)
+			t->targets[unique++].addr = t->targets[i].addr;
+	t->n_targets = unique;
+}
+
+static void carry_targets(struct tables *t, const struct tables *old,
+			  uint64_t now_ns)
+{
+	for (uint32_t i = 0; i < t->n_targets; i++) {
+		struct target *x = &t->targets[i];
+		uint32_t before = tables_target(old, x->addr);
+
+		if (before != INDEX_NONE) {
+			*x = old->targets[before];
+		} else {
+			view_init(&x->view);
+			x->limit_milli = UINT32_MAX;
+			/* After a restart every target is new, and warm. */
+			if (old->n_targets)
+				x->warm_deadline_ns = now_ns + SLOW_START_NS;
+		}
+		x->listed = false;
+		x->slots = UINT16_MAX;
+		x->connections = UINT32_MAX;
+		x->n_links = 0;
+		x->ready = false;
+	}
+}
+
+static void fill_place(struct tables *t, const struct tables *old,
+		       uint32_t service, uint32_t index,
+		       const struct target_conf *conf)
+{
+	struct service *s = &t->services[service];
+	struct place *p = &t->places[index];
+	uint32_t old_service = tables_service(old, s->vip);
+	uint32_t before = INDEX_NONE;
+	struct target *x;
+
+	if (old_service != INDEX_NONE)
+		before = tables_place(old, &old->services[old_service],
+				      conf->addr);
+	p->turn = s->turn;
+	if (before != INDEX_NONE)
+		*p = old->places[before];
+	p->service = service;
+	p->target = tables_target(t, conf->addr);
+	p->state = conf->state;
+	p->weight = conf->weight ? conf->weight : 1;
+	queue_init(&p->pinned);
+	x = &t->targets[p->target];
+	x->listed = true;
+	x->n_links++;
+	if (conf->slots < x->slots)
+		x->slots = conf->slots ? conf->slots : 1;
+	if (conf->connections < x->connections)
+		x->connections = conf->connections;
+}
+
+static int fill_places(struct tables *t, const struct tables *old,
+		       const struct listing *l)
+{
+	const struct target_conf **order = table(t->n_places, sizeof(*order));
+	uint32_t k = 0;
+
+	if (!order)
+		return -ENOMEM;
+	for (uint32_t i = 0; i < t->n_services; i++) {
+		const struct service_conf *conf = l[i].conf;
+
+		for (uint32_t j = 0; j < conf->n_targets; j++)
+			order[j] = &conf->targets[j];
+		qsort(order, conf->n_targets, sizeof(*order),
+		      compare_target_conf);
+		t->services[i].first_place = k;
+		t->services[i].first_candidate = k;
+		for (uint32_t j = 0; j < conf->n_targets; j++)
+			fill_place(t, old, i, k++, order[j]);
+	}
+	free(order);
+	return 0;
+}
+
+static void fill_links(struct tables *t)
+{
+	uint32_t first = 0;
+
+	for (uint32_t i = 0; i < t->n_targets; i++) {
+		t->targets[i].first_link = first;
+		first += t->targets[i].n_links;
+		t->targets[i].n_links = 0;
+	}
+	for (uint32_t i = 0; i < t->n_places; i++) {
+		struct target *x = &t->targets[t->places[i].target];
+
+		t->links[x->first_link + x->n_links++] = i;
+	}
+}
+
+/* Put a waiting item into the new queues, or doom it. */
+static void requeue(struct balancer *b, struct tables *t, uint32_t handle)
+{
+	struct item *it = &b->items[handle];
+	uint32_t service = tables_service(t, it->work.vip);
+	uint32_t place = INDEX_NONE;
+	struct queue *q;
+
+	if (service != INDEX_NONE && it->place != INDEX_NONE)
+		place = tables_place(t, &t->services[service], it->work.pinned);
+	if (service == INDEX_NONE ||
+	    (it->place != INDEX_NONE && place == INDEX_NONE)) {
+		deadline_heap_remove(&b->deadlines, handle);
+		b->n_waiting--;
+		it->state = ITEM_DOOMED;
+		it->reason = REFUSE_NO_TARGET;
+		it->service = INDEX_NONE;
+		queue_add(b, &b->doomed, handle);
+		return;
+	}
+	it->service = service;
+	it->place = place;
+	q = place == INDEX_NONE ? &t->services[service].queue
+				: &t->places[place].pinned;
+	queue_add(b, q, handle);
+	t->services[service].n_waiting++;
+	t->accounts[t->services[service].account].n_waiting++;
+}
+
+static void requeue_all(struct balancer *b, struct tables *t, struct queue *q)
+{
+	uint32_t handle = q->head;
+
+	while (handle != INDEX_NONE) {
+		uint32_t next = b->items[handle].next;
+
+		requeue(b, t, handle);
+		handle = next;
+	}
+}
+
+static void replace(struct balancer *b, struct tables *t)
+{
+	for (uint32_t i = 0; i < b->t.n_services; i++)
+		requeue_all(b, t, &b->t.services[i].queue);
+	for (uint32_t i = 0; i < b->t.n_places; i++)
+		requeue_all(b, t, &b->t.places[i].pinned);
+	for (uint32_t h = b->doomed.head; h != INDEX_NONE; h = b->items[h].next)
+		b->items[h].service = tables_service(t, b->items[h].work.vip);
+	tables_clear(&b->t);
+	b->t = *t;
+	b->ready = INDEX_NONE;
+}
+
+/**
+ * tables_build() - put a configuration in force; what is known of services,
+ *	targets and accounts that stay is kept, and so is the waiting work
+ * @b: balancer
+ * @c: configuration
+ * @now_ns: time
+ *
+ * Return: 0, or -ENOMEM with the old configuration in force.
+ */
+int tables_build(struct balancer *b, const struct config *c, uint64_t now_ns)
+{
+	struct tables t = { 0 };
+	struct listing *l = NULL;
+	int err;
+
+	count(&t, c);
+	err = allocate(&t, b->t.n_targets);
+	if (!err)
+		err = list_services(&l, c, t.n_services);
+	if (err)
+		goto fail;
+	fill_accounts(&t, &b->t, c);
+	for (uint32_t i = 0; i < t.n_services; i++)
+		fill_service(&t, &b->t, i, &l[i]);
+	fill_targets(&t, &b->t, l);
+	carry_targets(&t, &b->t, now_ns);
+	err = fill_places(&t, &b->t, l);
+	if (err)
+		goto fail;
+	fill_links(&t);
+	free(l);
+	replace(b, &t);
+	tables_deal(b);
+	return 0;
+fail:
+	free(l);
+	tables_clear(&t);
+	return err;
+}
+
+static void deal_service(struct balancer *b, struct service *s)
+{
+	uint64_t offset = hash_u64(s->vip, DEAL_SEED) % b->n_entries;
+
+	s->n_up = 0;
+	for (uint32_t i = 0; i < s->n_places; i++) {
+		struct place *p = &b->t.places[s->first_place + i];
+		struct target *t = &b->t.targets[p->target];
+
+		if (p->state != TARGET_UP)
+			continue;
+		s->n_up++;
+		if (t->dealt)
+			continue;
+		t->dealt = true;
+		t->share = deal_target(t->slots, t->connections, offset,
+				       b->n_entries, b->rank);
+		offset += t->slots;
+	}
+}
+
+/*
+ * With fewer slots than entries some entries get none, and their callers would
+ * be refused while targets stand idle. Such an entry takes one request at one
+ * target, spread by rank.
+ */
+static void deal_floor(struct balancer *b, struct service *s)
+{
+	uint32_t nth = s->n_up ? b->rank % s->n_up : 0;
+
+	for (uint32_t i = 0; i < s->n_places; i++) {
+		struct place *p = &b->t.places[s->first_place + i];
+		struct target *t = &b->t.targets[p->target];
+
+		if (p->state != TARGET_UP || nth--)
+			continue;
+		t->share.own = 1;
+		if (!t->share.connections && t->connections)
+			t->share.connections = 1;
+		return;
+	}
+}
+
+static void list_candidates(struct balancer *b, struct service *s)
+{
+	s->n_candidates = 0;
+	for (uint32_t i = 0; i < s->n_places; i++) {
+		uint32_t index = s->first_place + i;
+		struct place *p = &b->t.places[index];
+		struct target *t = &b->t.targets[p->target];
+
+		p->candidate = p->state == TARGET_UP &&
+			       t->share.own + t->share.extra > 0;
+		if (!p->candidate)
+			continue;
+		b->t.candidates[s->first_candidate + s->n_candidates] = index;
+		s->n_candidates++;
+	}
+}
+
+static bool has_own(const struct balancer *b, const struct service *s)
+{
+	for (uint32_t i = 0; i < s->n_places; i++) {
+		const struct place *p = &b->t.places[s->first_place + i];
+
+		if (p->state == TARGET_UP && b->t.targets[p->target].share.own)
+			return true;
+	}
+	return false;
+}
+
+/**
+ * tables_deal() - share out the targets anew
+ * @b: balancer
+ */
+void tables_deal(struct balancer *b)
+{
+	for (uint32_t i = 0; i < b->t.n_targets; i++) {
+		struct target *t = &b->t.targets[i];
+
+		t->dealt = false;
+		t->share = (struct deal){ 0 };
+	}
+	for (uint32_t i = 0; i < b->t.n_services; i++)
+		deal_service(b, &b->t.services[i]);
+	for (uint32_t i = 0; i < b->t.n_services; i++)
+		if (!has_own(b, &b->t.services[i]))
+			deal_floor(b, &b->t.services[i]);
+	for (uint32_t i = 0; i < b->t.n_services; i++)
+		list_candidates(b, &b->t.services[i]);
+	for (uint32_t i = 0; i < b->t.n_targets; i++)
+		fair_ready(b, i);
+	eject_recount(b);
+}
--- /dev/null
+++ b/test/balance_test.c
@@ -0,0 +1,81 @@
+/* Choice, shares, queues and refusals of one entry, on a fake clock. */
+#include "balance_fixture.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <cmocka.h>
+
+static void spreads_over_idle_targets(void **state)
+{
+	struct fixture f;
+	uint32_t seen[4] = { 0 };
+
+	(void)state;
+	fixture_open(&f, 4, 2, 100);
+	for (uint32_t i = 0; i < 8; i++) {
+		struct ruling r = fixture_submit(&f, i, 5000);
+
+		assert_int_equal(r.verdict, VERDICT_GO);
+		seen[fixture_index(r.target)]++;
+	}
+	for (uint32_t i = 0; i < 4; i++)
+		assert_int_equal(seen[i], 2);
+	assert_int_equal(fixture_submit(&f, 8, 5000).verdict, VERDICT_QUEUED);
+	fixture_close(&f);
+}
+
+static void queue_runs_when_a_slot_frees(void **state)
+{
+	struct fixture f;
+	struct ruling r;
+	uint32_t handle;
+
+	(void)state;
+	fixture_open(&f, 1, 1, 100);
+	r = fixture_submit(&f, 0, 5000);
+	assert_int_equal(fixture_submit(&f, 1, 5000).verdict, VERDICT_QUEUED);
+	assert_false(balance_next(f.b, f.now_ns, &handle, &r));
+	fixture_done(&f, fixture_target(0), OUTCOME_OK, 50);
+	assert_true(balance_next(f.b, f.now_ns, &handle, &r));
+	assert_int_equal(handle, 1);
+	assert_int_equal(r.verdict, VERDICT_GO);
+	assert_false(balance_next(f.b, f.now_ns, &handle, &r));
+	fixture_close(&f);
+}
+
+/*
+ * Symptom: a caller learns of its refusal only when it has long given up.
+ * Sequence: the only target is busy and stays so; a request waits until its
+ * deadline passes.
+ * Cause: waiting work looked at only when a slot frees.
+ */
+static void expired_work_comes_out(void **state)
+{
+	struct fixture f;
+	struct ruling r;
+	uint32_t handle;
+
+	(void)state;
+	fixture_open(&f, 1, 1, 100);
+	fixture_submit(&f, 0, 5000);
+	assert_int_equal(fixture_submit(&f, 1, 300).verdict, VERDICT_QUEUED);
+	assert_true(balance_next_ns(f.b) <= f.now_ns + 300 * NS_PER_MS);
+	f.now_ns += 300 * NS_PER_MS;
+	assert_true(balance_next(f.b, f.now_ns, &handle, &r));
+	assert_int_equal(handle, 1);
+	assert_int_equal(r.verdict, VERDICT_REFUSED);
+	assert_int_equal(r.reason, REFUSE_DEADLINE);
+	assert_true(r.retry_after_s >= 1);
+	fixture_close(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(spreads_over_idle_targets),
+		cmocka_unit_test(queue_runs_when_a_slot_frees),
+		cmocka_unit_test(expired_work_comes_out),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
