--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,8 @@
 CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c))
 ADAPT := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/*.c)) \
 	 $(patsubst %.cc,$(B)/%.o,$(wildcard adapters/*.cc))
+# Stand-ins without their main(), so that tests reach their modules.
+SIMS := $(patsubst %.c,$(B)/%.o,$(filter-out %/main.c,$(wildcard sim/*.c sim/*/*.c)))
 LIBS := $(B)/libcore.a $(B)/libadapters.a
 
 # A program is a directory below cmd/ or sim/ with C files in it.
@@ -53,6 +55,8 @@
 	@rm -f $@; $(AR) rcs $@ $^
 $(B)/libadapters.a: $(ADAPT)
 	@rm -f $@; $(AR) rcs $@ $^
+$(B)/libsim.a: $(SIMS)
+	@rm -f $@; $(AR) rcs $@ $^
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
@@ -62,14 +66,14 @@
 	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
 define PROG
-$(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS)
+$(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a)
 	@mkdir -p $$(@D)
-	$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
+	$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
 endef
 $(foreach d,$(PROGDIRS),$(eval $(call PROG,$(d))))
 
-$(B)/test/%_test: $(B)/test/%_test.o $(TESTHELP) $(LIBS)
-	$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
+$(B)/test/%_test: $(B)/test/%_test.o $(TESTHELP) $(LIBS) $(B)/libsim.a
+	$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libsim.a $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
 $(B)/test/%_prop: $(B)/test/%_prop.o $(TESTHELP) $(LIBS)
 	$(CXX) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lrapidcheck $(LDLIBS) -o $@
 
--- /dev/null
+++ b/sim/args.c
@@ -0,0 +1,150 @@
+#include "sim.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+static void print_help(const struct sim_args *a)
+{
+	printf("usage: %s", a->program);
+	arg_print_syntax(stdout, a->table, "\n");
+	printf("%s\n", a->about);
+	arg_print_glossary(stdout, a->table, "  %-26s %s\n");
+}
+
+/**
+ * sim_args_read() - parse a command line, answer --help and --version
+ * @a: the program's options
+ * @argc: from main
+ * @argv: from main
+ *
+ * Return: SIM_ARGS_RUN, SIM_ARGS_EXIT when all is said, or -EINVAL after
+ * every mistake was printed.
+ */
+int sim_args_read(const struct sim_args *a, int argc, char **argv)
+{
+	int n_errors = arg_parse(argc, argv, a->table);
+
+	if (a->help->count) {
+		print_help(a);
+		return SIM_ARGS_EXIT;
+	}
+	if (a->version->count) {
+		printf("%s %s\n", a->program, SIM_VERSION);
+		return SIM_ARGS_EXIT;
+	}
+	if (n_errors) {
+		arg_print_errors(stderr, a->end, a->program);
+		fprintf(stderr, "%s: see --help\n", a->program);
+		return -EINVAL;
+	}
+	return SIM_ARGS_RUN;
+}
+
+static int parse_addr(const char *text, uint64_t *addr)
+{
+	char ip[INET_ADDRSTRLEN];
+	struct in_addr in;
+	unsigned int port;
+	char rest;
+
+	if (sscanf(text, "%15[0-9.]:%u%c", ip, &port, &rest) != 2)
+		return -EINVAL;
+	if (inet_pton(AF_INET, ip, &in) != 1 || port == 0 || port > UINT16_MAX)
+		return -EINVAL;
+	*addr = ADDR(ntohl(in.s_addr), port);
+	return 0;
+}
+
+/**
+ * sim_arg_addr() - read one IP:PORT argument
+ * @program: name, for the message
+ * @arg: argument
+ * @i: which of its values
+ * @addr: filled
+ *
+ * Return: 0, or -EINVAL after the mistake was printed.
+ */
+int sim_arg_addr(const char *program, const struct arg_str *arg, int i,
+		 uint64_t *addr)
+{
+	if (parse_addr(arg->sval[i], addr) == 0)
+		return 0;
+	fprintf(stderr, "%s: --%s=%s: expected IP:PORT, port 1 to 65535\n",
+		program, arg->hdr.longopts, arg->sval[i]);
+	return -EINVAL;
+}
+
+/**
+ * sim_arg_range() - check a whole number's range
+ * @program: name, for the message
+ * @arg: argument, with its default when not given
+ * @name: its option
+ * @min: least
+ * @max: greatest
+ *
+ * Return: 0, or -EINVAL after the mistake was printed.
+ */
+int sim_arg_range(const char *program, const struct arg_int *arg,
+		  const char *name, int min, int max)
+{
+	if (arg->ival[0] >= min && arg->ival[0] <= max)
+		return 0;
+	fprintf(stderr, "%s: --%s=%d: expected %d to %d\n", program, name,
+		arg->ival[0], min, max);
+	return -EINVAL;
+}
+
+/**
+ * sim_sockaddr() - an address for the socket calls
+ * @addr: address
+ * @sin: filled
+ */
+void sim_sockaddr(uint64_t addr, struct sockaddr_in *sin)
+{
+	memset(sin, 0, sizeof(*sin));
+	sin->sin_family = AF_INET;
+	sin->sin_addr.s_addr = htonl(ADDR_IP(addr));
+	sin->sin_port = htons(ADDR_PORT(addr));
+}
+
+/**
+ * sim_addr() - an address from the socket calls
+ * @sa: IPv4 socket address
+ *
+ * Return: the address.
+ */
+uint64_t sim_addr(const struct sockaddr *sa)
+{
+	const struct sockaddr_in *sin = (const struct sockaddr_in *)sa;
+
+	return ADDR(ntohl(sin->sin_addr.s_addr), ntohs(sin->sin_port));
+}
+
+/**
+ * sim_udp_bind() - open a UDP socket on a loop
+ * @loop: loop
+ * @udp: handle to set up
+ * @addr: address to bind
+ * @program: name, for the message
+ * @step: what it is for, for the message
+ *
+ * Return: 0, or a negative error after it was printed.
+ */
+int sim_udp_bind(uv_loop_t *loop, uv_udp_t *udp, uint64_t addr,
+		 const char *program, const char *step)
+{
+	struct sockaddr_in sin;
+	int rc;
+
+	sim_sockaddr(addr, &sin);
+	rc = uv_udp_init(loop, udp);
+	if (!rc)
+		rc = uv_udp_bind(udp, (struct sockaddr *)&sin, 0);
+	if (rc)
+		fprintf(stderr, "%s: %s %s:%u: %s\n", program, step,
+			inet_ntoa(sin.sin_addr), ADDR_PORT(addr),
+			uv_strerror(rc));
+	return rc;
+}
--- /dev/null
+++ b/sim/control.c
@@ -0,0 +1,148 @@
+#include "sim.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/**
+ * control_number() - read a whole number
+ * @word: text
+ * @max: greatest allowed
+ * @out: filled
+ *
+ * Return: 0, or -EINVAL.
+ */
+int control_number(const char *word, uint32_t max, uint32_t *out)
+{
+	char *end;
+	unsigned long n;
+
+	if (*word < '0' || *word > '9')
+		return -EINVAL;
+	errno = 0;
+	n = strtoul(word, &end, 10);
+	if (errno || *end || n > max)
+		return -EINVAL;
+	*out = (uint32_t)n;
+	return 0;
+}
+
+static int split(char *line, char **argv)
+{
+	char *save = NULL;
+	int argc = 0;
+	char *word;
+
+	for (word = strtok_r(line, " \t\r\n", &save); word;
+	     word = strtok_r(NULL, " \t\r\n", &save)) {
+		if (argc == CONTROL_ARGS_MAX)
+			return -E2BIG;
+		argv[argc++] = word;
+	}
+	return argc;
+}
+
+static void list_commands(const struct control *c, char *reply,
+			  size_t size_bytes)
+{
+	const struct control_command *cmd;
+	size_t used = strlen(reply);
+
+	for (cmd = c->commands; cmd->name && used < size_bytes; cmd++)
+		used += (size_t)snprintf(reply + used, size_bytes - used,
+					 " %s", cmd->name);
+}
+
+static const struct control_command *find(const struct control *c,
+					  const char *name)
+{
+	const struct control_command *cmd;
+
+	for (cmd = c->commands; cmd->name; cmd++) {
+		if (!strcmp(cmd->name, name))
+			return cmd;
+	}
+	return NULL;
+}
+
+/**
+ * control_do() - run one line
+ * @c: control port
+ * @line: the line, cut up
+ * @reply: answer, ended by NUL
+ * @size_bytes: its size
+ */
+void control_do(const struct control *c, char *line, char *reply,
+		size_t size_bytes)
+{
+	char *argv[CONTROL_ARGS_MAX];
+	const struct control_command *cmd;
+	int argc = split(line, argv);
+
+	reply[0] = '\0';
+	if (argc <= 0) {
+		snprintf(reply, size_bytes, "error: expected a command");
+		return;
+	}
+	cmd = find(c, argv[0]);
+	if (!cmd) {
+		snprintf(reply, size_bytes,
+			 "error: %.32s: unknown, expected one of:", argv[0]);
+		list_commands(c, reply, size_bytes);
+		return;
+	}
+	if (argc - 1 < cmd->min_args || argc - 1 > cmd->max_args ||
+	    cmd->run(c->ctx, argc, argv, reply, size_bytes)) {
+		snprintf(reply, size_bytes, "error: expected: %s %s",
+			 cmd->name, cmd->usage);
+		return;
+	}
+	if (!reply[0])
+		snprintf(reply, size_bytes, "ok");
+}
+
+static void control_alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf)
+{
+	struct control *c = h->data;
+
+	(void)hint;
+	*buf = uv_buf_init(c->buf, sizeof(c->buf) - 1);
+}
+
+static void control_recv(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+			 const struct sockaddr *from, unsigned int flags)
+{
+	struct control *c = udp->data;
+	char reply[CONTROL_LINE_BYTES];
+	uv_buf_t out;
+
+	(void)flags;
+	if (n <= 0 || !from)
+		return;
+	buf->base[n] = '\0';
+	control_do(c, buf->base, reply, sizeof(reply) - 1);
+	strcat(reply, "\n");
+	out = uv_buf_init(reply, (unsigned int)strlen(reply));
+	uv_udp_try_send(udp, &out, 1, from);
+}
+
+/**
+ * control_open() - take commands on a UDP port
+ * @c: with @ctx and @commands set
+ * @loop: loop
+ * @addr: address to bind
+ * @program: name, for messages
+ *
+ * Return: 0, or a negative error after it was printed.
+ */
+int control_open(struct control *c, uv_loop_t *loop, uint64_t addr,
+		 const char *program)
+{
+	int rc = sim_udp_bind(loop, &c->udp, addr, program, "control");
+
+	if (rc)
+		return rc;
+	c->udp.data = c;
+	return uv_udp_recv_start(&c->udp, control_alloc, control_recv);
+}
--- /dev/null
+++ b/sim/sim-target/serve.c
@@ -0,0 +1,331 @@
+#include "target.h"
+
+#include <errno.h>
+#include <string.h>
+
+/*
+ * libcoap lets one confirmable message of a session wait for its ACK at a
+ * time (NSTART 1). All requests of an entry share one session here, so that
+ * one lost ACK would hold back every other caller's answer.
+ */
+#define NSTART 16384
+#define ROUNDS_SLACK 2
+
+static const struct path paths[] = {
+	{ "feed", target_feed, true },	      { "forecast", target_work, false },
+	{ "report", target_work, false },     { "readings", target_upload, false },
+	{ "load", target_load, false },	      { "missing", target_missing, false },
+};
+
+/* libcoap's handlers get no context but the resource's, so one each. */
+struct served {
+	struct target *t;
+	const struct path *path;
+};
+
+static bool add_uint(coap_pdu_t *pdu, coap_option_num_t number, uint32_t n)
+{
+	uint8_t buf[4];
+	unsigned int len = coap_encode_var_safe(buf, sizeof(buf), n);
+
+	return coap_add_option(pdu, number, len, buf) > 0;
+}
+
+static bool add_load(struct target *t, coap_pdu_t *pdu)
+{
+	struct load now = target_load_now(t);
+	struct load said = report_load(&t->report, &now, uv_hrtime());
+	uint8_t buf[LOAD_BYTES];
+
+	load_encode(&said, buf);
+	return coap_add_option(pdu, OPTION_LOAD, sizeof(buf), buf) > 0;
+}
+
+/**
+ * target_fill() - put an answer into a PDU that has its token
+ * @t: target
+ * @pdu: PDU
+ * @reply: answer
+ *
+ * Return: whether it fitted.
+ */
+bool target_fill(struct target *t, coap_pdu_t *pdu, const struct reply *reply)
+{
+	size_t len = strlen(reply->body);
+	bool ok = true;
+
+	coap_pdu_set_code(pdu, reply->code);
+	if (reply->code == COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE)
+		ok &= add_uint(pdu, COAP_OPTION_MAXAGE, reply->max_age_s);
+	if (reply->has_block)
+		ok &= add_uint(pdu, COAP_OPTION_BLOCK1,
+			       reply->block_num << 4 |
+				       (uint32_t)reply->block_more << 3 |
+				       reply->block_szx);
+	ok &= add_load(t, pdu);
+	if (len)
+		ok &= coap_add_data(pdu, len, (const uint8_t *)reply->body);
+	return ok;
+}
+
+/**
+ * target_send() - answer a request whose handler has returned
+ * @t: target
+ * @r: request
+ * @reply: answer
+ */
+void target_send(struct target *t, const struct request *r,
+		 const struct reply *reply)
+{
+	coap_pdu_type_t type = r->confirmable ? COAP_MESSAGE_CON :
+						COAP_MESSAGE_NON;
+	coap_pdu_t *pdu = coap_pdu_init(type, 0,
+					coap_new_message_id(r->session),
+					coap_session_max_pdu_size(r->session));
+
+	if (!pdu)
+		return;
+	if (coap_add_token(pdu, r->key.token_len, r->key.token) &&
+	    target_fill(t, pdu, reply))
+		coap_send(r->session, pdu);
+	else
+		coap_delete_pdu(pdu);
+}
+
+static int32_t read_uint(const coap_pdu_t *pdu, coap_option_num_t number)
+{
+	coap_opt_iterator_t it;
+	coap_opt_t *opt = coap_check_option(pdu, number, &it);
+
+	if (!opt)
+		return -1;
+	return (int32_t)(coap_decode_var_bytes(coap_opt_value(opt),
+					       coap_opt_length(opt)) &
+			 INT32_MAX);
+}
+
+static void read_id(const coap_string_t *query, char id[ID_BYTES])
+{
+	const char *s = query ? (const char *)query->s : "";
+	size_t left = query ? query->length : 0;
+	size_t n;
+
+	g_strlcpy(id, "-", ID_BYTES);
+	while (left > 3 && memcmp(s, "id=", 3)) {
+		const char *amp = memchr(s, '&', left);
+
+		if (!amp)
+			return;
+		left -= (size_t)(amp + 1 - s);
+		s = amp + 1;
+	}
+	if (left <= 3)
+		return;
+	for (n = 0; n < left - 3 && n < ID_BYTES - 1; n++) {
+		if (!g_ascii_isalnum(s[n + 3]))
+			break;
+		id[n] = s[n + 3];
+	}
+	if (n)
+		id[n] = '\0';
+}
+
+static uint64_t read_deadline(const coap_pdu_t *pdu)
+{
+	int32_t timeout_ms = read_uint(pdu, OPTION_TIMEOUT);
+
+	if (timeout_ms < 0)
+		return NEVER_NS;
+	return uv_hrtime() + (uint64_t)timeout_ms * NS_PER_MS;
+}
+
+static void read_request(const struct served *s, coap_session_t *session,
+			 const coap_pdu_t *pdu, const coap_string_t *query,
+			 struct request *r)
+{
+	coap_bin_const_t token = coap_pdu_get_token(pdu);
+
+	memset(r, 0, sizeof(*r));
+	r->path = s->path;
+	r->session = session;
+	r->key.peer = sim_addr(&coap_session_get_addr_remote(session)->addr.sa);
+	r->key.mid = (uint16_t)coap_pdu_get_mid(pdu);
+	r->key.token_len = (uint8_t)MIN(token.length, TOKEN_MAX_BYTES);
+	memcpy(r->key.token, token.s, r->key.token_len);
+	r->confirmable = coap_pdu_get_type(pdu) == COAP_MESSAGE_CON;
+	r->method = (uint8_t)coap_pdu_get_code(pdu);
+	r->observe = read_uint(pdu, COAP_OPTION_OBSERVE);
+	r->has_block = coap_get_block(pdu, COAP_OPTION_BLOCK1, &r->block);
+	r->deadline_ns = read_deadline(pdu);
+	read_id(query, r->id);
+}
+
+/*
+ * libcoap calls the same handler for a notification, with the request that
+ * opened the feed: the answer's type tells, or else that the feed is known.
+ */
+static bool is_notification(const coap_pdu_t *request, const coap_pdu_t *answer,
+			    const struct feed *feed)
+{
+	if (coap_pdu_get_type(answer) == COAP_MESSAGE_ACK)
+		return false;
+	if (coap_pdu_get_type(request) == COAP_MESSAGE_CON ||
+	    coap_pdu_get_type(answer) == COAP_MESSAGE_CON)
+		return true;
+	return feed != NULL;
+}
+
+/*
+ * A feed that the target forgot gets a 5.03 that never leaves: libcoap drops
+ * the observer for the code, and the loss is undone by the next handler.
+ */
+static void notify_lost(struct target *t, struct feed *feed, coap_pdu_t *answer)
+{
+	coap_debug_set_packet_loss("100%");
+	coap_pdu_set_type(answer, COAP_MESSAGE_NON);
+	coap_pdu_set_code(answer, COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE);
+	feeds_remove(t->feeds, feed);
+}
+
+static void notify(struct target *t, struct feed *feed, coap_pdu_t *answer)
+{
+	struct reply out = { .code = COAP_RESPONSE_CODE_CONTENT };
+
+	if (!feed)
+		return;
+	if (feed->lost) {
+		notify_lost(t, feed, answer);
+		return;
+	}
+	feed->round = t->round;
+	t->counts[COUNT_NOTIFICATIONS]++;
+	target_body(t, feed->id, ++feed->sequence, &out);
+	target_fill(t, answer, &out);
+}
+
+static void answer_first(struct target *t, const struct request *r,
+			 struct reply *out)
+{
+	if (r->observe == COAP_OBSERVE_CANCEL &&
+	    r->method == COAP_REQUEST_GET && target_cancel(t, r)) {
+		out->code = COAP_RESPONSE_CODE_CONTENT;
+		target_body(t, r->id, 0, out);
+		return;
+	}
+	r->path->serve(t, r, out);
+	out->has_block = r->has_block;
+	out->block_num = r->block.num;
+	out->block_more = r->block.m;
+	out->block_szx = r->block.szx;
+}
+
+static void answer_request(struct target *t, const struct request *r,
+			   struct reply *out)
+{
+	const struct reply *before = NULL;
+	enum dedup_verdict verdict = DEDUP_NEW;
+
+	if (!t->opt.no_dedup)
+		verdict = dedup_see(t->dedup, &r->key, uv_hrtime(), &before);
+	if (verdict == DEDUP_PENDING || verdict == DEDUP_ANSWERED) {
+		t->counts[COUNT_REPEATS]++;
+		if (before && verdict == DEDUP_ANSWERED)
+			*out = *before;
+		return;
+	}
+	if (verdict == DEDUP_REUSED)
+		t->counts[COUNT_REUSED_IDS]++;
+	answer_first(t, r, out);
+	if (out->code)
+		dedup_answer(t->dedup, &r->key, out);
+}
+
+static void handle(coap_resource_t *resource, coap_session_t *session,
+		   const coap_pdu_t *request, const coap_string_t *query,
+		   coap_pdu_t *answer)
+{
+	const struct served *s = coap_resource_get_userdata(resource);
+	struct target *t = s->t;
+	struct reply out = { 0 };
+	struct request r;
+	struct feed *feed;
+
+	coap_debug_set_packet_loss(t->behaviour.silent ? "100%" : "0%");
+	coap_session_set_nstart(session, NSTART);
+	feed = feeds_find(t->feeds, session, coap_pdu_get_token(request));
+	if (is_notification(request, answer, feed)) {
+		notify(t, feed, answer);
+		return;
+	}
+	if (t->behaviour.silent)
+		return;
+	read_request(s, session, request, query, &r);
+	answer_request(t, &r, &out);
+	if (out.code)
+		target_fill(t, answer, &out);
+	target_step(t);
+}
+
+/**
+ * target_notify() - begin a round of notifications
+ * @t: target
+ */
+void target_notify(struct target *t)
+{
+	t->round++;
+	if (t->round > ROUNDS_SLACK)
+		feeds_sweep(t->feeds, t->round - ROUNDS_SLACK);
+	coap_resource_notify_observers(t->feed_resource, NULL);
+}
+
+static int add_path(struct target *t, const struct path *path)
+{
+	coap_str_const_t *name = coap_make_str_const(path->name);
+	struct served *s = g_new0(struct served, 1);
+	coap_resource_t *resource =
+		coap_resource_init(name, COAP_RESOURCE_FLAGS_NOTIFY_NON);
+	int method;
+
+	if (!resource)
+		return -ENOMEM;
+	s->t = t;
+	s->path = path;
+	coap_resource_set_userdata(resource, s);
+	for (method = COAP_REQUEST_GET; method <= COAP_REQUEST_DELETE; method++)
+		coap_register_request_handler(resource, (coap_request_t)method,
+					      handle);
+	if (path->observable) {
+		coap_resource_set_get_observable(resource, 1);
+		t->feed_resource = resource;
+	}
+	coap_add_resource(t->coap, resource);
+	return 0;
+}
+
+/**
+ * target_serve_open() - bind and register the paths
+ * @t: target with @opt set
+ *
+ * Return: 0 or a negative error.
+ */
+int target_serve_open(struct target *t)
+{
+	coap_address_t at;
+	size_t i;
+	int rc = 0;
+
+	coap_startup();
+	coap_set_log_level(LOG_EMERG);
+	coap_address_init(&at);
+	at.size = sizeof(at.addr.sin);
+	sim_sockaddr(t->opt.addr, &at.addr.sin);
+	t->coap = coap_new_context(NULL);
+	if (!t->coap)
+		return -ENOMEM;
+	if (!coap_new_endpoint(t->coap, &at, COAP_PROTO_UDP))
+		return -EADDRNOTAVAIL;
+	coap_resource_release_userdata_handler(t->coap, g_free);
+	for (i = 0; i < sizeof(paths) / sizeof(paths[0]) && !rc; i++)
+		rc = add_path(t, &paths[i]);
+	return rc;
+}
