sim-target: keep observers of lost feeds instead of ending them

silent-feeds crashed the target (SIGSEGV in coap_io_prepare_io). Cause: libcoap 4.3.1 frees an observer whose notification carries an error code and then sends through it; the ASAN build hid it, the plain build crashed each time. Lost feeds now stay with libcoap and their notifications do not leave.

--- a/sim/control.c
+++ b/sim/control.c
@@ -50,8 +50,8 @@
 	size_t used = strlen(reply);
 
 	for (cmd = c->commands; cmd->name && used < size_bytes; cmd++)
-		used += (size_t)snprintf(reply + used, size_bytes - used,
-					 " %s", cmd->name);
+		used += (size_t)snprintf(reply + used, size_bytes - used, " %s",
+					 cmd->name);
 }
 
 static const struct control_command *find(const struct control *c,
@@ -94,8 +94,8 @@
 	}
 	if (argc - 1 < cmd->min_args || argc - 1 > cmd->max_args ||
 	    cmd->run(c->ctx, argc, argv, reply, size_bytes)) {
-		snprintf(reply, size_bytes, "error: expected: %s %s",
-			 cmd->name, cmd->usage);
+		snprintf(reply, size_bytes, "error: expected: %s %s", cmd->name,
+			 cmd->usage);
 		return;
 	}
 	if (!reply[0])
--- a/sim/sim-target/commands.c
+++ b/sim/sim-target/commands.c
@@ -1,6 +1,7 @@
 #include "target.h"
 
 #include <errno.h>
+#include <string.h>
 
 #define CRAWL_MAX 1000
 #define COLD_MAX_MS 600000
@@ -45,7 +46,7 @@
 
 	(void)argc, (void)argv, (void)reply, (void)n;
 	t->behaviour.silent = true;
-	coap_debug_set_packet_loss("100%");
+	target_link(t);
 	return 0;
 }
 
@@ -102,7 +103,7 @@
 
 	(void)argc, (void)argv, (void)reply, (void)n;
 	behaviour_reset(&t->behaviour);
-	coap_debug_set_packet_loss("0%");
+	target_link(t);
 	return 0;
 }
 
--- a/sim/sim-target/feeds.c
+++ b/sim/sim-target/feeds.c
@@ -2,8 +2,10 @@
 
 #include <string.h>
 
+/* @n_lost of the feeds in @table are lost. */
 struct feeds {
 	GHashTable *table;
+	uint32_t n_lost;
 };
 
 static guint feed_hash(gconstpointer p)
@@ -36,8 +38,8 @@
 {
 	struct feeds *f = g_new0(struct feeds, 1);
 
-	f->table = g_hash_table_new_full(feed_hash, feed_equal, NULL,
-					 feed_free);
+	f->table =
+		g_hash_table_new_full(feed_hash, feed_equal, feed_free, NULL);
 	return f;
 }
 
@@ -87,17 +89,26 @@
 struct feed *feeds_add(struct feeds *f, coap_session_t *session,
 		       coap_bin_const_t token, const char *id)
 {
-	struct feed *feed = g_new(struct feed, 1);
+	struct feed *feed = feeds_find(f, session, token);
 
+	if (feed)
+		feeds_remove(f, feed);
+	feed = g_new(struct feed, 1);
 	fill_key(feed, session, token);
 	coap_session_reference(session);
 	g_strlcpy(feed->id, id, sizeof(feed->id));
-	g_hash_table_replace(f->table, feed, feed);
+	g_hash_table_add(f->table, feed);
 	return feed;
 }
 
+/**
+ * feeds_remove() - a feed was closed
+ * @f: feeds
+ * @feed: feed, gone afterwards
+ */
 void feeds_remove(struct feeds *f, struct feed *feed)
 {
+	f->n_lost -= feed->lost;
 	g_hash_table_remove(f->table, feed);
 }
 
@@ -115,12 +126,25 @@
 void feeds_lose(struct feeds *f)
 {
 	g_hash_table_foreach(f->table, lose, NULL);
+	f->n_lost = g_hash_table_size(f->table);
 }
 
-static gboolean gone(gpointer key, gpointer value, gpointer round)
+/* Arguments of a sweep. */
+struct sweep {
+	struct feeds *f;
+	uint32_t round;
+};
+
+static gboolean gone(gpointer key, gpointer value, gpointer arg)
 {
+	const struct feed *feed = value;
+	struct sweep *sweep = arg;
+
 	(void)key;
-	return ((struct feed *)value)->round < *(uint32_t *)round;
+	if (feed->round >= sweep->round)
+		return FALSE;
+	sweep->f->n_lost -= feed->lost;
+	return TRUE;
 }
 
 /**
@@ -134,10 +158,18 @@
  */
 void feeds_sweep(struct feeds *f, uint32_t round)
 {
-	g_hash_table_foreach_remove(f->table, gone, &round);
+	struct sweep sweep = { f, round };
+
+	g_hash_table_foreach_remove(f->table, gone, &sweep);
 }
 
+/**
+ * feeds_count() - connections that the target knows of
+ * @f: feeds
+ *
+ * Return: feeds open and not lost.
+ */
 uint32_t feeds_count(const struct feeds *f)
 {
-	return g_hash_table_size(f->table);
+	return g_hash_table_size(f->table) - f->n_lost;
 }
--- a/sim/sim-target/main.c
+++ b/sim/sim-target/main.c
@@ -17,6 +17,7 @@
 static void io(struct target *t)
 {
 	coap_io_process(t->coap, COAP_IO_NO_WAIT);
+	target_link(t);
 }
 
 static void on_coap(uv_poll_t *poll, int status, int events)
--- a/sim/sim-target/options.c
+++ b/sim/sim-target/options.c
@@ -121,12 +121,13 @@
 		.seed = arg_int0(NULL, "seed", "N", "of shares [1]"),
 		.end = arg_end(20),
 	};
-	void *table[] = { p.help, p.version, p.addr, p.service,
-			  p.control, p.runs, p.slots, p.queue,
-			  p.connections, p.work, p.feed, p.lag,
-			  p.lie, p.no_dedup, p.seed, p.end };
-	struct sim_args args = { program, "A target that speaks CoAP.",
-				 table, p.help, p.version, p.end };
+	void *table[] = { p.help,	 p.version,  p.addr,  p.service,
+			  p.control,	 p.runs,     p.slots, p.queue,
+			  p.connections, p.work,     p.feed,  p.lag,
+			  p.lie,	 p.no_dedup, p.seed,  p.end };
+	struct sim_args args = { program,   "A target that speaks CoAP.",
+				 table,	    p.help,
+				 p.version, p.end };
 	int rc;
 
 	set_defaults(&p);
--- a/sim/sim-target/serve.c
+++ b/sim/sim-target/serve.c
@@ -12,9 +12,9 @@
 #define ROUNDS_SLACK 2
 
 static const struct path paths[] = {
-	{ "feed", target_feed, true },	      { "forecast", target_work, false },
-	{ "report", target_work, false },     { "readings", target_upload, false },
-	{ "load", target_load, false },	      { "missing", target_missing, false },
+	{ "feed", target_feed, true },	  { "forecast", target_work, false },
+	{ "report", target_work, false }, { "readings", target_upload, false },
+	{ "load", target_load, false },	  { "missing", target_missing, false },
 };
 
 /* libcoap's handlers get no context but the resource's, so one each. */
@@ -23,6 +23,15 @@
 	const struct path *path;
 };
 
+/**
+ * target_link() - let answers out, unless the target is silent
+ * @t: target
+ */
+void target_link(const struct target *t)
+{
+	coap_debug_set_packet_loss(t->behaviour.silent ? "100%" : "0%");
+}
+
 static bool add_uint(coap_pdu_t *pdu, coap_option_num_t number, uint32_t n)
 {
 	uint8_t buf[4];
@@ -77,11 +86,11 @@
 void target_send(struct target *t, const struct request *r,
 		 const struct reply *reply)
 {
-	coap_pdu_type_t type = r->confirmable ? COAP_MESSAGE_CON :
-						COAP_MESSAGE_NON;
-	coap_pdu_t *pdu = coap_pdu_init(type, 0,
-					coap_new_message_id(r->session),
-					coap_session_max_pdu_size(r->session));
+	coap_pdu_type_t type =
+		r->confirmable ? COAP_MESSAGE_CON : COAP_MESSAGE_NON;
+	coap_pdu_t *pdu =
+		coap_pdu_init(type, 0, coap_new_message_id(r->session),
+			      coap_session_max_pdu_size(r->session));
 
 	if (!pdu)
 		return;
@@ -176,15 +185,16 @@
 }
 
 /*
- * A feed that the target forgot gets a 5.03 that never leaves: libcoap drops
- * the observer for the code, and the loss is undone by the next handler.
+ * A feed that the target forgot: its notification never leaves. An error code
+ * would make libcoap 4.3.1 free the observer and then send through it (seen as
+ * SIGSEGV in coap_io_prepare_io), so libcoap keeps it and notifies in vain;
+ * as NON, since a CON would be sent again later.
  */
-static void notify_lost(struct target *t, struct feed *feed, coap_pdu_t *answer)
+static void notify_lost(coap_pdu_t *answer)
 {
 	coap_debug_set_packet_loss("100%");
 	coap_pdu_set_type(answer, COAP_MESSAGE_NON);
-	coap_pdu_set_code(answer, COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE);
-	feeds_remove(t->feeds, feed);
+	coap_pdu_set_code(answer, COAP_RESPONSE_CODE_CONTENT);
 }
 
 static void notify(struct target *t, struct feed *feed, coap_pdu_t *answer)
@@ -193,11 +203,11 @@
 
 	if (!feed)
 		return;
+	feed->round = t->round;
 	if (feed->lost) {
-		notify_lost(t, feed, answer);
+		notify_lost(answer);
 		return;
 	}
-	feed->round = t->round;
 	t->counts[COUNT_NOTIFICATIONS]++;
 	target_body(t, feed->id, ++feed->sequence, &out);
 	target_fill(t, answer, &out);
@@ -250,7 +260,7 @@
 	struct request r;
 	struct feed *feed;
 
-	coap_debug_set_packet_loss(t->behaviour.silent ? "100%" : "0%");
+	target_link(t);
 	coap_session_set_nstart(session, NSTART);
 	feed = feeds_find(t->feeds, session, coap_pdu_get_token(request));
 	if (is_notification(request, answer, feed)) {
--- a/sim/sim-target/target.h
+++ b/sim/sim-target/target.h
@@ -330,6 +330,7 @@
 int target_serve_open(struct target *t);
 void target_step(struct target *t);
 void target_notify(struct target *t);
+void target_link(const struct target *t);
 void target_refuse(struct reply *out, const char *reason);
 void target_body(struct target *t, const char *id, uint32_t sequence,
 		 struct reply *out);
--- a/sim/sim-target/upload.c
+++ b/sim/sim-target/upload.c
@@ -27,8 +27,8 @@
 	struct uploads *u = g_new0(struct uploads, 1);
 
 	u->lifetime_ns = lifetime_ns;
-	u->table = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 g_free);
+	u->table =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return u;
 }
 
--- a/sim/sim-target/work.c
+++ b/sim/sim-target/work.c
@@ -78,9 +78,9 @@
 static void result(struct target *t, const struct job *job, struct reply *out)
 {
 	target_body(t, job->r.id, ++t->sequence, out);
-	out->code = job->r.method == COAP_REQUEST_GET ?
-			    COAP_RESPONSE_CODE_CONTENT :
-			    COAP_RESPONSE_CODE_CHANGED;
+	out->code = job->r.method == COAP_REQUEST_GET
+			    ? COAP_RESPONSE_CODE_CONTENT
+			    : COAP_RESPONSE_CODE_CHANGED;
 	if (!job->fails)
 		return;
 	t->counts[COUNT_FAILED]++;
@@ -159,8 +159,8 @@
 
 	if (next_ns == NEVER_NS)
 		return;
-	ms = next_ns > now_ns ? (next_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS :
-				0;
+	ms = next_ns > now_ns ? (next_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS
+			      : 0;
 	uv_timer_start(&t->work_timer, on_work, ms, 0);
 }
 
