--- a/adapters/tally.c
+++ b/adapters/tally.c
@@ -187,8 +187,8 @@
 		  const struct run_record *runs, uint32_t n_runs,
 		  struct tally *out)
 {
-	const struct run_record **sorted = malloc((n_runs + 1ULL) *
-						  sizeof(*sorted));
+	const struct run_record **sorted =
+		malloc((n_runs + 1ULL) * sizeof(*sorted));
 	uint64_t known = 0;
 
 	if (!sorted)
--- a/test/tally_test.c
+++ b/test/tally_test.c
@@ -6,7 +6,10 @@
 #include <string.h>
 #include <cmocka.h>
 
-#define RUN(id, service) { id, 1000, service, "t1", 0 }
+#define RUN(id, service)                   \
+	{                                  \
+		id, 1000, service, "t1", 0 \
+	}
 
 static struct tally compare(const struct call_record *calls, uint32_t n_calls,
 			    const struct run_record *runs, uint32_t n_runs)
@@ -20,10 +23,16 @@
 static void test_clean_run(void **state)
 {
 	const struct call_record calls[] = {
-		{ .id = 1, .kind = CALL_REPORT, .end = CALL_ANSWERED,
-		  .answer_id = 1, .answer_service = "live" },
-		{ .id = 2, .kind = CALL_READINGS, .end = CALL_ANSWERED,
-		  .answer_id = 2, .answer_service = "ingest" },
+		{ .id = 1,
+		  .kind = CALL_REPORT,
+		  .end = CALL_ANSWERED,
+		  .answer_id = 1,
+		  .answer_service = "live" },
+		{ .id = 2,
+		  .kind = CALL_READINGS,
+		  .end = CALL_ANSWERED,
+		  .answer_id = 2,
+		  .answer_service = "ingest" },
 		{ .id = 3, .kind = CALL_FORECAST, .end = CALL_REFUSED },
 		{ .id = 4, .kind = CALL_REPORT, .end = CALL_UNKNOWN },
 	};
@@ -68,7 +77,8 @@
  */
 static void test_false_not_run(void **state)
 {
-	const struct call_record call = { .id = 1, .kind = CALL_REPORT,
+	const struct call_record call = { .id = 1,
+					  .kind = CALL_REPORT,
 					  .end = CALL_REFUSED };
 	const struct run_record run = RUN(1, "live");
 	struct tally t = compare(&call, 1, &run, 1);
@@ -87,11 +97,18 @@
 {
 	const struct call_record calls[] = {
 		{ .id = 1, .kind = CALL_REPORT, .end = CALL_ANSWERED },
-		{ .id = 2, .kind = CALL_REPORT, .end = CALL_ANSWERED,
+		{ .id = 2,
+		  .kind = CALL_REPORT,
+		  .end = CALL_ANSWERED,
 		  .answer_id = 1 },
-		{ .id = 3, .kind = CALL_READINGS, .end = CALL_ANSWERED,
-		  .answer_id = 3, .answer_service = "live" },
-		{ .id = 4, .kind = CALL_FEED, .end = CALL_ANSWERED,
+		{ .id = 3,
+		  .kind = CALL_READINGS,
+		  .end = CALL_ANSWERED,
+		  .answer_id = 3,
+		  .answer_service = "live" },
+		{ .id = 4,
+		  .kind = CALL_FEED,
+		  .end = CALL_ANSWERED,
 		  .crossed = 1 },
 	};
 	const struct run_record run = RUN(1, "ingest");
@@ -108,15 +125,18 @@
  */
 static void test_lost_cut_broken(void **state)
 {
-	const struct call_record lost = { .id = 1, .kind = CALL_REPORT,
+	const struct call_record lost = { .id = 1,
+					  .kind = CALL_REPORT,
 					  .end = CALL_LOST };
-	const struct call_record open = { .id = 1, .kind = CALL_FORECAST,
+	const struct call_record open = { .id = 1,
+					  .kind = CALL_FORECAST,
 					  .end = CALL_OPEN };
-	const struct call_record cut = { .id = 1, .kind = CALL_READINGS,
+	const struct call_record cut = { .id = 1,
+					 .kind = CALL_READINGS,
 					 .end = CALL_CUT };
-	const struct call_record stalled = { .id = 1, .kind = CALL_FEED,
-					     .end = CALL_ANSWERED,
-					     .stalled = 1 };
+	const struct call_record stalled = {
+		.id = 1, .kind = CALL_FEED, .end = CALL_ANSWERED, .stalled = 1
+	};
 	struct tally t = compare(&lost, 1, NULL, 0);
 
 	(void)state;
@@ -142,7 +162,9 @@
 
 	(void)state;
 	assert_int_equal(run_parse("run 00000000000000ff live /report POST "
-				   "t1 77\n", &r), 0);
+				   "t1 77\n",
+				   &r),
+			 0);
 	assert_int_equal(r.id, 0xff);
 	assert_int_equal(r.at_ms, 77);
 	assert_string_equal(r.service, "live");
@@ -152,7 +174,8 @@
 			      &r) < 0);
 	assert_true(run_parse("target t1 live\n", &r) < 0);
 	assert_int_equal(answer_parse("00000000000000ff live t1 3", 26, &id,
-				      service), 0);
+				      service),
+			 0);
 	assert_int_equal(id, 0xff);
 	assert_true(answer_parse("00000000000000ff live t1 3", 24, &id,
 				 service) < 0);
