--- a/cmd/cbload/answer.c
+++ b/cmd/cbload/answer.c
@@ -44,11 +44,11 @@
 	return true;
 }
 
-static const char *code_text(uint8_t code)
+static const char *code_text(unsigned int code)
 {
 	static char text[16];
 
-	snprintf(text, sizeof(text), "answer %u.%02u", code >> 5, code & 31);
+	snprintf(text, sizeof(text), "answer %u.%02u", code >> 5, code & 31U);
 	return text;
 }
 
