--- a/adapters/tally.c
+++ b/adapters/tally.c
@@ -139,6 +139,7 @@
 {
 	bool misrouted = answer_crossed(c);
 	bool doubled = n > 1 && !rules[c->kind].idempotent;
+	bool false_not_run = c->end == CALL_REFUSED && n > 0;
 	bool broken;
 
 	for (uint32_t i = 0; i < n; i++)
@@ -152,11 +153,11 @@
 	k->cut += c->end == CALL_CUT;
 	k->doubled += doubled;
 	k->misrouted += misrouted;
-	k->false_not_run += c->end == CALL_REFUSED && n > 0;
+	k->false_not_run += false_not_run;
 	broken = c->stalled || c->end == CALL_CUT;
 	if (c->kind != CALL_FEED)
-		broken |= doubled || misrouted || c->end == CALL_LOST ||
-			  c->end == CALL_OPEN;
+		broken |= doubled || misrouted || false_not_run ||
+			  c->end == CALL_LOST || c->end == CALL_OPEN;
 	k->broken += broken;
 }
 
--- a/cmd/cbload/answer.c
+++ b/cmd/cbload/answer.c
@@ -8,6 +8,8 @@
 #define CLASS_SUCCESS 2
 /* RFC 7252 section 5.10.5. */
 #define DEFAULT_MAX_AGE_S 60
+/* A caller whose feed was cut without a word opens it again after this. */
+#define REOPEN_S 1
 
 static uint32_t max_age_s(const coap_pdu_t *pdu)
 {
@@ -97,7 +99,7 @@
 	}
 	caller->why = "feed ended without an error";
 	call_end(caller, CALL_CUT);
-	call_later(caller, 0);
+	call_later(caller, REOPEN_S);
 }
 
 static void take_error(struct caller *caller, const coap_pdu_t *pdu)
@@ -178,6 +180,10 @@
 	if (!caller || !caller->busy)
 		return;
 	caller->why = reason < G_N_ELEMENTS(reasons) ? reasons[reason] : "NACK";
-	call_end(caller, caller->established ? CALL_CUT : CALL_LOST);
-	call_later(caller, 0);
+	if (!caller->established) {
+		call_end(caller, CALL_LOST);
+		return;
+	}
+	call_end(caller, CALL_CUT);
+	call_later(caller, REOPEN_S);
 }
--- a/cmd/cbload/callers.c
+++ b/cmd/cbload/callers.c
@@ -158,7 +158,7 @@
 	struct callers *c = g_new0(struct callers, 1);
 
 	coap_startup();
-	coap_set_log_level(o->verbose ? LOG_WARNING : LOG_EMERG);
+	coap_set_log_level(LOG_EMERG);
 	c->coap = coap_new_context(NULL);
 	if (!c->coap) {
 		g_free(c);
--- a/test/tally_test.c
+++ b/test/tally_test.c
@@ -85,6 +85,7 @@
 
 	(void)state;
 	assert_int_equal(t.sum.false_not_run, 1);
+	assert_int_equal(tally_weighted_ventolario(&t), 2);
 	assert_false(tally_clean(&t));
 }
 
