Claims carry the claimer's boot number on the wire; oversize datagrams dropped

The data path drops datagrams larger than its slots (1472 bytes), which a forwarded one could be since the peer codec allows 4096.

--- a/adapters/wire.c
+++ b/adapters/wire.c
@@ -100,6 +100,7 @@
 	err |= msgpack_pack_uint64(pk, c->request);
 	err |= msgpack_pack_uint32(pk, c->bucket);
 	err |= msgpack_pack_uint64(pk, c->claimer);
+	err |= msgpack_pack_uint64(pk, c->boot);
 	err |= msgpack_pack_uint64(pk, c->target);
 	err |= msgpack_pack_uint8(pk, bits);
 	return err;
@@ -268,6 +269,7 @@
 	c->request = read_uint(r, UINT64_MAX);
 	c->bucket = read_uint(r, UINT32_MAX);
 	c->claimer = read_uint(r, UINT64_MAX);
+	c->boot = read_uint(r, UINT64_MAX);
 	c->target = read_uint(r, UINT64_MAX);
 	bits = read_uint(r, CLAIM_BITS_MAX);
 	c->state = bits & STATE_MASK;
--- a/core/entry.h
+++ b/core/entry.h
@@ -199,6 +199,7 @@
 	X(pins_made)         \
 	X(flow_table_full)   \
 	X(no_service)        \
+	X(oversize)          \
 	X(lease_lapses)      \
 	X(handed_over)       \
 	X(stale_sends_stopped)
--- a/core/route.c
+++ b/core/route.c
@@ -135,6 +135,10 @@
 {
 	struct ring_pair pair;
 
+	if (msg->size_bytes > DATAGRAM_MAX_BYTES) {
+		e->counters.oversize++;
+		return;
+	}
 	if (!service_find(e, key->vip)) {
 		e->counters.no_service++;
 		return;
@@ -246,6 +250,9 @@
 	out->n = 0;
 	e->out = out;
 	e->now_ns = now_ns;
-	target_message(e, target, msg);
+	if (msg->size_bytes > DATAGRAM_MAX_BYTES)
+		e->counters.oversize++;
+	else
+		target_message(e, target, msg);
 	requests_drain(e);
 }
--- a/test/wire_prop.cc
+++ b/test/wire_prop.cc
@@ -31,6 +31,7 @@
 	c.request = any<uint64_t>();
 	c.bucket = any<uint32_t>();
 	c.claimer = any<uint64_t>();
+	c.boot = any<uint64_t>();
 	c.target = any<uint64_t>();
 	c.state = *rc::gen::inRange<int>(CLAIM_NONE, CLAIM_UNKNOWN + 1);
 	c.granted = any<bool>();
@@ -91,6 +92,7 @@
 				  return p.request == q.request &&
 					 p.bucket == q.bucket &&
 					 p.claimer == q.claimer &&
+					 p.boot == q.boot &&
 					 p.target == q.target &&
 					 p.state == q.state &&
 					 p.granted == q.granted &&
