--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -237,8 +237,6 @@
 uint32_t request_slot(const struct entry *e, const struct request *r);
 void request_arrived(struct entry *e, const struct flow_key *key,
 		     const struct message *msg, uint8_t hops);
-bool request_repeated(struct entry *e, const struct flow_key *key,
-		      const struct message *msg);
 void request_submit(struct entry *e, struct request *r);
 void request_send(struct entry *e, struct request *r, uint64_t target);
 void request_refuse(struct entry *e, struct request *r, uint8_t reason,
@@ -247,18 +245,29 @@
 void request_drop(struct entry *e, struct request *r);
 void request_finish(struct entry *e, struct request *r, enum outcome outcome);
 void request_timer(struct entry *e, struct request *r);
+bool request_idempotent(const struct entry *e, const struct request *r);
+uint64_t request_up_id_key(uint64_t target, uint16_t id);
+void request_end(struct entry *e, struct request *r);
+
+/* send.c */
 void request_answered(struct entry *e, struct request *r, uint64_t target,
 		      const struct message *msg);
 struct request *request_by_up_id(struct entry *e, uint64_t target, uint16_t id);
-void answer_own(struct entry *e, const struct flow_key *key,
-		const struct request *r);
-void answer_unknown(struct entry *e, const struct flow_key *key,
-		    const struct message *msg);
 void request_reset_by_caller(struct entry *e, const struct flow_key *key,
 			     uint16_t id);
 void requests_drain(struct entry *e);
 uint64_t request_identity(const struct flow_key *key, uint16_t id);
 
+/* reply.c */
+bool request_repeated(struct entry *e, const struct flow_key *key,
+		      const struct message *msg);
+void reply_relay(struct entry *e, const struct request *r);
+void reply_keep(struct request *r, const struct message *msg);
+void answer_own(struct entry *e, const struct flow_key *key,
+		const struct request *r);
+void answer_unknown(struct entry *e, const struct flow_key *key,
+		    const struct message *msg);
+
 /* answer.c */
 void target_message(struct entry *e, uint64_t target,
 		    const struct message *msg);
--- /dev/null
+++ b/core/reply.c
@@ -0,0 +1,102 @@
+#include "entry_state.h"
+
+#include <string.h>
+
+static bool same_request(const struct request *r, const struct flow_key *key,
+			 const struct message *msg)
+{
+	return r->key.caller == key->caller && r->key.vip == key->vip &&
+	       r->id == msg->id && !r->internal &&
+	       r->token_len == msg->token_len &&
+	       !memcmp(r->token, msg->token, msg->token_len);
+}
+
+/* reply_relay() - send the target's answer, kept in the slot, to the caller. */
+void reply_relay(struct entry *e, const struct request *r)
+{
+	struct action *a = emit(e, ACT_TO_CALLER);
+	bool confirm = r->flags & MSG_CONFIRM;
+
+	a->key = r->key;
+	a->type = confirm ? WIRE_ACK : WIRE_PLAIN;
+	a->id = confirm ? r->id : (uint16_t)rng_next(&e->rng);
+	a->token_len = r->token_len;
+	memcpy(a->token, r->token, r->token_len);
+	a->target = r->target;
+	a->data = r->data;
+	a->size_bytes = r->size_bytes;
+}
+
+/* answer_own() - send the balancer's own answer that a request ended with. */
+void answer_own(struct entry *e, const struct flow_key *key,
+		const struct request *r)
+{
+	struct action *a = emit(e, ACT_ANSWER_CALLER);
+	bool confirm = r->flags & MSG_CONFIRM;
+
+	a->key = *key;
+	a->type = confirm ? WIRE_ACK : WIRE_PLAIN;
+	a->id = confirm ? r->id : (uint16_t)rng_next(&e->rng);
+	a->token_len = r->token_len;
+	memcpy(a->token, r->token, r->token_len);
+	a->answer = r->answer;
+	a->reason = r->reason;
+	a->retry_after_s = r->retry_after_s;
+}
+
+/* answer_unknown() - the same for a request that holds no slot. */
+void answer_unknown(struct entry *e, const struct flow_key *key,
+		    const struct message *msg)
+{
+	struct action *a = emit(e, ACT_ANSWER_CALLER);
+	bool confirm = msg->flags & MSG_CONFIRM;
+
+	a->key = *key;
+	a->type = confirm ? WIRE_ACK : WIRE_PLAIN;
+	a->id = confirm ? msg->id : (uint16_t)rng_next(&e->rng);
+	a->token_len = msg->token_len;
+	memcpy(a->token, msg->token, msg->token_len);
+	a->answer = ANSWER_UNKNOWN;
+	e->counters.answered_unknown++;
+}
+
+/**
+ * request_repeated() - absorb a repeat of a request held here, or answer it
+ *	again with the answer it had
+ * @e: entry
+ * @key: flow
+ * @msg: request
+ *
+ * Return: false when it is no repeat of anything held here.
+ */
+bool request_repeated(struct entry *e, const struct flow_key *key,
+		      const struct message *msg)
+{
+	uint32_t slot =
+		index_get(e->by_identity, request_identity(key, msg->id));
+	const struct request *r;
+
+	if (slot == INDEX_NONE)
+		return false;
+	r = &e->requests[slot];
+	if (!same_request(r, key, msg))
+		return false;
+	if (r->state != REQ_ENDED) {
+		e->counters.repeats_absorbed++;
+		return true;
+	}
+	e->counters.answers_replayed++;
+	if (r->answer == ANSWER_RELAYED)
+		reply_relay(e, r);
+	else
+		answer_own(e, &r->key, r);
+	return true;
+}
+
+/* reply_keep() - keep the target's answer in the place of the request. */
+void reply_keep(struct request *r, const struct message *msg)
+{
+	r->answer = ANSWER_RELAYED;
+	r->size_bytes = msg->size_bytes;
+	memcpy(r->data, msg->data, msg->size_bytes);
+}
--- /dev/null
+++ b/core/send.c
@@ -0,0 +1,384 @@
+#include "entry_state.h"
+
+#include <string.h>
+
+#define REPEAT_NS NS_PER_S
+#define RENEW_REPEAT_NS (NS_PER_S / 2)
+#define SENDS_MAX 3
+#define TRIES_MAX 3
+#define COME_BACK_S 2
+
+static uint8_t class_of(const struct request *r, const struct service_conf *s)
+{
+	if (r->feed != SLOT_NONE)
+		return CLASS_FEED;
+	if (r->flags & MSG_PART)
+		return CLASS_UPLOAD;
+	return s->class == CLASS_FEED ? CLASS_REPORT : s->class;
+}
+
+/**
+ * request_submit() - ask the balancer for a target
+ * @e: entry
+ * @r: request; if not idempotent, its claim is granted
+ */
+void request_submit(struct entry *e, struct request *r)
+{
+	const struct service_conf *s = service_find(e, r->key.vip);
+	struct work w = { .handle = request_slot(e, r),
+			  .vip = r->key.vip,
+			  .feed = r->feed != SLOT_NONE,
+			  .avoid = r->avoid,
+			  .hash = flow_hash(&r->key),
+			  .deadline_ns = r->deadline_ns };
+	struct ruling ruling;
+
+	if (!s) {
+		request_refuse(e, r, REFUSE_NO_TARGET, COME_BACK_S);
+		return;
+	}
+	w.class = class_of(r, s);
+	if (r->flags & MSG_PART)
+		w.pinned = flow_lookup(e->pins, &r->key, e->now_ns);
+	ruling = balance_submit(e->balancer, &w, e->now_ns);
+	/*
+	 * A transfer goes on at the target it began on, though operators have
+	 * withdrawn that target since: its other blocks are there.
+	 */
+	if (ruling.reason == REFUSE_NO_TARGET && w.pinned != ADDR_NONE) {
+		request_send(e, r, w.pinned);
+		return;
+	}
+	if (ruling.verdict == VERDICT_REFUSED) {
+		request_refuse(e, r, ruling.reason, ruling.retry_after_s);
+		return;
+	}
+	if (ruling.verdict == VERDICT_QUEUED) {
+		r->state = REQ_QUEUED;
+		timers_set(e->timers, w.handle, r->deadline_ns + NS_PER_S);
+		return;
+	}
+	r->running = true;
+	request_send(e, r, ruling.target);
+}
+
+static bool may_repeat(const struct entry *e, const struct request *r)
+{
+	const struct service_conf *s = service_find(e, r->key.vip);
+
+	return request_idempotent(e, r) || (s && s->target_dedups);
+}
+
+static void arm(struct entry *e, struct request *r)
+{
+	uint64_t first = r->internal ? RENEW_REPEAT_NS : REPEAT_NS;
+	uint64_t next = r->deadline_ns;
+
+	r->repeat_deadline_ns = DEADLINE_NEVER;
+	if (!r->acked && may_repeat(e, r))
+		r->repeat_deadline_ns = e->now_ns + (first << (r->sends - 1));
+	if (r->repeat_deadline_ns < next)
+		next = r->repeat_deadline_ns;
+	timers_set(e->timers, request_slot(e, r), next);
+}
+
+static void transmit(struct entry *e, struct request *r)
+{
+	struct action *a = emit(e, ACT_TO_TARGET);
+	uint64_t token = up_token(false, request_slot(e, r), r->generation,
+				  e->conf.seed);
+
+	if (r->feed != SLOT_NONE)
+		token = up_token(true, r->feed, e->feeds[r->feed].generation,
+				 e->conf.seed);
+	a->key = r->key;
+	a->target = r->target;
+	a->type = WIRE_CONFIRM;
+	a->id = r->up_id;
+	a->token_len = sizeof(token);
+	memcpy(a->token, &token, sizeof(token));
+	a->data = r->data;
+	a->size_bytes = r->size_bytes;
+	if (r->feed == SLOT_NONE && r->deadline_ns > e->now_ns)
+		a->timeout_ns = r->deadline_ns - e->now_ns;
+	r->sends++;
+	arm(e, r);
+}
+
+static void pin_part(struct entry *e, struct request *r)
+{
+	struct ring_pair pair = ring_at(e->ring, r->bucket);
+	struct peer_msg *m;
+
+	if (flow_lookup(e->pins, &r->key, e->now_ns) == r->target)
+		return;
+	if (flow_pin(e->pins, &r->key, r->target, e->now_ns) < 0) {
+		e->counters.flow_table_full++;
+		return;
+	}
+	e->counters.pins_made++;
+	if (pair.second == ADDR_NONE || pair.second == e->conf.member.self)
+		return;
+	m = emit_peer(e, pair.second, PEER_PIN);
+	m->key = r->key;
+	m->target = r->target;
+}
+
+/**
+ * request_send() - send a request to a target
+ * @e: entry
+ * @r: request; counted at @target by the balancer when @r->running
+ * @target: target
+ */
+void request_send(struct entry *e, struct request *r, uint64_t target)
+{
+	struct claim *c = claims_find(e->claims, r->request);
+
+	r->target = target;
+	r->sent_ns = e->now_ns;
+	if (!id_next(e, target, &r->up_id)) {
+		request_finish(e, r, OUTCOME_CANCELLED);
+		request_refuse(e, r, REFUSE_MEMORY, COME_BACK_S);
+		return;
+	}
+	if (index_put(e->by_up_id, request_up_id_key(target, r->up_id),
+		      request_slot(e, r)) < 0) {
+		request_finish(e, r, OUTCOME_CANCELLED);
+		request_refuse(e, r, REFUSE_MEMORY, COME_BACK_S);
+		return;
+	}
+	if (c && !request_idempotent(e, r))
+		c->target = target;
+	if (r->flags & MSG_PART)
+		pin_part(e, r);
+	r->state = REQ_SENT;
+	r->maybe_run = true;
+	r->acked = false;
+	r->sends = 0;
+	r->tries++;
+	transmit(e, r);
+}
+
+static bool may_try_another(struct entry *e, const struct request *r)
+{
+	if (r->tries >= TRIES_MAX || r->deadline_ns <= e->now_ns)
+		return false;
+	return balance_may_retry(e->balancer, r->key.vip, e->now_ns);
+}
+
+static void cancel_at_target(struct entry *e, const struct request *r)
+{
+	struct action *a = emit(e, ACT_CANCEL_TARGET);
+
+	a->key = r->key;
+	a->target = r->target;
+	a->id = r->up_id;
+	e->counters.cancels++;
+}
+
+/* No answer after several sends: try elsewhere what may run twice. */
+static void silent_target(struct entry *e, struct request *r)
+{
+	if (r->internal) {
+		request_unknown(e, r, "target silent while renewing a feed");
+		return;
+	}
+	if (!request_idempotent(e, r) || !may_try_another(e, r)) {
+		r->repeat_deadline_ns = DEADLINE_NEVER;
+		timers_set(e->timers, request_slot(e, r), r->deadline_ns);
+		return;
+	}
+	cancel_at_target(e, r);
+	request_finish(e, r, OUTCOME_TIMEOUT);
+	r->avoid = r->target;
+	if (r->flags & MSG_PART)
+		flow_unpin(e->pins, &r->key);
+	e->counters.retries++;
+	request_submit(e, r);
+}
+
+static void sent_timer(struct entry *e, struct request *r)
+{
+	if (e->now_ns >= r->deadline_ns) {
+		cancel_at_target(e, r);
+		request_unknown(e, r, "no answer from the target in time");
+		return;
+	}
+	if (r->sends >= SENDS_MAX)
+		silent_target(e, r);
+	else
+		transmit(e, r);
+}
+
+/* request_timer() - the deadline of a request's slot has come. */
+void request_timer(struct entry *e, struct request *r)
+{
+	switch (r->state) {
+	case REQ_CLAIMING:
+		claim_repeat(e, r);
+		break;
+	case REQ_QUEUED:
+		balance_cancel(e->balancer, request_slot(e, r));
+		request_refuse(e, r, REFUSE_DEADLINE, COME_BACK_S);
+		break;
+	case REQ_SENT:
+		sent_timer(e, r);
+		break;
+	case REQ_ENDED:
+		request_drop(e, r);
+		break;
+	default:
+		break;
+	}
+}
+
+/* request_by_up_id() - request a target names by message ID, or NULL. */
+struct request *request_by_up_id(struct entry *e, uint64_t target, uint16_t id)
+{
+	uint32_t slot = index_get(e->by_up_id, request_up_id_key(target, id));
+	struct request *r;
+
+	if (slot == INDEX_NONE)
+		return NULL;
+	r = &e->requests[slot];
+	if (r->state != REQ_SENT || r->target != target || r->up_id != id)
+		return NULL;
+	return r;
+}
+
+/* A caller cancels its request with a reset of the request's message ID. */
+void request_reset_by_caller(struct entry *e, const struct flow_key *key,
+			     uint16_t id)
+{
+	uint32_t slot = index_get(e->by_identity, request_identity(key, id));
+	struct request *r;
+
+	if (slot == INDEX_NONE)
+		return;
+	r = &e->requests[slot];
+	if (r->state == REQ_ENDED || r->state == REQ_FREE)
+		return;
+	if (r->key.caller != key->caller || r->key.vip != key->vip)
+		return;
+	if (r->state == REQ_QUEUED)
+		balance_cancel(e->balancer, slot);
+	if (r->state == REQ_SENT)
+		cancel_at_target(e, r);
+	request_finish(e, r, OUTCOME_CANCELLED);
+	claim_settle(e, r, r->maybe_run ? CLAIM_UNKNOWN : CLAIM_REFUSED);
+	if (r->feed != SLOT_NONE)
+		feed_end(e, &e->feeds[r->feed], false);
+	r->answer = ANSWER_UNKNOWN;
+	request_end(e, r);
+}
+
+static void shed(struct entry *e, struct request *r)
+{
+	request_finish(e, r, OUTCOME_SHED);
+	r->maybe_run = false;
+	r->avoid = r->target;
+	if (!may_try_another(e, r)) {
+		request_refuse(e, r, REFUSE_SHED, COME_BACK_S);
+		return;
+	}
+	if (r->flags & MSG_PART)
+		flow_unpin(e->pins, &r->key);
+	e->counters.retries++;
+	request_submit(e, r);
+}
+
+static void internal_answered(struct entry *e, struct request *r,
+			      uint64_t target, const struct message *msg)
+{
+	struct feed *f = &e->feeds[r->feed];
+
+	if (!(msg->flags & MSG_FEED_OPEN)) {
+		request_finish(e, r, OUTCOME_ERROR);
+		feed_renew_failed(e, f, r);
+		return;
+	}
+	request_finish(e, r, OUTCOME_OK);
+	request_end(e, r);
+	feed_opened(e, f, target);
+	feed_update(e, f, target, msg);
+}
+
+/**
+ * request_answered() - the target's answer to a request
+ * @e: entry
+ * @r: request at the target
+ * @target: sender
+ * @msg: answer
+ */
+void request_answered(struct entry *e, struct request *r, uint64_t target,
+		      const struct message *msg)
+{
+	bool failed = msg->flags & MSG_FAILED;
+
+	if (r->internal) {
+		internal_answered(e, r, target, msg);
+		return;
+	}
+	if (msg->flags & MSG_SHED) {
+		shed(e, r);
+		return;
+	}
+	request_finish(e, r, failed ? OUTCOME_ERROR : OUTCOME_OK);
+	if (msg->flags & MSG_PART)
+		pin_part(e, r);
+	claim_settle(e, r, CLAIM_DONE);
+	e->counters.answers++;
+	reply_keep(r, msg);
+	reply_relay(e, r);
+	if (r->feed != SLOT_NONE) {
+		struct feed *f = &e->feeds[r->feed];
+
+		if (msg->flags & MSG_FEED_OPEN)
+			feed_opened(e, f, target);
+		else
+			feed_drop(e, f);
+	}
+	request_end(e, r);
+}
+
+static void start_queued(struct entry *e, struct request *r,
+			 const struct ruling *ruling)
+{
+	r->running = true;
+	r->target = ruling->target;
+	r->sent_ns = e->now_ns;
+	if (request_idempotent(e, r) || claim_safe_now(e)) {
+		request_send(e, r, ruling->target);
+		return;
+	}
+	/*
+	 * This process was paused after the grant. Another entry may own the
+	 * flow by now and have told the caller that the outcome is unknown;
+	 * a send now would run what the caller may have given up. The second
+	 * is asked again, and knows.
+	 */
+	e->counters.stale_sends_stopped++;
+	request_finish(e, r, OUTCOME_CANCELLED);
+	r->state = REQ_CLAIMING;
+	claim_repeat(e, r);
+}
+
+/* requests_drain() - start or refuse what the balancer has ready. */
+void requests_drain(struct entry *e)
+{
+	struct ruling ruling;
+	uint32_t slot;
+
+	while (emit_room(e) &&
+	       balance_next(e->balancer, e->now_ns, &slot, &ruling)) {
+		struct request *r = &e->requests[slot];
+
+		if (r->state != REQ_QUEUED)
+			continue;
+		if (ruling.verdict == VERDICT_GO)
+			start_queued(e, r, &ruling);
+		else
+			request_refuse(e, r, ruling.reason,
+				       ruling.retry_after_s);
+	}
+}
