--- a/core/flow.c
+++ b/core/flow.c
@@ -73,8 +73,8 @@
 
 static struct flow_key slot_key(const struct slot *s)
 {
-	return (struct flow_key){.caller = s->caller & ADDR_MASK,
-				 .vip = s->vip & ADDR_MASK};
+	return (struct flow_key){ .caller = s->caller & ADDR_MASK,
+				  .vip = s->vip & ADDR_MASK };
 }
 
 static uint64_t slot_target(const struct slot *s)
@@ -108,7 +108,8 @@
 		return NULL;
 	t->flows_max = flows_max;
 	t->idle_ns = idle_ns < FLOW_IDLE_MAX_NS ? idle_ns : FLOW_IDLE_MAX_NS;
-	t->homes = (uint64_t)flows_max * SLOTS_NUMERATOR / SLOTS_DENOMINATOR + 1;
+	t->homes =
+		(uint64_t)flows_max * SLOTS_NUMERATOR / SLOTS_DENOMINATOR + 1;
 	t->slots = t->homes + PROBE_MAX;
 	t->tag = calloc(t->slots + 1, sizeof(*t->tag));
 	t->slot = calloc(t->slots, sizeof(*t->slot));
--- a/core/member.h
+++ b/core/member.h
@@ -64,5 +64,6 @@
 const struct member *member_find(const struct membership *m, uint64_t vm);
 bool member_majority(const struct membership *m);
 bool member_lease_valid(const struct membership *m, uint64_t now_ns);
+uint64_t member_deaths(const struct membership *m);
 
 #endif
--- a/core/ring.c
+++ b/core/ring.c
@@ -50,7 +50,7 @@
 
 static struct candidate candidate_of(uint64_t vm, uint32_t bucket)
 {
-	return (struct candidate){.vm = vm, .score = hash_u64(bucket, vm)};
+	return (struct candidate){ .vm = vm, .score = hash_u64(bucket, vm) };
 }
 
 static void offer(struct bucket *b, struct candidate c)
@@ -106,8 +106,8 @@
 
 static struct ring_pair wanted(const struct bucket *b)
 {
-	return (struct ring_pair){.owner = b->best[0].vm,
-				  .second = b->best[1].vm};
+	return (struct ring_pair){ .owner = b->best[0].vm,
+				   .second = b->best[1].vm };
 }
 
 /**
@@ -255,7 +255,7 @@
 		return want;
 	if (old.second != ADDR_NONE && !live(r, old.owner))
 		kept = old.second;
-	return (struct ring_pair){.owner = want.owner, .second = kept};
+	return (struct ring_pair){ .owner = want.owner, .second = kept };
 }
 
 static void change(struct ring *r, uint32_t i, struct ring_pair after,
--- /dev/null
+++ b/test/fleet.c
@@ -0,0 +1,259 @@
+#include "fleet.h"
+
+#include <stdlib.h>
+
+#define LATENCY_MIN_NS (NS_PER_MS / 2)
+#define LATENCY_SPREAD_NS NS_PER_MS
+
+struct packet {
+	uint64_t due_ns;
+	uint64_t order;
+	uint32_t to;
+	uint32_t from;
+	struct peer_msg msg;
+};
+
+static bool before(const struct packet *a, const struct packet *b)
+{
+	if (a->due_ns != b->due_ns)
+		return a->due_ns < b->due_ns;
+	return a->order < b->order;
+}
+
+static void swap(struct packet *a, struct packet *b)
+{
+	struct packet t = *a;
+
+	*a = *b;
+	*b = t;
+}
+
+static void heap_push(struct fleet *f, const struct packet *p)
+{
+	uint32_t i = f->n_heap++;
+
+	if (f->n_heap > f->cap_heap) {
+		f->cap_heap = f->cap_heap ? 2 * f->cap_heap : 1024;
+		f->heap = realloc(f->heap, f->cap_heap * sizeof(*f->heap));
+	}
+	f->heap[i] = *p;
+	for (; i && before(&f->heap[i], &f->heap[(i - 1) / 2]); i = (i - 1) / 2)
+		swap(&f->heap[i], &f->heap[(i - 1) / 2]);
+}
+
+static struct packet heap_pop(struct fleet *f)
+{
+	struct packet top = f->heap[0];
+	uint32_t i = 0, c;
+
+	f->heap[0] = f->heap[--f->n_heap];
+	while ((c = 2 * i + 1) < f->n_heap) {
+		if (c + 1 < f->n_heap && before(&f->heap[c + 1], &f->heap[c]))
+			c++;
+		if (before(&f->heap[i], &f->heap[c]))
+			break;
+		swap(&f->heap[i], &f->heap[c]);
+		i = c;
+	}
+	return top;
+}
+
+uint64_t fleet_vm(uint32_t i)
+{
+	return ADDR(0x7f320000U + i + 1, 7000);
+}
+
+static uint32_t index_of(uint64_t vm)
+{
+	return ADDR_IP(vm) - 0x7f320000U - 1;
+}
+
+static void send(void *ctx, uint64_t vm, struct peer_msg *msg)
+{
+	struct node *from = ctx;
+	struct fleet *f = from->fleet;
+	struct packet p = { .to = index_of(vm), .msg = *msg };
+
+	from->messages++;
+	if (f->size_bytes)
+		from->bytes += f->size_bytes(msg);
+	if (p.to >= f->n || rng_next(&f->rng) % 100 < f->loss_percent)
+		return;
+	p.from = from - f->node;
+	if (f->blocked && f->blocked(p.from, p.to))
+		return;
+	p.order = f->order++;
+	p.due_ns = f->now_ns + LATENCY_MIN_NS +
+		   rng_next(&f->rng) % LATENCY_SPREAD_NS;
+	heap_push(f, &p);
+}
+
+struct fleet *fleet_new(uint32_t n, uint64_t seed)
+{
+	struct fleet *f = calloc(1, sizeof(*f));
+	uint32_t i;
+
+	f->now_ns = 1000 * NS_PER_S;
+	f->rng.s = seed * 2 + 1;
+	f->n = n;
+	f->incarnation = 1000;
+	f->conf = (struct member_conf){ .probe_period_ns = 200 * NS_PER_MS,
+					.probe_timeout_ns = 100 * NS_PER_MS,
+					.suspect_timeout_ns = 600 * NS_PER_MS,
+					.lease_ns = NS_PER_S,
+					.probes = 3,
+					.indirect = 3 };
+	for (i = 0; i < n; i++)
+		f->node[i] = (struct node){ .vm = fleet_vm(i), .fleet = f };
+	return f;
+}
+
+void fleet_free(struct fleet *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		member_free(f->node[i].m);
+	free(f->heap);
+	free(f);
+}
+
+void fleet_start(struct fleet *f, uint32_t i)
+{
+	struct node *o = &f->node[i];
+	struct peer_out out = { .ctx = o, .send = send };
+	struct rng rng = { .s = rng_next(&f->rng) | 1 };
+
+	f->incarnation += 1000;
+	f->conf.self = o->vm;
+	f->conf.incarnation = f->incarnation;
+	o->paused_deadline_ns = 0;
+	o->m = member_new(&f->conf, out, rng);
+}
+
+void fleet_start_all(struct fleet *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++) {
+		fleet_start(f, i);
+		fleet_roster(f, i, 0, f->n);
+	}
+}
+
+void fleet_kill(struct fleet *f, uint32_t i)
+{
+	member_free(f->node[i].m);
+	f->node[i].m = NULL;
+}
+
+void fleet_pause(struct fleet *f, uint32_t i, uint64_t for_ns)
+{
+	f->node[i].paused_deadline_ns = f->now_ns + for_ns;
+}
+
+void fleet_roster(struct fleet *f, uint32_t i, uint32_t first, uint32_t n)
+{
+	uint64_t vms[FLEET_MAX];
+	uint32_t k;
+
+	for (k = 0; k < n; k++)
+		vms[k] = fleet_vm(first + k);
+	member_roster(f->node[i].m, vms, n, f->now_ns);
+}
+
+static uint64_t next_tick(const struct node *o)
+{
+	uint64_t due_ns;
+
+	if (!o->m)
+		return UINT64_MAX;
+	due_ns = member_next_ns(o->m);
+	return due_ns > o->paused_deadline_ns ? due_ns : o->paused_deadline_ns;
+}
+
+/* A paused process finds its messages when it wakes, before its timers run. */
+static void deliver(struct fleet *f)
+{
+	struct packet p = heap_pop(f);
+	struct node *to = &f->node[p.to];
+
+	if (!to->m || to->side != f->node[p.from].side)
+		return;
+	if (f->now_ns < to->paused_deadline_ns) {
+		p.due_ns = to->paused_deadline_ns;
+		heap_push(f, &p);
+		return;
+	}
+	member_message(to->m, &p.msg, f->now_ns);
+}
+
+void fleet_run(struct fleet *f, uint64_t for_ns)
+{
+	uint64_t end_ns = f->now_ns + for_ns, due_ns;
+	uint32_t i, at;
+
+	for (;;) {
+		due_ns = f->n_heap ? f->heap[0].due_ns : UINT64_MAX;
+		at = f->n;
+		for (i = 0; i < f->n; i++) {
+			if (next_tick(&f->node[i]) >= due_ns)
+				continue;
+			due_ns = next_tick(&f->node[i]);
+			at = i;
+		}
+		if (due_ns > end_ns)
+			break;
+		if (due_ns > f->now_ns)
+			f->now_ns = due_ns;
+		if (at < f->n)
+			member_tick(f->node[at].m, f->now_ns);
+		else
+			deliver(f);
+	}
+	f->now_ns = end_ns;
+}
+
+bool fleet_believes(const struct fleet *f, uint32_t i, uint32_t of,
+		    uint8_t state)
+{
+	const struct member *e = member_find(f->node[i].m, fleet_vm(of));
+
+	return e && e->state == state;
+}
+
+uint32_t fleet_holders(const struct fleet *f, uint32_t of, uint8_t state)
+{
+	uint32_t i, holders = 0;
+
+	for (i = 0; i < f->n; i++)
+		if (f->node[i].m && i != of)
+			holders += fleet_believes(f, i, of, state);
+	return holders;
+}
+
+static bool sees_truth(const struct fleet *f, uint32_t i)
+{
+	const struct member *e;
+	uint32_t k;
+
+	for (k = 0; k < f->n; k++) {
+		e = member_find(f->node[i].m, fleet_vm(k));
+		if (f->node[k].m && (!e || e->state != MEMBER_ALIVE))
+			return false;
+		if (!f->node[k].m && e && e->state != MEMBER_DEAD)
+			return false;
+	}
+	return true;
+}
+
+/* Every running node believes those and only those that run alive. */
+bool fleet_converged(const struct fleet *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->n; i++)
+		if (f->node[i].m && !sees_truth(f, i))
+			return false;
+	return true;
+}
