--- a/core/spread.h
+++ b/core/spread.h
@@ -11,8 +11,8 @@
 #include "version.h"
 
 #define SPREAD_BUCKETS 64
-#define SPREAD_OFFERS_MAX 1024
 #define SPREAD_KEYS_MAX 8192
+#define SPREAD_OFFERS_MAX SPREAD_KEYS_MAX
 #define SPREAD_PEERS_MAX 2048
 
 /**
