--- a/sim/args.c
+++ b/sim/args.c
@@ -1,3 +1,4 @@
+#include "settings.h"
 #include "sim.h"
 
 #include <arpa/inet.h>
@@ -42,21 +43,6 @@
 	return SIM_ARGS_RUN;
 }
 
-static int parse_addr(const char *text, uint64_t *addr)
-{
-	char ip[INET_ADDRSTRLEN];
-	struct in_addr in;
-	unsigned int port;
-	char rest;
-
-	if (sscanf(text, "%15[0-9.]:%u%c", ip, &port, &rest) != 2)
-		return -EINVAL;
-	if (inet_pton(AF_INET, ip, &in) != 1 || port == 0 || port > UINT16_MAX)
-		return -EINVAL;
-	*addr = ADDR(ntohl(in.s_addr), port);
-	return 0;
-}
-
 /**
  * sim_arg_addr() - read one IP:PORT argument
  * @program: name, for the message
@@ -69,7 +55,7 @@
 int sim_arg_addr(const char *program, const struct arg_str *arg, int i,
 		 uint64_t *addr)
 {
-	if (parse_addr(arg->sval[i], addr) == 0)
+	if (addr_parse(arg->sval[i], addr) == 0)
 		return 0;
 	fprintf(stderr, "%s: --%s=%s: expected IP:PORT, port 1 to 65535\n",
 		program, arg->hdr.longopts, arg->sval[i]);
--- a/sim/control.c
+++ b/sim/control.c
@@ -1,10 +1,13 @@
 #include "sim.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define PERCENT_MAX 100
+
 /**
  * control_number() - read a whole number
  * @word: text
@@ -28,6 +31,47 @@
 	return 0;
 }
 
+/**
+ * control_percent() - read a share, "N" or "N%"
+ * @word: text
+ * @out: filled, 0 to 100
+ *
+ * Return: 0, or -EINVAL.
+ */
+int control_percent(const char *word, uint32_t *out)
+{
+	size_t len = strlen(word);
+	char digits[8];
+
+	if (len && word[len - 1] == '%')
+		len--;
+	if (len == 0 || len >= sizeof(digits))
+		return -EINVAL;
+	memcpy(digits, word, len);
+	digits[len] = '\0';
+	return control_number(digits, PERCENT_MAX, out);
+}
+
+/**
+ * control_counts() - print counters, "NAME N NAME N ..."
+ * @names: their names
+ * @counts: their values
+ * @n: how many
+ * @reply: filled
+ * @size_bytes: its size
+ */
+void control_counts(const char *const *names, const uint64_t *counts,
+		    uint32_t n, char *reply, size_t size_bytes)
+{
+	size_t used = 0;
+	uint32_t i;
+
+	for (i = 0; i < n && used < size_bytes; i++)
+		used += (size_t)snprintf(reply + used, size_bytes - used,
+					 "%s%s %" PRIu64, i ? " " : "",
+					 names[i], counts[i]);
+}
+
 static int split(char *line, char **argv)
 {
 	char *save = NULL;
--- a/sim/sim-target/commands.c
+++ b/sim/sim-target/commands.c
@@ -1,7 +1,6 @@
 #include "target.h"
 
 #include <errno.h>
-#include <string.h>
 
 #define CRAWL_MAX 1000
 #define COLD_MAX_MS 600000
@@ -60,21 +59,12 @@
 	return 0;
 }
 
-static int percent(char *word, uint32_t *out)
-{
-	size_t len = strlen(word);
-
-	if (len && word[len - 1] == '%')
-		word[len - 1] = '\0';
-	return control_number(word, 100, out);
-}
-
 static int do_shed(void *ctx, int argc, char **argv, char *reply, size_t n)
 {
 	struct target *t = ctx;
 
 	(void)argc, (void)reply, (void)n;
-	return percent(argv[1], &t->behaviour.shed_percent);
+	return control_percent(argv[1], &t->behaviour.shed_percent);
 }
 
 static int do_fail(void *ctx, int argc, char **argv, char *reply, size_t n)
@@ -82,7 +72,7 @@
 	struct target *t = ctx;
 
 	(void)argc, (void)reply, (void)n;
-	return percent(argv[1], &t->behaviour.fail_percent);
+	return control_percent(argv[1], &t->behaviour.fail_percent);
 }
 
 static int do_cold(void *ctx, int argc, char **argv, char *reply, size_t n)
@@ -119,15 +109,12 @@
 	struct target *t = ctx;
 	struct load l = target_load_now(t);
 	size_t used;
-	int i;
 
 	(void)argc, (void)argv;
-	used = (size_t)snprintf(reply, n, "running %u waiting %u feeds %u",
+	used = (size_t)snprintf(reply, n, "running %u waiting %u feeds %u ",
 				l.running, l.waiting, l.connections);
-	for (i = 0; i < COUNTERS && used < n; i++)
-		used += (size_t)snprintf(reply + used, n - used, " %s %llu",
-					 counter_names[i],
-					 (unsigned long long)t->counts[i]);
+	control_counts(counter_names, t->counts, COUNTERS, reply + used,
+		       n - used);
 	return 0;
 }
 
--- a/sim/sim-target/main.c
+++ b/sim/sim-target/main.c
@@ -1,4 +1,5 @@
 /* A stand-in for a target: libcoap's server with slots, feeds and faults. */
+#include "settings.h"
 #include "target.h"
 
 #include <errno.h>
@@ -89,10 +90,7 @@
 	int rc;
 
 	uv_loop_init(&t->loop);
-	snprintf(t->name, sizeof(t->name), "%u.%u.%u.%u:%u",
-		 ADDR_IP(t->opt.addr) >> 24, ADDR_IP(t->opt.addr) >> 16 & 0xff,
-		 ADDR_IP(t->opt.addr) >> 8 & 0xff, ADDR_IP(t->opt.addr) & 0xff,
-		 ADDR_PORT(t->opt.addr));
+	addr_text(t->opt.addr, t->name, sizeof(t->name));
 	t->slots = slots_new(t->opt.n_slots, t->opt.queue_max);
 	t->dedup = dedup_new(EXCHANGES_MAX, EXCHANGE_LIFETIME_NS);
 	t->uploads = uploads_new(EXCHANGE_LIFETIME_NS);
--- a/sim/sim.h
+++ b/sim/sim.h
@@ -78,5 +78,8 @@
 void control_do(const struct control *c, char *line, char *reply,
 		size_t size_bytes);
 int control_number(const char *word, uint32_t max, uint32_t *out);
+int control_percent(const char *word, uint32_t *out);
+void control_counts(const char *const *names, const uint64_t *counts,
+		    uint32_t n, char *reply, size_t size_bytes);
 
 #endif
