--- a/Makefile
+++ b/Makefile
@@ -60,22 +60,27 @@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+	@echo CC $<
+	@$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
 $(B)/%.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
+	@echo CXX $<
+	@$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
 define PROG
 $(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a)
 	@mkdir -p $$(@D)
-	$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
+	@echo LD $$@
+	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
 endef
 $(foreach d,$(PROGDIRS),$(eval $(call PROG,$(d))))
 
 $(B)/test/%_test: $(B)/test/%_test.o $(TESTHELP) $(LIBS) $(B)/libsim.a
-	$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libsim.a $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
+	@echo LD $@
+	@$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libsim.a $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
 $(B)/test/%_prop: $(B)/test/%_prop.o $(TESTHELP) $(LIBS)
-	$(CXX) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lrapidcheck $(LDLIBS) -o $@
+	@echo LD $@
+	@$(CXX) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lrapidcheck $(LDLIBS) -o $@
 
 tests: $(TESTS_C) $(TESTS_CC) all
 
@@ -95,6 +100,8 @@
 soak: tests
 	@B=$(B) scripts/soak $(TESTS_CC)
 
+.SECONDARY:
+
 SOURCES := $(wildcard core/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
 	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] test/*.[ch] test/*.cc)
 fmt:
