Cover starts anew when this process heard that it was declared dead

The ring tells its watch of a change before it resets the cover, so that a member that leaves a pair still knows whether it may hand over the whole history.

--- a/core/entry.c
+++ b/core/entry.c
@@ -224,19 +224,21 @@
 }
 
 /*
- * A process that was paused may have been replaced as an owner meanwhile. It
+ * A process that was paused and declared dead was replaced in its pairs. It
  * would answer "never seen" about claims made without it, so it no longer
  * counts as one that knows its buckets' history.
  */
-static void watch_lease(struct entry *e)
+void entry_watch_lease(struct entry *e)
 {
 	bool valid = member_lease_valid(e->members, e->now_ns);
+	uint64_t deaths = member_deaths(e->members);
 
-	if (!valid && !e->lease_lapsed) {
+	if (!valid && !e->lease_lapsed)
 		e->counters.lease_lapses++;
-		ring_uncover(e->ring, e->now_ns);
-	}
 	e->lease_lapsed = !valid;
+	if (deaths != e->deaths)
+		ring_uncover(e->ring, e->now_ns);
+	e->deaths = deaths;
 }
 
 static void run_timers(struct entry *e)
@@ -273,8 +275,8 @@
 void entry_tick(struct entry *e, uint64_t now_ns, struct actions *out)
 {
 	begin(e, now_ns, out);
-	watch_lease(e);
 	member_tick(e->members, now_ns);
+	entry_watch_lease(e);
 	follow_view(e);
 	claims_expire(e->claims, now_ns);
 	run_timers(e);
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -202,6 +202,7 @@
 	uint64_t allowance_ns;
 	struct id_space *ids;
 	uint64_t view;
+	uint64_t deaths;
 	bool leaving;
 	bool lease_lapsed;
 	uint64_t leave_deadline_ns;
@@ -220,6 +221,9 @@
 void emit_signal_caller(struct entry *e, const struct flow_key *key,
 			uint8_t type, uint16_t id);
 
+/* entry.c */
+void entry_watch_lease(struct entry *e);
+
 /* route.c */
 const struct service_conf *service_find(const struct entry *e, uint64_t vip);
 bool forward_to(struct entry *e, uint64_t vm, const struct flow_key *key,
--- a/core/ring.c
+++ b/core/ring.c
@@ -269,12 +269,13 @@
 	b->pair = after;
 	if (r->placed)
 		b->change_deadline_ns = now_ns + r->settle_ns;
+	/* The watch still sees whether self was covered until now. */
+	if (r->watch.changed)
+		r->watch.changed(r->watch.ctx, i, before, after);
 	if (is && !was)
 		b->cover_deadline_ns = now_ns + r->cover_ns;
 	if (!is)
 		b->cover_deadline_ns = NEVER;
-	if (r->watch.changed)
-		r->watch.changed(r->watch.ctx, i, before, after);
 }
 
 static void list_pending(struct ring *r)
--- a/core/route.c
+++ b/core/route.c
@@ -203,6 +203,7 @@
 	e->out = out;
 	e->now_ns = now_ns;
 	member_message(e->members, msg, now_ns);
+	entry_watch_lease(e);
 	switch (msg->kind) {
 	case PEER_FORWARD:
 		forwarded_in(e, msg, forwarded);
