--- /dev/null
+++ b/cmd/cb-entry/operator.c
@@ -0,0 +1,252 @@
+/* What operators ask: status, metrics, why a flow goes where it goes. */
+#include "daemon.h"
+#include "log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
+#define STATUS_NOT_FOUND 404
+#define STATUS_BAD_METHOD 405
+#define ADDR_TEXT_BYTES 32
+#define ROWS_DEFAULT 100
+#define ROWS_MAX 10000
+
+static const char *const state_names[] = {
+	[MEMBER_ALIVE] = "alive",
+	[MEMBER_SUSPECT] = "suspect",
+	[MEMBER_LEAVING] = "leaving",
+	[MEMBER_DEAD] = "dead",
+};
+
+static void put_addr(GString *to, const char *name, uint64_t addr)
+{
+	char text[ADDR_TEXT_BYTES] = "-";
+
+	if (addr != ADDR_NONE)
+		addr_text(addr, text, sizeof(text));
+	g_string_append_printf(to, "%s %s\n", name, text);
+}
+
+static void put_u64(GString *to, const char *name, uint64_t value)
+{
+	g_string_append_printf(to, "%s %llu\n", name,
+			       (unsigned long long)value);
+}
+
+static const char *phase(const struct daemon *d)
+{
+	if (d->leaving)
+		return "leaving";
+	return entry_ready(d->entry, uv_hrtime()) ? "ready" : "starting";
+}
+
+static void put_members(const struct daemon *d, GString *to)
+{
+	const struct member *all;
+	uint32_t n = entry_members(d->entry, &all);
+	char text[ADDR_TEXT_BYTES];
+
+	for (uint32_t i = 0; i < n; i++)
+		g_string_append_printf(to, "member %s %s %llu\n",
+				       addr_text(all[i].vm, text, sizeof(text)),
+				       state_names[all[i].state],
+				       (unsigned long long)all[i].incarnation);
+}
+
+static void put_accounts(const struct daemon *d, GString *to)
+{
+	for (uint32_t i = 0; i < d->config.n_accounts; i++) {
+		const struct account_conf *a = &d->config.accounts[i];
+
+		g_string_append_printf(to, "account %s %llu\n", a->name,
+				       (unsigned long long)a->generation);
+	}
+}
+
+static void put_gauges(const struct daemon *d, GString *to)
+{
+	struct entry_gauges g = entry_gauges(d->entry);
+
+	put_u64(to, "gauge requests_active", g.requests_active);
+	put_u64(to, "gauge feeds_held", g.feeds_held);
+	put_u64(to, "gauge handover_due", g.handover_due);
+	put_u64(to, "gauge claims", g.claims);
+	put_u64(to, "gauge pins", g.pins);
+}
+
+static void put_counters(const struct daemon *d, GString *to)
+{
+	const struct entry_counters *c = entry_counters(d->entry);
+
+#define X(name) put_u64(to, "counter " #name, c->name);
+	ENTRY_COUNTERS(X)
+#undef X
+}
+
+static int status(struct daemon *d, const char *query, GString *body)
+{
+	struct entry_view v =
+		entry_explain(d->entry, &(struct flow_key){ 0, 0 });
+
+	(void)query;
+	g_string_append_printf(body, "%s\n", phase(d));
+	put_addr(body, "vm", d->settings.peer);
+	g_string_append_printf(body, "data_centre %s\n",
+			       d->settings.data_centre);
+	put_u64(body, "incarnation", d->incarnation);
+	put_u64(body, "view", v.view);
+	put_members(d, body);
+	put_accounts(d, body);
+	put_gauges(d, body);
+	put_counters(d, body);
+	return STATUS_OK;
+}
+
+static int metrics(struct daemon *d, const char *query, GString *body)
+{
+	(void)query;
+	metrics_write(d, body);
+	return STATUS_OK;
+}
+
+static bool query_addr(const char *query, const char *name, uint64_t *addr)
+{
+	char text[ADDR_TEXT_BYTES];
+
+	return http_query(query, name, text, sizeof(text)) &&
+	       addr_parse(text, addr) == 0;
+}
+
+static const char *why_owner(const struct daemon *d, const struct entry_view *v)
+{
+	if (v->pair.owner == ADDR_NONE)
+		return "no entry is known yet: wait for the list of VMs";
+	if (v->pair.owner == d->settings.peer)
+		return "this VM owns the flow's bucket and decides";
+	return "the owner of the flow's bucket decides: ask it";
+}
+
+static const char *why_target(const struct entry_view *v)
+{
+	if (v->feeds)
+		return "feeds of the flow stay at the target that holds them";
+	if (v->pinned != ADDR_NONE)
+		return "flow is pinned, by a transfer in blocks";
+	return "chosen for each request, by load";
+}
+
+static int explain(struct daemon *d, const char *query, GString *body)
+{
+	struct flow_key key;
+	struct entry_view v;
+
+	if (!query_addr(query, "caller", &key.caller) ||
+	    !query_addr(query, "vip", &key.vip)) {
+		g_string_append(body, "want ?caller=IP:PORT&vip=IP:PORT\n");
+		return STATUS_BAD_REQUEST;
+	}
+	v = entry_explain(d->entry, &key);
+	if (!v.service) {
+		put_addr(body, "no service at vip", key.vip);
+		return STATUS_NOT_FOUND;
+	}
+	g_string_append_printf(body, "account %s\nservice %s\n",
+			       v.account ? v.account->name : "-",
+			       v.service->name);
+	put_u64(body, "generation", v.account ? v.account->generation : 0);
+	put_u64(body, "view", v.view);
+	put_u64(body, "bucket", v.bucket);
+	put_addr(body, "owner", v.pair.owner);
+	put_addr(body, "second", v.pair.second);
+	put_addr(body, "pinned", v.pinned);
+	put_u64(body, "feeds", v.feeds);
+	put_addr(body, "feed_target", v.feed_target);
+	g_string_append_printf(body, "why_owner %s\nwhy_target %s\n",
+			       why_owner(d, &v), why_target(&v));
+	return STATUS_OK;
+}
+
+static uint32_t query_limit(const char *query)
+{
+	char text[ADDR_TEXT_BYTES];
+	unsigned long limit;
+
+	if (!http_query(query, "limit", text, sizeof(text)))
+		return ROWS_DEFAULT;
+	limit = strtoul(text, NULL, 10);
+	return limit < ROWS_MAX ? (uint32_t)limit : ROWS_MAX;
+}
+
+static void put_target(GString *to, const struct target_stats *t)
+{
+	char text[ADDR_TEXT_BYTES];
+
+	g_string_append_printf(
+		to,
+		"target %s inflight=%u feeds=%u slots=%u extra=%u "
+		"connections=%u ejected=%d trust=%u error=%u latency_us=%llu\n",
+		addr_text(t->addr, text, sizeof(text)), t->inflight, t->feeds,
+		t->own, t->extra, t->connections, t->ejected, t->trust_milli,
+		t->error_milli, (unsigned long long)t->latency_ns / 1000);
+}
+
+static int flows(struct daemon *d, const char *query, GString *body)
+{
+	const struct balancer *b = entry_balancer(d->entry);
+	uint32_t limit = query_limit(query);
+	struct target_stats t;
+	uint32_t cursor = 0;
+
+	put_gauges(d, body);
+	while (limit-- && balance_targets(b, &cursor, &t))
+		put_target(body, &t);
+	return STATUS_OK;
+}
+
+static const struct {
+	const char *path;
+	int (*answer)(struct daemon *d, const char *query, GString *body);
+} routes[] = {
+	{ "/status", status },
+	{ "/metrics", metrics },
+	{ "/explain", explain },
+	{ "/flows", flows },
+};
+
+static int handle(void *ctx, struct http_request *req, const char *method,
+		  const char *path, const char *query, const GString *in,
+		  GString *body)
+{
+	(void)in;
+	if (strcmp(method, "GET") != 0)
+		return STATUS_BAD_METHOD;
+	http_header(req, "Content-Type", "text/plain; version=0.0.4");
+	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		if (strcmp(path, routes[i].path) == 0)
+			return routes[i].answer(ctx, query, body);
+	}
+	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
+		g_string_append_printf(body, "%s\n", routes[i].path);
+	return STATUS_NOT_FOUND;
+}
+
+/**
+ * operator_open() - serve operators
+ * @d: daemon
+ *
+ * Return: 0 or a negative error number.
+ */
+int operator_open(struct daemon *d)
+{
+	struct http_handler handler = { d, handle };
+	char text[ADDR_TEXT_BYTES];
+	int err = http_open(d->loop, d->settings.http, handler, &d->http);
+
+	if (err)
+		log_line(LOG_ERROR, "operator.listen",
+			 addr_text(d->settings.http, text, sizeof(text)), "%s",
+			 uv_strerror(err));
+	return err;
+}
