--- /dev/null
+++ b/cmd/cb-watch/operators.c
@@ -0,0 +1,119 @@
+/* What operators read over HTTP: /status /metrics /generations. */
+#include "watch.h"
+
+#include <string.h>
+
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_METHOD_NOT_ALLOWED 405
+#define METRIC_PREFIX "cb_watch_"
+
+static void gauge(GString *out, const char *name, uint64_t value)
+{
+	g_string_append_printf(out, "# TYPE " METRIC_PREFIX "%s gauge\n", name);
+	g_string_append_printf(out, METRIC_PREFIX "%s %lu\n", name, value);
+}
+
+static void counter(GString *out, const char *name, uint64_t value)
+{
+	g_string_append_printf(out,
+			       "# TYPE " METRIC_PREFIX "%s_total counter\n",
+			       name);
+	g_string_append_printf(out, METRIC_PREFIX "%s_total %lu\n", name,
+			       value);
+}
+
+static void write_metrics(const struct watch *w, GString *out)
+{
+	const struct spread_counters *s = spread_counters(w->spread);
+	const struct reader_counters *r = reader_counters(w->reader);
+	const struct watch_link_counters *l = watch_link_counters(w->link);
+
+	gauge(out, "serving", spread_serving(w->spread));
+	gauge(out, "reader", spread_is_reader(w->spread));
+	gauge(out, "platform_ok", w->platform_ok);
+	gauge(out, "entries", watch_link_entry_count(w->link));
+	gauge(out, "documents_refused", g_hash_table_size(w->refused));
+#define X(name) counter(out, "spread_" #name, s->name);
+	SPREAD_COUNTERS(X)
+#undef X
+#define X(name) counter(out, "platform_" #name, r->name);
+	READER_COUNTERS(X)
+#undef X
+#define X(name) counter(out, "link_" #name, l->name);
+	WATCH_LINK_COUNTERS(X)
+#undef X
+}
+
+static void write_generations(const struct watch *w, GString *out)
+{
+	const struct content *content;
+	const struct version *version;
+	const char *key;
+	uint32_t next = 0;
+
+	while ((next = spread_each(w->spread, next, &key, &version,
+				   &content))) {
+		if (version_empty(version))
+			continue;
+		g_string_append_printf(out, "%s %lu %lu %016lx %s\n", key,
+				       version->generation, version->revision,
+				       version->hash,
+				       version_withdrawn(version) ? "withdrawn"
+								  : "live");
+	}
+}
+
+static void write_refused(gpointer key, gpointer reason, gpointer out)
+{
+	g_string_append_printf(out, "refused %s: %s\n", (char *)key,
+			       (char *)reason);
+}
+
+static void write_status(const struct watch *w, GString *out)
+{
+	char vm[32];
+
+	g_string_append_printf(out, "vm %s\n",
+			       addr_text(w->settings.peer, vm, sizeof(vm)));
+	g_string_append_printf(out, "data_centre %s\n",
+			       w->settings.data_centre);
+	g_string_append_printf(out, "serving %s\n",
+			       spread_serving(w->spread) ? "yes" : "no");
+	g_string_append_printf(out, "reader %s\n",
+			       spread_is_reader(w->spread) ? "yes" : "no");
+	g_string_append_printf(out, "platform %s\n",
+			       w->platform_ok ? "answers" : "not read");
+	g_string_append_printf(out, "entries %u\n",
+			       watch_link_entry_count(w->link));
+	g_string_append_printf(out, "digest %016lx\n", spread_root(w->spread));
+	g_hash_table_foreach(w->refused, write_refused, out);
+}
+
+/* Port of the HTTP server; reading only. */
+int operators_answer(void *ctx, struct http_request *req, const char *method,
+		     const char *path, const char *query, const GString *in,
+		     GString *body)
+{
+	static const struct {
+		const char *path;
+		void (*write)(const struct watch *w, GString *out);
+	} pages[] = {
+		{ "/status", write_status },
+		{ "/metrics", write_metrics },
+		{ "/generations", write_generations },
+	};
+
+	(void)req;
+	(void)query;
+	(void)in;
+	if (strcmp(method, "GET"))
+		return HTTP_METHOD_NOT_ALLOWED;
+	for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+		if (strcmp(path, pages[i].path))
+			continue;
+		pages[i].write(ctx, body);
+		return HTTP_OK;
+	}
+	return HTTP_NOT_FOUND;
+}
