--- /dev/null
+++ b/test/fleet_target.c
@@ -0,0 +1,427 @@
+/* Fake targets: slots, a queue, feeds that push, and what they do wrong. */
+#include "fleet_state.h"
+
+#include <string.h>
+
+#define GET_NS MS(5)
+#define POST_NS MS(20)
+#define LONG_POST_NS MS(400) /* one in eight: answered apart from the ack */
+#define PART_NS MS(3)
+#define CRAWL 100
+#define SLOTS 2
+#define CONFIRM_EVERY 4
+#define CONFIRM_GIVE_UP_NS MS(7500)
+#define ANSWER_REPEATS 3
+#define REPEAT_NS MS(500)
+
+static struct target_feed *feed_of(struct fake_target *t, uint64_t vm,
+				   const uint8_t *token)
+{
+	for (uint32_t i = 0; i < TARGET_FEEDS_MAX; i++) {
+		struct target_feed *tf = &t->feeds[i];
+
+		if (tf->vm == vm && !memcmp(tf->token, token, TOKEN_MAX_BYTES))
+			return tf;
+	}
+	return NULL;
+}
+
+static bool acked(const struct fake_target *t, uint16_t id)
+{
+	return t->acked[id / 8] & 1u << id % 8;
+}
+
+static void ack_set(struct fake_target *t, uint16_t id, bool on)
+{
+	uint8_t bit = 1u << id % 8;
+
+	t->acked[id / 8] =
+		on ? t->acked[id / 8] | bit : t->acked[id / 8] & ~bit;
+}
+
+static void reply(struct fleet *f, uint32_t i, uint64_t vm, struct dgram d)
+{
+	struct fake_target *t = &f->targets[i];
+	uint32_t node = VM_INDEX(vm);
+	struct event *ev;
+
+	d.load.running = t->running;
+	d.load.waiting = t->n_jobs - t->running;
+	trace_dgram(f, "t", i, "e", node, &d);
+	if (f->cut_target[node][i])
+		return;
+	ev = event_new(node_from_target, node);
+	ev->from = TARGET_ADDR(i);
+	ev->d = d;
+	link_send(f, LINK_BACK, ev);
+}
+
+static void send_empty(struct fleet *f, uint32_t i, uint64_t vm, uint8_t type,
+		       uint16_t id)
+{
+	struct dgram d = { .kind = DGRAM_EMPTY, .type = type, .id = id };
+
+	reply(f, i, vm, d);
+}
+
+/* A confirmable answer goes out again until it is acknowledged. */
+static void repeat_answer(struct fleet *f, struct event *ev)
+{
+	struct fake_target *t = &f->targets[ev->node];
+	uint32_t tries = ev->arg >> 16;
+
+	if (!t->up || t->mode == MODE_SILENT || acked(t, ev->d.id) ||
+	    (uint16_t)ev->arg != (uint16_t)t->generation ||
+	    tries > ANSWER_REPEATS) {
+		event_free(ev);
+		return;
+	}
+	reply(f, ev->node, ev->from, ev->d);
+	ev->arg += 1u << 16;
+	event_at(f, f->now_ns + (REPEAT_NS << tries), ev);
+}
+
+static void answer(struct fleet *f, uint32_t i, const struct job *j,
+		   uint16_t flags)
+{
+	struct fake_target *t = &f->targets[i];
+	struct dgram d = j->d;
+	struct event *ev;
+
+	d.kind = DGRAM_ANSWER;
+	d.flags = flags;
+	if (d.type == WIRE_CONFIRM) {
+		d.type = WIRE_ACK;
+		reply(f, i, j->vm, d);
+		return;
+	}
+	d.type = WIRE_CONFIRM;
+	d.id = t->next_id++;
+	ack_set(t, d.id, false);
+	ev = event_new(repeat_answer, i);
+	ev->from = j->vm;
+	ev->d = d;
+	ev->arg = (uint16_t)t->generation;
+	event_at(f, f->now_ns, ev);
+}
+
+static void note_run(struct fleet *f, uint32_t i, const struct dgram *d)
+{
+	struct fake_target *t = &f->targets[i];
+	struct op *op = op_at(f, d->op);
+
+	trace_line(f, "t%u runs op %u", i, d->op);
+	op->runs++;
+	op->wrong_service |= op->service != t->service;
+	op->target = i;
+	f->verdict.work[i]++;
+	if (t->drain_ns && f->now_ns > t->drain_ns + DRAIN_GRACE_NS)
+		f->verdict.late_work++;
+	hook_at(f, POINT_RUN, d->op, FLEET_NONE);
+}
+
+/* Answer's flags of a part; the last one runs the upload. */
+static uint16_t take_part(struct fleet *f, uint32_t i, const struct dgram *d)
+{
+	struct fake_target *t = &f->targets[i];
+	gpointer key = GUINT_TO_POINTER(d->op + 1);
+	uint32_t have = GPOINTER_TO_UINT(g_hash_table_lookup(t->parts, key));
+
+	if (d->seq > have)
+		return MSG_FAILED;
+	if (d->seq == have)
+		have++;
+	g_hash_table_insert(t->parts, key, GUINT_TO_POINTER(have));
+	hook_at(f, POINT_PART, d->op, d->seq);
+	if (d->flags & MSG_MORE)
+		return MSG_PART | MSG_MORE;
+	g_hash_table_remove(t->parts, key);
+	note_run(f, i, d);
+	return MSG_PART;
+}
+
+static void run_queue(struct fleet *f, uint32_t i);
+
+static void job_done(struct fleet *f, struct event *ev)
+{
+	struct fake_target *t = &f->targets[ev->node];
+	struct job j = { .vm = ev->from, .d = ev->d };
+	uint16_t flags = 0;
+
+	if (t->up && ev->arg == t->generation) {
+		if (j.d.flags & MSG_PART)
+			flags = take_part(f, ev->node, &j.d);
+		t->running--;
+		if (t->mode != MODE_SILENT)
+			answer(f, ev->node, &j, flags);
+		run_queue(f, ev->node);
+	}
+	event_free(ev);
+}
+
+static uint64_t service_ns(struct fleet *f, const struct fake_target *t,
+			   const struct dgram *d)
+{
+	uint64_t ns = POST_NS;
+
+	if (d->flags & MSG_PART)
+		ns = PART_NS;
+	else if (d->flags & MSG_IDEMPOTENT)
+		ns = GET_NS;
+	else if (fleet_random(f, 8) == 0)
+		ns = LONG_POST_NS;
+	return t->mode == MODE_CRAWL ? ns * CRAWL : ns;
+}
+
+static void job_start(struct fleet *f, uint32_t i, struct job j)
+{
+	struct fake_target *t = &f->targets[i];
+	uint64_t ns = service_ns(f, t, &j.d);
+	struct event *ev = event_new(job_done, i);
+
+	t->running++;
+	if (!(j.d.flags & MSG_PART))
+		note_run(f, i, &j.d);
+	if (ns > MS(100) && j.d.type == WIRE_CONFIRM) {
+		send_empty(f, i, j.vm, WIRE_ACK, j.d.id);
+		j.d.type = WIRE_PLAIN;
+	}
+	ev->from = j.vm;
+	ev->d = j.d;
+	ev->arg = t->generation;
+	event_at(f, f->now_ns + ns, ev);
+}
+
+static void run_queue(struct fleet *f, uint32_t i)
+{
+	struct fake_target *t = &f->targets[i];
+
+	while (t->running < SLOTS && t->n_jobs > 0) {
+		struct job j = t->jobs[0];
+
+		t->n_jobs--;
+		memmove(t->jobs, t->jobs + 1, t->n_jobs * sizeof(j));
+		job_start(f, i, j);
+	}
+}
+
+static void shed(struct fleet *f, uint32_t i, const struct job *j)
+{
+	answer(f, i, j, MSG_SHED);
+}
+
+static void open_feed(struct fleet *f, uint32_t i, const struct job *j)
+{
+	static const uint8_t no_token[TOKEN_MAX_BYTES];
+	struct fake_target *t = &f->targets[i];
+	struct target_feed *tf = feed_of(t, j->vm, j->d.token);
+	struct job opened = *j;
+
+	if (!tf) {
+		tf = feed_of(t, ADDR_NONE, no_token);
+		if (!tf) {
+			shed(f, i, j);
+			return;
+		}
+		note_run(f, i, &j->d);
+	}
+	*tf = (struct target_feed){ .vm = j->vm, .op = j->d.op };
+	memcpy(tf->token, j->d.token, sizeof(tf->token));
+	tf->seq = f->now_ns / MS(1);
+	opened.d.seq = tf->seq;
+	answer(f, i, &opened, MSG_FEED_OPEN);
+}
+
+static void feed_gone(struct target_feed *tf)
+{
+	memset(tf, 0, sizeof(*tf));
+}
+
+static void cancel(struct fleet *f, uint32_t i, uint64_t vm,
+		   const struct dgram *d)
+{
+	struct fake_target *t = &f->targets[i];
+	struct target_feed *tf = feed_of(t, vm, d->token);
+	uint32_t kept = 0;
+
+	if (tf)
+		feed_gone(tf);
+	for (uint32_t k = 0; k < t->n_jobs; k++) {
+		struct job *j = &t->jobs[k];
+
+		if (j->vm != vm ||
+		    memcmp(j->d.token, d->token, sizeof(d->token)))
+			t->jobs[kept++] = *j;
+	}
+	t->n_jobs = kept;
+}
+
+static void signalled(struct fleet *f, uint32_t i, uint64_t vm,
+		      const struct dgram *d)
+{
+	struct fake_target *t = &f->targets[i];
+
+	if (d->type == WIRE_CONFIRM)
+		send_empty(f, i, vm, WIRE_RESET, d->id);
+	if (d->type == WIRE_ACK)
+		ack_set(t, d->id, true);
+	for (uint32_t k = 0; k < TARGET_FEEDS_MAX; k++) {
+		struct target_feed *tf = &t->feeds[k];
+
+		if (tf->vm != vm || tf->mute)
+			continue;
+		if (d->type == WIRE_RESET && tf->last_id == d->id)
+			feed_gone(tf);
+		else if (d->type == WIRE_ACK && tf->confirm_id == d->id)
+			tf->unacked_ns = 0;
+	}
+}
+
+static bool seen_before(struct fleet *f, struct fake_target *t, uint64_t vm,
+			uint16_t id)
+{
+	uint64_t key = vm << 16 | id;
+
+	if (!f->plan.target_dedups)
+		return false;
+	return !g_hash_table_add(t->seen, GSIZE_TO_POINTER(key));
+}
+
+static void requested(struct fleet *f, uint32_t i, const struct job *j)
+{
+	struct fake_target *t = &f->targets[i];
+
+	if (seen_before(f, t, j->vm, j->d.id)) {
+		trace_line(f, "t%u drops a repeat of op %u", i, j->d.op);
+		send_empty(f, i, j->vm, WIRE_ACK, j->d.id);
+	} else if (j->d.flags & MSG_FEED_CLOSE) {
+		cancel(f, i, j->vm, &j->d);
+	} else if (t->mode == MODE_SHED || t->n_jobs == JOBS_MAX) {
+		shed(f, i, j);
+	} else if (j->d.flags & MSG_FEED_OPEN) {
+		open_feed(f, i, j);
+	} else {
+		t->jobs[t->n_jobs++] = *j;
+		run_queue(f, i);
+	}
+}
+
+void target_from_node(struct fleet *f, struct event *ev)
+{
+	struct fake_target *t = &f->targets[ev->node];
+	struct job j = { .vm = ev->from, .d = ev->d };
+
+	if (t->up && t->mode != MODE_SILENT) {
+		if (j.d.kind == DGRAM_EMPTY)
+			signalled(f, ev->node, j.vm, &j.d);
+		else
+			requested(f, ev->node, &j);
+	}
+	event_free(ev);
+}
+
+static void push(struct fleet *f, uint32_t i, struct target_feed *tf)
+{
+	struct fake_target *t = &f->targets[i];
+	struct dgram d = { .kind = DGRAM_ANSWER,
+			   .type = WIRE_PLAIN,
+			   .token_len = TOKEN_MAX_BYTES,
+			   .flags = MSG_FEED_OPEN,
+			   .op = tf->op,
+			   .seq = ++tf->seq,
+			   .id = t->next_id++ };
+
+	if (tf->unacked_ns && f->now_ns > tf->unacked_ns + CONFIRM_GIVE_UP_NS) {
+		trace_line(f, "t%u gives up feed of op %u", i, tf->op);
+		feed_gone(tf);
+		return;
+	}
+	memcpy(d.token, tf->token, sizeof(d.token));
+	tf->last_id = d.id;
+	if (tf->unacked_ns || d.seq % CONFIRM_EVERY == 0) {
+		d.type = WIRE_CONFIRM;
+		tf->confirm_id = d.id;
+		tf->unacked_ns = tf->unacked_ns ? tf->unacked_ns : f->now_ns;
+	}
+	reply(f, i, tf->vm, d);
+}
+
+static void push_all(struct fleet *f, struct event *ev)
+{
+	struct fake_target *t = &f->targets[ev->node];
+
+	for (uint32_t k = 0; k < TARGET_FEEDS_MAX; k++) {
+		struct target_feed *tf = &t->feeds[k];
+
+		if (t->up && tf->vm && !tf->mute && t->mode != MODE_SILENT)
+			push(f, ev->node, tf);
+	}
+	event_at(f, f->now_ns + UPDATE_NS, ev);
+}
+
+void fleet_target_crash(struct fleet *f, uint32_t i, uint32_t unused)
+{
+	struct fake_target *t = &f->targets[i];
+
+	(void)unused;
+	trace_line(f, "t%u crashes", i);
+	t->up = false;
+	t->generation++;
+	t->running = 0;
+	t->n_jobs = 0;
+	memset(t->feeds, 0, sizeof(t->feeds));
+	g_hash_table_remove_all(t->parts);
+	g_hash_table_remove_all(t->seen);
+}
+
+void fleet_target_start(struct fleet *f, uint32_t i, uint32_t unused)
+{
+	(void)unused;
+	trace_line(f, "t%u starts", i);
+	f->targets[i].up = true;
+}
+
+void fleet_target_mode(struct fleet *f, uint32_t i, uint32_t mode)
+{
+	struct fake_target *t = &f->targets[i];
+
+	trace_line(f, "t%u mode %u", i, mode);
+	t->mode = mode;
+	for (uint32_t k = 0; mode == MODE_SILENT_FEEDS && k < TARGET_FEEDS_MAX;
+	     k++)
+		t->feeds[k].mute = t->feeds[k].vm != ADDR_NONE;
+}
+
+/* Published as draining; @spread_ms until every entry has heard. */
+void fleet_drain(struct fleet *f, uint32_t i, uint32_t spread_ms)
+{
+	trace_line(f, "t%u drains", i);
+	f->targets[i].state = TARGET_DRAINING;
+	f->targets[i].drain_ns = f->now_ns;
+	fleet_publish(f, spread_ms, 0);
+}
+
+void targets_init(struct fleet *f)
+{
+	for (uint32_t s = 0; s < FLEET_SERVICES; s++) {
+		for (uint32_t k = 0; k < f->plan.targets[s]; k++) {
+			struct fake_target *t = &f->targets[f->n_targets];
+			struct event *ev = event_new(push_all, f->n_targets++);
+
+			t->service = s;
+			t->up = true;
+			t->parts = g_hash_table_new(NULL, NULL);
+			t->seen = g_hash_table_new(NULL, NULL);
+			t->next_id = fleet_random(f, ACK_IDS);
+			event_at(f, f->now_ns + fleet_random(f, UPDATE_NS), ev);
+		}
+	}
+}
+
+void targets_free(struct fleet *f)
+{
+	for (uint32_t i = 0; i < f->n_targets; i++) {
+		g_hash_table_destroy(f->targets[i].parts);
+		g_hash_table_destroy(f->targets[i].seen);
+	}
+}
