--- a/test/fleet.h
+++ b/test/testbed.h
@@ -3,8 +3,8 @@
  * network, fake targets and callers. What callers and targets wrote down is
  * compared at the end. docs/design/proof.md says what it leaves out.
  */
-#ifndef CB_FLEET_H
-#define CB_FLEET_H
+#ifndef CB_TESTBED_H
+#define CB_TESTBED_H
 
 #include "entry.h"
 
@@ -12,18 +12,18 @@
 extern "C" {
 #endif
 
-#define FLEET_NODES_MAX 24
-#define FLEET_TARGETS_MAX 20
-#define FLEET_SERVICES 2
-#define FLEET_CALLERS_MAX 256
-#define FLEET_PARTS 6
-#define FLEET_NONE UINT32_MAX
+#define TESTBED_NODES_MAX 24
+#define TESTBED_TARGETS_MAX 20
+#define TESTBED_SERVICES 2
+#define TESTBED_CALLERS_MAX 256
+#define TESTBED_PARTS 6
+#define TESTBED_NONE UINT32_MAX
 
 /**
- * struct fleet_system - port behind which the entries stand, so that a
+ * struct testbed_system - port behind which the entries stand, so that a
  *	baseline can take their place; see entry.h for what each call does
  */
-struct fleet_system {
+struct testbed_system {
 	struct entry *(*make)(const struct entry_conf *conf, uint64_t now_ns);
 	void (*free)(struct entry *e);
 	void (*config)(struct entry *e, const struct config *c, uint64_t now_ns,
@@ -45,7 +45,7 @@
 	uint64_t (*next_ns)(const struct entry *e);
 };
 
-extern const struct fleet_system fleet_product;
+extern const struct testbed_system testbed_product;
 
 /* Datagram between callers, entries and targets. */
 enum dgram_kind { DGRAM_REQUEST, DGRAM_ANSWER, DGRAM_EMPTY };
@@ -78,7 +78,7 @@
 	struct load_report load;
 };
 
-enum fleet_link {
+enum testbed_link {
 	LINK_UP, /* caller to entry */
 	LINK_DOWN, /* entry to caller */
 	LINK_PEER, /* entry to entry */
@@ -145,7 +145,7 @@
 };
 
 /* Moments at which a test may step in. */
-enum fleet_point {
+enum testbed_point {
 	POINT_SEND, /* caller sends a request for the first time */
 	POINT_CLAIM, /* an entry asks another for a claim */
 	POINT_RUN, /* target starts to run it */
@@ -154,21 +154,21 @@
 	POINT_PART /* target took a part */
 };
 
-struct fleet;
+struct testbed;
 
 /**
- * struct fleet_hook - port to which the moments are told
+ * struct testbed_hook - port to which the moments are told
  * @ctx: passed back
  * @at: told of a moment; true loses the datagram that was about to go out
  */
-struct fleet_hook {
+struct testbed_hook {
 	void *ctx;
-	bool (*at)(void *ctx, struct fleet *f, enum fleet_point point,
+	bool (*at)(void *ctx, struct testbed *f, enum testbed_point point,
 		   uint32_t op, uint32_t node);
 };
 
 /**
- * struct fleet_plan - what to build
+ * struct testbed_plan - what to build
  * @seed: of all randomness
  * @nodes: entries
  * @targets: targets by service
@@ -176,17 +176,17 @@
  * @target_dedups: targets drop a repeated message ID and settings say so
  * @system: what stands behind the entries' addresses; NULL for the product
  */
-struct fleet_plan {
+struct testbed_plan {
 	uint64_t seed;
 	uint32_t nodes;
-	uint32_t targets[FLEET_SERVICES];
+	uint32_t targets[TESTBED_SERVICES];
 	uint32_t callers[OP_CLASSES];
 	bool target_dedups;
-	const struct fleet_system *system;
+	const struct testbed_system *system;
 };
 
 /**
- * struct fleet_verdict - what was found when all was written down
+ * struct testbed_verdict - what was found when all was written down
  * @ops: requests and feeds begun
  * @answered: requests answered, feeds opened
  * @refused: told "not run"
@@ -205,7 +205,7 @@
  * @peer_bytes: their bytes as coded
  * @work: runs by target
  */
-struct fleet_verdict {
+struct testbed_verdict {
 	uint32_t ops;
 	uint32_t answered;
 	uint32_t refused;
@@ -222,52 +222,52 @@
 	uint64_t forwards;
 	uint64_t peer_msgs;
 	uint64_t peer_bytes;
-	uint32_t work[FLEET_TARGETS_MAX];
+	uint32_t work[TESTBED_TARGETS_MAX];
 };
 
-struct fleet *fleet_new(const struct fleet_plan *plan);
-void fleet_free(struct fleet *f);
-void fleet_run(struct fleet *f, uint64_t until_ns);
-struct fleet_verdict fleet_finish(struct fleet *f);
-uint64_t fleet_now(const struct fleet *f);
-uint64_t fleet_random(struct fleet *f, uint64_t below);
-void fleet_hook(struct fleet *f, struct fleet_hook hook);
+struct testbed *testbed_new(const struct testbed_plan *plan);
+void testbed_free(struct testbed *f);
+void testbed_run(struct testbed *f, uint64_t until_ns);
+struct testbed_verdict testbed_finish(struct testbed *f);
+uint64_t testbed_now(const struct testbed *f);
+uint64_t testbed_random(struct testbed *f, uint64_t below);
+void testbed_hook(struct testbed *f, struct testbed_hook hook);
 
 /* Faults; entries and targets go by index. */
-typedef void fleet_fault(struct fleet *f, uint32_t a, uint32_t b);
-void fleet_at(struct fleet *f, uint64_t at_ns, fleet_fault *fault, uint32_t a,
-	      uint32_t b);
-fleet_fault fleet_kill;
-fleet_fault fleet_start;
-fleet_fault fleet_leave;
-fleet_fault fleet_freeze;
-fleet_fault fleet_wake;
-fleet_fault fleet_cut;
-fleet_fault fleet_mend;
-fleet_fault fleet_cut_target;
-fleet_fault fleet_mend_target;
-fleet_fault fleet_cut_platform;
-fleet_fault fleet_mend_platform;
-fleet_fault fleet_list_lag_ms;
-fleet_fault fleet_publish;
-fleet_fault fleet_drain;
-fleet_fault fleet_target_crash;
-fleet_fault fleet_target_start;
-fleet_fault fleet_target_mode;
-void fleet_link(struct fleet *f, enum fleet_link link,
-		struct link_faults faults);
+typedef void testbed_fault(struct testbed *f, uint32_t a, uint32_t b);
+void testbed_at(struct testbed *f, uint64_t at_ns, testbed_fault *fault,
+		uint32_t a, uint32_t b);
+testbed_fault testbed_kill;
+testbed_fault testbed_start;
+testbed_fault testbed_leave;
+testbed_fault testbed_freeze;
+testbed_fault testbed_wake;
+testbed_fault testbed_cut;
+testbed_fault testbed_mend;
+testbed_fault testbed_cut_target;
+testbed_fault testbed_mend_target;
+testbed_fault testbed_cut_platform;
+testbed_fault testbed_mend_platform;
+testbed_fault testbed_list_lag_ms;
+testbed_fault testbed_publish;
+testbed_fault testbed_drain;
+testbed_fault testbed_target_crash;
+testbed_fault testbed_target_start;
+testbed_fault testbed_target_mode;
+void testbed_link(struct testbed *f, enum testbed_link link,
+		  struct link_faults faults);
 
 /* Who holds the flow of a caller, by the ring over the entries alive. */
-struct ring_pair fleet_pair(struct fleet *f, uint32_t caller);
-uint32_t fleet_node_of(const struct fleet *f, uint64_t vm);
-uint32_t fleet_node_next(const struct fleet *f);
-bool fleet_node_up(const struct fleet *f, uint32_t node);
-uint32_t fleet_caller_first(const struct fleet *f, enum op_class class_);
-void fleet_caller_hold(struct fleet *f, uint32_t caller);
-uint32_t fleet_caller_go(struct fleet *f, uint32_t caller);
-const struct op *fleet_op(const struct fleet *f, uint32_t op);
-const struct entry_counters *fleet_counters(const struct fleet *f,
-					    uint32_t node);
+struct ring_pair testbed_pair(struct testbed *f, uint32_t caller);
+uint32_t testbed_node_of(const struct testbed *f, uint64_t vm);
+uint32_t testbed_node_next(const struct testbed *f);
+bool testbed_node_up(const struct testbed *f, uint32_t node);
+uint32_t testbed_caller_first(const struct testbed *f, enum op_class class_);
+void testbed_caller_hold(struct testbed *f, uint32_t caller);
+uint32_t testbed_caller_go(struct testbed *f, uint32_t caller);
+const struct op *testbed_op(const struct testbed *f, uint32_t op);
+const struct entry_counters *testbed_counters(const struct testbed *f,
+					      uint32_t node);
 
 #ifdef __cplusplus
 }
--- a/test/fleet_caller.c
+++ b/test/testbed_caller.c
@@ -1,5 +1,5 @@
 /* Fake callers: repeat, acknowledge, drop repeats, write down, verdict. */
-#include "fleet_state.h"
+#include "testbed_state.h"
 
 #include <string.h>
 
@@ -15,12 +15,12 @@
 
 static event_fn begin;
 
-struct op *op_at(struct fleet *f, uint32_t op)
+struct op *op_at(struct testbed *f, uint32_t op)
 {
 	return &g_array_index(f->ops, struct op, op);
 }
 
-static void timer(struct fleet *f, uint32_t i, event_fn *run, uint64_t in_ns)
+static void timer(struct testbed *f, uint32_t i, event_fn *run, uint64_t in_ns)
 {
 	struct event *ev = event_new(run, i);
 
@@ -29,19 +29,19 @@
 }
 
 /* Fabric: any entry that it still knows, be it dead. */
-static uint32_t spray(struct fleet *f)
+static uint32_t spray(struct testbed *f)
 {
 	uint32_t n = 0;
-	uint32_t at[FLEET_NODES_MAX];
+	uint32_t at[TESTBED_NODES_MAX];
 
 	for (uint32_t i = 0; i < f->n_nodes; i++) {
 		if (f->nodes[i].sprayed)
 			at[n++] = i;
 	}
-	return n ? at[fleet_random(f, n)] : 0;
+	return n ? at[testbed_random(f, n)] : 0;
 }
 
-static void send(struct fleet *f, uint32_t i, const struct dgram *d)
+static void send(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	uint32_t node = spray(f);
 	struct event *ev = event_new(node_from_caller, node);
@@ -54,7 +54,7 @@
 	link_send(f, LINK_UP, ev);
 }
 
-static void send_empty(struct fleet *f, uint32_t i, uint8_t type, uint16_t id)
+static void send_empty(struct testbed *f, uint32_t i, uint8_t type, uint16_t id)
 {
 	struct dgram d = { .kind = DGRAM_EMPTY, .type = type, .id = id };
 
@@ -62,7 +62,8 @@
 }
 
 /* The present request or feed is over; the next begins after a pause. */
-static void end(struct fleet *f, uint32_t i, uint8_t result, uint64_t pause_ns)
+static void end(struct testbed *f, uint32_t i, uint8_t result,
+		uint64_t pause_ns)
 {
 	struct fake_caller *c = &f->callers[i];
 
@@ -74,7 +75,7 @@
 		timer(f, i, begin, pause_ns);
 }
 
-static void repeat(struct fleet *f, struct event *ev)
+static void repeat(struct testbed *f, struct event *ev)
 {
 	struct fake_caller *c = &f->callers[ev->node];
 	uint32_t i = ev->node;
@@ -88,7 +89,7 @@
 	event_at(f, f->now_ns + (REPEAT_NS << c->tries++), ev);
 }
 
-static void patience(struct fleet *f, struct event *ev)
+static void patience(struct testbed *f, struct event *ev)
 {
 	if (ev->arg == f->callers[ev->node].generation &&
 	    f->callers[ev->node].busy)
@@ -96,7 +97,7 @@
 	event_free(ev);
 }
 
-static void ask(struct fleet *f, uint32_t i)
+static void ask(struct testbed *f, uint32_t i)
 {
 	static const uint16_t flags[OP_CLASSES] = {
 		[OP_FEED] = MSG_IDEMPOTENT | MSG_FEED_OPEN,
@@ -112,7 +113,7 @@
 			   .op = c->op,
 			   .seq = c->part };
 
-	if (c->class_ == OP_UPLOAD && c->part + 1 < FLEET_PARTS)
+	if (c->class_ == OP_UPLOAD && c->part + 1 < TESTBED_PARTS)
 		d.flags |= MSG_MORE;
 	c->token = rng_next(&f->rng);
 	memcpy(d.token, &c->token, sizeof(d.token));
@@ -124,7 +125,7 @@
 	timer(f, i, patience, PATIENCE_NS);
 }
 
-uint32_t fleet_caller_go(struct fleet *f, uint32_t i)
+uint32_t testbed_caller_go(struct testbed *f, uint32_t i)
 {
 	struct fake_caller *c = &f->callers[i];
 	struct op op = { .class_ = c->class_,
@@ -135,22 +136,22 @@
 	g_array_append_val(f->ops, op);
 	c->busy = true;
 	c->part = 0;
-	hook_at(f, POINT_SEND, c->op, FLEET_NONE);
+	hook_at(f, POINT_SEND, c->op, TESTBED_NONE);
 	ask(f, i);
 	return c->op;
 }
 
-static void begin(struct fleet *f, struct event *ev)
+static void begin(struct testbed *f, struct event *ev)
 {
 	struct fake_caller *c = &f->callers[ev->node];
 
 	if (!c->held && !c->busy && !f->ending && ev->arg == c->generation)
-		fleet_caller_go(f, ev->node);
+		testbed_caller_go(f, ev->node);
 	event_free(ev);
 }
 
 /* Looks after an open feed. */
-static void look(struct fleet *f, struct event *ev)
+static void look(struct testbed *f, struct event *ev)
 {
 	struct fake_caller *c = &f->callers[ev->node];
 	struct op *op = op_at(f, c->op);
@@ -183,7 +184,7 @@
 	return false;
 }
 
-static void own_answer(struct fleet *f, uint32_t i, const struct dgram *d)
+static void own_answer(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	struct op *op = op_at(f, f->callers[i].op);
 	uint8_t results[] = { OP_REFUSED, OP_UNKNOWN, OP_CUT };
@@ -194,10 +195,10 @@
 		end(f, i, OP_ANSWERED, REOPEN_NS);
 		return;
 	}
-	end(f, i, results[d->own - 1], PAUSE_NS + fleet_random(f, PAUSE_NS));
+	end(f, i, results[d->own - 1], PAUSE_NS + testbed_random(f, PAUSE_NS));
 }
 
-static void updated(struct fleet *f, uint32_t i, const struct dgram *d)
+static void updated(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	struct fake_caller *c = &f->callers[i];
 	struct op *op = op_at(f, c->op);
@@ -213,13 +214,13 @@
 	op->result = OP_ANSWERED;
 	c->generation++;
 	timer(f, i, look, LOOK_NS);
-	hook_at(f, POINT_OPEN, c->op, FLEET_NONE);
+	hook_at(f, POINT_OPEN, c->op, TESTBED_NONE);
 }
 
-static void answered(struct fleet *f, uint32_t i, const struct dgram *d)
+static void answered(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	struct fake_caller *c = &f->callers[i];
-	uint64_t pause_ns = PAUSE_NS + fleet_random(f, PAUSE_NS);
+	uint64_t pause_ns = PAUSE_NS + testbed_random(f, PAUSE_NS);
 
 	if (d->op != c->op) {
 		op_at(f, c->op)->crossed = true;
@@ -239,7 +240,7 @@
 	}
 }
 
-static void take_answer(struct fleet *f, uint32_t i, const struct dgram *d)
+static void take_answer(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	struct fake_caller *c = &f->callers[i];
 	bool mine = !memcmp(d->token, &c->token, sizeof(c->token));
@@ -259,7 +260,7 @@
 		answered(f, i, d);
 }
 
-static void take_signal(struct fleet *f, uint32_t i, const struct dgram *d)
+static void take_signal(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	struct fake_caller *c = &f->callers[i];
 
@@ -273,7 +274,7 @@
 		end(f, i, OP_CUT, PAUSE_NS);
 }
 
-void caller_from_node(struct fleet *f, struct event *ev)
+void caller_from_node(struct testbed *f, struct event *ev)
 {
 	if (ev->d.kind == DGRAM_EMPTY)
 		take_signal(f, ev->node, &ev->d);
@@ -282,7 +283,7 @@
 	event_free(ev);
 }
 
-void callers_init(struct fleet *f)
+void callers_init(struct testbed *f)
 {
 	static const uint8_t services[] = { 0, 0, 0, 1 };
 
@@ -292,14 +293,14 @@
 
 			c->class_ = class_;
 			c->service = services[class_];
-			c->next_id = fleet_random(f, UINT16_MAX);
+			c->next_id = testbed_random(f, UINT16_MAX);
 			timer(f, f->n_callers++, begin,
-			      WARM_NS + fleet_random(f, PAUSE_NS));
+			      WARM_NS + testbed_random(f, PAUSE_NS));
 		}
 	}
 }
 
-uint32_t fleet_caller_first(const struct fleet *f, enum op_class class_)
+uint32_t testbed_caller_first(const struct testbed *f, enum op_class class_)
 {
 	uint32_t i = 0;
 
@@ -308,18 +309,18 @@
 	return i;
 }
 
-/* Its requests begin with fleet_caller_go() alone. */
-void fleet_caller_hold(struct fleet *f, uint32_t caller)
+/* Its requests begin with testbed_caller_go() alone. */
+void testbed_caller_hold(struct testbed *f, uint32_t caller)
 {
 	f->callers[caller].held = true;
 }
 
-const struct op *fleet_op(const struct fleet *f, uint32_t op)
+const struct op *testbed_op(const struct testbed *f, uint32_t op)
 {
 	return &g_array_index(f->ops, struct op, op);
 }
 
-static void judge(struct fleet_verdict *v, const struct op *op)
+static void judge(struct testbed_verdict *v, const struct op *op)
 {
 	bool idempotent = op->class_ == OP_FEED || op->class_ == OP_GET;
 
@@ -336,10 +337,10 @@
 }
 
 /* Lets what is under way end, then compares all that was written down. */
-struct fleet_verdict fleet_finish(struct fleet *f)
+struct testbed_verdict testbed_finish(struct testbed *f)
 {
 	f->ending = true;
-	fleet_run(f, f->now_ns + END_NS);
+	testbed_run(f, f->now_ns + END_NS);
 	for (uint32_t i = 0; i < f->ops->len; i++)
 		judge(&f->verdict, op_at(f, i));
 	for (uint32_t i = 0; i < f->n_callers; i++) {
--- a/test/fleet_net.c
+++ b/test/testbed_net.c
@@ -1,5 +1,5 @@
 /* Clock, queue of events, links between the parts. */
-#include "fleet_state.h"
+#include "testbed_state.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -39,7 +39,7 @@
 	*b = t;
 }
 
-void event_at(struct fleet *f, uint64_t at_ns, struct event *ev)
+void event_at(struct testbed *f, uint64_t at_ns, struct event *ev)
 {
 	gpointer *h;
 	uint32_t i = f->heap->len;
@@ -54,7 +54,7 @@
 	}
 }
 
-static struct event *event_take(struct fleet *f)
+static struct event *event_take(struct testbed *f)
 {
 	gpointer *h = f->heap->pdata;
 	struct event *first = h[0];
@@ -75,7 +75,7 @@
 }
 
 /* Runs the next event; an event that is kept has its @run taken off. */
-bool event_next(struct fleet *f, uint64_t until_ns)
+bool event_next(struct testbed *f, uint64_t until_ns)
 {
 	struct event *ev;
 
@@ -90,17 +90,17 @@
 	return true;
 }
 
-static bool chance(struct fleet *f, uint16_t per_mille)
+static bool chance(struct testbed *f, uint16_t per_mille)
 {
-	return per_mille > 0 && fleet_random(f, 1000) < per_mille;
+	return per_mille > 0 && testbed_random(f, 1000) < per_mille;
 }
 
-static uint64_t latency(struct fleet *f, const struct link_faults *l)
+static uint64_t latency(struct testbed *f, const struct link_faults *l)
 {
-	uint64_t ns = LATENCY_MIN_NS + fleet_random(f, LATENCY_SPREAD_NS);
+	uint64_t ns = LATENCY_MIN_NS + testbed_random(f, LATENCY_SPREAD_NS);
 
 	if (chance(f, l->late))
-		ns += fleet_random(f, LATE_NS);
+		ns += testbed_random(f, LATE_NS);
 	return ns;
 }
 
@@ -115,7 +115,7 @@
 	return c;
 }
 
-void link_send(struct fleet *f, enum fleet_link link, struct event *ev)
+void link_send(struct testbed *f, enum testbed_link link, struct event *ev)
 {
 	const struct link_faults *l = &f->links[link];
 
@@ -129,7 +129,7 @@
 	event_at(f, f->now_ns + latency(f, l), ev);
 }
 
-void trace_line(struct fleet *f, const char *format, ...)
+void trace_line(struct testbed *f, const char *format, ...)
 {
 	va_list ap;
 
@@ -142,8 +142,8 @@
 	fputc('\n', stderr);
 }
 
-void trace_dgram(struct fleet *f, const char *from, uint64_t a, const char *to,
-		 uint64_t b, const struct dgram *d)
+void trace_dgram(struct testbed *f, const char *from, uint64_t a,
+		 const char *to, uint64_t b, const struct dgram *d)
 {
 	static const char *const types[] = { "CON", "NON", "ACK", "RST" };
 	static const char *const kinds[] = { "request", "answer", "empty" };
@@ -153,41 +153,41 @@
 		   kinds[d->kind], d->id, d->op, d->seq, d->flags, d->own);
 }
 
-bool hook_at(struct fleet *f, enum fleet_point point, uint32_t op,
+bool hook_at(struct testbed *f, enum testbed_point point, uint32_t op,
 	     uint32_t node)
 {
 	return f->hook.at && f->hook.at(f->hook.ctx, f, point, op, node);
 }
 
-uint64_t fleet_random(struct fleet *f, uint64_t below)
+uint64_t testbed_random(struct testbed *f, uint64_t below)
 {
 	return rng_next(&f->rng) % below;
 }
 
-uint64_t fleet_now(const struct fleet *f)
+uint64_t testbed_now(const struct testbed *f)
 {
 	return f->now_ns;
 }
 
-void fleet_hook(struct fleet *f, struct fleet_hook hook)
+void testbed_hook(struct testbed *f, struct testbed_hook hook)
 {
 	f->hook = hook;
 }
 
-void fleet_link(struct fleet *f, enum fleet_link link,
-		struct link_faults faults)
+void testbed_link(struct testbed *f, enum testbed_link link,
+		  struct link_faults faults)
 {
 	f->links[link] = faults;
 }
 
-static void run_fault(struct fleet *f, struct event *ev)
+static void run_fault(struct testbed *f, struct event *ev)
 {
 	ev->fault(f, ev->node, ev->arg);
 	event_free(ev);
 }
 
-void fleet_at(struct fleet *f, uint64_t at_ns, fleet_fault *fault, uint32_t a,
-	      uint32_t b)
+void testbed_at(struct testbed *f, uint64_t at_ns, testbed_fault *fault,
+		uint32_t a, uint32_t b)
 {
 	struct event *ev = event_new(run_fault, a);
 
@@ -196,24 +196,24 @@
 	event_at(f, at_ns, ev);
 }
 
-void fleet_run(struct fleet *f, uint64_t until_ns)
+void testbed_run(struct testbed *f, uint64_t until_ns)
 {
 	while (event_next(f, until_ns))
 		;
 	f->now_ns = until_ns;
 }
 
-struct fleet *fleet_new(const struct fleet_plan *plan)
+struct testbed *testbed_new(const struct testbed_plan *plan)
 {
-	struct fleet *f = g_new0(struct fleet, 1);
+	struct testbed *f = g_new0(struct testbed, 1);
 
 	f->plan = *plan;
-	f->system = plan->system ? plan->system : &fleet_product;
+	f->system = plan->system ? plan->system : &testbed_product;
 	f->rng.s = hash_u64(plan->seed, 1) | 1;
 	f->now_ns = NS_PER_S;
 	f->heap = g_ptr_array_new();
 	f->out = g_new0(struct actions, 1);
-	f->trace = getenv("FLEET_TRACE") != NULL;
+	f->trace = getenv("TESTBED_TRACE") != NULL;
 	f->published = g_ptr_array_new_with_free_func(g_free);
 	f->ops = g_array_new(FALSE, TRUE, sizeof(struct op));
 	targets_init(f);
@@ -222,7 +222,7 @@
 	return f;
 }
 
-void fleet_free(struct fleet *f)
+void testbed_free(struct testbed *f)
 {
 	nodes_free(f);
 	targets_free(f);
--- a/test/fleet_state.h
+++ b/test/testbed_state.h
@@ -1,8 +1,8 @@
-/* What the parts of the fleet share; private to fleet_*.c. */
-#ifndef CB_FLEET_STATE_H
-#define CB_FLEET_STATE_H
+/* What the parts of the fleet share; private to testbed_*.c. */
+#ifndef CB_TESTBED_STATE_H
+#define CB_TESTBED_STATE_H
 
-#include "fleet.h"
+#include "testbed.h"
 
 #include <glib.h>
 
@@ -28,7 +28,7 @@
 #define ACK_IDS 65536
 
 struct event;
-typedef void event_fn(struct fleet *f, struct event *ev);
+typedef void event_fn(struct testbed *f, struct event *ev);
 
 /**
  * struct event - something that happens at a time
@@ -47,7 +47,7 @@
 	uint64_t at_ns;
 	uint64_t order;
 	event_fn *run;
-	fleet_fault *fault;
+	testbed_fault *fault;
 	uint32_t node;
 	uint32_t arg;
 	struct flow_key key;
@@ -125,13 +125,13 @@
 struct published {
 	struct config config;
 	struct account_conf account;
-	struct service_conf services[FLEET_SERVICES];
-	struct target_conf targets[FLEET_SERVICES][FLEET_TARGETS_MAX];
+	struct service_conf services[TESTBED_SERVICES];
+	struct target_conf targets[TESTBED_SERVICES][TESTBED_TARGETS_MAX];
 };
 
-struct fleet {
-	struct fleet_plan plan;
-	const struct fleet_system *system;
+struct testbed {
+	struct testbed_plan plan;
+	const struct testbed_system *system;
 	struct rng rng;
 	uint64_t now_ns;
 	uint64_t order;
@@ -139,52 +139,57 @@
 	struct actions *out;
 	bool trace;
 	bool ending;
-	struct fleet_hook hook;
+	struct testbed_hook hook;
 	struct link_faults links[LINK_COUNT];
-	bool cut[FLEET_NODES_MAX][FLEET_NODES_MAX];
-	bool cut_target[FLEET_NODES_MAX][FLEET_TARGETS_MAX];
+	bool cut[TESTBED_NODES_MAX][TESTBED_NODES_MAX];
+	bool cut_target[TESTBED_NODES_MAX][TESTBED_TARGETS_MAX];
 	uint32_t n_nodes;
-	struct node nodes[FLEET_NODES_MAX];
+	struct node nodes[TESTBED_NODES_MAX];
 	uint32_t listed; /* bit an entry */
 	uint32_t listed_seen;
 	uint64_t list_lag_ns;
 	GPtrArray *published;
 	uint64_t generation;
 	uint32_t n_targets;
-	struct fake_target targets[FLEET_TARGETS_MAX];
+	struct fake_target targets[TESTBED_TARGETS_MAX];
 	uint32_t n_callers;
-	struct fake_caller callers[FLEET_CALLERS_MAX];
+	struct fake_caller callers[TESTBED_CALLERS_MAX];
 	GArray *ops;
-	struct fleet_verdict verdict;
+	struct testbed_verdict verdict;
 };
 
-/* fleet_net.c */
+/* testbed_net.c */
 struct event *event_new(event_fn *run, uint32_t node);
-void event_at(struct fleet *f, uint64_t at_ns, struct event *ev);
-bool event_next(struct fleet *f, uint64_t until_ns);
+void event_at(struct testbed *f, uint64_t at_ns, struct event *ev);
+bool event_next(struct testbed *f, uint64_t until_ns);
 void event_free(struct event *ev);
-void link_send(struct fleet *f, enum fleet_link link, struct event *ev);
-void trace_line(struct fleet *f, const char *format, ...)
+void link_send(struct testbed *f, enum testbed_link link, struct event *ev);
+void trace_line(struct testbed *f, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
-void trace_dgram(struct fleet *f, const char *from, uint64_t a, const char *to,
-		 uint64_t b, const struct dgram *d);
-bool hook_at(struct fleet *f, enum fleet_point point, uint32_t op,
+void trace_dgram(struct testbed *f, const char *from, uint64_t a,
+		 const char *to, uint64_t b, const struct dgram *d);
+bool hook_at(struct testbed *f, enum testbed_point point, uint32_t op,
 	     uint32_t node);
 
-/* fleet_node.c */
-void nodes_init(struct fleet *f);
-void nodes_free(struct fleet *f);
+/* testbed_fault.c */
+void nodes_init(struct testbed *f);
+void nodes_free(struct testbed *f);
+
+/* testbed_node.c */
+void node_gone(struct testbed *f, uint32_t i);
+void node_perform(struct testbed *f, uint32_t i);
+bool node_takes(struct testbed *f, struct event *ev);
 event_fn node_from_caller;
 event_fn node_from_target;
 
-/* fleet_target.c */
-void targets_init(struct fleet *f);
-void targets_free(struct fleet *f);
+/* testbed_target.c */
+void targets_init(struct testbed *f);
+void targets_free(struct testbed *f);
 event_fn target_from_node;
 
-/* fleet_caller.c */
-void callers_init(struct fleet *f);
+/* testbed_caller.c */
+void callers_init(struct testbed *f);
 event_fn caller_from_node;
-struct op *op_at(struct fleet *f, uint32_t op);
+struct op *op_at(struct testbed *f, uint32_t op);
 
 #endif
--- a/test/fleet_target.c
+++ b/test/testbed_target.c
@@ -1,5 +1,5 @@
 /* Fake targets: slots, a queue, feeds that push, and what they do wrong. */
-#include "fleet_state.h"
+#include "testbed_state.h"
 
 #include <string.h>
 
@@ -39,7 +39,7 @@
 		on ? t->acked[id / 8] | bit : t->acked[id / 8] & ~bit;
 }
 
-static void reply(struct fleet *f, uint32_t i, uint64_t vm, struct dgram d)
+static void reply(struct testbed *f, uint32_t i, uint64_t vm, struct dgram d)
 {
 	struct fake_target *t = &f->targets[i];
 	uint32_t node = VM_INDEX(vm);
@@ -56,7 +56,7 @@
 	link_send(f, LINK_BACK, ev);
 }
 
-static void send_empty(struct fleet *f, uint32_t i, uint64_t vm, uint8_t type,
+static void send_empty(struct testbed *f, uint32_t i, uint64_t vm, uint8_t type,
 		       uint16_t id)
 {
 	struct dgram d = { .kind = DGRAM_EMPTY, .type = type, .id = id };
@@ -65,7 +65,7 @@
 }
 
 /* A confirmable answer goes out again until it is acknowledged. */
-static void repeat_answer(struct fleet *f, struct event *ev)
+static void repeat_answer(struct testbed *f, struct event *ev)
 {
 	struct fake_target *t = &f->targets[ev->node];
 	uint32_t tries = ev->arg >> 16;
@@ -81,7 +81,7 @@
 	event_at(f, f->now_ns + (REPEAT_NS << tries), ev);
 }
 
-static void answer(struct fleet *f, uint32_t i, const struct job *j,
+static void answer(struct testbed *f, uint32_t i, const struct job *j,
 		   uint16_t flags)
 {
 	struct fake_target *t = &f->targets[i];
@@ -105,7 +105,7 @@
 	event_at(f, f->now_ns, ev);
 }
 
-static void note_run(struct fleet *f, uint32_t i, const struct dgram *d)
+static void note_run(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	struct fake_target *t = &f->targets[i];
 	struct op *op = op_at(f, d->op);
@@ -117,11 +117,11 @@
 	f->verdict.work[i]++;
 	if (t->drain_ns && f->now_ns > t->drain_ns + DRAIN_GRACE_NS)
 		f->verdict.late_work++;
-	hook_at(f, POINT_RUN, d->op, FLEET_NONE);
+	hook_at(f, POINT_RUN, d->op, TESTBED_NONE);
 }
 
 /* Answer's flags of a part; the last one runs the upload. */
-static uint16_t take_part(struct fleet *f, uint32_t i, const struct dgram *d)
+static uint16_t take_part(struct testbed *f, uint32_t i, const struct dgram *d)
 {
 	struct fake_target *t = &f->targets[i];
 	gpointer key = GUINT_TO_POINTER(d->op + 1);
@@ -140,9 +140,9 @@
 	return MSG_PART;
 }
 
-static void run_queue(struct fleet *f, uint32_t i);
+static void run_queue(struct testbed *f, uint32_t i);
 
-static void job_done(struct fleet *f, struct event *ev)
+static void job_done(struct testbed *f, struct event *ev)
 {
 	struct fake_target *t = &f->targets[ev->node];
 	struct job j = { .vm = ev->from, .d = ev->d };
@@ -159,7 +159,7 @@
 	event_free(ev);
 }
 
-static uint64_t service_ns(struct fleet *f, const struct fake_target *t,
+static uint64_t service_ns(struct testbed *f, const struct fake_target *t,
 			   const struct dgram *d)
 {
 	uint64_t ns = POST_NS;
@@ -168,12 +168,12 @@
 		ns = PART_NS;
 	else if (d->flags & MSG_IDEMPOTENT)
 		ns = GET_NS;
-	else if (fleet_random(f, 8) == 0)
+	else if (testbed_random(f, 8) == 0)
 		ns = LONG_POST_NS;
 	return t->mode == MODE_CRAWL ? ns * CRAWL : ns;
 }
 
-static void job_start(struct fleet *f, uint32_t i, struct job j)
+static void job_start(struct testbed *f, uint32_t i, struct job j)
 {
 	struct fake_target *t = &f->targets[i];
 	uint64_t ns = service_ns(f, t, &j.d);
@@ -192,7 +192,7 @@
 	event_at(f, f->now_ns + ns, ev);
 }
 
-static void run_queue(struct fleet *f, uint32_t i)
+static void run_queue(struct testbed *f, uint32_t i)
 {
 	struct fake_target *t = &f->targets[i];
 
@@ -205,12 +205,12 @@
 	}
 }
 
-static void shed(struct fleet *f, uint32_t i, const struct job *j)
+static void shed(struct testbed *f, uint32_t i, const struct job *j)
 {
 	answer(f, i, j, MSG_SHED);
 }
 
-static void open_feed(struct fleet *f, uint32_t i, const struct job *j)
+static void open_feed(struct testbed *f, uint32_t i, const struct job *j)
 {
 	static const uint8_t no_token[TOKEN_MAX_BYTES];
 	struct fake_target *t = &f->targets[i];
@@ -237,7 +237,7 @@
 	memset(tf, 0, sizeof(*tf));
 }
 
-static void cancel(struct fleet *f, uint32_t i, uint64_t vm,
+static void cancel(struct testbed *f, uint32_t i, uint64_t vm,
 		   const struct dgram *d)
 {
 	struct fake_target *t = &f->targets[i];
@@ -256,7 +256,7 @@
 	t->n_jobs = kept;
 }
 
-static void signalled(struct fleet *f, uint32_t i, uint64_t vm,
+static void signalled(struct testbed *f, uint32_t i, uint64_t vm,
 		      const struct dgram *d)
 {
 	struct fake_target *t = &f->targets[i];
@@ -277,7 +277,7 @@
 	}
 }
 
-static bool seen_before(struct fleet *f, struct fake_target *t, uint64_t vm,
+static bool seen_before(struct testbed *f, struct fake_target *t, uint64_t vm,
 			uint16_t id)
 {
 	uint64_t key = vm << 16 | id;
@@ -287,7 +287,7 @@
 	return !g_hash_table_add(t->seen, GSIZE_TO_POINTER(key));
 }
 
-static void requested(struct fleet *f, uint32_t i, const struct job *j)
+static void requested(struct testbed *f, uint32_t i, const struct job *j)
 {
 	struct fake_target *t = &f->targets[i];
 
@@ -306,7 +306,7 @@
 	}
 }
 
-void target_from_node(struct fleet *f, struct event *ev)
+void target_from_node(struct testbed *f, struct event *ev)
 {
 	struct fake_target *t = &f->targets[ev->node];
 	struct job j = { .vm = ev->from, .d = ev->d };
@@ -320,7 +320,7 @@
 	event_free(ev);
 }
 
-static void push(struct fleet *f, uint32_t i, struct target_feed *tf)
+static void push(struct testbed *f, uint32_t i, struct target_feed *tf)
 {
 	struct fake_target *t = &f->targets[i];
 	struct dgram d = { .kind = DGRAM_ANSWER,
@@ -346,7 +346,7 @@
 	reply(f, i, tf->vm, d);
 }
 
-static void push_all(struct fleet *f, struct event *ev)
+static void push_all(struct testbed *f, struct event *ev)
 {
 	struct fake_target *t = &f->targets[ev->node];
 
@@ -359,7 +359,7 @@
 	event_at(f, f->now_ns + UPDATE_NS, ev);
 }
 
-void fleet_target_crash(struct fleet *f, uint32_t i, uint32_t unused)
+void testbed_target_crash(struct testbed *f, uint32_t i, uint32_t unused)
 {
 	struct fake_target *t = &f->targets[i];
 
@@ -374,14 +374,14 @@
 	g_hash_table_remove_all(t->seen);
 }
 
-void fleet_target_start(struct fleet *f, uint32_t i, uint32_t unused)
+void testbed_target_start(struct testbed *f, uint32_t i, uint32_t unused)
 {
 	(void)unused;
 	trace_line(f, "t%u starts", i);
 	f->targets[i].up = true;
 }
 
-void fleet_target_mode(struct fleet *f, uint32_t i, uint32_t mode)
+void testbed_target_mode(struct testbed *f, uint32_t i, uint32_t mode)
 {
 	struct fake_target *t = &f->targets[i];
 
@@ -393,17 +393,17 @@
 }
 
 /* Published as draining; @spread_ms until every entry has heard. */
-void fleet_drain(struct fleet *f, uint32_t i, uint32_t spread_ms)
+void testbed_drain(struct testbed *f, uint32_t i, uint32_t spread_ms)
 {
 	trace_line(f, "t%u drains", i);
 	f->targets[i].state = TARGET_DRAINING;
 	f->targets[i].drain_ns = f->now_ns;
-	fleet_publish(f, spread_ms, 0);
+	testbed_publish(f, spread_ms, 0);
 }
 
-void targets_init(struct fleet *f)
+void targets_init(struct testbed *f)
 {
-	for (uint32_t s = 0; s < FLEET_SERVICES; s++) {
+	for (uint32_t s = 0; s < TESTBED_SERVICES; s++) {
 		for (uint32_t k = 0; k < f->plan.targets[s]; k++) {
 			struct fake_target *t = &f->targets[f->n_targets];
 			struct event *ev = event_new(push_all, f->n_targets++);
@@ -412,13 +412,14 @@
 			t->up = true;
 			t->parts = g_hash_table_new(NULL, NULL);
 			t->seen = g_hash_table_new(NULL, NULL);
-			t->next_id = fleet_random(f, ACK_IDS);
-			event_at(f, f->now_ns + fleet_random(f, UPDATE_NS), ev);
+			t->next_id = testbed_random(f, ACK_IDS);
+			event_at(f, f->now_ns + testbed_random(f, UPDATE_NS),
+				 ev);
 		}
 	}
 }
 
-void targets_free(struct fleet *f)
+void targets_free(struct testbed *f)
 {
 	for (uint32_t i = 0; i < f->n_targets; i++) {
 		g_hash_table_destroy(f->targets[i].parts);
