--- a/adapters/account_codec.c
+++ b/adapters/account_codec.c
@@ -13,13 +13,16 @@
 #define WEIGHT_MAX 1000
 #define VM_LINE_MAX_BYTES 64
 
-/* First element of each item; a content begins with its header. */
+/*
+ * First byte of each item, before an array of its fields, so that the items
+ * of a content stand in the order of their kinds.
+ */
 enum item_kind { ITEM_HEADER = 1, ITEM_SERVICE, ITEM_TARGET, ITEM_VM };
 
-#define HEADER_FIELDS 3
-#define SERVICE_FIELDS 9
-#define TARGET_FIELDS 7
-#define VM_FIELDS 3
+#define HEADER_FIELDS 2
+#define SERVICE_FIELDS 8
+#define TARGET_FIELDS 6
+#define VM_FIELDS 2
 
 /* Items under construction, one behind the other in one buffer. */
 struct item_list {
@@ -43,8 +46,8 @@
 static void list_begin(struct item_list *l, enum item_kind kind,
 		       uint32_t n_fields)
 {
-	msgpack_pack_array(&l->packer, n_fields);
 	msgpack_pack_uint8(&l->packer, kind);
+	msgpack_pack_array(&l->packer, n_fields);
 }
 
 static void list_u64(struct item_list *l, uint64_t value)
@@ -134,7 +137,6 @@
 /* Fields of an item that was read. */
 struct fields {
 	const msgpack_object *f;
-	uint32_t n;
 	uint8_t kind;
 };
 
@@ -162,21 +164,18 @@
 		[ITEM_TARGET] = TARGET_FIELDS,
 		[ITEM_VM] = VM_FIELDS,
 	};
-	size_t used = 0;
-	uint64_t kind;
+	size_t used = 1;
 
-	if (item->size_bytes > ITEM_MAX_BYTES ||
+	if (!item->size_bytes || item->size_bytes > ITEM_MAX_BYTES ||
 	    msgpack_unpack_next(u, (const char *)item->data, item->size_bytes,
 				&used) != MSGPACK_UNPACK_SUCCESS ||
-	    used != item->size_bytes || u->data.type != MSGPACK_OBJECT_ARRAY ||
-	    !u->data.via.array.size)
+	    used != item->size_bytes || u->data.type != MSGPACK_OBJECT_ARRAY)
 		return -EPROTO;
 	f->f = u->data.via.array.ptr;
-	f->n = u->data.via.array.size;
-	if (!field_u64(f, 0, ITEM_VM, &kind) || !kind ||
-	    f->n != n_fields[kind])
+	f->kind = item->data[0];
+	if (!f->kind || f->kind > ITEM_VM ||
+	    u->data.via.array.size != n_fields[f->kind])
 		return -EPROTO;
-	f->kind = (uint8_t)kind;
 	return 0;
 }
 
@@ -184,11 +183,11 @@
 {
 	uint64_t version, w;
 
-	if (!field_u64(f, 1, UINT64_MAX, &version))
+	if (!field_u64(f, 0, UINT64_MAX, &version))
 		return -EPROTO;
 	if (version != ACCOUNT_CODEC_VERSION)
 		return -EPROTONOSUPPORT;
-	if (!field_u64(f, 2, WEIGHT_MAX, &w))
+	if (!field_u64(f, 1, WEIGHT_MAX, &w))
 		return -EPROTO;
 	*weight = (uint16_t)w;
 	return 0;
@@ -211,14 +210,14 @@
 	uint64_t protocol, class, idempotent, dedups, queue_max;
 
 	*s = (struct service_conf){ 0 };
-	if (!field_addr(f, 1, &s->vip) ||
-	    !read_name(&f->f[2], s->name) ||
-	    !field_u64(f, 3, SERVICE_UDP, &protocol) ||
-	    !field_u64(f, 4, CLASS_COUNT - 1, &class) ||
-	    !field_u64(f, 5, 1, &idempotent) ||
-	    !field_u64(f, 6, 1, &dedups) ||
-	    !field_u64(f, 7, UINT64_MAX, &s->request_timeout_ns) ||
-	    !field_u64(f, 8, UINT32_MAX, &queue_max))
+	if (!field_addr(f, 0, &s->vip) ||
+	    !read_name(&f->f[1], s->name) ||
+	    !field_u64(f, 2, SERVICE_UDP, &protocol) ||
+	    !field_u64(f, 3, CLASS_COUNT - 1, &class) ||
+	    !field_u64(f, 4, 1, &idempotent) ||
+	    !field_u64(f, 5, 1, &dedups) ||
+	    !field_u64(f, 6, UINT64_MAX, &s->request_timeout_ns) ||
+	    !field_u64(f, 7, UINT32_MAX, &queue_max))
 		return -EPROTO;
 	if (a->n_services && s[-1].vip >= s->vip)
 		return -EPROTO;
@@ -265,11 +264,11 @@
 	struct service_conf *s;
 	int err;
 
-	if (!field_addr(f, 1, &vip) || !field_addr(f, 2, &t.addr) ||
-	    !field_u64(f, 3, TARGET_DRAINING, &state) ||
-	    !field_u64(f, 4, WEIGHT_MAX, &weight) ||
-	    !field_u64(f, 5, UINT16_MAX, &slots) ||
-	    !field_u64(f, 6, UINT32_MAX, &connections))
+	if (!field_addr(f, 0, &vip) || !field_addr(f, 1, &t.addr) ||
+	    !field_u64(f, 2, TARGET_DRAINING, &state) ||
+	    !field_u64(f, 3, WEIGHT_MAX, &weight) ||
+	    !field_u64(f, 4, UINT16_MAX, &slots) ||
+	    !field_u64(f, 5, UINT32_MAX, &connections))
 		return -EPROTO;
 	s = find_vip(a, vip, last);
 	if (!s)
@@ -406,8 +405,8 @@
 
 static int read_vm(const struct fields *f, uint64_t *addr, uint64_t *leaving)
 {
-	if (f->kind != ITEM_VM || !field_addr(f, 1, addr) ||
-	    !field_u64(f, 2, 1, leaving))
+	if (f->kind != ITEM_VM || !field_addr(f, 0, addr) ||
+	    !field_u64(f, 1, 1, leaving))
 		return -EPROTO;
 	return 0;
 }
