--- /dev/null
+++ b/bench/bench-flow/main.c
@@ -0,0 +1,83 @@
+/*
+ * Cost of a lookup in the table of pinned flows:
+ * flow_lookup_ns FLOWS HIT_NS MISS_NS BYTES_PER_FLOW
+ */
+#include "flow.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#define LOOKUPS 2000000U
+#define IDLE_NS (3600 * NS_PER_S)
+
+static uint64_t clock_ns(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return t.tv_sec * NS_PER_S + t.tv_nsec;
+}
+
+static struct flow_key random_key(struct rng *rng, uint32_t net)
+{
+	uint64_t r = rng_next(rng);
+
+	return (struct flow_key){ .caller = ADDR(net | (r >> 16 & 0xffffff), r),
+				  .vip = ADDR(0x7f010000U + (r >> 48), 5683) };
+}
+
+/* Nanoseconds a lookup, over @n random keys in turn; @found counts the hits. */
+static double time_lookups(struct flow_table *t, const struct flow_key *keys,
+			   uint32_t n, uint64_t now_ns, uint32_t *found)
+{
+	uint64_t start_ns = clock_ns();
+	uint32_t i, at = 0;
+
+	*found = 0;
+	for (i = 0; i < LOOKUPS; i++) {
+		at = at + 1 < n ? at + 1 : 0;
+		*found += flow_lookup(t, &keys[at], now_ns) != ADDR_NONE;
+	}
+	return (double)(clock_ns() - start_ns) / LOOKUPS;
+}
+
+static int measure(uint32_t flows)
+{
+	struct flow_table *t = flow_table_new(flows, IDLE_NS);
+	struct flow_key *in = calloc(flows, sizeof(*in));
+	struct flow_key *out = calloc(flows, sizeof(*out));
+	struct rng rng = { .s = 20261202 };
+	uint32_t i, hits, misses;
+	double hit_ns, miss_ns;
+
+	if (!t || !in || !out)
+		return 1;
+	for (i = 0; i < flows; i++) {
+		in[i] = random_key(&rng, 0x0a000000U);
+		out[i] = random_key(&rng, 0x0b000000U);
+		if (flow_pin(t, &in[i], ADDR(1, 1 + i % 15), NS_PER_S))
+			return 1;
+	}
+	hit_ns = time_lookups(t, in, flows, NS_PER_S, &hits);
+	miss_ns = time_lookups(t, out, flows, NS_PER_S, &misses);
+	if (hits != LOOKUPS || misses != 0)
+		return 1;
+	printf("flow_lookup_ns %u %.1f %.1f %.1f\n", flows, hit_ns, miss_ns,
+	       (double)flow_bytes(t) / flows);
+	flow_table_free(t);
+	free(in);
+	free(out);
+	return 0;
+}
+
+int main(void)
+{
+	static const uint32_t sizes[] = { 1000, 100000, 500000 };
+	uint32_t i;
+
+	for (i = 0; i < sizeof(sizes) / sizeof(*sizes); i++)
+		if (measure(sizes[i]))
+			return 1;
+	return 0;
+}
--- a/core/flow.c
+++ b/core/flow.c
@@ -6,14 +6,21 @@
  */
 #include "flow.h"
 
+#include <endian.h>
 #include <errno.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define ADDR_BITS 48
 #define ADDR_MASK ((1ULL << ADDR_BITS) - 1)
 #define TAG_EMPTY 0
 #define TAG_BITS 8
 
+/* Tags are searched eight at a time. */
+#define TAGS_PER_WORD 8
+#define TAGS_LOW 0x0101010101010101ULL
+#define TAGS_HIGH 0x8080808080808080ULL
+
 /* Slots a flow may stand from its home: bounds the cost of every call. */
 #define PROBE_MAX 1024
 
@@ -111,7 +118,7 @@
 	t->homes =
 		(uint64_t)flows_max * SLOTS_NUMERATOR / SLOTS_DENOMINATOR + 1;
 	t->slots = t->homes + PROBE_MAX;
-	t->tag = calloc(t->slots + 1, sizeof(*t->tag));
+	t->tag = calloc(t->slots + TAGS_PER_WORD, sizeof(*t->tag));
 	t->slot = calloc(t->slots, sizeof(*t->slot));
 	if (!t->tag || !t->slot) {
 		flow_table_free(t);
@@ -133,19 +140,55 @@
 	free(t);
 }
 
+static uint64_t load_tags(const struct flow_table *t, uint32_t at)
+{
+	uint64_t word;
+
+	memcpy(&word, &t->tag[at], sizeof(word));
+	return le64toh(word);
+}
+
+/*
+ * High bit of each byte of @word that is zero. Bytes above the lowest zero
+ * may be reported wrongly, which a comparison of keys finds out.
+ */
+static uint64_t zero_bytes(uint64_t word)
+{
+	return (word - TAGS_LOW) & ~word & TAGS_HIGH;
+}
+
+/* The tag's matches among the eight slots at @at that hold @key. */
+static uint32_t match(const struct flow_table *t, const struct flow_key *key,
+		      uint32_t at, uint64_t matches)
+{
+	uint32_t found;
+
+	for (; matches; matches &= matches - 1) {
+		found = at + __builtin_ctzll(matches) / TAG_BITS;
+		if (slot_holds(&t->slot[found], key))
+			return found;
+	}
+	return t->slots;
+}
+
 /* Slot of the flow, or the first empty one of its run; t->slots if neither. */
 static uint32_t find(const struct flow_table *t, const struct flow_key *key,
 		     uint64_t hash)
 {
-	uint32_t at = home_of(t, hash);
-	uint32_t end = at + PROBE_MAX;
-	uint8_t tag = tag_of(hash);
-
-	for (; at < end; at++) {
-		if (t->tag[at] == TAG_EMPTY)
-			return at;
-		if (t->tag[at] == tag && slot_holds(&t->slot[at], key))
-			return at;
+	uint64_t word, empty, matches, pattern = tag_of(hash) * TAGS_LOW;
+	uint32_t at = home_of(t, hash), end = at + PROBE_MAX, found;
+
+	for (; at < end; at += TAGS_PER_WORD) {
+		word = load_tags(t, at);
+		empty = zero_bytes(word);
+		matches = zero_bytes(word ^ pattern);
+		if (empty)
+			matches &= (empty & -empty) - 1;
+		found = match(t, key, at, matches);
+		if (found != t->slots)
+			return found;
+		if (empty)
+			return at + __builtin_ctzll(empty) / TAG_BITS;
 	}
 	return t->slots;
 }
@@ -287,7 +330,7 @@
  */
 uint64_t flow_bytes(const struct flow_table *t)
 {
-	return sizeof(*t) + t->slots + 1 +
+	return sizeof(*t) + t->slots + TAGS_PER_WORD +
 	       (uint64_t)t->slots * sizeof(*t->slot);
 }
 
--- a/core/member.c
+++ b/core/member.c
@@ -43,7 +43,7 @@
 	m->out = out;
 	m->rng = rng;
 	m->incarnation = conf->incarnation;
-	m->seq = rng_next(&m->rng) >> 16;
+	m->seq = rng_next(&m->rng) >> 40;
 	m->push_deadline_ns = NEVER;
 	m->n_probes = PROBE_ROUNDS * (conf->probes + 1) + PROBES_FOR_OTHERS;
 	m->probe = calloc(m->n_probes, sizeof(*m->probe));
