--- /dev/null
+++ b/test/member_test.c
@@ -0,0 +1,368 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <cmocka.h>
+
+#include "fleet.h"
+
+#define SETTLED_NS (5 * NS_PER_S)
+
+static struct fleet *fleet_up(uint32_t n)
+{
+	struct fleet *f = fleet_new(n, 20261202);
+
+	fleet_start_all(f);
+	fleet_run(f, SETTLED_NS);
+	assert_true(fleet_converged(f));
+	return f;
+}
+
+static bool lease(const struct fleet *f, uint32_t i)
+{
+	return member_lease_valid(f->node[i].m, f->now_ns);
+}
+
+static void dead_member_is_found(void **state)
+{
+	struct fleet *f = fleet_up(8);
+
+	(void)state;
+	fleet_kill(f, 3);
+	fleet_run(f, 2 * NS_PER_S);
+	assert_int_equal(fleet_holders(f, 3, MEMBER_DEAD), 7);
+	fleet_start(f, 3);
+	fleet_roster(f, 3, 0, 8);
+	fleet_run(f, NS_PER_S);
+	assert_true(fleet_converged(f));
+	fleet_free(f);
+}
+
+/*
+ * Symptom: a new VM that doesn't answer yet owns flows, which time out.
+ * Events: the platform lists it before its process runs.
+ * Cause: the list believed ahead of the first sign of life.
+ */
+static void listed_but_never_heard_is_not_alive(void **state)
+{
+	struct fleet *f = fleet_new(4, 1);
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		fleet_start(f, i);
+		fleet_roster(f, i, 0, 4);
+	}
+	fleet_run(f, SETTLED_NS);
+	assert_int_equal(fleet_holders(f, 3, MEMBER_DEAD), 3);
+	fleet_start(f, 3);
+	fleet_roster(f, 3, 0, 4);
+	fleet_run(f, NS_PER_S);
+	assert_true(fleet_converged(f));
+	fleet_free(f);
+}
+
+/*
+ * Symptom: a VM started half a minute ago gets no flows; one that works loses
+ * them all.
+ * Events: the list lags by 30 s; another entry's list is old.
+ * Cause: the list believed against what the VM itself says.
+ */
+static void unlisted_that_answers_stays(void **state)
+{
+	struct fleet *f = fleet_new(4, 2);
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 4; i++) {
+		fleet_start(f, i);
+		fleet_roster(f, i, 0, i == 3 ? 4 : 3);
+	}
+	fleet_run(f, 2 * NS_PER_S);
+	assert_true(fleet_converged(f));
+	for (i = 0; i < 4; i++)
+		fleet_roster(f, i, 1, 3);
+	fleet_run(f, 300 * NS_PER_S);
+	assert_true(fleet_converged(f));
+	fleet_kill(f, 0);
+	fleet_run(f, 2 * NS_PER_S);
+	assert_int_equal(fleet_holders(f, 0, MEMBER_DEAD), 3);
+	fleet_run(f, 300 * NS_PER_S);
+	for (i = 1; i < 4; i++)
+		assert_null(member_find(f->node[i].m, fleet_vm(0)));
+	fleet_free(f);
+}
+
+/*
+ * Symptom: two entries decide for a flow, the old owner with ten-second-old
+ * knowledge.
+ * Events: the owner is stopped for 10 s and wakes; packets that came
+ * meanwhile are handled before its first timer runs.
+ * Cause: an entry that trusts its view without asking after a pause.
+ */
+static void paused_member_validates_before_it_acts(void **state)
+{
+	struct fleet *f = fleet_up(8);
+	const struct member *self;
+	uint64_t before;
+
+	(void)state;
+	before = member_deaths(f->node[2].m);
+	assert_true(lease(f, 2));
+	fleet_pause(f, 2, 10 * NS_PER_S);
+	fleet_run(f, 10 * NS_PER_S - 1);
+	assert_false(lease(f, 2));
+	assert_int_equal(fleet_holders(f, 2, MEMBER_DEAD), 7);
+	fleet_run(f, NS_PER_MS / 10);
+	assert_false(lease(f, 2));
+	fleet_run(f, NS_PER_S);
+	assert_true(lease(f, 2));
+	assert_true(fleet_converged(f));
+	assert_true(member_deaths(f->node[2].m) > before);
+	self = member_find(f->node[2].m, fleet_vm(2));
+	assert_true(self->incarnation > 1000);
+	fleet_free(f);
+}
+
+/*
+ * Symptom: after one process was stopped for a while, the fleet is declared
+ * dead one by one.
+ * Events: it wakes with probes and suspicions that ran out meanwhile, and its
+ * timers run before it reads the answers that wait in its socket.
+ * Cause: its own stopped time counted against the others.
+ */
+static void paused_member_blames_nobody(void **state)
+{
+	struct fleet *f = fleet_up(8);
+	uint32_t i;
+
+	(void)state;
+	fleet_pause(f, 2, 700 * NS_PER_MS);
+	fleet_run(f, 700 * NS_PER_MS - 1);
+	f->node[2].paused_deadline_ns = 0;
+	member_tick(f->node[2].m, f->now_ns);
+	for (i = 0; i < 8; i++)
+		assert_false(fleet_believes(f, 2, i, MEMBER_SUSPECT));
+	fleet_run(f, 300 * NS_PER_MS);
+	for (i = 0; i < 8; i++)
+		assert_true(i == 2 || fleet_believes(f, 2, i, MEMBER_ALIVE));
+	fleet_free(f);
+}
+
+/*
+ * Symptom: an entry answers "not seen before" for a request that ran.
+ * Events: it is stopped; the others suspect it, then declare it dead. When it
+ * wakes, the suspicion still in its socket comes first: it refutes that, and
+ * with the higher incarnation nobody mentions the death any more.
+ * Cause: a death that is overridden before its subject hears of it.
+ */
+static void death_is_told_after_refutation(void **state)
+{
+	struct fleet *f = fleet_up(3);
+	struct peer_msg msg = { .kind = PEER_GOSSIP, .n_gossip = 1 };
+	struct gossip *g = &msg.gossip[0];
+	uint64_t before = member_deaths(f->node[0].m);
+
+	(void)state;
+	*g = (struct gossip){ .vm = fleet_vm(0), .state = MEMBER_DEAD };
+	g->incarnation = member_find(f->node[1].m, fleet_vm(0))->incarnation;
+	msg.from = fleet_vm(2);
+	msg.incarnation = member_find(f->node[1].m, msg.from)->incarnation;
+	member_message(f->node[1].m, &msg, f->now_ns);
+	assert_true(fleet_believes(f, 1, 0, MEMBER_DEAD));
+	g->state = MEMBER_SUSPECT;
+	member_message(f->node[0].m, &msg, f->now_ns);
+	assert_int_equal(member_deaths(f->node[0].m), before);
+	msg.n_gossip = 0;
+	msg.from = fleet_vm(0);
+	msg.incarnation = g->incarnation + 1;
+	member_message(f->node[1].m, &msg, f->now_ns);
+	assert_true(fleet_believes(f, 1, 0, MEMBER_ALIVE));
+	fleet_run(f, NS_PER_S);
+	assert_true(member_deaths(f->node[0].m) > before);
+	fleet_free(f);
+}
+
+/*
+ * Symptom: a VM that shuts down in order takes new flows again.
+ * Events: it announces that it leaves; one entry still suspects it; probes
+ * and answers go on until it exits.
+ * Cause: a sign of life, or a refuted suspicion, taken for a return.
+ */
+static void leaving_member_stays_leaving(void **state)
+{
+	struct fleet *f = fleet_up(8);
+	struct peer_msg msg = { .kind = PEER_GOSSIP, .n_gossip = 1 };
+	uint32_t i;
+
+	(void)state;
+	member_leave(f->node[4].m, f->now_ns);
+	fleet_run(f, 3 * NS_PER_MS);
+	assert_int_equal(fleet_holders(f, 4, MEMBER_LEAVING), 7);
+	msg.from = fleet_vm(1);
+	msg.incarnation = member_find(f->node[4].m, msg.from)->incarnation;
+	msg.gossip[0] =
+		(struct gossip){ .vm = fleet_vm(4), .state = MEMBER_SUSPECT };
+	msg.gossip[0].incarnation =
+		member_find(f->node[1].m, fleet_vm(4))->incarnation;
+	member_message(f->node[4].m, &msg, f->now_ns);
+	for (i = 0; i < 100; i++) {
+		fleet_run(f, 100 * NS_PER_MS);
+		assert_int_equal(fleet_holders(f, 4, MEMBER_LEAVING), 7);
+	}
+	fleet_kill(f, 4);
+	fleet_run(f, 3 * NS_PER_S);
+	assert_int_equal(fleet_holders(f, 4, MEMBER_DEAD), 7);
+	fleet_free(f);
+}
+
+/*
+ * Symptom: both halves of a data centre grant the same claim.
+ * Events: the network splits 4 to 4, then 3 to 5, and heals.
+ * Cause: a majority that both sides can reach, or a side that doesn't notice.
+ */
+static void one_side_of_a_cut_goes_on(void **state)
+{
+	struct fleet *f = fleet_up(8);
+	uint32_t i, cut;
+
+	(void)state;
+	for (cut = 4; cut >= 3; cut--) {
+		for (i = 0; i < 8; i++)
+			f->node[i].side = i >= 8 - cut;
+		fleet_run(f, SETTLED_NS);
+		for (i = 0; i < 8; i++)
+			assert_int_equal(member_majority(f->node[i].m),
+					 i < 8 - cut);
+		for (i = 0; i < 8; i++)
+			f->node[i].side = 0;
+		fleet_run(f, SETTLED_NS);
+		assert_true(fleet_converged(f));
+	}
+	fleet_free(f);
+}
+
+/*
+ * Symptom: an entry whose cable is cut goes on deciding for its flows.
+ * Events: it reaches nobody; the others declare it dead within a second, but
+ * it probes only a few of many members a period.
+ * Cause: majority counted over members it has not yet probed in vain.
+ */
+static void cut_off_member_loses_its_lease(void **state)
+{
+	struct fleet *f = fleet_up(64);
+
+	(void)state;
+	f->node[9].side = 1;
+	while (!fleet_holders(f, 9, MEMBER_DEAD)) {
+		fleet_run(f, 10 * NS_PER_MS);
+		if (fleet_holders(f, 9, MEMBER_DEAD))
+			assert_false(lease(f, 9));
+	}
+	fleet_free(f);
+}
+
+static bool pair_blocked(uint32_t from, uint32_t to)
+{
+	return (from == 1 && to == 5) || (from == 5 && to == 1);
+}
+
+/*
+ * Symptom: members flap while everyone but one reaches them.
+ * Events: the path between two members is cut, all others work.
+ * Cause: a death declared on one entry's word, without helpers.
+ */
+static void cut_between_two_kills_neither(void **state)
+{
+	struct fleet *f = fleet_up(8);
+	uint32_t i;
+
+	(void)state;
+	f->blocked = pair_blocked;
+	for (i = 0; i < 100; i++) {
+		fleet_run(f, 100 * NS_PER_MS);
+		assert_int_equal(fleet_holders(f, 5, MEMBER_DEAD), 0);
+		assert_int_equal(fleet_holders(f, 1, MEMBER_DEAD), 0);
+	}
+	fleet_free(f);
+}
+
+/*
+ * Symptom: a restarted VM is never heard again.
+ * Events: its clock stands before that of the process before it, so its
+ * incarnation is lower.
+ * Cause: messages of an old incarnation dropped without a word.
+ */
+static void clock_set_back_at_restart_is_overcome(void **state)
+{
+	struct fleet *f = fleet_up(4);
+
+	(void)state;
+	fleet_kill(f, 2);
+	f->incarnation = 1;
+	fleet_start(f, 2);
+	fleet_roster(f, 2, 0, 4);
+	fleet_run(f, 2 * NS_PER_S);
+	assert_true(fleet_converged(f));
+	assert_true(lease(f, 2));
+	fleet_free(f);
+}
+
+static void fleet_of_one_acts(void **state)
+{
+	struct fleet *f = fleet_new(1, 3);
+
+	(void)state;
+	fleet_start(f, 0);
+	fleet_run(f, NS_PER_S);
+	assert_true(member_majority(f->node[0].m));
+	assert_true(lease(f, 0));
+	fleet_free(f);
+}
+
+/*
+ * Symptom: control traffic grows with the fleet until it fills the budget.
+ * Events: none; the same settings at three sizes.
+ * Cause: each member heard by each.
+ */
+static void load_is_the_same_in_any_fleet(void **state)
+{
+	const uint32_t sizes[] = { 8, 32, 128 };
+	uint64_t sent;
+	struct fleet *f;
+	uint32_t i, k;
+
+	(void)state;
+	for (k = 0; k < 3; k++) {
+		f = fleet_up(sizes[k]);
+		for (sent = 0, i = 0; i < f->n; i++)
+			sent -= f->node[i].messages;
+		fleet_run(f, 10 * NS_PER_S);
+		for (i = 0; i < f->n; i++)
+			sent += f->node[i].messages;
+		assert_in_range(sent / f->n, 290, 310);
+		fleet_free(f);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(dead_member_is_found),
+		cmocka_unit_test(listed_but_never_heard_is_not_alive),
+		cmocka_unit_test(unlisted_that_answers_stays),
+		cmocka_unit_test(paused_member_validates_before_it_acts),
+		cmocka_unit_test(paused_member_blames_nobody),
+		cmocka_unit_test(death_is_told_after_refutation),
+		cmocka_unit_test(leaving_member_stays_leaving),
+		cmocka_unit_test(one_side_of_a_cut_goes_on),
+		cmocka_unit_test(cut_off_member_loses_its_lease),
+		cmocka_unit_test(cut_between_two_kills_neither),
+		cmocka_unit_test(clock_set_back_at_restart_is_overcome),
+		cmocka_unit_test(fleet_of_one_acts),
+		cmocka_unit_test(load_is_the_same_in_any_fleet),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
