--- a/test/testbed.h
+++ b/test/testbed.h
@@ -260,14 +260,12 @@
 /* Who holds the flow of a caller, by the ring over the entries alive. */
 struct ring_pair testbed_pair(struct testbed *f, uint32_t caller);
 uint32_t testbed_node_of(const struct testbed *f, uint64_t vm);
-uint32_t testbed_node_next(const struct testbed *f);
-bool testbed_node_up(const struct testbed *f, uint32_t node);
+uint32_t testbed_nodes(const struct testbed *f);
 uint32_t testbed_caller_first(const struct testbed *f, enum op_class class_);
 void testbed_caller_hold(struct testbed *f, uint32_t caller);
 uint32_t testbed_caller_go(struct testbed *f, uint32_t caller);
+uint32_t testbed_op_next(const struct testbed *f);
 const struct op *testbed_op(const struct testbed *f, uint32_t op);
-const struct entry_counters *testbed_counters(const struct testbed *f,
-					      uint32_t node);
 
 #ifdef __cplusplus
 }
--- a/test/testbed_caller.c
+++ b/test/testbed_caller.c
@@ -315,6 +315,11 @@
 	f->callers[caller].held = true;
 }
 
+uint32_t testbed_op_next(const struct testbed *f)
+{
+	return f->ops->len;
+}
+
 const struct op *testbed_op(const struct testbed *f, uint32_t op)
 {
 	return &g_array_index(f->ops, struct op, op);
--- a/test/testbed_fault.c
+++ b/test/testbed_fault.c
@@ -309,16 +309,11 @@
 	return vm != ADDR_NONE && i < f->n_nodes ? i : TESTBED_NONE;
 }
 
-uint32_t testbed_node_next(const struct testbed *f)
+uint32_t testbed_nodes(const struct testbed *f)
 {
 	return f->n_nodes;
 }
 
-bool testbed_node_up(const struct testbed *f, uint32_t node)
-{
-	return f->nodes[node].up;
-}
-
 struct ring_pair testbed_pair(struct testbed *f, uint32_t caller)
 {
 	const struct fake_caller *c = &f->callers[caller];
