--- a/adapters/link.c
+++ b/adapters/link.c
@@ -248,20 +248,6 @@
 	return 0;
 }
 
-int entry_link_open(uv_loop_t *loop, const char *endpoint, uint64_t self,
-		    struct link_handler handler, struct entry_link **out)
-{
-	static const uint8_t no_key[SPREAD_AUTH_BYTES];
-	struct link_conf conf = {
-		.endpoint = endpoint,
-		.self = self,
-		.data_centre = "",
-		.key = no_key,
-	};
-
-	return entry_link_start(loop, &conf, handler, out);
-}
-
 static void on_closed(uv_handle_t *handle)
 {
 	link_free(handle->data);
--- a/adapters/link.h
+++ b/adapters/link.h
@@ -69,9 +69,6 @@
 		     struct link_handler handler, struct entry_link **out);
 const struct link_counters *entry_link_counters(const struct entry_link *l);
 
-/* As entry_link_start(), with a key of zeros and no data centre: for trials. */
-int entry_link_open(uv_loop_t *loop, const char *endpoint, uint64_t self,
-		    struct link_handler handler, struct entry_link **out);
 void entry_link_close(struct entry_link *l);
 
 #endif
--- a/cmd/cb-entry/intake.c
+++ b/cmd/cb-entry/intake.c
@@ -86,13 +86,16 @@
 int intake_open(struct daemon *d)
 {
 	struct link_handler handler = { d, account, account_gone, roster };
+	struct link_conf conf = { .endpoint = d->settings.watch,
+				  .self = d->settings.peer,
+				  .data_centre = d->settings.data_centre,
+				  .key = d->settings.key };
 	int err;
 
 	d->intake = calloc(1, sizeof(*d->intake));
 	if (!d->intake)
 		return -ENOMEM;
-	err = entry_link_open(d->loop, d->settings.watch, d->settings.peer,
-			      handler, &d->link);
+	err = entry_link_start(d->loop, &conf, handler, &d->link);
 	if (err)
 		log_line(LOG_ERROR, "intake.link", d->settings.watch, "%s",
 			 strerror(-err));
