--- a/test/testbed.h
+++ b/test/testbed.h
@@ -124,6 +124,7 @@
  * @result: enum op_result, as the caller saw it
  * @opened: a feed: it was established
  * @broken: an established feed was lost, or still for over 3 s
+ * @given_up: it stayed still until its caller opened it anew
  * @crossed: somebody else's answer came in its place
  * @service: service it was meant for
  * @wrong_service: a target of another service ran it
@@ -136,6 +137,7 @@
 	uint8_t result;
 	bool opened;
 	bool broken;
+	bool given_up;
 	bool crossed;
 	uint8_t service;
 	bool wrong_service;
@@ -197,7 +199,7 @@
  * @misrouted: run by a wrong service, or answered with another's answer
  * @false_not_run: told "not run", yet run
  * @broken: established feeds lost or still for over 3 s
- * @stalled: feeds still at the end
+ * @stalled: feeds that only their caller's patience ended, or still at the end
  * @late_work: work that a target got over 3 s after it began to drain
  * @up: datagrams from callers
  * @forwards: of these, forwarded to another entry
--- a/test/testbed_caller.c
+++ b/test/testbed_caller.c
@@ -165,6 +165,7 @@
 		op->broken = true;
 	}
 	if (f->now_ns > c->heard_ns + SILENCE_NS) {
+		op->given_up = true;
 		end(f, ev->node, OP_ANSWERED, REOPEN_NS);
 		event_free(ev);
 		return;
@@ -341,6 +342,7 @@
 	v->misrouted += op->wrong_service || op->crossed;
 	v->false_not_run += op->result == OP_REFUSED && op->runs > 0;
 	v->broken += op->broken;
+	v->stalled += op->given_up;
 	if (!idempotent && op->runs > 1)
 		trace_line(f, "op %u of c%u doubled", i, op->caller);
 }
