--- a/test/testbed_fault.c
+++ b/test/testbed_fault.c
@@ -13,7 +13,7 @@
 	uint64_t vms[TESTBED_NODES_MAX];
 	uint32_t n = 0;
 
-	for (uint32_t v = 0; v < f->n_nodes; v++) {
+	for (uint32_t v = 0; v < TESTBED_NODES_MAX; v++) {
 		if (f->listed_seen & 1u << v)
 			vms[n++] = VM_ADDR(v);
 	}
