A cb-watch that is no reader waits instead of spinning

Cause: reader_tick() with nothing to do left its deadline in the past, so the loop's timer fired at once, for ever: 78 to 100 % of a core on each VM that is not a reader (top, 4 VMs on loopback). Ruled out: ZeroMQ's descriptor (strace: 137 waits in 5 s).

--- a/core/reader.c
+++ b/core/reader.c
@@ -137,10 +137,10 @@
 {
 	char key[sizeof(TEMPLATE_PREFIX) + NAME_MAX_BYTES];
 
+	r->next_deadline_ns = NEVER_NS;
 	if (r->waiting || r->mode == READER_OFF)
 		return;
 	if (r->mode == READER_ROSTER) {
-		r->next_deadline_ns = NEVER_NS;
 		if (!r->roster_read)
 			start_call(r, STEP_KEY, CALL_GET, r->vms_key);
 		return;
