A pin ends with its transfer; suspects do not count towards a majority

The last block's answer now unpins. Answers mark the more bit as requests do. Cause of a request run by both halves of a cut data centre: buckets of the first VM declared dead were taken over while the rest of that half was only suspected, and both halves counted suspects as theirs.

--- a/adapters/coap_wire.c
+++ b/adapters/coap_wire.c
@@ -73,7 +73,7 @@
 		s->m->flags |= MSG_FEED_CLOSE;
 }
 
-static void scan_block(struct scan *s, const coap_opt_t *opt, bool mark_more)
+static void scan_block(struct scan *s, const coap_opt_t *opt)
 {
 	uint32_t value;
 
@@ -83,20 +83,10 @@
 	if ((value >> 4) == 0 && !(value & BLOCK_MORE_BIT))
 		return;
 	s->m->flags |= MSG_PART;
-	if (mark_more && (value & BLOCK_MORE_BIT))
+	if (value & BLOCK_MORE_BIT)
 		s->m->flags |= MSG_MORE;
 }
 
-static void scan_block1(struct scan *s, const coap_opt_t *opt)
-{
-	scan_block(s, opt, s->request);
-}
-
-static void scan_block2(struct scan *s, const coap_opt_t *opt)
-{
-	scan_block(s, opt, false);
-}
-
 static void scan_timeout(struct scan *s, const coap_opt_t *opt)
 {
 	uint32_t ms;
@@ -126,8 +116,8 @@
 	uint16_t number;
 	void (*scan)(struct scan *s, const coap_opt_t *opt);
 } scans[] = { { COAP_OPTION_OBSERVE, scan_observe },
-	      { COAP_OPTION_BLOCK2, scan_block2 },
-	      { COAP_OPTION_BLOCK1, scan_block1 },
+	      { COAP_OPTION_BLOCK2, scan_block },
+	      { COAP_OPTION_BLOCK1, scan_block },
 	      { OPTION_TIMEOUT, scan_timeout },
 	      { OPTION_LOAD, scan_load } };
 
--- a/core/entry.h
+++ b/core/entry.h
@@ -30,7 +30,7 @@
  * @MSG_FEED_OPEN: opens a feed; on an answer: the feed is open
  * @MSG_FEED_CLOSE: closes a feed
  * @MSG_PART: block of a larger transfer, has to reach the same target
- * @MSG_MORE: not the last block
+ * @MSG_MORE: not the last block, of a request or of an answer
  * @MSG_SHED: an answer that says: not run, come back later
  * @MSG_FAILED: an answer that says: the target failed
  */
--- a/core/member_set.c
+++ b/core/member_set.c
@@ -105,7 +105,10 @@
  * More than half of those listed that have not left; exactly half when the
  * lowest of them is on this side, so that of two halves one goes on. Members
  * that aren't listed don't count: during a partition both sides could take
- * in new ones and reach a majority each.
+ * in new ones and reach a majority each. Suspects don't count either: when
+ * the first of the other side is declared dead and its buckets are taken
+ * over, the rest of that side is only suspected yet, and both halves would
+ * still believe in a majority and run the same request.
  */
 static bool count_majority(const struct membership *m)
 {
@@ -116,9 +119,9 @@
 		if (!m->all[i].listed || m->trait[i].left)
 			continue;
 		if (!electors)
-			lowest_votes = member_is_live(&m->all[i]);
+			lowest_votes = m->all[i].state == MEMBER_ALIVE;
 		electors++;
-		votes += member_is_live(&m->all[i]);
+		votes += m->all[i].state == MEMBER_ALIVE;
 	}
 	if (!electors)
 		return true;
--- a/core/send.c
+++ b/core/send.c
@@ -303,6 +303,23 @@
 	feed_update(e, f, target, msg);
 }
 
+/*
+ * A pin lasts as long as its transfer. Kept longer, it would send the flow's
+ * next transfer to the same target, also to one that drains by then.
+ */
+static void follow_transfer(struct entry *e, struct request *r,
+			    const struct message *msg)
+{
+	uint16_t both = r->flags | msg->flags;
+
+	if (!(both & MSG_PART))
+		return;
+	if (both & MSG_MORE)
+		pin_part(e, r);
+	else
+		flow_unpin(e->pins, &r->key);
+}
+
 /**
  * request_answered() - the target's answer to a request
  * @e: entry
@@ -324,8 +341,7 @@
 		return;
 	}
 	request_finish(e, r, failed ? OUTCOME_ERROR : OUTCOME_OK);
-	if (msg->flags & MSG_PART)
-		pin_part(e, r);
+	follow_transfer(e, r, msg);
 	claim_settle(e, r, CLAIM_DONE);
 	e->counters.answers++;
 	reply_keep(r, msg);
