Last block drops the second's pin; a settlement reaches both of the pair

Cause of late work after a transfer: the second kept the pin and returned it with the grant of the flow's next transfer.

--- a/core/claiming.c
+++ b/core/claiming.c
@@ -31,21 +31,29 @@
 	return c;
 }
 
-static void send_settlement(struct entry *e, const struct claim *c)
+static void settle_at(struct entry *e, const struct claim *c, uint64_t vm)
 {
-	struct ring_pair pair = ring_at(e->ring, c->bucket);
-	uint64_t to = pair.second;
 	struct peer_msg *m;
 
-	if (to == e->conf.member.self)
-		to = pair.owner;
-	if (to == ADDR_NONE || to == e->conf.member.self)
+	if (vm == ADDR_NONE || vm == e->conf.member.self)
 		return;
-	m = emit_peer(e, to, PEER_SETTLE);
+	m = emit_peer(e, vm, PEER_SETTLE);
 	m->n_claims = 1;
 	m->claims[0] = *c;
 }
 
+/*
+ * To both of the pair: when ownership moved on while the claim was out, the
+ * second that granted it is the owner now.
+ */
+static void send_settlement(struct entry *e, const struct claim *c)
+{
+	struct ring_pair pair = ring_at(e->ring, c->bucket);
+
+	settle_at(e, c, pair.owner);
+	settle_at(e, c, pair.second);
+}
+
 /**
  * claim_settle() - note how a claimed request ended
  * @e: entry
@@ -157,6 +165,7 @@
 	if (!(r->flags & MSG_PART))
 		return;
 	m->key = r->key;
+	m->hops = r->flags & MSG_MORE ? PIN_KEEP : PIN_LAST;
 	m->target = flow_lookup(e->pins, &r->key, e->now_ns);
 }
 
@@ -240,7 +249,11 @@
 	line->state = c->state;
 }
 
-/* The second also keeps the pin of a transfer, and gives it to a new owner. */
+/*
+ * The second also keeps the pin of a transfer, and gives it to a new owner. It
+ * drops it with the last block: a pin left behind would come back with the
+ * flow's next transfer.
+ */
 static void exchange_pin(struct entry *e, const struct peer_msg *ask,
 			 struct peer_msg *reply)
 {
@@ -250,6 +263,8 @@
 		flow_pin(e->pins, &ask->key, ask->target, e->now_ns);
 	reply->key = ask->key;
 	reply->target = flow_lookup(e->pins, &ask->key, e->now_ns);
+	if (ask->hops == PIN_LAST)
+		flow_unpin(e->pins, &ask->key);
 }
 
 /* claim_asked() - another entry asks to run requests: PEER_CLAIM. */
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -93,6 +93,9 @@
 
 #define ANSWER_RELAYED 0xff
 
+/* In the field hops of a PEER_CLAIM for a block: whether it is the last. */
+enum pin_ask { PIN_KEEP, PIN_LAST };
+
 /**
  * enum feed_state - where a feed stands
  * @FEED_FREE: slot not in use
--- a/core/peer.h
+++ b/core/peer.h
@@ -22,7 +22,7 @@
  * @PEER_SETTLE: how a claimed request ended
  * @PEER_FEED: second copy of an open feed
  * @PEER_FEED_CLOSE: drop that copy
- * @PEER_PIN: second copy of a pin that differs from the hash
+ * @PEER_PIN: second copy of a transfer's pin; without a target: it ended
  * @PEER_RECORD: a claim's record, handed over by a leaving entry
  * @PEER_HANDOVER: a leaving entry has handed over all of it
  */
--- a/core/route.c
+++ b/core/route.c
@@ -224,7 +224,10 @@
 		feed_copy_closed(e, msg);
 		break;
 	case PEER_PIN:
-		flow_pin(e->pins, &msg->key, msg->target, now_ns);
+		if (msg->target == ADDR_NONE)
+			flow_unpin(e->pins, &msg->key);
+		else
+			flow_pin(e->pins, &msg->key, msg->target, now_ns);
 		break;
 	case PEER_RECORD:
 		stream_received(e, msg);
--- a/core/send.c
+++ b/core/send.c
@@ -105,11 +105,20 @@
 	arm(e, r);
 }
 
-static void pin_part(struct entry *e, struct request *r)
+static void tell_pin(struct entry *e, const struct request *r, uint64_t target)
 {
 	struct ring_pair pair = ring_at(e->ring, r->bucket);
 	struct peer_msg *m;
 
+	if (pair.second == ADDR_NONE || pair.second == e->conf.member.self)
+		return;
+	m = emit_peer(e, pair.second, PEER_PIN);
+	m->key = r->key;
+	m->target = target;
+}
+
+static void pin_part(struct entry *e, struct request *r)
+{
 	if (flow_lookup(e->pins, &r->key, e->now_ns) == r->target)
 		return;
 	if (flow_pin(e->pins, &r->key, r->target, e->now_ns) < 0) {
@@ -117,11 +126,13 @@
 		return;
 	}
 	e->counters.pins_made++;
-	if (pair.second == ADDR_NONE || pair.second == e->conf.member.self)
-		return;
-	m = emit_peer(e, pair.second, PEER_PIN);
-	m->key = r->key;
-	m->target = r->target;
+	tell_pin(e, r, r->target);
+}
+
+static void unpin(struct entry *e, struct request *r)
+{
+	if (flow_unpin(e->pins, &r->key) == 0 && request_idempotent(e, r))
+		tell_pin(e, r, ADDR_NONE);
 }
 
 /**
@@ -317,7 +328,7 @@
 	if (both & MSG_MORE)
 		pin_part(e, r);
 	else
-		flow_unpin(e->pins, &r->key);
+		unpin(e, r);
 }
 
 /**
