A handed-over history counts when its receiver is in the pair, not before

Cause of unknown outcomes during a replacement one by one: the leaving entry sent a bucket's history at once, its receiver had not heard of the change, ring_cover() did nothing, and the message was acknowledged all the same; after the next change nobody knew the history.

--- a/core/stream.c
+++ b/core/stream.c
@@ -14,6 +14,7 @@
 #define STREAMS_MAX 32
 #define STREAM_RETRY_NS (NS_PER_S / 5)
 #define STREAM_TRIES_MAX 25
+#define REFUSED_MAX 50
 #define LINE_BYTES 40
 
 /**
@@ -29,6 +30,7 @@
  * @retry_ns: when to repeat the message under way
  * @n_lines: its lines; 0 when none is under way
  * @tries: times it was sent
+ * @refused: messages in a row of which the receiver refused a part
  * @lines: the lines
  */
 struct stream {
@@ -43,6 +45,7 @@
 	uint64_t retry_ns;
 	uint8_t n_lines;
 	uint8_t tries;
+	uint8_t refused;
 	struct claim lines[CLAIMS_MAX];
 };
 
@@ -98,6 +101,7 @@
 	s->n_lines = 0;
 	s->in_bucket = false;
 	s->tries = 0;
+	s->refused = 0;
 }
 
 static void add(struct entry *e, uint64_t vm, uint32_t bucket)
@@ -183,9 +187,10 @@
 
 static void stream_go_on(struct entry *e, struct stream *s)
 {
-	if (s->n_lines && e->now_ns < s->retry_ns)
+	if (e->now_ns < s->retry_ns)
 		return;
-	if (s->tries > STREAM_TRIES_MAX || !vm_serves(e, s->vm)) {
+	if (s->tries > STREAM_TRIES_MAX || s->refused > REFUSED_MAX ||
+	    !vm_serves(e, s->vm)) {
 		stream_close(e, s);
 		return;
 	}
@@ -215,33 +220,62 @@
 	}
 }
 
-static void take_line(struct entry *e, const struct claim *line)
+static void take_record(struct entry *e, const struct claim *line)
 {
-	struct claim *c;
+	struct claim *c = claims_find(e->claims, line->request);
 
-	if (line->bucket >= e->conf.n_buckets)
-		return;
-	if (line->state == CLAIM_NONE && line->request == 0) {
-		if (line->covered)
-			ring_cover(e->ring, line->bucket);
-		return;
-	}
-	c = claims_find(e->claims, line->request);
 	if (!c)
 		claims_put(e->claims, line, e->now_ns);
 	else if (c->state == CLAIM_NONE)
 		*c = *line;
 }
 
+/*
+ * The word that a bucket's history is whole counts only for a member of its
+ * pair. The sender may have heard of the change before us: taken now, the word
+ * would be lost, and after the next change nobody would know the history.
+ *
+ * Return: false when it has to be sent again, later.
+ */
+static bool take_line(struct entry *e, const struct claim *line)
+{
+	struct ring_pair pair;
+
+	if (line->bucket >= e->conf.n_buckets)
+		return true;
+	if (line->state != CLAIM_NONE || line->request != 0) {
+		take_record(e, line);
+		return true;
+	}
+	pair = ring_at(e->ring, line->bucket);
+	if (pair.owner != e->conf.member.self &&
+	    pair.second != e->conf.member.self)
+		return false;
+	if (line->covered)
+		ring_cover(e->ring, line->bucket);
+	return true;
+}
+
 /* stream_received() - PEER_RECORD: history of buckets that we joined. */
 void stream_received(struct entry *e, const struct peer_msg *msg)
 {
-	struct peer_msg *m;
+	struct peer_msg *m = emit_peer(e, msg->from, PEER_HANDOVER);
 
-	for (uint8_t i = 0; i < msg->n_claims; i++)
-		take_line(e, &msg->claims[i]);
-	m = emit_peer(e, msg->from, PEER_HANDOVER);
 	m->seq = msg->seq;
+	for (uint8_t i = 0; i < msg->n_claims; i++) {
+		if (!take_line(e, &msg->claims[i]))
+			m->claims[m->n_claims++] = msg->claims[i];
+	}
+}
+
+static void due_again(const struct entry *e, struct stream *s, uint32_t bucket)
+{
+	uint64_t bit = 1ULL << (bucket % 64);
+
+	if (bucket >= e->conf.n_buckets || s->due[bucket / 64] & bit)
+		return;
+	s->due[bucket / 64] |= bit;
+	s->n_due++;
 }
 
 /* stream_acked() - PEER_HANDOVER: the receiver has the message under way. */
@@ -254,6 +288,12 @@
 			continue;
 		s->n_lines = 0;
 		s->tries = 0;
+		s->retry_ns = e->now_ns;
+		s->refused = msg->n_claims ? s->refused + 1 : 0;
+		if (msg->n_claims)
+			s->retry_ns += STREAM_RETRY_NS;
+		for (uint8_t k = 0; k < msg->n_claims; k++)
+			due_again(e, s, msg->claims[k].bucket);
 		stream_go_on(e, s);
 	}
 }
