--- a/core/send.c
+++ b/core/send.c
@@ -105,11 +105,20 @@
 	arm(e, r);
 }
 
-static void pin_part(struct entry *e, struct request *r)
+static void tell_pin(struct entry *e, const struct request *r, uint64_t target)
 {
 	struct ring_pair pair = ring_at(e->ring, r->bucket);
 	struct peer_msg *m;
 
+	if (pair.second == ADDR_NONE || pair.second == e->conf.member.self)
+		return;
+	m = emit_peer(e, pair.second, PEER_PIN);
+	m->key = r->key;
+	m->target = target;
+}
+
+static void pin_part(struct entry *e, struct request *r)
+{
 	if (flow_lookup(e->pins, &r->key, e->now_ns) == r->target)
 		return;
 	if (flow_pin(e->pins, &r->key, r->target, e->now_ns) < 0) {
@@ -117,11 +126,13 @@
 		return;
 	}
 	e->counters.pins_made++;
-	if (pair.second == ADDR_NONE || pair.second == e->conf.member.self)
-		return;
-	m = emit_peer(e, pair.second, PEER_PIN);
-	m->key = r->key;
-	m->target = r->target;
+	tell_pin(e, r, r->target);
+}
+
+static void unpin(struct entry *e, struct request *r)
+{
+	if (flow_unpin(e->pins, &r->key) == 0 && request_idempotent(e, r))
+		tell_pin(e, r, ADDR_NONE);
 }
 
 /**
@@ -303,6 +314,23 @@
 	feed_update(e, f, target, msg);
 }
 
+/*
+ * A pin lasts as long as its transfer. Kept longer, it would send the flow's
+ * next transfer to the same target, also to one that drains by then.
+ */
+static void follow_transfer(struct entry *e, struct request *r,
+			    const struct message *msg)
+{
+	uint16_t both = r->flags | msg->flags;
+
+	if (!(both & MSG_PART))
+		return;
+	if (both & MSG_MORE)
+		pin_part(e, r);
+	else
+		unpin(e, r);
+}
+
 /**
  * request_answered() - the target's answer to a request
  * @e: entry
@@ -324,8 +352,7 @@
 		return;
 	}
 	request_finish(e, r, failed ? OUTCOME_ERROR : OUTCOME_OK);
-	if (msg->flags & MSG_PART)
-		pin_part(e, r);
+	follow_transfer(e, r, msg);
 	claim_settle(e, r, CLAIM_DONE);
 	e->counters.answers++;
 	reply_keep(r, msg);
