An entry owns nothing until it knows the fleet

Cause: an entry 2 ms old answered a caller with 'no majority', and one 4 ms old claimed by a view of its own: peers took it for alive at its first answer, and it placed buckets on the few it had heard. It now starts as leaving does (owns nothing, is no elector), forwards what the fabric hands it, and announces itself alive, with the next incarnation, a settle time after a majority of the list answered; after 3 s without one it joins all the same. matrix_test, replace all one by one: unknown 2 (mid upload) and 1 (with itself) before, 0 after.

--- a/core/entry.c
+++ b/core/entry.c
@@ -7,6 +7,7 @@
 #define FLOW_IDLE_NS (300 * NS_PER_S)
 #define FLOW_EXPIRE_BUDGET 64
 #define LINGER_NS (2 * NS_PER_S)
+#define JOIN_WAIT_NS (3 * NS_PER_S)
 #define VMS_MAX 1024
 
 static void send_member_message(void *ctx, uint64_t vm, struct peer_msg *msg)
@@ -75,7 +76,10 @@
 	if (!e)
 		return NULL;
 	e->conf = *conf;
+	e->conf.member.joining = true;
 	e->now_ns = now_ns;
+	e->join_deadline_ns = DEADLINE_NEVER;
+	e->join_latest_ns = DEADLINE_NEVER;
 	e->rng.s = conf->seed | 1;
 	e->allowance_ns = now_ns;
 	e->allowance_bytes = conf->peer_bytes_per_s;
@@ -191,13 +195,41 @@
 	balance_peers(e->balancer, n ? n : 1, rank);
 }
 
+/*
+ * Own nothing before the fleet is known: a majority of the list has answered,
+ * and news had a settle time to arrive. An entry that finds no majority joins
+ * all the same after a while, so that a data centre cut off goes on serving.
+ */
+static void watch_join(struct entry *e)
+{
+	bool known = member_majority(e->members) &&
+		     member_lease_valid(e->members, e->now_ns);
+
+	if (e->joined || e->leaving || !e->roster_known)
+		return;
+	if (!known)
+		e->join_deadline_ns = DEADLINE_NEVER;
+	else if (e->join_deadline_ns == DEADLINE_NEVER)
+		e->join_deadline_ns = e->now_ns + e->conf.settle_ns;
+	if (e->now_ns < e->join_deadline_ns && e->now_ns < e->join_latest_ns)
+		return;
+	e->joined = true;
+	e->join_deadline_ns = DEADLINE_NEVER;
+	e->join_latest_ns = DEADLINE_NEVER;
+	member_join(e->members, e->now_ns);
+}
+
 /* Let the ring follow the membership. */
 static void follow_view(struct entry *e)
 {
-	uint64_t view = member_view(e->members);
+	uint64_t view;
 	uint64_t vms[VMS_MAX];
 	uint32_t n;
 
+	watch_join(e);
+	if (!e->joined)
+		return;
+	view = member_view(e->members);
 	if (view == e->view && ring_next_ns(e->ring) > e->now_ns)
 		return;
 	n = live_vms(e, vms);
@@ -220,6 +252,9 @@
 {
 	begin(e, now_ns, out);
 	member_roster(e->members, vms, n, now_ns);
+	if (!e->roster_known)
+		e->join_latest_ns = now_ns + JOIN_WAIT_NS;
+	e->roster_known = true;
 	follow_view(e);
 }
 
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -206,8 +206,12 @@
 	struct id_space *ids;
 	uint64_t view;
 	uint64_t deaths;
+	bool roster_known;
+	bool joined;
 	bool leaving;
 	bool lease_lapsed;
+	uint64_t join_deadline_ns;
+	uint64_t join_latest_ns;
 	uint64_t leave_deadline_ns;
 	uint64_t linger_deadline_ns;
 	struct entry_counters counters;
--- a/core/member.c
+++ b/core/member.c
@@ -56,7 +56,9 @@
 		return NULL;
 	}
 	i = member_insert(m, conf->self);
-	m->all[i].state = MEMBER_ALIVE;
+	m->leaving = conf->joining;
+	m->trait[i].left = conf->joining;
+	m->all[i].state = conf->joining ? MEMBER_LEAVING : MEMBER_ALIVE;
 	m->all[i].incarnation = conf->incarnation;
 	member_recount(m);
 	return m;
@@ -235,36 +237,56 @@
 		member_on_ack(m, msg, now_ns);
 }
 
-/**
- * member_leave() - tell everyone that this entry goes
- * @m: membership
- * @now_ns: now
- */
-void member_leave(struct membership *m, uint64_t now_ns)
+/* Take a new state and tell all who may hear it, without waiting for probes. */
+static void announce(struct membership *m, bool leaving, uint64_t now_ns)
 {
-	struct gossip g = { .vm = m->conf.self,
-			    .incarnation = m->incarnation,
-			    .state = MEMBER_LEAVING };
-	struct peer_msg msg;
 	int32_t self = member_index(m, m->conf.self);
+	struct peer_msg msg;
 	uint32_t i;
 
-	if (m->leaving)
-		return;
-	m->leaving = true;
-	m->all[self].state = MEMBER_LEAVING;
-	m->trait[self].left = true;
+	m->leaving = leaving;
+	m->all[self].state = leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
+	m->all[self].incarnation = m->incarnation;
+	m->trait[self].left = leaving;
 	member_recount(m);
 	for (i = 0; i < m->n; i++) {
 		if (m->all[i].state == MEMBER_DEAD || i == (uint32_t)self)
 			continue;
-		msg = (struct peer_msg){ .kind = PEER_GOSSIP, .n_gossip = 1 };
-		msg.gossip[0] = g;
+		msg = (struct peer_msg){ .kind = PEER_GOSSIP };
+		member_add_item(&msg, &m->all[self]);
 		member_send(m, m->all[i].vm, &msg);
 	}
 	member_due(m, now_ns);
 }
 
+/**
+ * member_join() - tell everyone that this entry may own buckets now
+ * @m: membership that was made joining
+ * @now_ns: now
+ *
+ * A process that has just started knows next to nobody. Taken for alive at
+ * its first answer it would be given flows, and would place and claim them by
+ * a view that no one shares.
+ */
+void member_join(struct membership *m, uint64_t now_ns)
+{
+	if (!m->leaving)
+		return;
+	m->incarnation++;
+	announce(m, false, now_ns);
+}
+
+/**
+ * member_leave() - tell everyone that this entry goes
+ * @m: membership
+ * @now_ns: now
+ */
+void member_leave(struct membership *m, uint64_t now_ns)
+{
+	if (!m->leaving)
+		announce(m, true, now_ns);
+}
+
 /**
  * member_next_ns() - when member_tick() has to be called next
  * @m: membership
--- a/core/member.h
+++ b/core/member.h
@@ -17,6 +17,7 @@
  * @lease_ns: an entry that did not run for this long re-validates first
  * @probes: members probed a round
  * @indirect: helpers asked after a missed ack
+ * @joining: start as one that owns nothing, until member_join()
  */
 struct member_conf {
 	uint64_t self;
@@ -27,6 +28,7 @@
 	uint64_t lease_ns;
 	uint32_t probes;
 	uint32_t indirect;
+	bool joining;
 };
 
 /**
@@ -57,6 +59,7 @@
 void member_message(struct membership *m, const struct peer_msg *msg,
 		    uint64_t now_ns);
 void member_tick(struct membership *m, uint64_t now_ns);
+void member_join(struct membership *m, uint64_t now_ns);
 void member_leave(struct membership *m, uint64_t now_ns);
 uint64_t member_next_ns(const struct membership *m);
 uint64_t member_view(const struct membership *m);
--- a/core/peer.h
+++ b/core/peer.h
@@ -47,7 +47,7 @@
  * enum member_state - what an entry believes of another
  * @MEMBER_ALIVE: answers, or is vouched for
  * @MEMBER_SUSPECT: missed its probes, may still refute
- * @MEMBER_LEAVING: said it goes; serves what it has, owns nothing new
+ * @MEMBER_LEAVING: said it goes, or just came; owns nothing new
  * @MEMBER_DEAD: suspicion ran out
  */
 enum member_state { MEMBER_ALIVE, MEMBER_SUSPECT, MEMBER_LEAVING, MEMBER_DEAD };
--- a/core/route.c
+++ b/core/route.c
@@ -130,6 +130,25 @@
 	return false;
 }
 
+/* An entry that hasn't joined yet hands datagrams to one that has. */
+static void route_elsewhere(struct entry *e, const struct flow_key *key,
+			    const struct message *msg, uint8_t hops)
+{
+	const struct member *all;
+	uint32_t n = member_all(e->members, &all);
+	uint64_t first = n ? flow_hash(key) % n : 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		const struct member *m = &all[(first + i) % n];
+
+		if (m->state != MEMBER_ALIVE || m->vm == e->conf.member.self)
+			continue;
+		forward_to(e, m->vm, key, msg->data, msg->size_bytes, hops,
+			   ADDR_NONE);
+		return;
+	}
+}
+
 static void route(struct entry *e, const struct flow_key *key,
 		  const struct message *msg, uint8_t hops)
 {
@@ -147,6 +166,10 @@
 		return;
 	if (msg->kind == MSG_REQUEST && request_repeated(e, key, msg))
 		return;
+	if (!e->joined) {
+		route_elsewhere(e, key, msg, hops);
+		return;
+	}
 	pair = ring_at(e->ring, ring_bucket(e->ring, key));
 	if (pair.owner == e->conf.member.self)
 		own_message(e, key, msg, hops);
