--- a/test/testbed_caller.c
+++ b/test/testbed_caller.c
@@ -165,6 +165,7 @@
 		op->broken = true;
 	}
 	if (f->now_ns > c->heard_ns + SILENCE_NS) {
+		op->given_up = true;
 		end(f, ev->node, OP_ANSWERED, REOPEN_NS);
 		event_free(ev);
 		return;
@@ -315,13 +316,20 @@
 	f->callers[caller].held = true;
 }
 
+uint32_t testbed_op_next(const struct testbed *f)
+{
+	return f->ops->len;
+}
+
 const struct op *testbed_op(const struct testbed *f, uint32_t op)
 {
 	return &g_array_index(f->ops, struct op, op);
 }
 
-static void judge(struct testbed_verdict *v, const struct op *op)
+static void judge(struct testbed *f, uint32_t i)
 {
+	struct testbed_verdict *v = &f->verdict;
+	const struct op *op = op_at(f, i);
 	bool idempotent = op->class_ == OP_FEED || op->class_ == OP_GET;
 
 	v->ops++;
@@ -334,6 +342,9 @@
 	v->misrouted += op->wrong_service || op->crossed;
 	v->false_not_run += op->result == OP_REFUSED && op->runs > 0;
 	v->broken += op->broken;
+	v->stalled += op->given_up;
+	if (!idempotent && op->runs > 1)
+		trace_line(f, "op %u of c%u doubled", i, op->caller);
 }
 
 /* Lets what is under way end, then compares all that was written down. */
@@ -342,7 +353,7 @@
 	f->ending = true;
 	testbed_run(f, f->now_ns + END_NS);
 	for (uint32_t i = 0; i < f->ops->len; i++)
-		judge(&f->verdict, op_at(f, i));
+		judge(f, i);
 	for (uint32_t i = 0; i < f->n_callers; i++) {
 		const struct fake_caller *c = &f->callers[i];
 
