--- a/Makefile
+++ b/Makefile
@@ -67,11 +67,14 @@
 	@echo CXX $<
 	@$(CXX) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
+# bench-faults runs the decisions on the tests' own bed.
+TESTBED := $(patsubst %.c,$(B)/%.o,$(wildcard test/testbed*.c))
+
 define PROG
-$(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a)
+$(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(if $(filter %/bench-faults/,$(1)),$(TESTBED))
 	@mkdir -p $$(@D)
 	@echo LD $$@
-	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
+	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(if $(filter %/bench-faults/,$(1)),$(TESTBED)) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
 endef
 $(foreach d,$(PROGDIRS),$(eval $(call PROG,$(d))))
 
