A feed isn't closed for updates its caller has not acknowledged in a second

Cause of 3 to 10 stalled feeds of 615 in a data centre cut in halves: the caller's acknowledgements land in the wrong half every other time, the target then makes each update confirmable, and five unacknowledged ones closed the feed.

--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -133,7 +133,8 @@
  * @down_id: message ID of the last update to the caller
  * @up_id: message ID of the same update from the target
  * @up_seen: @up_id is valid
- * @unacked: confirmable updates in a row that the caller left unacknowledged
+ * @unacked_since_ns: oldest confirmable update since the caller's last
+ *	acknowledgement, 0 when there is none
  * @size_bytes: of @opening
  * @opening: request that opened it, to open it again
  */
@@ -144,6 +145,7 @@
 	uint64_t heard_ns;
 	uint64_t copy_deadline_ns;
 	uint64_t hand_deadline_ns;
+	uint64_t unacked_since_ns;
 	uint64_t handed_from;
 	uint32_t generation;
 	uint32_t bucket;
@@ -157,7 +159,6 @@
 	uint16_t down_id;
 	uint16_t up_id;
 	bool up_seen;
-	uint8_t unacked;
 	uint16_t size_bytes;
 	uint8_t opening[FEED_REQUEST_MAX_BYTES];
 };
--- a/core/feed.c
+++ b/core/feed.c
@@ -5,7 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define UNACKED_MAX 4
+/* Longer than a target repeats an update that nobody acknowledges. */
+#define CALLER_GONE_NS (100 * NS_PER_S)
 #define RENEW_NS (3 * NS_PER_S)
 #define RENEW_TRIES_MAX 3
 
@@ -287,8 +288,8 @@
 	f->up_id = msg->id;
 	f->up_seen = true;
 	index_put(e->feed_by_down_id, down_id_key(&f->key, f->down_id), slot);
-	if (msg->flags & MSG_CONFIRM)
-		f->unacked++;
+	if (msg->flags & MSG_CONFIRM && !f->unacked_since_ns)
+		f->unacked_since_ns = e->now_ns;
 	return f->down_id;
 }
 
@@ -305,10 +306,6 @@
 	struct action *a;
 	uint16_t id = down_id_for(e, f, msg);
 
-	if (f->unacked > UNACKED_MAX) {
-		feed_end(e, f, true);
-		return;
-	}
 	f->heard_ns = e->now_ns;
 	a = emit(e, ACT_TO_CALLER);
 	a->key = f->key;
@@ -356,7 +353,7 @@
 
 	if (!f)
 		return false;
-	f->unacked = 0;
+	f->unacked_since_ns = 0;
 	emit_signal_target(e, f->target, WIRE_ACK, f->up_id);
 	return true;
 }
@@ -469,6 +466,17 @@
 	request_submit(e, r);
 }
 
+/*
+ * The target gives up on a caller that acknowledges nothing, and is silent from
+ * then on. Renewed for ever, the feed of a caller that is gone would hold its
+ * connection for ever.
+ */
+static bool caller_gone(const struct entry *e, const struct feed *f)
+{
+	return f->unacked_since_ns &&
+	       e->now_ns >= f->unacked_since_ns + CALLER_GONE_NS;
+}
+
 /* feed_timer() - a deadline of a feed has come. */
 void feed_timer(struct entry *e, struct feed *f)
 {
@@ -484,7 +492,10 @@
 		feed_hand_over(e, f);
 	if (e->now_ns >= f->heard_ns + e->conf.probe_idle_ns) {
 		f->heard_ns = e->now_ns;
-		feed_renew(e, f, ADDR_NONE);
+		if (caller_gone(e, f))
+			feed_end(e, f, true);
+		else
+			feed_renew(e, f, ADDR_NONE);
 		if (f->state == FEED_FREE)
 			return;
 	}
