Copies of feeds outlive a change of the pair until the new owner serves them

Cause of feeds lost when an entry died while another joined: the joiner took the second's place, the second dropped its copies at once, and the dead owner, not yet known dead, handed nothing over. A copy is now kept 10 s after its holder left the pair, and whoever holds the copy of a feed whose server is dead brings it to the owner.

--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -119,8 +119,10 @@
  * @target: target that holds it
  * @heard_ns: last update
  * @copy_deadline_ns: when to send the second copy (again)
- * @hand_deadline_ns: when to ask the new owner (again) to take it over
+ * @hand_deadline_ns: when to ask the new owner (again) to take it over; of a
+ *	copy: when to adopt it, or drop it, though its server lives
  * @handed_from: entry that waits to hear that we took it over
+ * @served_by: of a copy: entry that serves the feed
  * @generation: of the slot, part of the token towards the target
  * @bucket: bucket of the flow
  * @next: list of its bucket
@@ -147,6 +149,7 @@
 	uint64_t hand_deadline_ns;
 	uint64_t unacked_since_ns;
 	uint64_t handed_from;
+	uint64_t served_by;
 	uint32_t generation;
 	uint32_t bucket;
 	uint32_t next;
@@ -322,7 +325,7 @@
 void feed_copy_received(struct entry *e, const struct peer_msg *msg);
 void feed_copy_closed(struct entry *e, const struct peer_msg *msg);
 void feed_copy_close(struct entry *e, struct feed *f);
-void feed_adopt(struct entry *e, struct feed *f);
+void feed_copy_timer(struct entry *e, struct feed *f);
 void feed_hand_over(struct entry *e, struct feed *f);
 void feed_taken_over(struct entry *e, struct feed *f);
 void feeds_pair_changed(struct entry *e, uint32_t bucket,
--- a/core/feed.c
+++ b/core/feed.c
@@ -258,8 +258,9 @@
 	f->heard_ns = e->now_ns;
 	if (first)
 		e->counters.feeds_opened++;
+	/* With the answer, not after it: an owner may die in between. */
 	if (first || moved)
-		f->copy_deadline_ns = e->now_ns;
+		feed_copy_send(e, f);
 	if (f->handed_from != ADDR_NONE)
 		feed_taken_over(e, f);
 	if (ring_at(e->ring, f->bucket).owner != e->conf.member.self)
@@ -483,7 +484,7 @@
 	if (f->state == FEED_FREE)
 		return;
 	if (f->state == FEED_COPY) {
-		feed_adopt(e, f);
+		feed_copy_timer(e, f);
 		return;
 	}
 	if (e->now_ns >= f->copy_deadline_ns)
--- a/core/feed_copy.c
+++ b/core/feed_copy.c
@@ -12,6 +12,8 @@
 #define COPY_WAIT_NS (NS_PER_S / 10)
 #define HAND_RETRY_NS (NS_PER_S / 3)
 #define ADOPT_WAIT_NS (2 * NS_PER_S)
+#define DROP_WAIT_NS (10 * NS_PER_S)
+#define CHECK_NS (NS_PER_S / 5)
 #define ADOPT_PACE_NS (20 * NS_PER_MS)
 #define RENEWING_MAX 256
 #define COPY_FIXED_BYTES 96
@@ -19,6 +21,20 @@
 /* What a PEER_FEED asks, in its field hops. */
 enum feed_ask { ASK_KEEP, ASK_TAKE_OVER };
 
+static bool in_pair(const struct entry *e, struct ring_pair pair)
+{
+	uint64_t self = e->conf.member.self;
+
+	return pair.owner == self || pair.second == self;
+}
+
+static void copy_check_at(struct entry *e, const struct feed *f,
+			  uint64_t deadline_ns)
+{
+	timers_set(e->timers, e->conf.requests_max + feed_slot(e, f),
+		   deadline_ns);
+}
+
 static struct peer_msg *feed_message(struct entry *e, const struct feed *f,
 				     uint64_t vm, uint8_t ask)
 {
@@ -112,31 +128,59 @@
 	e->counters.feeds_taken_over++;
 }
 
-/**
- * feed_adopt() - serve a feed of which this entry held the second copy
- * @e: entry
- * @f: second copy
- *
+/*
  * A dead entry leaves all its feeds at once; they are asked for again a few at
  * a time, so that the targets are not swamped.
  */
-void feed_adopt(struct entry *e, struct feed *f)
+static void adopt(struct entry *e, struct feed *f)
 {
-	if (ring_at(e->ring, f->bucket).owner != e->conf.member.self)
-		return;
 	if (!emit_room(e) || e->n_feeds_renewing >= RENEWING_MAX) {
-		timers_set(e->timers, e->conf.requests_max + feed_slot(e, f),
-			   e->now_ns + ADOPT_PACE_NS);
+		copy_check_at(e, f, e->now_ns + ADOPT_PACE_NS);
 		return;
 	}
 	if (f->handed_from == ADDR_NONE)
 		e->counters.feeds_taken_over++;
+	f->hand_deadline_ns = DEADLINE_NEVER;
 	f->copy_deadline_ns = e->now_ns;
 	feed_renew(e, f, ADDR_NONE);
 	if (f->state != FEED_FREE)
 		feed_timer_set(e, f);
 }
 
+/**
+ * feed_copy_timer() - see to a copy whose bucket has changed hands
+ * @e: entry
+ * @f: second copy
+ *
+ * The entry that serves the feed hands it over itself, without a gap, unless
+ * it dies first. A third entry may have become the owner meanwhile, without a
+ * copy, and this one may be out of the pair: whoever holds the copy of a feed
+ * whose server is dead brings it to the owner.
+ */
+void feed_copy_timer(struct entry *e, struct feed *f)
+{
+	struct ring_pair pair = ring_at(e->ring, f->bucket);
+	bool dead = !vm_serves(e, f->served_by);
+
+	if (pair.owner == e->conf.member.self) {
+		if (dead || e->now_ns >= f->hand_deadline_ns)
+			adopt(e, f);
+		else
+			copy_check_at(e, f, e->now_ns + CHECK_NS);
+	} else if (dead && pair.owner != ADDR_NONE) {
+		if (emit_room(e))
+			send_whole(e, f, pair.owner, ASK_TAKE_OVER);
+		copy_check_at(e, f, e->now_ns + HAND_RETRY_NS);
+	} else if (in_pair(e, pair)) {
+		if (f->served_by != pair.owner)
+			copy_check_at(e, f, e->now_ns + CHECK_NS);
+	} else if (e->now_ns >= f->hand_deadline_ns) {
+		feed_drop(e, f);
+	} else {
+		copy_check_at(e, f, e->now_ns + CHECK_NS);
+	}
+}
+
 /* The new owner serves it: let go here, keep the copy if we are the second. */
 static void let_go(struct entry *e, struct feed *f)
 {
@@ -152,17 +196,35 @@
 	if (!copy)
 		return;
 	feed_state_set(e, copy, FEED_COPY);
+	copy->served_by = pair.owner;
 	copy->target = kept.target;
 	copy->size_bytes = kept.size_bytes;
 	memcpy(copy->opening, kept.opening, kept.size_bytes);
 }
 
+/* The owner has it now: it will send the copy that its second is to keep. */
+static void copy_taken_over(struct entry *e, struct feed *f,
+			    const struct peer_msg *msg)
+{
+	struct ring_pair pair = ring_at(e->ring, f->bucket);
+
+	if (msg->hops != ASK_TAKE_OVER || msg->from != pair.owner)
+		return;
+	f->served_by = msg->from;
+	if (!in_pair(e, pair))
+		feed_drop(e, f);
+}
+
 static void heard_back(struct entry *e, const struct peer_msg *msg)
 {
 	struct feed *f = feed_find(e, &msg->key, msg->token, msg->token_len);
 
-	if (!f || f->state == FEED_COPY)
+	if (!f)
+		return;
+	if (f->state == FEED_COPY) {
+		copy_taken_over(e, f, msg);
 		return;
+	}
 	if (msg->hops == ASK_KEEP)
 		f->copy_deadline_ns = DEADLINE_NEVER;
 	else if (ring_at(e->ring, f->bucket).owner == msg->from)
@@ -172,6 +234,7 @@
 static void keep(struct entry *e, struct feed *f, const struct peer_msg *msg)
 {
 	feed_state_set(e, f, FEED_COPY);
+	f->served_by = msg->from;
 	f->target = msg->target;
 	f->size_bytes = (uint16_t)msg->size_bytes;
 	memcpy(f->opening, msg->data, msg->size_bytes);
@@ -225,31 +288,16 @@
 	if (ring_at(e->ring, f->bucket).owner != e->conf.member.self)
 		return;
 	f->handed_from = msg->from;
-	feed_adopt(e, f);
-}
-
-static bool in_pair(const struct entry *e, struct ring_pair pair)
-{
-	uint64_t self = e->conf.member.self;
-
-	return pair.owner == self || pair.second == self;
+	adopt(e, f);
 }
 
 static void copy_pair_changed(struct entry *e, struct feed *f,
-			      struct ring_pair before, struct ring_pair after)
+			      struct ring_pair after)
 {
-	uint64_t when_ns = e->now_ns;
+	bool held = in_pair(e, after);
 
-	if (!in_pair(e, after)) {
-		feed_drop(e, f);
-		return;
-	}
-	if (after.owner != e->conf.member.self)
-		return;
-	/* An owner that lives hands its feeds over itself, without a gap. */
-	if (before.owner != ADDR_NONE && vm_serves(e, before.owner))
-		when_ns += ADOPT_WAIT_NS;
-	timers_set(e->timers, e->conf.requests_max + feed_slot(e, f), when_ns);
+	f->hand_deadline_ns = e->now_ns + (held ? ADOPT_WAIT_NS : DROP_WAIT_NS);
+	copy_check_at(e, f, e->now_ns);
 }
 
 static void served_pair_changed(struct entry *e, struct feed *f,
@@ -273,7 +321,7 @@
 
 		slot = f->next;
 		if (f->state == FEED_COPY)
-			copy_pair_changed(e, f, before, after);
+			copy_pair_changed(e, f, after);
 		else if (f->state != FEED_OPENING)
 			served_pair_changed(e, f, before, after);
 	}
