sim-target: cancellations run nothing; leave without libcoap's assertion

quit aborted (exit -6, 'session->ref == 0' in coap_free_endpoint) while feeds were open: the feed table held libcoap's sessions.

--- a/sim/sim-platform/keys.c
+++ b/sim/sim-platform/keys.c
@@ -255,7 +255,7 @@
 {
 	struct walk w = { "", after, as_of, true, out, 0 };
 
-	if (after >= k->revision)
+	if (after >= MIN(k->revision, as_of))
 		return 0;
 	g_tree_foreach(k->tree, visit, &w);
 	return w.n;
--- a/sim/sim-target/main.c
+++ b/sim/sim-target/main.c
@@ -117,13 +117,14 @@
 }
 
 /**
- * target_close() - leave
+ * target_close() - leave; libcoap tells the observers that are left with 4.04
  * @t: target
  */
 void target_close(struct target *t)
 {
-	coap_free_context(t->coap);
+	/* libcoap asserts that nobody holds its sessions any more. */
 	feeds_free(t->feeds);
+	coap_free_context(t->coap);
 	uploads_free(t->uploads);
 	dedup_free(t->dedup);
 	slots_free(t->slots);
--- a/sim/sim-target/serve.c
+++ b/sim/sim-target/serve.c
@@ -213,11 +213,13 @@
 	target_fill(t, answer, &out);
 }
 
+/* A cancellation never runs anything, also when it comes too late. */
 static void answer_first(struct target *t, const struct request *r,
 			 struct reply *out)
 {
 	if (r->observe == COAP_OBSERVE_CANCEL &&
-	    r->method == COAP_REQUEST_GET && target_cancel(t, r)) {
+	    r->method == COAP_REQUEST_GET) {
+		target_cancel(t, r);
 		out->code = COAP_RESPONSE_CODE_CONTENT;
 		target_body(t, r->id, 0, out);
 		return;
@@ -229,6 +231,18 @@
 	out->block_szx = r->block.szx;
 }
 
+/* A feed's opening, asked again, gets the number that the feed is at. */
+static void answer_again(struct target *t, const struct request *r,
+			 const struct reply *before, struct reply *out)
+{
+	coap_bin_const_t token = { r->key.token_len, r->key.token };
+	const struct feed *feed = feeds_find(t->feeds, r->session, token);
+
+	*out = *before;
+	if (feed && out->code == COAP_RESPONSE_CODE_CONTENT)
+		target_body(t, feed->id, feed->sequence, out);
+}
+
 static void answer_request(struct target *t, const struct request *r,
 			   struct reply *out)
 {
@@ -239,8 +253,8 @@
 		verdict = dedup_see(t->dedup, &r->key, uv_hrtime(), &before);
 	if (verdict == DEDUP_PENDING || verdict == DEDUP_ANSWERED) {
 		t->counts[COUNT_REPEATS]++;
-		if (before && verdict == DEDUP_ANSWERED)
-			*out = *before;
+		if (verdict == DEDUP_ANSWERED)
+			answer_again(t, r, before, out);
 		return;
 	}
 	if (verdict == DEDUP_REUSED)
