--- a/sim/sim-fabric/main.c
+++ b/sim/sim-fabric/main.c
@@ -1,131 +1,9 @@
 /* A stand-in for the fabric: any datagram goes to any entry. */
 #include "fabric.h"
 
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
-#define HELD_MAX 16384
-#define SOCKET_BUFFER_BYTES (4 << 20)
-
-static const char program[] = "sim-fabric";
-
-/* Leave room for the header, so that a caller's datagram is not moved. */
-static void vip_alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf)
-{
-	struct port *p = h->data;
-
-	(void)hint;
-	*buf = uv_buf_init((char *)p->fabric->datagram.data + PROXY2_BYTES,
-			   FABRIC_DATAGRAM_BYTES - PROXY2_BYTES);
-}
-
-static void vip_recv(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
-		     const struct sockaddr *from, unsigned int flags)
-{
-	struct port *p = udp->data;
-
-	(void)buf;
-	if (n < 0 || !from)
-		return;
-	if (flags & UV_UDP_PARTIAL)
-		p->fabric->counts[COUNT_MALFORMED]++;
-	else
-		fabric_from_caller(p, sim_addr(from), (uint32_t)n);
-}
-
-static void entry_alloc(uv_handle_t *h, size_t hint, uv_buf_t *buf)
-{
-	struct port *p = h->data;
-
-	(void)hint;
-	*buf = uv_buf_init((char *)p->fabric->datagram.data,
-			   FABRIC_DATAGRAM_BYTES);
-}
-
-static void entry_recv(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
-		       const struct sockaddr *from, unsigned int flags)
-{
-	struct port *p = udp->data;
-
-	if (n < 0 || !from)
-		return;
-	if (flags & UV_UDP_PARTIAL)
-		p->fabric->counts[COUNT_MALFORMED]++;
-	else
-		fabric_from_entry(p->fabric, sim_addr(from),
-				  (const uint8_t *)buf->base, (uint32_t)n);
-}
-
-static int open_port(struct fabric *f, uint64_t addr, const char *step,
-		     uv_alloc_cb alloc, uv_udp_recv_cb recv)
-{
-	struct port *p = &f->ports[f->n_ports];
-	int size_bytes = SOCKET_BUFFER_BYTES;
-	int rc = sim_udp_bind(&f->loop, &p->udp, addr, program, step);
-
-	if (rc)
-		return rc;
-	p->udp.data = p;
-	p->fabric = f;
-	p->addr = addr;
-	p->index = f->n_ports++;
-	uv_recv_buffer_size((uv_handle_t *)&p->udp, &size_bytes);
-	size_bytes = SOCKET_BUFFER_BYTES;
-	uv_send_buffer_size((uv_handle_t *)&p->udp, &size_bytes);
-	return uv_udp_recv_start(&p->udp, alloc, recv);
-}
-
-static void on_term(uv_signal_t *sig, int number)
-{
-	struct fabric *f = sig->data;
-
-	(void)number;
-	uv_stop(&f->loop);
-}
-
-static int open_ports(struct fabric *f)
-{
-	uint32_t i;
-	int rc = 0;
-
-	for (i = 0; i < f->opt.n_vips && !rc; i++)
-		rc = open_port(f, f->opt.vips[i], "vip", vip_alloc, vip_recv);
-	if (!rc)
-		rc = open_port(f, f->opt.listen, "listen", entry_alloc,
-			       entry_recv);
-	return rc;
-}
-
-/**
- * fabric_open() - set the fabric up
- * @f: fabric with @opt set
- *
- * Return: 0, or a negative error after it was printed.
- */
-int fabric_open(struct fabric *f)
-{
-	int rc;
-
-	uv_loop_init(&f->loop);
-	uv_timer_init(&f->loop, &f->timer);
-	f->timer.data = f;
-	uv_signal_init(&f->loop, &f->term);
-	f->term.data = f;
-	uv_signal_start(&f->term, on_term, SIGTERM);
-	f->held = held_new(HELD_MAX);
-	f->spray.s = hash_u64(f->opt.seed, 1) | 1;
-	f->faults.rng.s = hash_u64(f->opt.seed, 2) | 1;
-	entries_set(&f->entries, f->opt.entries, f->opt.n_entries);
-	f->control.ctx = f;
-	f->control.commands = fabric_commands;
-	rc = open_ports(f);
-	if (!rc && f->opt.control)
-		rc = control_open(&f->control, &f->loop, f->opt.control,
-				  program);
-	return rc;
-}
-
 int main(int argc, char **argv)
 {
 	static struct fabric f;
@@ -137,7 +15,7 @@
 		return SIM_EXIT_USAGE;
 	if (fabric_open(&f))
 		return EXIT_FAILURE;
-	printf("%s ready\n", program);
+	printf("sim-fabric ready\n");
 	fflush(stdout);
 	uv_run(&f.loop, UV_RUN_DEFAULT);
 	held_free(f.held);
--- /dev/null
+++ b/sim/sim-platform/platform.c
@@ -0,0 +1,96 @@
+#include "platform.h"
+
+#include "settings.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/* How often waits and faults are looked at. */
+#define TICK_MS 10
+
+static const char program[] = "sim-platform";
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct platform *p = timer->data;
+	uint64_t now_ns = uv_hrtime();
+	uint32_t i;
+
+	for (i = 0; i < p->opt.n_addrs; i++)
+		front_step(&p->fronts[i], now_ns);
+}
+
+static void on_term(uv_signal_t *sig, int number)
+{
+	struct platform *p = sig->data;
+
+	(void)number;
+	uv_stop(&p->loop);
+}
+
+static int failed(const char *step, uint64_t addr, int rc)
+{
+	char text[32];
+
+	fprintf(stderr, "%s: %s %s: %s\n", program, step,
+		addr_text(addr, text, sizeof(text)), strerror(-rc));
+	return rc;
+}
+
+static int open_fronts(struct platform *p)
+{
+	uint32_t i;
+	int rc;
+
+	for (i = 0; i < p->opt.n_addrs; i++) {
+		p->fronts[i].platform = p;
+		p->fronts[i].addr = p->opt.addrs[i];
+		g_queue_init(&p->fronts[i].watchers);
+		rc = front_open(&p->fronts[i]);
+		if (rc)
+			return failed("serve", p->opt.addrs[i], rc);
+	}
+	return 0;
+}
+
+static int open_admin(struct platform *p)
+{
+	struct http_handler handler = { p, admin_handle };
+	int rc;
+
+	if (p->opt.admin == ADDR_NONE)
+		return 0;
+	rc = http_open(&p->loop, p->opt.admin, handler, &p->admin);
+	return rc ? failed("admin", p->opt.admin, rc) : 0;
+}
+
+static void open_loop(struct platform *p)
+{
+	uv_loop_init(&p->loop);
+	uv_timer_init(&p->loop, &p->timer);
+	p->timer.data = p;
+	uv_timer_start(&p->timer, on_tick, TICK_MS, TICK_MS);
+	uv_signal_init(&p->loop, &p->term);
+	p->term.data = p;
+	uv_signal_start(&p->term, on_term, SIGTERM);
+}
+
+/**
+ * platform_open() - set the service up
+ * @p: platform with @opt set
+ *
+ * Return: 0, or a negative error after it was printed.
+ */
+int platform_open(struct platform *p)
+{
+	int rc = 0;
+
+	open_loop(p);
+	p->keys = keys_new();
+	if (p->opt.keys_dir)
+		rc = keys_load(p->keys, p->opt.keys_dir, program);
+	if (!rc)
+		rc = open_fronts(p);
+	return rc ? rc : open_admin(p);
+}
--- a/sim/sim-target/serve.c
+++ b/sim/sim-target/serve.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /*
  * libcoap lets one confirmable message of a session wait for its ACK at a
@@ -9,6 +10,8 @@
  * one lost ACK would hold back every other caller's answer.
  */
 #define NSTART 16384
+#define SOCKET_BUFFER_BYTES (4 << 20)
+#define SOCKET_SCAN_MAX 256
 #define ROUNDS_SLACK 2
 
 static const struct path paths[] = {
@@ -326,6 +329,29 @@
 	return 0;
 }
 
+/*
+ * libcoap reads one datagram a turn; the default buffer of some 250 small
+ * ones overflows when everyone wakes at once, and the load's losses would
+ * then be the stand-in's. It gives no access to its socket but by number.
+ */
+static void grow_buffer(const struct target *t)
+{
+	int size_bytes = SOCKET_BUFFER_BYTES;
+	int fd;
+
+	for (fd = 0; fd < SOCKET_SCAN_MAX; fd++) {
+		struct sockaddr_in at = { 0 };
+		socklen_t len = sizeof(at);
+
+		if (getsockname(fd, (struct sockaddr *)&at, &len) ||
+		    at.sin_family != AF_INET ||
+		    sim_addr((struct sockaddr *)&at) != t->opt.addr)
+			continue;
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size_bytes,
+			   sizeof(size_bytes));
+	}
+}
+
 /**
  * target_serve_open() - bind and register the paths
  * @t: target with @opt set
@@ -348,6 +374,7 @@
 		return -ENOMEM;
 	if (!coap_new_endpoint(t->coap, &at, COAP_PROTO_UDP))
 		return -EADDRNOTAVAIL;
+	grow_buffer(t);
 	coap_resource_release_userdata_handler(t->coap, g_free);
 	for (i = 0; i < sizeof(paths) / sizeof(paths[0]) && !rc; i++)
 		rc = add_path(t, &paths[i]);
--- a/sim/sim-target/work.c
+++ b/sim/sim-target/work.c
@@ -259,12 +259,20 @@
  * @t: target
  * @r: request; without Observe it is a single reading
  * @out: filled
+ *
+ * A feed that is open and asked for again (RFC 7641 section 3.3.1) goes on,
+ * also on a target that drains: refusing it would end it.
  */
 void target_feed(struct target *t, const struct request *r, struct reply *out)
 {
 	coap_bin_const_t token = { r->key.token_len, r->key.token };
-	struct feed *feed;
+	struct feed *feed = feeds_find(t->feeds, r->session, token);
 
+	out->code = COAP_RESPONSE_CODE_CONTENT;
+	if (feed && !feed->lost && r->observe == COAP_OBSERVE_ESTABLISH) {
+		target_body(t, feed->id, feed->sequence, out);
+		return;
+	}
 	if (refused(t, out))
 		return;
 	if (r->observe == COAP_OBSERVE_ESTABLISH &&
@@ -278,7 +286,6 @@
 		feed = feeds_add(t->feeds, r->session, token, r->id);
 		feed->round = t->round;
 	}
-	out->code = COAP_RESPONSE_CODE_CONTENT;
 	target_body(t, r->id, 0, out);
 }
 
