--- a/sim/sim-fabric/main.c
+++ b/sim/sim-fabric/main.c
@@ -18,6 +18,7 @@
 	printf("sim-fabric ready\n");
 	fflush(stdout);
 	uv_run(&f.loop, UV_RUN_DEFAULT);
+	sim_loop_close(&f.loop);
 	held_free(f.held);
 	return EXIT_SUCCESS;
 }
--- a/sim/sim-platform/main.c
+++ b/sim/sim-platform/main.c
@@ -7,13 +7,13 @@
 int main(int argc, char **argv)
 {
 	static struct platform p;
-	int rc = platform_options_read(&p.opt, argc, argv);
+	int rc = sim_platform_options_read(&p.opt, argc, argv);
 
 	if (rc == SIM_ARGS_EXIT)
 		return EXIT_SUCCESS;
 	if (rc)
 		return SIM_EXIT_USAGE;
-	if (platform_open(&p))
+	if (sim_platform_open(&p))
 		return EXIT_FAILURE;
 	printf("sim-platform revision %llu ready\n",
 	       (unsigned long long)keys_revision(p.keys));
--- a/sim/sim-platform/options.c
+++ b/sim/sim-platform/options.c
@@ -27,7 +27,7 @@
 }
 
 /**
- * platform_options_read() - parse and check the command line
+ * sim_platform_options_read() - parse and check the command line
  * @o: filled; its strings are @argv's
  * @argc: from main
  * @argv: from main
@@ -35,7 +35,7 @@
  * Return: SIM_ARGS_RUN, SIM_ARGS_EXIT, or -EINVAL after every mistake was
  * printed.
  */
-int platform_options_read(struct platform_options *o, int argc, char **argv)
+int sim_platform_options_read(struct platform_options *o, int argc, char **argv)
 {
 	struct parsed p = {
 		.help = arg_lit0(NULL, "help", "say this"),
--- a/sim/sim-platform/platform.c
+++ b/sim/sim-platform/platform.c
@@ -77,12 +77,12 @@
 }
 
 /**
- * platform_open() - set the service up
+ * sim_platform_open() - set the service up
  * @p: platform with @opt set
  *
  * Return: 0, or a negative error after it was printed.
  */
-int platform_open(struct platform *p)
+int sim_platform_open(struct platform *p)
 {
 	int rc = 0;
 
--- a/sim/sim-target/commands.c
+++ b/sim/sim-target/commands.c
@@ -55,7 +55,7 @@
 	struct target *t = ctx;
 
 	(void)argc, (void)argv, (void)reply, (void)n;
-	feeds_lose(t->feeds);
+	observers_lose(t->observers);
 	return 0;
 }
 
--- a/sim/sim-target/feeds.c
+++ b/sim/sim-target/observers.c
@@ -3,47 +3,47 @@
 #include <string.h>
 
 /* @n_lost of the feeds in @table are lost. */
-struct feeds {
+struct observers {
 	GHashTable *table;
 	uint32_t n_lost;
 };
 
-static guint feed_hash(gconstpointer p)
+static guint observer_hash(gconstpointer p)
 {
-	const struct feed *f = p;
+	const struct observer *f = p;
 	uint64_t token = 0;
 
 	memcpy(&token, f->token, f->token_len);
 	return (guint)hash_u64(token, (uint64_t)(uintptr_t)f->session);
 }
 
-static gboolean feed_equal(gconstpointer a, gconstpointer b)
+static gboolean observer_equal(gconstpointer a, gconstpointer b)
 {
-	const struct feed *x = a;
-	const struct feed *y = b;
+	const struct observer *x = a;
+	const struct observer *y = b;
 
 	return x->session == y->session && x->token_len == y->token_len &&
 	       !memcmp(x->token, y->token, x->token_len);
 }
 
-static void feed_free(gpointer p)
+static void observer_free(gpointer p)
 {
-	struct feed *f = p;
+	struct observer *f = p;
 
 	coap_session_release(f->session);
 	g_free(f);
 }
 
-struct feeds *feeds_new(void)
+struct observers *observers_new(void)
 {
-	struct feeds *f = g_new0(struct feeds, 1);
+	struct observers *f = g_new0(struct observers, 1);
 
-	f->table =
-		g_hash_table_new_full(feed_hash, feed_equal, feed_free, NULL);
+	f->table = g_hash_table_new_full(observer_hash, observer_equal,
+					 observer_free, NULL);
 	return f;
 }
 
-void feeds_free(struct feeds *f)
+void observers_free(struct observers *f)
 {
 	if (!f)
 		return;
@@ -51,7 +51,7 @@
 	g_free(f);
 }
 
-static void fill_key(struct feed *key, coap_session_t *session,
+static void fill_key(struct observer *key, coap_session_t *session,
 		     coap_bin_const_t token)
 {
 	memset(key, 0, sizeof(*key));
@@ -61,24 +61,24 @@
 }
 
 /**
- * feeds_find() - a feed by the request that opened it
+ * observers_find() - a feed by the request that opened it
  * @f: feeds
  * @session: libcoap's session
  * @token: token of the request
  *
  * Return: the feed, or NULL.
  */
-struct feed *feeds_find(struct feeds *f, coap_session_t *session,
-			coap_bin_const_t token)
+struct observer *observers_find(struct observers *f, coap_session_t *session,
+				coap_bin_const_t token)
 {
-	struct feed key;
+	struct observer key;
 
 	fill_key(&key, session, token);
 	return g_hash_table_lookup(f->table, &key);
 }
 
 /**
- * feeds_add() - note a feed that was opened
+ * observers_add() - note a feed that was opened
  * @f: feeds
  * @session: libcoap's session
  * @token: token of the request
@@ -86,14 +86,14 @@
  *
  * Return: the feed.
  */
-struct feed *feeds_add(struct feeds *f, coap_session_t *session,
-		       coap_bin_const_t token, const char *id)
+struct observer *observers_add(struct observers *f, coap_session_t *session,
+			       coap_bin_const_t token, const char *id)
 {
-	struct feed *feed = feeds_find(f, session, token);
+	struct observer *feed = observers_find(f, session, token);
 
 	if (feed)
-		feeds_remove(f, feed);
-	feed = g_new(struct feed, 1);
+		observers_remove(f, feed);
+	feed = g_new(struct observer, 1);
 	fill_key(feed, session, token);
 	coap_session_reference(session);
 	g_strlcpy(feed->id, id, sizeof(feed->id));
@@ -102,11 +102,11 @@
 }
 
 /**
- * feeds_remove() - a feed was closed
+ * observers_remove() - a feed was closed
  * @f: feeds
  * @feed: feed, gone afterwards
  */
-void feeds_remove(struct feeds *f, struct feed *feed)
+void observers_remove(struct observers *f, struct observer *feed)
 {
 	f->n_lost -= feed->lost;
 	g_hash_table_remove(f->table, feed);
@@ -116,14 +116,14 @@
 {
 	(void)key;
 	(void)arg;
-	((struct feed *)value)->lost = true;
+	((struct observer *)value)->lost = true;
 }
 
 /**
- * feeds_lose() - forget every open feed without a word to its observer
+ * observers_lose() - forget every open feed without a word to its observer
  * @f: feeds
  */
-void feeds_lose(struct feeds *f)
+void observers_lose(struct observers *f)
 {
 	g_hash_table_foreach(f->table, lose, NULL);
 	f->n_lost = g_hash_table_size(f->table);
@@ -131,13 +131,13 @@
 
 /* Arguments of a sweep. */
 struct sweep {
-	struct feeds *f;
+	struct observers *f;
 	uint32_t round;
 };
 
 static gboolean gone(gpointer key, gpointer value, gpointer arg)
 {
-	const struct feed *feed = value;
+	const struct observer *feed = value;
 	struct sweep *sweep = arg;
 
 	(void)key;
@@ -148,7 +148,7 @@
 }
 
 /**
- * feeds_sweep() - drop the feeds that libcoap has dropped
+ * observers_sweep() - drop the feeds that libcoap has dropped
  * @f: feeds
  * @round: feeds not notified since this round are gone
  *
@@ -156,7 +156,7 @@
  * feed would count as a connection for ever; that it was not asked for in the
  * last rounds of notifications tells.
  */
-void feeds_sweep(struct feeds *f, uint32_t round)
+void observers_sweep(struct observers *f, uint32_t round)
 {
 	struct sweep sweep = { f, round };
 
@@ -164,12 +164,12 @@
 }
 
 /**
- * feeds_count() - connections that the target knows of
+ * observers_count() - connections that the target knows of
  * @f: feeds
  *
  * Return: feeds open and not lost.
  */
-uint32_t feeds_count(const struct feeds *f)
+uint32_t observers_count(const struct observers *f)
 {
 	return g_hash_table_size(f->table) - f->n_lost;
 }
--- a/sim/sim-target/serve.c
+++ b/sim/sim-target/serve.c
@@ -177,7 +177,7 @@
  * opened the feed: the answer's type tells, or else that the feed is known.
  */
 static bool is_notification(const coap_pdu_t *request, const coap_pdu_t *answer,
-			    const struct feed *feed)
+			    const struct observer *feed)
 {
 	if (coap_pdu_get_type(answer) == COAP_MESSAGE_ACK)
 		return false;
@@ -200,7 +200,7 @@
 	coap_pdu_set_code(answer, COAP_RESPONSE_CODE_CONTENT);
 }
 
-static void notify(struct target *t, struct feed *feed, coap_pdu_t *answer)
+static void notify(struct target *t, struct observer *feed, coap_pdu_t *answer)
 {
 	struct reply out = { .code = COAP_RESPONSE_CODE_CONTENT };
 
@@ -239,7 +239,8 @@
 			 const struct reply *before, struct reply *out)
 {
 	coap_bin_const_t token = { r->key.token_len, r->key.token };
-	const struct feed *feed = feeds_find(t->feeds, r->session, token);
+	const struct observer *feed =
+		observers_find(t->observers, r->session, token);
 
 	*out = *before;
 	if (feed && out->code == COAP_RESPONSE_CODE_CONTENT)
@@ -275,11 +276,12 @@
 	struct target *t = s->t;
 	struct reply out = { 0 };
 	struct request r;
-	struct feed *feed;
+	struct observer *feed;
 
 	target_link(t);
 	coap_session_set_nstart(session, NSTART);
-	feed = feeds_find(t->feeds, session, coap_pdu_get_token(request));
+	feed = observers_find(t->observers, session,
+			      coap_pdu_get_token(request));
 	if (is_notification(request, answer, feed)) {
 		notify(t, feed, answer);
 		return;
@@ -301,7 +303,7 @@
 {
 	t->round++;
 	if (t->round > ROUNDS_SLACK)
-		feeds_sweep(t->feeds, t->round - ROUNDS_SLACK);
+		observers_sweep(t->observers, t->round - ROUNDS_SLACK);
 	coap_resource_notify_observers(t->feed_resource, NULL);
 }
 
--- a/sim/sim-target/target.c
+++ b/sim/sim-target/target.c
@@ -92,7 +92,7 @@
 	t->slots = slots_new(t->opt.n_slots, t->opt.queue_max);
 	t->dedup = dedup_new(EXCHANGES_MAX, EXCHANGE_LIFETIME_NS);
 	t->uploads = uploads_new(EXCHANGE_LIFETIME_NS);
-	t->feeds = feeds_new();
+	t->observers = observers_new();
 	t->report.lag_ns = t->opt.load_lag_ns;
 	t->report.lie = t->opt.load_lie;
 	t->behaviour.rng.s = hash_u64(t->opt.addr, t->opt.seed) | 1;
@@ -121,7 +121,9 @@
 void target_close(struct target *t)
 {
 	/* libcoap asserts that nobody holds its sessions any more. */
-	feeds_free(t->feeds);
+	target_abandon(t);
+	observers_free(t->observers);
+	sim_loop_close(&t->loop);
 	coap_free_context(t->coap);
 	uploads_free(t->uploads);
 	dedup_free(t->dedup);
--- a/sim/sim-target/target.h
+++ b/sim/sim-target/target.h
@@ -174,10 +174,10 @@
 			uint64_t now_ns);
 void load_encode(const struct load *l, uint8_t buf[LOAD_BYTES]);
 
-/* feeds.c: observers, beside libcoap's own list of them. */
+/* observers.c: observers, beside libcoap's own list of them. */
 
 /**
- * struct feed - an observer
+ * struct observer - an observer
  * @session: libcoap's session, a reference is held
  * @token_len: bytes of @token in use
  * @token: token of the request that opened it
@@ -186,7 +186,7 @@
  * @round: last round of notifications that asked for it
  * @lost: the target forgot it; it is silent from now on
  */
-struct feed {
+struct observer {
 	coap_session_t *session;
 	uint8_t token_len;
 	uint8_t token[TOKEN_MAX_BYTES];
@@ -196,18 +196,18 @@
 	bool lost;
 };
 
-struct feeds;
+struct observers;
 
-struct feeds *feeds_new(void);
-void feeds_free(struct feeds *f);
-struct feed *feeds_find(struct feeds *f, coap_session_t *session,
-			coap_bin_const_t token);
-struct feed *feeds_add(struct feeds *f, coap_session_t *session,
-		       coap_bin_const_t token, const char *id);
-void feeds_remove(struct feeds *f, struct feed *feed);
-void feeds_lose(struct feeds *f);
-void feeds_sweep(struct feeds *f, uint32_t round);
-uint32_t feeds_count(const struct feeds *f);
+struct observers *observers_new(void);
+void observers_free(struct observers *f);
+struct observer *observers_find(struct observers *f, coap_session_t *session,
+				coap_bin_const_t token);
+struct observer *observers_add(struct observers *f, coap_session_t *session,
+			       coap_bin_const_t token, const char *id);
+void observers_remove(struct observers *f, struct observer *feed);
+void observers_lose(struct observers *f);
+void observers_sweep(struct observers *f, uint32_t round);
+uint32_t observers_count(const struct observers *f);
 
 /* What the target counts; "stats" on the control port prints them. */
 enum counter {
@@ -315,7 +315,7 @@
 	struct slots *slots;
 	struct dedup *dedup;
 	struct uploads *uploads;
-	struct feeds *feeds;
+	struct observers *observers;
 	struct report report;
 	struct behaviour behaviour;
 	uint32_t sequence;
@@ -329,6 +329,7 @@
 void target_close(struct target *t);
 int target_serve_open(struct target *t);
 void target_step(struct target *t);
+void target_abandon(struct target *t);
 void target_notify(struct target *t);
 void target_link(const struct target *t);
 void target_refuse(struct reply *out, const char *reason);
--- a/sim/sim-target/work.c
+++ b/sim/sim-target/work.c
@@ -69,7 +69,7 @@
 	struct load l = {
 		.running = (uint16_t)slots_running(t->slots),
 		.waiting = (uint16_t)slots_waiting(t->slots),
-		.connections = (uint16_t)feeds_count(t->feeds),
+		.connections = (uint16_t)observers_count(t->observers),
 	};
 
 	return l;
@@ -193,6 +193,20 @@
 	target_step(t);
 }
 
+/**
+ * target_abandon() - forget every request that waits or runs
+ * @t: target
+ */
+void target_abandon(struct target *t)
+{
+	void *job;
+
+	while (slots_done(t->slots, NEVER_NS, &job))
+		job_free(job);
+	while (slots_next(t->slots, 0, &job) != SLOTS_NONE)
+		job_free(job);
+}
+
 static bool refused(struct target *t, struct reply *out)
 {
 	if (t->behaviour.draining) {
@@ -266,7 +280,7 @@
 void target_feed(struct target *t, const struct request *r, struct reply *out)
 {
 	coap_bin_const_t token = { r->key.token_len, r->key.token };
-	struct feed *feed = feeds_find(t->feeds, r->session, token);
+	struct observer *feed = observers_find(t->observers, r->session, token);
 
 	out->code = COAP_RESPONSE_CODE_CONTENT;
 	if (feed && !feed->lost && r->observe == COAP_OBSERVE_ESTABLISH) {
@@ -276,14 +290,14 @@
 	if (refused(t, out))
 		return;
 	if (r->observe == COAP_OBSERVE_ESTABLISH &&
-	    feeds_count(t->feeds) >= t->opt.connections_max) {
+	    observers_count(t->observers) >= t->opt.connections_max) {
 		t->counts[COUNT_SHED]++;
 		target_refuse(out, "connections");
 		return;
 	}
 	target_log_run(t, r);
 	if (r->observe == COAP_OBSERVE_ESTABLISH) {
-		feed = feeds_add(t->feeds, r->session, token, r->id);
+		feed = observers_add(t->observers, r->session, token, r->id);
 		feed->round = t->round;
 	}
 	target_body(t, r->id, 0, out);
@@ -340,11 +354,11 @@
 {
 	struct message_key key = r->key;
 	coap_bin_const_t token = { key.token_len, key.token };
-	struct feed *feed = feeds_find(t->feeds, r->session, token);
+	struct observer *feed = observers_find(t->observers, r->session, token);
 	void *job;
 
 	if (feed) {
-		feeds_remove(t->feeds, feed);
+		observers_remove(t->observers, feed);
 		return true;
 	}
 	if (!slots_cancel(t->slots, same_request, &key, &job))
--- a/sim/sim.h
+++ b/sim/sim.h
@@ -42,6 +42,7 @@
 uint64_t sim_addr(const struct sockaddr *sa);
 int sim_udp_bind(uv_loop_t *loop, uv_udp_t *udp, uint64_t addr,
 		 const char *program, const char *step);
+void sim_loop_close(uv_loop_t *loop);
 
 /**
  * struct control_command - one line that a control port takes
