--- a/test/testbed_fault.c
+++ b/test/testbed_fault.c
@@ -13,7 +13,7 @@
 	uint64_t vms[TESTBED_NODES_MAX];
 	uint32_t n = 0;
 
-	for (uint32_t v = 0; v < f->n_nodes; v++) {
+	for (uint32_t v = 0; v < TESTBED_NODES_MAX; v++) {
 		if (f->listed_seen & 1u << v)
 			vms[n++] = VM_ADDR(v);
 	}
@@ -145,7 +145,7 @@
 		.drain_ns = MS(20000),
 		.peer_bytes_per_s = 16000,
 		.n_buckets = BUCKETS,
-		.seed = f->plan.seed * TESTBED_NODES_MAX + i,
+		.seed = hash_u64(f->plan.seed, f->nodes[i].incarnation + i),
 	};
 }
 
@@ -170,6 +170,8 @@
 	give_config(f, i, f->published->len - 1);
 	if (!n->platform_cut)
 		give_roster(f, i);
+	if (f->listed & 1u << i)
+		return;
 	f->listed |= 1u << i;
 	list_changed(f);
 }
@@ -289,7 +291,8 @@
 {
 	f->list_lag_ns = LIST_LAG_NS;
 	publish(f);
-	f->listed_seen = (1u << f->plan.nodes) - 1;
+	f->listed = (1u << f->plan.nodes) - 1;
+	f->listed_seen = f->listed;
 	for (uint32_t i = 0; i < f->plan.nodes; i++)
 		testbed_start(f, i, 0);
 }
