--- a/sim/sim-platform/main.c
+++ b/sim/sim-platform/main.c
@@ -19,6 +19,6 @@
 	       (unsigned long long)keys_revision(p.keys));
 	fflush(stdout);
 	uv_run(&p.loop, UV_RUN_DEFAULT);
-	keys_free(p.keys);
+	sim_platform_close(&p);
 	return EXIT_SUCCESS;
 }
--- a/sim/sim-platform/platform.c
+++ b/sim/sim-platform/platform.c
@@ -94,3 +94,19 @@
 		rc = open_fronts(p);
 	return rc ? rc : open_admin(p);
 }
+
+/**
+ * sim_platform_close() - leave; waiting calls are cut
+ * @p: platform
+ */
+void sim_platform_close(struct platform *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->opt.n_addrs; i++)
+		front_down(&p->fronts[i], 0);
+	if (p->admin)
+		http_close(p->admin);
+	sim_loop_close(&p->loop);
+	keys_free(p->keys);
+}
--- a/sim/sim-platform/platform.h
+++ b/sim/sim-platform/platform.h
@@ -109,6 +109,7 @@
 int sim_platform_options_read(struct platform_options *o, int argc,
 			      char **argv);
 int sim_platform_open(struct platform *p);
+void sim_platform_close(struct platform *p);
 int front_open(struct front *f);
 void front_down(struct front *f, uint64_t length_ns);
 void front_stale(struct front *f, uint64_t length_ns, uint64_t revision);
--- a/sim/sim-target/behaviour.c
+++ b/sim/sim-target/behaviour.c
@@ -13,6 +13,7 @@
 	b->crawl = 1;
 	b->shed_percent = 0;
 	b->fail_percent = 0;
+	b->lose_percent = 0;
 	b->cold_start_ns = 0;
 	b->cold_deadline_ns = 0;
 }
--- a/sim/sim-target/commands.c
+++ b/sim/sim-target/commands.c
@@ -75,6 +75,16 @@
 	return control_percent(argv[1], &t->behaviour.fail_percent);
 }
 
+static int do_lose(void *ctx, int argc, char **argv, char *reply, size_t n)
+{
+	struct target *t = ctx;
+	int rc = control_percent(argv[1], &t->behaviour.lose_percent);
+
+	(void)argc, (void)reply, (void)n;
+	target_link(t);
+	return rc;
+}
+
 static int do_cold(void *ctx, int argc, char **argv, char *reply, size_t n)
 {
 	struct target *t = ctx;
@@ -125,6 +135,7 @@
 	{ "silent-feeds", 0, 0, "", do_silent_feeds },
 	{ "shed", 1, 1, "N% (0 to 100)", do_shed },
 	{ "fail", 1, 1, "N% (0 to 100)", do_fail },
+	{ "lose", 1, 1, "N% (0 to 100)", do_lose },
 	{ "cold", 1, 1, "MS (1 to 600000)", do_cold },
 	{ "ok", 0, 0, "", do_ok },
 	{ "stats", 0, 0, "", do_stats },
--- a/sim/sim-target/serve.c
+++ b/sim/sim-target/serve.c
@@ -27,12 +27,16 @@
 };
 
 /**
- * target_link() - let answers out, unless the target is silent
+ * target_link() - let answers out, as far as the faults do
  * @t: target
  */
 void target_link(const struct target *t)
 {
-	coap_debug_set_packet_loss(t->behaviour.silent ? "100%" : "0%");
+	char loss[8];
+
+	g_snprintf(loss, sizeof(loss), "%u%%",
+		   t->behaviour.silent ? 100 : t->behaviour.lose_percent);
+	coap_debug_set_packet_loss(loss);
 }
 
 static bool add_uint(coap_pdu_t *pdu, coap_option_num_t number, uint32_t n)
--- a/sim/sim-target/target.h
+++ b/sim/sim-target/target.h
@@ -104,6 +104,7 @@
  * @crawl: work takes this many times as long
  * @shed_percent: share refused as not run
  * @fail_percent: share that runs and then answers 5.00
+ * @lose_percent: share of outgoing datagrams that are lost on the way
  * @cold_start_ns: when the slow start began
  * @cold_deadline_ns: when it is over, 0 for none
  */
@@ -114,6 +115,7 @@
 	uint32_t crawl;
 	uint32_t shed_percent;
 	uint32_t fail_percent;
+	uint32_t lose_percent;
 	uint64_t cold_start_ns;
 	uint64_t cold_deadline_ns;
 };
