--- a/test/sim_platform_test.c
+++ b/test/sim_platform_test.c
@@ -1,6 +1,8 @@
 /* The configuration service stand-in, read over loopback in one loop. */
 #include "sim-platform/platform.h"
 
+#include "settings.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
@@ -11,7 +13,8 @@
 #include <stdarg.h>
 #include <cmocka.h>
 
-#define FRONT(i) ADDR(0x7f0a02c9 + (i), 17500)
+/* An address for each process, so that two runs at once do not meet. */
+#define FRONT(i) ADDR(0x7f0a0000 | (getpid() & 0xffff), 17500 + (i))
 #define TURNS_MAX 100000
 #define QUIET_TURNS 50
 #define LATER_NS (UINT64_MAX - 1)
@@ -45,6 +48,16 @@
 	g_string_free(body, TRUE);
 }
 
+static void fault(struct fixture *f, const char *path, int front)
+{
+	char addr[32];
+	char query[64];
+
+	snprintf(query, sizeof(query), "ms=600000&addr=%s",
+		 addr_text(FRONT(front), addr, sizeof(addr)));
+	admin(f, "POST", path, query, "");
+}
+
 /* Two fronts; account/a has revision 1. */
 static int setup(void **state)
 {
@@ -150,8 +163,7 @@
 	ask(f, 1, "/v1/watch?after=1&timeout_ms=600000");
 	assert_waiting(f, 0, 1);
 	assert_waiting(f, 1, 1);
-	admin(f, "POST", "/admin/stale", "ms=600000&addr=127.10.2.202:17500",
-	      "");
+	fault(f, "/admin/stale", 1);
 	admin(f, "PUT", "/admin/keys/account/a", "", "two");
 	assert_answer(f, 0, "2", "2 account/a\n");
 	assert_waiting(f, 1, 1);
@@ -168,8 +180,7 @@
 
 	ask(f, 0, "/v1/watch?after=1&timeout_ms=600000");
 	assert_waiting(f, 0, 1);
-	admin(f, "POST", "/admin/down", "ms=600000&addr=127.10.2.201:17500",
-	      "");
+	fault(f, "/admin/down", 0);
 	assert_int_equal(answer(f, 0, text, sizeof(text)), 0);
 	assert_waiting(f, 0, 0);
 	assert_int_equal(dial(FRONT(0)), -1);
--- a/test/sim_target_test.c
+++ b/test/sim_target_test.c
@@ -10,7 +10,8 @@
 #include <stdarg.h>
 #include <cmocka.h>
 
-#define TARGET ADDR(0x7f0a02c8, 15683)
+/* An address for each process, so that two runs at once do not meet. */
+#define TARGET ADDR(0x7f0a0000 | (getpid() & 0xffff), 15683)
 #define TURNS_MAX 100000
 #define QUIET_TURNS 50
 
