--- a/sim/sim-target/target.h
+++ b/sim/sim-target/target.h
@@ -226,6 +226,9 @@
 	COUNTERS
 };
 
+struct target;
+struct request;
+
 /**
  * struct path - what the target serves
  * @name: Uri-Path
@@ -233,8 +236,6 @@
  *	leave its code 0 when the answer comes later
  * @observable: takes Observe
  */
-struct target;
-struct request;
 struct path {
 	const char *name;
 	void (*serve)(struct target *t, const struct request *r,
