cb-entry: the link carries the key; changes are applied by a timer

What arrives in the loop's prepare phase was applied only when the next event woke the loop; a timer of 0 ms makes it run at once.

--- a/cmd/cb-entry/daemon.c
+++ b/cmd/cb-entry/daemon.c
@@ -134,7 +134,6 @@
 	uint64_t now_ns = uv_hrtime();
 	uint64_t wait_ms = 0;
 
-	intake_apply(d);
 	d->armed_ns = entry_next_ns(d->entry);
 	if (d->armed_ns > now_ns)
 		wait_ms = (d->armed_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS;
--- a/cmd/cb-entry/daemon.h
+++ b/cmd/cb-entry/daemon.h
@@ -105,6 +105,7 @@
 	uv_udp_t peer_socket;
 	uv_timer_t tick_timer;
 	uv_timer_t second_timer;
+	uv_timer_t apply_timer;
 	uv_prepare_t prepare;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
@@ -147,7 +148,6 @@
 
 /* intake.c */
 int intake_open(struct daemon *d);
-void intake_apply(struct daemon *d);
 void intake_close(struct daemon *d);
 
 /* act.c */
--- a/cmd/cb-entry/intake.c
+++ b/cmd/cb-entry/intake.c
@@ -1,7 +1,7 @@
 /*
- * Accounts and the list of VMs, as cb-watch sends them. What arrives is held
- * back until the loop is about to wait and put in force in one go: a new
- * process gets every account at once, and each change rebuilds the tables.
+ * Accounts and the list of VMs, as cb-watch sends them. What arrives in one
+ * turn of the loop is put in force in one go in the next: a new process gets
+ * every account at once, and each change rebuilds the tables.
  */
 #include "daemon.h"
 #include "log.h"
@@ -25,8 +25,17 @@
 	bool vms_changed;
 };
 
-static struct change *change_add(struct intake *in)
+static void apply(uv_timer_t *timer);
+
+/* A timer, since it also keeps the loop from waiting before it has run. */
+static void apply_soon(struct daemon *d)
+{
+	uv_timer_start(&d->apply_timer, apply, 0, 0);
+}
+
+static struct change *change_add(struct daemon *d)
 {
+	struct intake *in = d->intake;
 	struct change *grown = in->changes;
 
 	if (in->n_changes == in->capacity) {
@@ -37,13 +46,14 @@
 		return NULL;
 	in->changes = grown;
 	grown[in->n_changes] = (struct change){ 0 };
+	apply_soon(d);
 	return &grown[in->n_changes++];
 }
 
 static void account(void *ctx, struct account_conf *take)
 {
 	struct daemon *d = ctx;
-	struct change *c = change_add(d->intake);
+	struct change *c = change_add(d);
 
 	if (c) {
 		c->account = take;
@@ -56,7 +66,7 @@
 static void account_gone(void *ctx, const char *name)
 {
 	struct daemon *d = ctx;
-	struct change *c = change_add(d->intake);
+	struct change *c = change_add(d);
 
 	if (c)
 		g_strlcpy(c->gone, name, sizeof(c->gone));
@@ -75,28 +85,7 @@
 	d->intake->vms = copy;
 	d->intake->n_vms = n;
 	d->intake->vms_changed = true;
-}
-
-/**
- * intake_open() - open the link to cb-watch
- * @d: daemon
- *
- * Return: 0 or a negative error number.
- */
-int intake_open(struct daemon *d)
-{
-	struct link_handler handler = { d, account, account_gone, roster };
-	int err;
-
-	d->intake = calloc(1, sizeof(*d->intake));
-	if (!d->intake)
-		return -ENOMEM;
-	err = entry_link_open(d->loop, d->settings.watch, d->settings.peer,
-			      handler, &d->link);
-	if (err)
-		log_line(LOG_ERROR, "intake.link", d->settings.watch, "%s",
-			 strerror(-err));
-	return err;
+	apply_soon(d);
 }
 
 /*
@@ -176,21 +165,48 @@
 	act(d);
 }
 
-/**
- * intake_apply() - put in force what has arrived
- * @d: daemon
- *
+/*
  * The decisions point into the configuration, so it changes only here, right
  * before they are told.
  */
-void intake_apply(struct daemon *d)
+static void apply(uv_timer_t *timer)
 {
+	struct daemon *d = timer->loop->data;
+
 	if (d->intake->n_changes)
 		apply_changes(d, d->intake);
 	if (d->intake->vms_changed)
 		apply_roster(d, d->intake);
 }
 
+/**
+ * intake_open() - open the link to cb-watch
+ * @d: daemon
+ *
+ * Return: 0 or a negative error number.
+ */
+int intake_open(struct daemon *d)
+{
+	struct link_handler handler = { d, account, account_gone, roster };
+	struct link_conf conf = {
+		.endpoint = d->settings.watch,
+		.self = d->settings.peer,
+		.data_centre = d->settings.data_centre,
+		.key = d->settings.key,
+	};
+	int err;
+
+	d->intake = calloc(1, sizeof(*d->intake));
+	if (!d->intake)
+		return -ENOMEM;
+	uv_timer_init(d->loop, &d->apply_timer);
+	err = entry_link_start(d->loop, &conf, handler, &d->link);
+	if (err)
+		log_line(LOG_ERROR, "intake.link", d->settings.watch, "%s",
+			 strerror(-err));
+	return err;
+}
+
 /**
  * intake_close() - close the link and drop what hasn't been applied
  * @d: daemon
