Peer messages: SipHash-2-4-128 in place of keyed BLAKE2b; bench-packet

Cause: bench-packet showed that the MAC took most of the codec's time: of 746 ns to encode a forwarded datagram of 151 bytes, 616 were BLAKE2b. Weighed: BLAKE2b (616 ns a 151 byte message), SipHash-2-4 with 128 bits (109 ns), Poly1305 (needs a nonce kept unique by processes that keep nothing). Figures, ns a message, before and after: encode forward 746, 183; decode forward 1080, 542; encode claim 563, 167; decode claim 844, 462. Conclusion: SipHash; messages are short, the tag stays 16 bytes.

--- a/adapters/wire.c
+++ b/adapters/wire.c
@@ -10,7 +10,7 @@
 #include <sodium.h>
 #include <string.h>
 
-#define MAC_BYTES 16
+#define MAC_BYTES crypto_shorthash_siphashx24_BYTES
 #define STATE_BITS 3
 #define STATE_MASK ((1 << STATE_BITS) - 1)
 #define GRANTED_BIT (1 << STATE_BITS)
@@ -163,6 +163,15 @@
 	return m->n_gossip <= GOSSIP_MAX && m->n_claims <= CLAIMS_MAX;
 }
 
+/*
+ * SipHash-2-4 with 128 bits out is made for short messages; it takes a key of
+ * 16 bytes, the first half. docs/design/peer-protocol.md compares others.
+ */
+static void sign(uint8_t *buf, uint32_t body_bytes, const uint8_t *key)
+{
+	crypto_shorthash_siphashx24(buf + body_bytes, buf, body_bytes, key);
+}
+
 int32_t wire_encode(const struct peer_msg *m, const uint8_t key[WIRE_KEY_BYTES],
 		    uint8_t *buf, uint32_t cap_bytes)
 {
@@ -179,8 +188,7 @@
 	msgpack_packer_init(&pk, &w, writer_append);
 	if (pack_head(&pk, m, f) || pack_fields(&pk, m, f))
 		return -EMSGSIZE;
-	crypto_generichash(buf + w.size_bytes, MAC_BYTES, buf, w.size_bytes,
-			   key, WIRE_KEY_BYTES);
+	sign(buf, w.size_bytes, key);
 	return (int32_t)(w.size_bytes + MAC_BYTES);
 }
 
@@ -330,8 +338,7 @@
 {
 	uint8_t mac[MAC_BYTES];
 
-	crypto_generichash(mac, MAC_BYTES, buf, body_bytes, key,
-			   WIRE_KEY_BYTES);
+	crypto_shorthash_siphashx24(mac, buf, body_bytes, key);
 	return sodium_memcmp(mac, buf + body_bytes, MAC_BYTES) ? -EBADMSG : 0;
 }
 
