--- a/cmd/cb-watch/documents.c
+++ b/cmd/cb-watch/documents.c
@@ -46,8 +46,7 @@
 
 		if (one->warning)
 			continue;
-		g_string_append_printf(reason,
-				       "%s%s:%u: %s: %s, expected %s",
+		g_string_append_printf(reason, "%s%s:%u: %s: %s, expected %s",
 				       reason->len ? "; " : "", one->document,
 				       one->line, one->key, one->problem,
 				       one->expected);
--- a/cmd/cb-watch/main.c
+++ b/cmd/cb-watch/main.c
@@ -81,12 +81,12 @@
 int main(int argc, char **argv)
 {
 	struct options o = {
-		.settings = arg_file1(NULL, "settings", "FILE",
-				      "settings in TOML"),
+		.settings =
+			arg_file1(NULL, "settings", "FILE", "settings in TOML"),
 		.check = arg_lit0(NULL, "check", "check the settings and stop"),
 		.help = arg_lit0(NULL, "help", "print this and stop"),
-		.version = arg_lit0(NULL, "version",
-				    "print the version and stop"),
+		.version =
+			arg_lit0(NULL, "version", "print the version and stop"),
 		.end = arg_end(MISTAKES_SHOWN),
 	};
 	void *table[] = { o.settings, o.check, o.help, o.version, o.end };
--- a/cmd/cb-watch/operators.c
+++ b/cmd/cb-watch/operators.c
@@ -16,9 +16,8 @@
 
 static void counter(GString *out, const char *name, uint64_t value)
 {
-	g_string_append_printf(out,
-			       "# TYPE " METRIC_PREFIX "%s_total counter\n",
-			       name);
+	g_string_append_printf(
+		out, "# TYPE " METRIC_PREFIX "%s_total counter\n", name);
 	g_string_append_printf(out, METRIC_PREFIX "%s_total %lu\n", name,
 			       value);
 }
@@ -56,11 +55,10 @@
 				   &content))) {
 		if (version_empty(version))
 			continue;
-		g_string_append_printf(out, "%s %lu %lu %016lx %s\n", key,
-				       version->generation, version->revision,
-				       version->hash,
-				       version_withdrawn(version) ? "withdrawn"
-								  : "live");
+		g_string_append_printf(
+			out, "%s %lu %lu %016lx %s\n", key, version->generation,
+			version->revision, version->hash,
+			version_withdrawn(version) ? "withdrawn" : "live");
 	}
 }
 
--- a/cmd/cb-watch/watch.c
+++ b/cmd/cb-watch/watch.c
@@ -36,8 +36,12 @@
 {
 	uint64_t next_ns = spread_next_ns(w->spread);
 	uint64_t now_ns = uv_hrtime();
-	uint64_t wait_ms = 0;
+	uint64_t wait_ms = 1;
 
+	/*
+	 * Never 0: libuv runs a timer that its callback starts with 0 again in
+	 * the same turn, and no frame would be read until it stops.
+	 */
 	if (reader_next_ns(w->reader) < next_ns)
 		next_ns = reader_next_ns(w->reader);
 	if (next_ns > now_ns)
@@ -138,8 +142,8 @@
 
 	if (err)
 		log_line(LOG_ERROR, "http",
-			 addr_text(w->settings.http, addr, sizeof(addr)),
-			 "%s", strerror(-err));
+			 addr_text(w->settings.http, addr, sizeof(addr)), "%s",
+			 strerror(-err));
 	return err;
 }
 
@@ -177,8 +181,8 @@
 	w->settings = *settings;
 	snprintf(w->vms_key, sizeof(w->vms_key), "vms/%s",
 		 settings->data_centre);
-	w->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   g_free);
+	w->refused =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	err = make_core(w, uv_hrtime());
 	if (!err)
 		err = platform_open(loop, settings->platform_url, answers,
--- a/core/reader.c
+++ b/core/reader.c
@@ -137,8 +137,12 @@
 {
 	char key[sizeof(TEMPLATE_PREFIX) + NAME_MAX_BYTES];
 
-	if (r->waiting || r->mode == READER_OFF)
+	if (r->waiting)
+		return;
+	if (r->mode == READER_OFF) {
+		r->next_deadline_ns = NEVER_NS;
 		return;
+	}
 	if (r->mode == READER_ROSTER) {
 		r->next_deadline_ns = NEVER_NS;
 		if (!r->roster_read)
--- /dev/null
+++ b/test/spread_net.c
@@ -0,0 +1,792 @@
+#include "spread_net.h"
+
+#include "reader.h"
+#include "spread.h"
+#include "spread_codec.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_NS (5 * NET_MS)
+#define CALL_NS (5 * NET_MS)
+#define WATCH_NS (20 * NET_S)
+#define KEYS_MAX 64
+#define TEXT_MAX 16384
+#define ITEMS_MAX 2048
+#define LOG_MAX 4096
+#define VMS_MAX 512
+#define VM_BASE 0x7f280100U
+#define VM_PORT 7000
+#define VMS_KEY "vms/dc"
+
+struct document {
+	char key[PUBLISHED_KEY_MAX_BYTES];
+	uint64_t revision;
+	char *text;
+};
+
+struct view {
+	struct document documents[KEYS_MAX];
+	uint32_t n;
+	uint64_t revision;
+};
+
+struct change {
+	uint64_t revision;
+	char key[PUBLISHED_KEY_MAX_BYTES];
+};
+
+struct call {
+	bool active;
+	enum reader_call kind;
+	char key[PUBLISHED_KEY_MAX_BYTES];
+	uint64_t after;
+	uint64_t due_ns;
+	uint64_t end_ns;
+};
+
+struct forced {
+	char key[PUBLISHED_KEY_MAX_BYTES];
+	struct version version;
+};
+
+struct vm {
+	struct net *net;
+	uint32_t index;
+	uint32_t side;
+	bool paused;
+	bool roster_known;
+	struct spread *spread;
+	struct reader *reader;
+	struct call call;
+	char template[NAME_MAX_BYTES];
+	char *template_text;
+	struct forced watch[KEYS_MAX];
+	struct forced entry[KEYS_MAX];
+	uint64_t bytes;
+};
+
+struct frame {
+	uint32_t from;
+	uint32_t to;
+	uint64_t due_ns;
+	uint8_t *data;
+	uint32_t size_bytes;
+};
+
+struct net {
+	uint64_t now_ns;
+	struct rng rng;
+	uint32_t n;
+	uint32_t readers;
+	struct vm *vms;
+	struct frame *frames;
+	uint32_t n_frames;
+	uint32_t cap_frames;
+	struct spread_auth auth;
+	struct view live;
+	struct view stale;
+	struct change log[LOG_MAX];
+	uint32_t n_log;
+	enum net_platform platform;
+	uint32_t lose_one_in;
+	uint32_t falls;
+	uint64_t calls;
+	uint64_t calls_second;
+	uint64_t calls_in_second;
+	uint64_t calls_max_per_s;
+};
+
+static uint64_t vm_addr(uint32_t index)
+{
+	return ADDR(VM_BASE + index, VM_PORT);
+}
+
+/* The platform. */
+
+static struct document *view_find(struct view *v, const char *key)
+{
+	for (uint32_t i = 0; i < v->n; i++)
+		if (!strcmp(v->documents[i].key, key))
+			return &v->documents[i];
+	return NULL;
+}
+
+static void view_clear(struct view *v)
+{
+	for (uint32_t i = 0; i < v->n; i++)
+		free(v->documents[i].text);
+	v->n = 0;
+}
+
+static void log_change(struct net *net, const char *key)
+{
+	struct change *c = &net->log[net->n_log++ % LOG_MAX];
+
+	c->revision = net->live.revision;
+	snprintf(c->key, sizeof(c->key), "%s", key);
+}
+
+void net_publish(struct net *net, const char *key, const char *text)
+{
+	struct document *d = view_find(&net->live, key);
+
+	net->live.revision++;
+	if (!d) {
+		d = &net->live.documents[net->live.n++];
+		snprintf(d->key, sizeof(d->key), "%s", key);
+		d->text = NULL;
+	}
+	free(d->text);
+	d->text = strdup(text);
+	d->revision = net->live.revision;
+	log_change(net, key);
+}
+
+void net_delete(struct net *net, const char *key)
+{
+	struct document *d = view_find(&net->live, key);
+
+	if (!d)
+		return;
+	net->live.revision++;
+	free(d->text);
+	*d = net->live.documents[--net->live.n];
+	log_change(net, key);
+}
+
+void net_platform(struct net *net, enum net_platform state)
+{
+	net->platform = state;
+}
+
+void net_remember(struct net *net)
+{
+	view_clear(&net->stale);
+	net->stale = net->live;
+	for (uint32_t i = 0; i < net->stale.n; i++)
+		net->stale.documents[i].text =
+			strdup(net->live.documents[i].text);
+}
+
+static void publish_vms(struct net *net)
+{
+	char text[TEXT_MAX] = "";
+	size_t used = 0;
+
+	for (uint32_t i = 0; i < net->n; i++)
+		if (net->vms[i].spread)
+			used += snprintf(text + used, sizeof(text) - used,
+					 "%s%u", used ? "|" : "", i);
+	net_publish(net, VMS_KEY, text);
+}
+
+/* Ports of the reader. */
+
+static void port_call(void *ctx, enum reader_call kind, const char *key,
+		      uint64_t after)
+{
+	struct vm *vm = ctx;
+	struct net *net = vm->net;
+
+	net->calls++;
+	if (net->now_ns / NET_S != net->calls_second) {
+		net->calls_second = net->now_ns / NET_S;
+		net->calls_in_second = 0;
+	}
+	if (++net->calls_in_second > net->calls_max_per_s)
+		net->calls_max_per_s = net->calls_in_second;
+	vm->call = (struct call){
+		.active = true,
+		.kind = kind,
+		.after = after,
+		.due_ns = net->now_ns + CALL_NS,
+		.end_ns = net->now_ns + WATCH_NS,
+	};
+	snprintf(vm->call.key, sizeof(vm->call.key), "%s", key);
+}
+
+static void port_cancel(void *ctx)
+{
+	struct vm *vm = ctx;
+
+	vm->call.active = false;
+}
+
+static const struct version *port_known(void *ctx, const char *key)
+{
+	struct vm *vm = ctx;
+
+	return spread_version(vm->spread, key);
+}
+
+static void take_roster(struct vm *vm, const struct content *c)
+{
+	uint64_t vms[VMS_MAX];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; c && i < c->n; i++) {
+		char text[16] = "";
+
+		memcpy(text, c->items[i].data, c->items[i].size_bytes);
+		vms[n++] = vm_addr((uint32_t)atoi(text));
+	}
+	vm->roster_known = true;
+	spread_roster(vm->spread, vms, n, vm->net->now_ns);
+}
+
+static uint32_t split(char *text, struct item *items, uint32_t n)
+{
+	char *rest = text;
+	char *part;
+
+	while ((part = strsep(&rest, "|")) && n < ITEMS_MAX) {
+		items[n].data = (const uint8_t *)part;
+		items[n++].size_bytes = (uint32_t)strlen(part);
+	}
+	return n;
+}
+
+/* Render "GENERATION|ITEM|@TEMPLATE": the template's items are put in. */
+static int render(struct vm *vm, char *text, char *template_copy,
+		  struct content **out, uint64_t *generation, char *wanted)
+{
+	struct item items[ITEMS_MAX];
+	uint32_t n = split(text, items, 0);
+	const char *name;
+
+	*generation = strtoull(text, NULL, 10);
+	if (!*generation)
+		return -EINVAL;
+	if (n > 1 && items[1].data[0] == '@') {
+		name = (const char *)items[1].data + 1;
+		if (strcmp(name, vm->template) && wanted) {
+			strcpy(wanted, name);
+			return -ENOENT;
+		}
+		if (!vm->template_text)
+			return -EINVAL;
+		strcpy(template_copy, vm->template_text);
+		items[1] = items[n - 1];
+		n = split(template_copy, items, n - 1);
+	}
+	*out = content_new(items + 1, n - 1);
+	return 0;
+}
+
+static int port_document(void *ctx, const char *key, const char *text,
+			 uint32_t size_bytes, uint64_t revision, char *template)
+{
+	struct vm *vm = ctx;
+	char copy[TEXT_MAX] = "", template_copy[TEXT_MAX];
+	struct item items[ITEMS_MAX];
+	struct content *c = NULL;
+	uint64_t generation = revision;
+	int err = 0;
+
+	memcpy(copy, text, size_bytes);
+	if (template)
+		vm->template[0] = 0;
+	if (!strcmp(key, VMS_KEY))
+		c = content_new(items, split(copy, items, 0));
+	else
+		err = render(vm, copy, template_copy, &c, &generation,
+			     template);
+	if (err)
+		return err;
+	err = spread_publish(vm->spread, key, generation, revision, c,
+			     vm->net->now_ns);
+	if (!err && !strcmp(key, VMS_KEY) && !spread_serving(vm->spread))
+		take_roster(vm, c);
+	content_free(c);
+	return err;
+}
+
+static void port_template(void *ctx, const char *name, const char *text,
+			  uint32_t size_bytes)
+{
+	struct vm *vm = ctx;
+
+	free(vm->template_text);
+	vm->template_text = text ? strndup(text, size_bytes) : NULL;
+	strcpy(vm->template, name);
+}
+
+static void port_gone(void *ctx, const char *key, uint64_t revision)
+{
+	struct vm *vm = ctx;
+
+	if (!strcmp(key, VMS_KEY) && !vm->roster_known)
+		take_roster(vm, NULL);
+	else if (strcmp(key, VMS_KEY))
+		spread_withdraw(vm->spread, key, revision, vm->net->now_ns);
+}
+
+static const char *port_each(void *ctx, uint32_t index)
+{
+	struct vm *vm = ctx;
+	const struct content *content;
+	const struct version *version;
+	const char *key;
+
+	return spread_each(vm->spread, index, &key, &version, &content) ? key
+									: NULL;
+}
+
+static void port_state(void *ctx, bool ok, bool caught_up)
+{
+	struct vm *vm = ctx;
+
+	spread_platform_state(vm->spread, ok, caught_up, vm->net->now_ns);
+}
+
+/* Ports of the spread. */
+
+static void port_send(void *ctx, uint64_t to, const struct spread_msg *msg)
+{
+	struct vm *vm = ctx;
+	struct net *net = vm->net;
+	struct frame f = {
+		.from = vm->index,
+		.to = ADDR_IP(to) - VM_BASE,
+		.due_ns = net->now_ns + STEP_NS,
+	};
+
+	if (spread_encode(msg, &net->auth, &f.data, &f.size_bytes))
+		abort();
+	vm->bytes += f.size_bytes;
+	if (net->lose_one_in && rng_next(&net->rng) % net->lose_one_in == 0) {
+		free(f.data);
+		return;
+	}
+	if (net->n_frames == net->cap_frames) {
+		net->cap_frames = net->cap_frames ? 2 * net->cap_frames : 1024;
+		net->frames = realloc(net->frames, net->cap_frames * sizeof(f));
+	}
+	net->frames[net->n_frames++] = f;
+}
+
+static int port_check(void *ctx, const char *key, const struct content *c)
+{
+	static const char unreadable[] = "unreadable";
+
+	(void)ctx;
+	(void)key;
+	for (uint32_t i = 0; i < c->n; i++)
+		if (c->items[i].size_bytes == strlen(unreadable) &&
+		    !memcmp(c->items[i].data, unreadable, strlen(unreadable)))
+			return -EPROTO;
+	return 0;
+}
+
+static struct forced *forced_get(struct forced *list, const char *key)
+{
+	for (uint32_t i = 0; i < KEYS_MAX; i++) {
+		if (!list[i].key[0])
+			strcpy(list[i].key, key);
+		if (!strcmp(list[i].key, key))
+			return &list[i];
+	}
+	abort();
+}
+
+static const struct forced *forced_find(const struct forced *list,
+					const char *key)
+{
+	for (uint32_t i = 0; i < KEYS_MAX; i++)
+		if (!strcmp(list[i].key, key))
+			return &list[i];
+	return NULL;
+}
+
+static void note(struct net *net, struct forced *list, const char *key,
+		 const struct version *v)
+{
+	struct forced *f = forced_get(list, key);
+
+	net->falls += v->generation < f->version.generation;
+	f->version = *v;
+}
+
+/* An entry takes what adapters/link.c would: only what is newer. */
+static void port_in_force(void *ctx, const char *key,
+			  const struct version *version,
+			  const struct content *content)
+{
+	struct vm *vm = ctx;
+
+	note(vm->net, vm->watch, key, version);
+	if (version_newer(version, &forced_get(vm->entry, key)->version))
+		note(vm->net, vm->entry, key, version);
+	if (content && !strcmp(key, VMS_KEY))
+		take_roster(vm, content);
+}
+
+/* VMs. */
+
+static void vm_start(struct vm *vm)
+{
+	struct net *net = vm->net;
+	struct spread_conf conf = { vm_addr(vm->index), net->readers };
+	struct spread_port port = { vm, port_send, port_check, port_in_force };
+	struct reader_port read = {
+		vm,	    port_call,	   port_cancel,
+		port_known, port_document, port_template,
+		port_gone,  port_each,	   port_state,
+	};
+	struct rng rng = { rng_next(&net->rng) | 1 };
+
+	vm->spread = spread_new(&conf, port, rng, net->now_ns);
+	rng.s = rng_next(&net->rng) | 1;
+	vm->reader = reader_new("dc", read, rng, net->now_ns);
+	vm->paused = false;
+	vm->roster_known = false;
+	vm->call.active = false;
+	memset(vm->watch, 0, sizeof(vm->watch));
+}
+
+static void vm_stop(struct vm *vm)
+{
+	reader_free(vm->reader);
+	spread_free(vm->spread);
+	free(vm->template_text);
+	vm->template_text = NULL;
+	vm->template[0] = 0;
+	vm->reader = NULL;
+	vm->spread = NULL;
+}
+
+static void vm_turn(struct vm *vm)
+{
+	uint64_t now_ns = vm->net->now_ns;
+	enum reader_mode mode = READER_OFF;
+
+	if (now_ns >= spread_next_ns(vm->spread))
+		spread_tick(vm->spread, now_ns);
+	if (spread_is_reader(vm->spread))
+		mode = READER_ALL;
+	else if (!vm->roster_known)
+		mode = READER_ROSTER;
+	reader_mode(vm->reader, mode, now_ns);
+	reader_tick(vm->reader, now_ns);
+}
+
+static void answer_watch(struct net *net, struct vm *vm, struct view *v,
+			 struct reader_answer *a, char *body)
+{
+	size_t used = 0;
+	uint32_t first = net->n_log > LOG_MAX ? net->n_log - LOG_MAX : 0;
+
+	for (uint32_t i = first; i < net->n_log; i++) {
+		const struct change *c = &net->log[i % LOG_MAX];
+
+		if (c->revision > vm->call.after && c->revision <= v->revision)
+			used += snprintf(body + used, TEXT_MAX - used,
+					 "%lu %s\n", c->revision, c->key);
+	}
+	a->body = body;
+	a->size_bytes = (uint32_t)used;
+	a->revision = v->revision;
+	a->status = 200;
+}
+
+static void answer_list(struct view *v, struct reader_answer *a, char *body)
+{
+	size_t used = 0;
+
+	for (uint32_t i = 0; i < v->n; i++)
+		used += snprintf(body + used, TEXT_MAX - used, "%lu %s\n",
+				 v->documents[i].revision, v->documents[i].key);
+	a->body = body;
+	a->size_bytes = (uint32_t)used;
+	a->revision = v->revision;
+	a->status = 200;
+}
+
+static void answer_get(struct view *v, const char *key, struct reader_answer *a)
+{
+	const struct document *d = view_find(v, key);
+
+	a->status = d ? 200 : 404;
+	a->revision = d ? d->revision : v->revision;
+	a->body = d ? d->text : "";
+	a->size_bytes = (uint32_t)strlen(a->body);
+}
+
+static void platform_turn(struct net *net, struct vm *vm)
+{
+	struct view *v = net->platform == NET_STALE ? &net->stale : &net->live;
+	bool reached = net->platform != NET_DOWN && vm->side == 0;
+	struct reader_answer a = { 0 };
+	struct call call = vm->call;
+	char body[TEXT_MAX] = "";
+
+	if (!call.active || net->now_ns < call.due_ns)
+		return;
+	if (reached && call.kind == CALL_WATCH && v->revision <= call.after &&
+	    net->now_ns < call.end_ns)
+		return;
+	vm->call.active = false;
+	if (reached && call.kind == CALL_WATCH)
+		answer_watch(net, vm, v, &a, body);
+	else if (reached && call.kind == CALL_LIST)
+		answer_list(v, &a, body);
+	else if (reached)
+		answer_get(v, call.key, &a);
+	reader_answer(vm->reader, &a, net->now_ns);
+}
+
+static void deliver(struct net *net, struct frame *f)
+{
+	struct vm *vm = &net->vms[f->to];
+	struct spread_msg m;
+
+	if (vm->spread && vm->side == net->vms[f->from].side &&
+	    !spread_decode(f->data, f->size_bytes, &net->auth, &m)) {
+		spread_receive(vm->spread, &m, net->now_ns);
+		spread_msg_clear(&m);
+	}
+	free(f->data);
+}
+
+static void deliver_due(struct net *net)
+{
+	struct frame *frames = net->frames;
+	uint32_t n = net->n_frames;
+
+	net->frames = NULL;
+	net->n_frames = 0;
+	net->cap_frames = 0;
+	for (uint32_t i = 0; i < n; i++) {
+		struct frame *f = &frames[i];
+
+		if (f->to >= net->n) {
+			free(f->data);
+		} else if (net->vms[f->to].paused) {
+			if (net->n_frames == net->cap_frames) {
+				net->cap_frames = 2 * net->cap_frames + 64;
+				net->frames =
+					realloc(net->frames,
+						net->cap_frames * sizeof(*f));
+			}
+			net->frames[net->n_frames++] = *f;
+		} else {
+			deliver(net, f);
+		}
+	}
+	free(frames);
+}
+
+void net_run(struct net *net, uint64_t for_ns)
+{
+	uint64_t end_ns = net->now_ns + for_ns;
+
+	while (net->now_ns < end_ns) {
+		net->now_ns += STEP_NS;
+		deliver_due(net);
+		for (uint32_t i = 0; i < net->n; i++) {
+			struct vm *vm = &net->vms[i];
+
+			if (!vm->spread || vm->paused)
+				continue;
+			platform_turn(net, vm);
+			vm_turn(vm);
+		}
+	}
+}
+
+struct net *net_new(uint32_t n, uint32_t readers, uint64_t seed)
+{
+	static const uint8_t key[SPREAD_AUTH_BYTES] = { 7 };
+	struct net *net = calloc(1, sizeof(*net));
+
+	net->now_ns = 1000 * NET_S;
+	net->rng.s = seed | 1;
+	net->n = n;
+	net->readers = readers;
+	net->vms = calloc(n, sizeof(*net->vms));
+	spread_auth_derive(key, "dc", &net->auth);
+	for (uint32_t i = 0; i < n; i++) {
+		net->vms[i].net = net;
+		net->vms[i].index = i;
+		vm_start(&net->vms[i]);
+	}
+	publish_vms(net);
+	return net;
+}
+
+void net_free(struct net *net)
+{
+	for (uint32_t i = 0; i < net->n; i++)
+		vm_stop(&net->vms[i]);
+	for (uint32_t i = 0; i < net->n_frames; i++)
+		free(net->frames[i].data);
+	view_clear(&net->live);
+	view_clear(&net->stale);
+	free(net->frames);
+	free(net->vms);
+	free(net);
+}
+
+void net_kill(struct net *net, uint32_t vm)
+{
+	vm_stop(&net->vms[vm]);
+}
+
+void net_start(struct net *net, uint32_t vm)
+{
+	vm_start(&net->vms[vm]);
+}
+
+void net_pause(struct net *net, uint32_t vm, bool paused)
+{
+	net->vms[vm].paused = paused;
+}
+
+void net_side(struct net *net, uint32_t vm, uint32_t side)
+{
+	net->vms[vm].side = side;
+}
+
+void net_lose(struct net *net, uint32_t one_in)
+{
+	net->lose_one_in = one_in;
+}
+
+uint64_t net_generation(const struct net *net, uint32_t vm, const char *key)
+{
+	const struct forced *f = forced_find(net->vms[vm].entry, key);
+
+	return f ? f->version.generation : 0;
+}
+
+uint64_t net_hash(const struct net *net, uint32_t vm, const char *key)
+{
+	const struct forced *f = forced_find(net->vms[vm].entry, key);
+
+	return f ? f->version.hash : 0;
+}
+
+bool net_withdrawn(const struct net *net, uint32_t vm, const char *key)
+{
+	const struct forced *f = forced_find(net->vms[vm].entry, key);
+
+	return f && version_withdrawn(&f->version);
+}
+
+bool net_alive(const struct net *net, uint32_t vm)
+{
+	return net->vms[vm].spread;
+}
+
+bool net_serving(const struct net *net, uint32_t vm)
+{
+	return net->vms[vm].spread && spread_serving(net->vms[vm].spread);
+}
+
+bool net_reader(const struct net *net, uint32_t vm)
+{
+	return net->vms[vm].spread && spread_is_reader(net->vms[vm].spread);
+}
+
+uint32_t net_readers(const struct net *net)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < net->n; i++)
+		n += net_reader(net, i);
+	return n;
+}
+
+uint64_t net_root(const struct net *net, uint32_t vm)
+{
+	return spread_root(net->vms[vm].spread);
+}
+
+bool net_converged(const struct net *net)
+{
+	uint64_t root = 0;
+
+	for (uint32_t i = 0; i < net->n; i++) {
+		if (!net_alive(net, i))
+			continue;
+		if (!net_serving(net, i))
+			return false;
+		if (root && net_root(net, i) != root)
+			return false;
+		root = net_root(net, i);
+	}
+	return true;
+}
+
+uint32_t net_falls(const struct net *net)
+{
+	return net->falls;
+}
+
+uint64_t net_calls(const struct net *net)
+{
+	return net->calls;
+}
+
+uint64_t net_calls_max_per_s(const struct net *net)
+{
+	return net->calls_max_per_s;
+}
+
+uint64_t net_bytes(const struct net *net)
+{
+	uint64_t bytes = 0;
+
+	for (uint32_t i = 0; i < net->n; i++)
+		bytes += net->vms[i].bytes;
+	return bytes;
+}
+
+uint64_t net_bytes_max(const struct net *net)
+{
+	uint64_t most = 0;
+
+	for (uint32_t i = 0; i < net->n; i++)
+		if (net->vms[i].bytes > most)
+			most = net->vms[i].bytes;
+	return most;
+}
+
+void net_bytes_reset(struct net *net)
+{
+	for (uint32_t i = 0; i < net->n; i++)
+		net->vms[i].bytes = 0;
+}
+
+uint64_t net_conflicts(const struct net *net)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < net->n; i++)
+		if (net->vms[i].spread)
+			n += spread_counters(net->vms[i].spread)->conflicts;
+	return n;
+}
+
+uint64_t net_refused(const struct net *net, uint32_t vm)
+{
+	return reader_counters(net->vms[vm].reader)->documents_refused;
+}
+
+uint64_t net_joined_alone(const struct net *net, uint32_t vm)
+{
+	return spread_counters(net->vms[vm].spread)->joined_alone;
+}
+
+uint64_t net_wholes(const struct net *net)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < net->n; i++)
+		if (net->vms[i].spread)
+			n += spread_counters(net->vms[i].spread)->wholes_sent;
+	return n;
+}
