--- a/sim/sim-tell/main.c
+++ b/sim/sim-tell/main.c
@@ -1,6 +1,11 @@
-/* sim-tell: send one command to a stand-in's control port, print its answer. */
+/*
+ * sim-tell: send one command to a stand-in's control port, or put a file
+ * under a key of sim-platform, and print the answer.
+ */
 #include "settings.h"
 
+#include <curl/curl.h>
+
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
@@ -12,7 +17,7 @@
 #define LINE_BYTES 1024
 
 /* The words of @argv as one line. */
-static size_t join(int argc, char **argv, char *line, size_t size_bytes)
+static void join(int argc, char **argv, char *line, size_t size_bytes)
 {
 	size_t used = 0;
 
@@ -20,7 +25,6 @@
 	for (int i = 0; i < argc && used < size_bytes; i++)
 		used += (size_t)snprintf(line + used, size_bytes - used, "%s%s",
 					 i ? " " : "", argv[i]);
-	return used < size_bytes ? used : size_bytes - 1;
 }
 
 static int dial(uint64_t addr)
@@ -43,30 +47,65 @@
 	return -1;
 }
 
-int main(int argc, char **argv)
+static int tell(const char *to, uint64_t addr, char *line, size_t size_bytes)
 {
-	char line[LINE_BYTES];
-	uint64_t addr;
-	ssize_t n;
-	int fd;
+	size_t n = strlen(line);
+	ssize_t got;
+	int fd = dial(addr);
 
-	if (argc < 3 || addr_parse(argv[1], &addr) < 0) {
-		fprintf(stderr, "usage: sim-tell ADDRESS:PORT COMMAND...\n");
-		return 2;
-	}
-	n = (ssize_t)join(argc - 2, argv + 2, line, sizeof(line));
-	fd = dial(addr);
-	if (fd < 0 || send(fd, line, (size_t)n, 0) != n) {
-		perror(argv[1]);
+	if (fd < 0 || send(fd, line, n, 0) != (ssize_t)n) {
+		perror(to);
 		return 1;
 	}
-	n = recv(fd, line, sizeof(line) - 1, 0);
+	got = recv(fd, line, size_bytes - 1, 0);
 	close(fd);
-	if (n < 0) {
-		perror(argv[1]);
+	if (got < 0) {
+		perror(to);
 		return 1;
 	}
-	line[n] = '\0';
+	line[got] = '\0';
 	fputs(line, stdout);
 	return strncmp(line, "error", 5) == 0;
 }
+
+/* Body of the answer goes to stdout, as libcurl does by itself. */
+static int put(const char *url, const char *path)
+{
+	FILE *f = fopen(path, "r");
+	CURL *curl;
+	CURLcode code;
+
+	if (!f) {
+		perror(path);
+		return 1;
+	}
+	curl = curl_easy_init();
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(curl, CURLOPT_UPLOAD, 1L);
+	curl_easy_setopt(curl, CURLOPT_READDATA, f);
+	curl_easy_setopt(curl, CURLOPT_FAILONERROR, 1L);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT, (long)ANSWER_TIMEOUT_S);
+	code = curl_easy_perform(curl);
+	curl_easy_cleanup(curl);
+	fclose(f);
+	if (code != CURLE_OK)
+		fprintf(stderr, "%s: %s\n", url, curl_easy_strerror(code));
+	return code != CURLE_OK;
+}
+
+int main(int argc, char **argv)
+{
+	char line[LINE_BYTES];
+	uint64_t addr;
+
+	if (argc == 3 && strncmp(argv[1], "http://", 7) == 0)
+		return put(argv[1], argv[2]);
+	if (argc < 3 || addr_parse(argv[1], &addr) < 0) {
+		fprintf(stderr, "usage: sim-tell ADDRESS:PORT COMMAND...\n"
+				"       sim-tell URL FILE\n");
+		return 2;
+	}
+	join(argc - 2, argv + 2, line, sizeof(line));
+	return tell(argv[1], addr, line, sizeof(line));
+}
