--- a/cmd/cbload/main.c
+++ b/cmd/cbload/main.c
@@ -115,8 +115,7 @@
 	int err;
 
 	control_sample(o, &end);
-	report.control_bytes_per_s =
-		control_rate(o, begin, &end, seconds, &report.control_entries);
+	control_rate(o, begin, &end, seconds, &report.control);
 	err = logs_read(o, &logs);
 	if (!err)
 		err = report_make(o, records, &logs, &report);
--- a/core/reader.c
+++ b/core/reader.c
@@ -137,17 +137,9 @@
 {
 	char key[sizeof(TEMPLATE_PREFIX) + NAME_MAX_BYTES];
 
-<<<<<<< HEAD
-	if (r->waiting)
-=======
 	r->next_deadline_ns = NEVER_NS;
 	if (r->waiting || r->mode == READER_OFF)
->>>>>>> main
-		return;
-	if (r->mode == READER_OFF) {
-		r->next_deadline_ns = NEVER_NS;
 		return;
-	}
 	if (r->mode == READER_ROSTER) {
 		if (!r->roster_read)
 			start_call(r, STEP_KEY, CALL_GET, r->vms_key);
