--- a/cmd/cbload/options.c
+++ b/cmd/cbload/options.c
@@ -11,6 +11,11 @@
 /* Shares of forecasts, reports and uploads unless --mix says otherwise. */
 #define DEFAULT_MIX "4:4:2"
 #define VERSION "0.1"
+/*
+ * coap_session_set_ack_timeout() ignores less than one second without a word:
+ * callers would go on with its default of 2 s and be taken for lost too early.
+ */
+#define ACK_TIMEOUT_MIN_MS 1000
 
 /**
  * struct table - argtable2's entries, in the order that --help has
@@ -199,7 +204,8 @@
 		{ t->seconds, 1, 86400, &o->seconds },
 		{ t->feeds, 0, 100000, &o->feeds },
 		{ t->callers, 1, 100000, &o->callers },
-		{ t->ack_timeout, 10, 60000, &o->ack_timeout_ms },
+		{ t->ack_timeout, ACK_TIMEOUT_MIN_MS, 60000,
+		  &o->ack_timeout_ms },
 		{ t->max_retransmit, 0, 10, &o->max_retransmit },
 		{ t->timeout, 1, 600000, &o->timeout_ms },
 		{ t->feed_gap, 1, 600000, &o->feed_gap_ms },
