--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -88,21 +88,29 @@
 }
 
 /*
- * Symptom: after a reader slept, a publication is not read, or is undone.
- * Events: a reader is paused for 10 s, the generation moves on, it wakes.
- * Cause: it acts on what it saw before the pause.
+ * Symptom: while readers sleep a publication is not read; or they undo it.
+ * Events: all readers are paused for 10 s, the generation moves on, they wake.
+ * Cause: the others count on readers that are silent, or the woken ones act on
+ * what they saw before.
  */
-static void reader_pauses(void **state)
+static void readers_pause(void **state)
 {
 	struct net *net = started();
-	uint32_t reader = a_reader(net);
+	bool paused[N];
 
 	(void)state;
-	net_pause(net, reader, true);
+	for (uint32_t i = 0; i < N; i++) {
+		paused[i] = net_reader(net, i);
+		net_pause(net, i, paused[i]);
+	}
 	net_run(net, 5 * NET_S);
 	net_publish(net, ACCOUNT, "2|a|c");
 	net_run(net, 5 * NET_S);
-	net_pause(net, reader, false);
+	for (uint32_t i = 0; i < N; i++)
+		assert_int_equal(net_generation(net, i, ACCOUNT),
+				 paused[i] ? 1 : 2);
+	for (uint32_t i = 0; i < N; i++)
+		net_pause(net, i, false);
 	net_run(net, IN_FORCE);
 	assert_all(net, 2);
 	assert_int_equal(net_readers(net), READERS);
@@ -444,7 +452,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(change_reaches_all),
 		cmocka_unit_test(readers_die),
-		cmocka_unit_test(reader_pauses),
+		cmocka_unit_test(readers_pause),
 		cmocka_unit_test(platform_goes_stale),
 		cmocka_unit_test(restart_while_stale),
 		cmocka_unit_test(restart_alone),
