--- a/test/spread_net.c
+++ b/test/spread_net.c
@@ -93,6 +93,7 @@
 	enum net_platform platform;
 	uint32_t lose_one_in;
 	uint32_t falls;
+	uint32_t rewrites;
 	uint64_t calls;
 	uint64_t calls_second;
 	uint64_t calls_in_second;
@@ -405,8 +406,12 @@
 		 const struct version *v)
 {
 	struct forced *f = forced_get(list, key);
+	const struct version *old = &f->version;
+	bool same = v->generation == old->generation;
 
-	net->falls += v->generation < f->version.generation;
+	net->falls += v->generation < old->generation;
+	net->falls += same && version_withdrawn(old) && !version_withdrawn(v);
+	net->rewrites += same && v->generation && v->hash != old->hash;
 	f->version = *v;
 }
 
@@ -726,6 +731,11 @@
 	return net->falls;
 }
 
+uint32_t net_rewrites(const struct net *net)
+{
+	return net->rewrites;
+}
+
 uint64_t net_calls(const struct net *net)
 {
 	return net->calls;
--- a/test/spread_net.h
+++ b/test/spread_net.h
@@ -48,8 +48,13 @@
 bool net_converged(const struct net *net);
 uint64_t net_root(const struct net *net, uint32_t vm);
 
-/* Generations that fell, at a cb-watch process or at the entry beside it. */
+/*
+ * Generations that fell, and withdrawn keys that came back without a higher
+ * one, at a cb-watch process or at the entry beside it.
+ */
 uint32_t net_falls(const struct net *net);
+/* Contents that changed under one generation. */
+uint32_t net_rewrites(const struct net *net);
 uint64_t net_calls(const struct net *net);
 uint64_t net_calls_max_per_s(const struct net *net);
 uint64_t net_bytes(const struct net *net);
--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -274,6 +274,7 @@
 	assert_all(net, 2);
 	for (uint32_t i = 0; i < N; i++)
 		assert_int_equal(net_hash(net, i, ACCOUNT), hash);
+	assert_int_equal(net_rewrites(net), 0);
 	assert_true(net_conflicts(net) > 0);
 	net_free(net);
 }
