--- a/cmd/cb-watch/documents.c
+++ b/cmd/cb-watch/documents.c
@@ -117,9 +117,6 @@
 		return err;
 	}
 	err = publish(w, key, revision, revision, c);
-	/* What is published is not in force while we join; peers are needed. */
-	if (!err && !spread_serving(w->spread))
-		documents_roster(w, c);
 	content_free(c);
 	return err;
 }
--- a/cmd/cb-watch/watch.c
+++ b/cmd/cb-watch/watch.c
@@ -101,10 +101,14 @@
 
 static int make_core(struct watch *w, uint64_t now_ns)
 {
-	struct spread_conf conf = { w->settings.peer, w->settings.readers };
+	struct spread_conf conf = {
+		.self = w->settings.peer,
+		.readers = w->settings.readers,
+	};
 	struct spread_port port = { w, send_peer, documents_check, in_force };
 	struct rng rng = { hash_u64(now_ns, w->settings.peer) | 1 };
 
+	g_strlcpy(conf.roster_key, w->vms_key, sizeof(conf.roster_key));
 	w->spread = spread_new(&conf, port, rng, now_ns);
 	rng.s = rng_next(&rng) | 1;
 	w->reader = reader_new(w->settings.data_centre, documents_port(w), rng,
--- a/core/spread.h
+++ b/core/spread.h
@@ -85,7 +85,8 @@
  * @ctx: passed back
  * @send: send to a cb-watch; may be lost
  * @check: whether this process can read a content; 0 or negative error
- * @in_force: a key's version is in force; @content is NULL when withdrawn
+ * @in_force: a key's version is in force; @content is NULL when withdrawn.
+ *	The list of VMs is to be handed on to spread_roster()
  */
 struct spread_port {
 	void *ctx;
@@ -100,10 +101,13 @@
  * struct spread_conf - settings
  * @self: this VM
  * @readers: how many of a data centre read the platform
+ * @roster_key: key of the list of VMs; it is put in force at once, since a VM
+ *	that joins needs it to find the peers that it has to ask
  */
 struct spread_conf {
 	uint64_t self;
 	uint32_t readers;
+	char roster_key[PUBLISHED_KEY_MAX_BYTES];
 };
 
 /* Counters; docs/OPERATIONS.md names each. */
--- a/core/spread_store.c
+++ b/core/spread_store.c
@@ -112,10 +112,12 @@
 	return NULL;
 }
 
-/* Tell the owner of this store what is in force, once it serves. */
+/* Tell the owner of this store what is in force. */
 void store_announce(struct spread *s, const struct record *r)
 {
-	if (!s->serving || version_empty(&r->version))
+	bool early = !strcmp(r->key, s->conf.roster_key);
+
+	if (!(s->serving || early) || version_empty(&r->version))
 		return;
 	s->port.in_force(s->port.ctx, r->key, &r->version, r->content);
 }
--- a/test/spread_net.c
+++ b/test/spread_net.c
@@ -299,8 +299,6 @@
 		return err;
 	err = spread_publish(vm->spread, key, generation, revision, c,
 			     vm->net->now_ns);
-	if (!err && !strcmp(key, VMS_KEY) && !spread_serving(vm->spread))
-		take_roster(vm, c);
 	content_free(c);
 	return err;
 }
@@ -422,9 +420,13 @@
 {
 	struct vm *vm = ctx;
 
+	struct version joined = forced_get(vm->entry, key)->version;
+
 	note(vm->net, vm->watch, key, version);
-	if (version_newer(version, &forced_get(vm->entry, key)->version))
-		note(vm->net, vm->entry, key, version);
+	if (version_newer(version, &joined)) {
+		version_join(&joined, version);
+		note(vm->net, vm->entry, key, &joined);
+	}
 	if (content && !strcmp(key, VMS_KEY))
 		take_roster(vm, content);
 }
@@ -434,7 +436,7 @@
 static void vm_start(struct vm *vm)
 {
 	struct net *net = vm->net;
-	struct spread_conf conf = { vm_addr(vm->index), net->readers };
+	struct spread_conf conf = { vm_addr(vm->index), net->readers, VMS_KEY };
 	struct spread_port port = { vm, port_send, port_check, port_in_force };
 	struct reader_port read = {
 		vm,	    port_call,	   port_cancel,
@@ -459,6 +461,7 @@
 	free(vm->template_text);
 	vm->template_text = NULL;
 	vm->template[0] = 0;
+	vm->paused = false;
 	vm->reader = NULL;
 	vm->spread = NULL;
 }
--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -203,6 +203,27 @@
 	net_free(net);
 }
 
+/*
+ * Symptom: a VM that is replaced while the platform is down never serves.
+ * Events: its peers find it by their lists and give it all, the list of VMs
+ * too; the platform comes back and shows the same list.
+ * Cause: the list counts only when the platform brings it anew.
+ */
+static void restart_while_platform_down(void **state)
+{
+	struct net *net = started();
+
+	(void)state;
+	net_platform(net, NET_DOWN);
+	net_kill(net, 0);
+	net_start(net, 0);
+	net_run(net, 30 * NET_S);
+	assert_true(net_serving(net, 0));
+	assert_int_equal(net_joined_alone(net, 0), 0);
+	assert_all(net, 1);
+	net_free(net);
+}
+
 /*
  * Symptom: after a partition one half keeps an old generation, or the newer
  * half falls back.
@@ -457,6 +478,7 @@
 		cmocka_unit_test(platform_goes_stale),
 		cmocka_unit_test(restart_while_stale),
 		cmocka_unit_test(restart_alone),
+		cmocka_unit_test(restart_while_platform_down),
 		cmocka_unit_test(partition_heals),
 		cmocka_unit_test(bad_document),
 		cmocka_unit_test(same_generation_again),
