Codecs of accounts and frames: properties, and a bound on claims

codec_prop under ASAN failed at 'a damaged account is refused or whole': 'allocator is out of memory trying to allocate 0x4000000008 bytes', in msgpack_zone_malloc_expand. Cause: msgpack-c allocates an array as its header claims, so an item of 256 bytes can ask for 64 GB; the MAC keeps strangers out, not a confused peer.

--- a/adapters/account_codec.c
+++ b/adapters/account_codec.c
@@ -1,4 +1,5 @@
 #include "account_codec.h"
+#include "msgpack_bound.h"
 #include "settings.h"
 
 #include <errno.h>
@@ -167,6 +168,7 @@
 	size_t used = 1;
 
 	if (!item->size_bytes || item->size_bytes > ITEM_MAX_BYTES ||
+	    msgpack_bound(item->data + 1, item->size_bytes - 1) ||
 	    msgpack_unpack_next(u, (const char *)item->data, item->size_bytes,
 				&used) != MSGPACK_UNPACK_SUCCESS ||
 	    used != item->size_bytes || u->data.type != MSGPACK_OBJECT_ARRAY)
--- a/adapters/spread_codec.c
+++ b/adapters/spread_codec.c
@@ -1,4 +1,5 @@
 #include "spread_codec.h"
+#include "msgpack_bound.h"
 
 #include <errno.h>
 #include <msgpack.h>
@@ -392,6 +393,8 @@
 	frame_mac(buf, size_bytes, auth, mac);
 	if (sodium_memcmp(mac, buf + 1, MAC_BYTES))
 		return -EBADMSG;
+	if (msgpack_bound(buf + HEAD_BYTES, size_bytes - HEAD_BYTES))
+		return -EPROTO;
 	msgpack_unpacked_init(&u);
 	if (msgpack_unpack_next(&u, (const char *)buf + HEAD_BYTES,
 				size_bytes - HEAD_BYTES,
--- /dev/null
+++ b/test/codec_case.c
@@ -0,0 +1,146 @@
+#include "codec_case.h"
+
+#include "account_codec.h"
+#include "spread_codec.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ITEMS_MAX 512
+#define MAC_BYTES 16
+#define HEAD_BYTES (1 + MAC_BYTES)
+#define SERVICES_MAX 8
+#define TARGETS_MAX 8
+
+static const struct spread_auth auth = { { 1, 2, 3 } };
+
+enum codec_result codec_account(const uint8_t *bytes, const uint32_t *ends,
+				uint32_t n)
+{
+	struct item items[ITEMS_MAX];
+	struct content *c, *again = NULL;
+	struct account_conf *a = NULL;
+	enum codec_result result = CODEC_REFUSED;
+	uint32_t start = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		items[i].data = bytes + start;
+		items[i].size_bytes = ends[i] - start;
+		start = ends[i];
+	}
+	c = content_new(items, n);
+	if (!account_decode("sailing", 7, c, &a) && !account_encode(a, &again))
+		result = c->n == again->n ? CODEC_SAME : CODEC_CHANGED;
+	account_free(a);
+	content_free(again);
+	content_free(c);
+	return result;
+}
+
+uint32_t codec_account_sample(uint32_t n_services, uint32_t n_targets,
+			      uint8_t *bytes, uint32_t *ends, uint32_t cap)
+{
+	struct target_conf targets[SERVICES_MAX][TARGETS_MAX] = { 0 };
+	struct service_conf services[SERVICES_MAX] = { 0 };
+	struct account_conf a = {
+		.name = "sailing",
+		.generation = 7,
+		.weight = 10,
+		.services = services,
+		.n_services = n_services,
+	};
+	struct content *c;
+	uint32_t used = 0, n;
+
+	for (uint32_t i = 0; i < n_services; i++) {
+		snprintf(services[i].name, NAME_MAX_BYTES, "s%u", i);
+		services[i].vip = ADDR(0x7f010000 + i, 5683);
+		services[i].request_timeout_ns = 5 * NS_PER_S;
+		services[i].targets = targets[i];
+		services[i].n_targets = n_targets;
+		for (uint32_t j = 0; j < n_targets; j++) {
+			targets[i][j].addr = ADDR(0x7f020000 + j, 5683);
+			targets[i][j].weight = 100;
+			targets[i][j].slots = 2;
+		}
+	}
+	if (account_encode(&a, &c))
+		return 0;
+	for (uint32_t i = 0; i < c->n && used + c->items[i].size_bytes <= cap;
+	     i++) {
+		memcpy(bytes + used, c->items[i].data, c->items[i].size_bytes);
+		used += c->items[i].size_bytes;
+		ends[i] = used;
+	}
+	n = c->n;
+	content_free(c);
+	return n;
+}
+
+enum codec_result codec_frame(const uint8_t *body, uint32_t size_bytes)
+{
+	uint8_t *frame = malloc(HEAD_BYTES + size_bytes);
+	enum codec_result result = CODEC_REFUSED;
+	crypto_generichash_state state;
+	uint32_t again_bytes;
+	struct spread_msg m;
+	uint8_t *again;
+
+	frame[0] = SPREAD_CODEC_VERSION;
+	if (size_bytes)
+		memcpy(frame + HEAD_BYTES, body, size_bytes);
+	crypto_generichash_init(&state, auth.key, sizeof(auth.key), MAC_BYTES);
+	crypto_generichash_update(&state, frame, 1);
+	crypto_generichash_update(&state, body, size_bytes);
+	crypto_generichash_final(&state, frame + 1, MAC_BYTES);
+	if (!spread_decode(frame, HEAD_BYTES + size_bytes, &auth, &m)) {
+		if (spread_encode(&m, &auth, &again, &again_bytes))
+			abort();
+		result = again_bytes == HEAD_BYTES + size_bytes &&
+					 !memcmp(again, frame, again_bytes)
+				 ? CODEC_SAME
+				 : CODEC_CHANGED;
+		free(again);
+		spread_msg_clear(&m);
+	}
+	free(frame);
+	return result;
+}
+
+uint32_t codec_frame_sample(uint8_t kind, uint64_t seed, uint8_t *body,
+			    uint32_t cap)
+{
+	struct rng rng = { seed | 1 };
+	struct spread_offer offers[3] = { 0 };
+	uint32_t removed[] = { 1, 70, 300 };
+	struct item added[] = { { (const uint8_t *)"ab", 2 }, { NULL, 0 } };
+	struct spread_msg m = {
+		.kind = kind,
+		.from = rng_next(&rng) >> 16 | 1,
+		.root = rng_next(&rng),
+		.ask = seed % 2,
+		.bucket = (int32_t)(seed % (SPREAD_BUCKETS + 1)) - 1,
+		.offers = offers,
+		.n_offers = kind == SPREAD_DATA ? 1 : 3,
+		.base = rng_next(&rng),
+		.delta = { removed, 3, added, 2 },
+	};
+	uint32_t size_bytes;
+	uint8_t *frame;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		snprintf(offers[i].key, sizeof(offers[i].key), "account/%u", i);
+		offers[i].version.generation = 1 + rng_next(&rng) % 1000;
+		offers[i].version.hash = rng_next(&rng);
+	}
+	if (spread_encode(&m, &auth, &frame, &size_bytes))
+		return 0;
+	size_bytes -= HEAD_BYTES;
+	if (size_bytes > cap)
+		size_bytes = 0;
+	memcpy(body, frame + HEAD_BYTES, size_bytes);
+	free(frame);
+	return size_bytes;
+}
