--- a/adapters/publication.h
+++ b/adapters/publication.h
@@ -48,16 +48,16 @@
 
 /**
  * publication_compare() - what a publication would do to flows that stand
- * @old: account in force
- * @new: account to be published
+ * @standing: account in force
+ * @next: account to be published
  * @mistakes: an error when the generation doesn't grow although the account
  *	changed; warnings for flows that would be orphaned and for connections
  *	or slots that fall
  *
  * Both have to be rendered for the same data centre, or both for all.
  */
-void publication_compare(const struct account_conf *old,
-			 const struct account_conf *new,
+void publication_compare(const struct account_conf *standing,
+			 const struct account_conf *next,
 			 struct mistakes *mistakes);
 
 /**
@@ -100,14 +100,14 @@
 
 /**
  * publication_diff() - differences between two accounts
- * @old: account in force, NULL when there is none
- * @new: account to be published, NULL when it is withdrawn
+ * @standing: account in force, NULL when there is none
+ * @next: account to be published, NULL when it is withdrawn
  * @watch: told of each
  *
  * Return: number of differences.
  */
-uint32_t publication_diff(const struct account_conf *old,
-			  const struct account_conf *new,
+uint32_t publication_diff(const struct account_conf *standing,
+			  const struct account_conf *next,
 			  struct change_watch watch);
 
 #endif
--- a/adapters/publication_compare.c
+++ b/adapters/publication_compare.c
@@ -11,15 +11,15 @@
 
 /**
  * struct comparison - two accounts, and what differs besides the generation
- * @old: account in force
- * @new: account to be published
+ * @standing: account in force
+ * @next: account to be published
  * @document: key of the account's document
  * @changed: something but the generation differs
  * @m: mistakes
  */
 struct comparison {
-	const struct account_conf *old;
-	const struct account_conf *new;
+	const struct account_conf *standing;
+	const struct account_conf *next;
 	char document[DOCUMENT_BYTES];
 	bool changed;
 	struct mistakes *m;
@@ -47,7 +47,7 @@
 
 static bool was_draining(const struct comparison *c, const struct change *at)
 {
-	const struct service_conf *s = service_find(c->old, at->service);
+	const struct service_conf *s = service_find(c->standing, at->service);
 	char text[32];
 
 	for (uint32_t i = 0; s && i < s->n_targets; i++) {
@@ -127,16 +127,17 @@
 	warn(c, &at, problem, "room for what stands today");
 }
 
-static void capacity_check(struct comparison *c, const struct service_conf *old,
-			   const struct service_conf *new)
+static void capacity_check(struct comparison *c,
+			   const struct service_conf *standing,
+			   const struct service_conf *next)
 {
-	struct capacity before = capacity_of(old);
-	struct capacity after = capacity_of(new);
-	struct change at = { .service = new->name, .target = "", .key = "" };
+	struct capacity before = capacity_of(standing);
+	struct capacity after = capacity_of(next);
+	struct change at = { .service = next->name, .target = "", .key = "" };
 
-	falls(c, new->name, "connections", before.connections,
+	falls(c, next->name, "connections", before.connections,
 	      after.connections);
-	falls(c, new->name, "slots", before.slots, after.slots);
+	falls(c, next->name, "slots", before.slots, after.slots);
 	if (before.up && !after.up)
 		warn(c, &at, "no target is up, all new work is refused",
 		     "one target with state = \"up\"");
@@ -146,30 +147,32 @@
 {
 	char problem[PROBLEM_BYTES];
 
-	if (!c->changed || c->new->generation > c->old->generation)
+	if (!c->changed || c->next->generation > c->standing->generation)
 		return;
 	snprintf(problem, sizeof(problem),
 		 "%llu is not above %llu, which is in force",
-		 (unsigned long long)c->new->generation,
-		 (unsigned long long)c->old->generation);
+		 (unsigned long long)c->next->generation,
+		 (unsigned long long)c->standing->generation);
 	mistake_add(c->m, c->document, 0, "generation", problem,
 		    "a generation that grows, or no VM takes the change");
 }
 
-void publication_compare(const struct account_conf *old,
-			 const struct account_conf *new,
+void publication_compare(const struct account_conf *standing,
+			 const struct account_conf *next,
 			 struct mistakes *mistakes)
 {
-	struct comparison c = { .old = old, .new = new, .m = mistakes };
+	struct comparison c = { .standing = standing,
+				.next = next,
+				.m = mistakes };
 
-	snprintf(c.document, sizeof(c.document), "account/%s", new->name);
-	publication_diff(old, new, (struct change_watch){ &c, look });
+	snprintf(c.document, sizeof(c.document), "account/%s", next->name);
+	publication_diff(standing, next, (struct change_watch){ &c, look });
 	generation_check(&c);
-	for (uint32_t i = 0; i < old->n_services; i++) {
+	for (uint32_t i = 0; i < standing->n_services; i++) {
 		const struct service_conf *s =
-			service_find(new, old->services[i].name);
+			service_find(next, standing->services[i].name);
 
 		if (s)
-			capacity_check(&c, &old->services[i], s);
+			capacity_check(&c, &standing->services[i], s);
 	}
 }
--- a/adapters/publication_diff.c
+++ b/adapters/publication_diff.c
@@ -81,100 +81,106 @@
 	return NULL;
 }
 
-static void target_values(struct differ *d, const struct target_conf *old,
-			  const struct target_conf *new)
+static void target_values(struct differ *d, const struct target_conf *standing,
+			  const struct target_conf *next)
 {
-	words(d, "state", states, old->state, new->state);
-	numbers(d, "weight", old->weight, new->weight);
-	numbers(d, "slots", old->slots, new->slots);
-	numbers(d, "connections", old->connections, new->connections);
+	words(d, "state", states, standing->state, next->state);
+	numbers(d, "weight", standing->weight, next->weight);
+	numbers(d, "slots", standing->slots, next->slots);
+	numbers(d, "connections", standing->connections, next->connections);
 }
 
-static void target_diff(struct differ *d, const struct target_conf *old,
-			const struct target_conf *new)
+static void target_diff(struct differ *d, const struct target_conf *standing,
+			const struct target_conf *next)
 {
+	const struct target_conf *either = standing ? standing : next;
 	char text[VALUE_BYTES];
 
-	d->at.target =
-		addr_text(old ? old->addr : new->addr, text, sizeof(text));
-	if (!old)
+	d->at.target = addr_text(either->addr, text, sizeof(text));
+	if (!standing)
 		tell(d, CHANGE_ADDED, "", "", "");
-	else if (!new)
+	else if (!next)
 		tell(d, CHANGE_REMOVED, "", "", "");
 	else
-		target_values(d, old, new);
+		target_values(d, standing, next);
 	d->at.target = "";
 }
 
-static void targets_diff(struct differ *d, const struct service_conf *old,
-			 const struct service_conf *new)
+static void targets_diff(struct differ *d, const struct service_conf *standing,
+			 const struct service_conf *next)
 {
-	for (uint32_t i = 0; i < old->n_targets; i++)
-		target_diff(d, &old->targets[i],
-			    target_find(new, old->targets[i].addr));
-	for (uint32_t i = 0; i < new->n_targets; i++)
-		if (!target_find(old, new->targets[i].addr))
-			target_diff(d, NULL, &new->targets[i]);
+	for (uint32_t i = 0; i < standing->n_targets; i++)
+		target_diff(d, &standing->targets[i],
+			    target_find(next, standing->targets[i].addr));
+	for (uint32_t i = 0; i < next->n_targets; i++)
+		if (!target_find(standing, next->targets[i].addr))
+			target_diff(d, NULL, &next->targets[i]);
 }
 
-static void service_values(struct differ *d, const struct service_conf *old,
-			   const struct service_conf *new)
+static void service_values(struct differ *d,
+			   const struct service_conf *standing,
+			   const struct service_conf *next)
 {
-	addresses(d, "vip", old->vip, new->vip);
-	words(d, "protocol", protocols, old->protocol, new->protocol);
-	words(d, "class", classes, old->class, new->class);
-	words(d, "post_idempotent", truths, old->post_idempotent,
-	      new->post_idempotent);
-	words(d, "target_dedups", truths, old->target_dedups,
-	      new->target_dedups);
-	numbers(d, "request_timeout_ms", old->request_timeout_ns / NS_PER_MS,
-		new->request_timeout_ns / NS_PER_MS);
-	numbers(d, "queue_max", old->queue_max, new->queue_max);
-	targets_diff(d, old, new);
+	addresses(d, "vip", standing->vip, next->vip);
+	words(d, "protocol", protocols, standing->protocol, next->protocol);
+	words(d, "class", classes, standing->class, next->class);
+	words(d, "post_idempotent", truths, standing->post_idempotent,
+	      next->post_idempotent);
+	words(d, "target_dedups", truths, standing->target_dedups,
+	      next->target_dedups);
+	numbers(d, "request_timeout_ms",
+		standing->request_timeout_ns / NS_PER_MS,
+		next->request_timeout_ns / NS_PER_MS);
+	numbers(d, "queue_max", standing->queue_max, next->queue_max);
+	targets_diff(d, standing, next);
 }
 
-static void service_diff(struct differ *d, const struct service_conf *old,
-			 const struct service_conf *new)
+static void service_diff(struct differ *d, const struct service_conf *standing,
+			 const struct service_conf *next)
 {
-	d->at.service = old ? old->name : new->name;
-	if (!old)
+	const struct service_conf *either = standing ? standing : next;
+
+	d->at.service = either->name;
+	if (!standing)
 		tell(d, CHANGE_ADDED, "", "", "");
-	else if (!new)
+	else if (!next)
 		tell(d, CHANGE_REMOVED, "", "", "");
 	else
-		service_values(d, old, new);
+		service_values(d, standing, next);
 	d->at.service = "";
 }
 
-static void account_values(struct differ *d, const struct account_conf *old,
-			   const struct account_conf *new)
+static void account_values(struct differ *d,
+			   const struct account_conf *standing,
+			   const struct account_conf *next)
 {
-	numbers(d, "generation", old->generation, new->generation);
-	numbers(d, "weight", old->weight, new->weight);
-	for (uint32_t i = 0; i < old->n_services; i++)
-		service_diff(d, &old->services[i],
-			     service_find(new, old->services[i].name));
-	for (uint32_t i = 0; i < new->n_services; i++)
-		if (!service_find(old, new->services[i].name))
-			service_diff(d, NULL, &new->services[i]);
+	numbers(d, "generation", standing->generation, next->generation);
+	numbers(d, "weight", standing->weight, next->weight);
+	for (uint32_t i = 0; i < standing->n_services; i++)
+		service_diff(d, &standing->services[i],
+			     service_find(next, standing->services[i].name));
+	for (uint32_t i = 0; i < next->n_services; i++)
+		if (!service_find(standing, next->services[i].name))
+			service_diff(d, NULL, &next->services[i]);
 }
 
-uint32_t publication_diff(const struct account_conf *old,
-			  const struct account_conf *new,
+uint32_t publication_diff(const struct account_conf *standing,
+			  const struct account_conf *next,
 			  struct change_watch watch)
 {
+	const struct account_conf *either = standing ? standing : next;
 	struct differ d = { .watch = watch };
 
-	if (!old && !new)
+	if (!either)
 		return 0;
-	d.at = (struct change){ .account = old ? old->name : new->name,
+	d.at = (struct change){ .account = either->name,
 				.service = "",
 				.target = "" };
-	if (!old)
+	if (!standing)
 		tell(&d, CHANGE_ADDED, "", "", "");
-	else if (!new)
+	else if (!next)
 		tell(&d, CHANGE_REMOVED, "", "", "");
 	else
-		account_values(&d, old, new);
+		account_values(&d, standing, next);
 	return d.n;
 }
