--- a/adapters/publication_diff.c
+++ b/adapters/publication_diff.c
@@ -90,19 +90,19 @@
 	numbers(d, "connections", standing->connections, next->connections);
 }
 
-static void target_diff(struct differ *d, const struct target_conf *standing,
+static void target_diff(struct differ *d, uint64_t addr,
+			const struct target_conf *standing,
 			const struct target_conf *next)
 {
-	const struct target_conf *either = standing ? standing : next;
 	char text[VALUE_BYTES];
 
-	d->at.target = addr_text(either->addr, text, sizeof(text));
+	d->at.target = addr_text(addr, text, sizeof(text));
 	if (!standing)
 		tell(d, CHANGE_ADDED, "", "", "");
-	else if (!next)
-		tell(d, CHANGE_REMOVED, "", "", "");
-	else
+	else if (next)
 		target_values(d, standing, next);
+	else
+		tell(d, CHANGE_REMOVED, "", "", "");
 	d->at.target = "";
 }
 
@@ -110,11 +110,12 @@
 			 const struct service_conf *next)
 {
 	for (uint32_t i = 0; i < standing->n_targets; i++)
-		target_diff(d, &standing->targets[i],
+		target_diff(d, standing->targets[i].addr, &standing->targets[i],
 			    target_find(next, standing->targets[i].addr));
 	for (uint32_t i = 0; i < next->n_targets; i++)
 		if (!target_find(standing, next->targets[i].addr))
-			target_diff(d, NULL, &next->targets[i]);
+			target_diff(d, next->targets[i].addr, NULL,
+				    &next->targets[i]);
 }
 
 static void service_values(struct differ *d,
@@ -135,18 +136,17 @@
 	targets_diff(d, standing, next);
 }
 
-static void service_diff(struct differ *d, const struct service_conf *standing,
+static void service_diff(struct differ *d, const char *name,
+			 const struct service_conf *standing,
 			 const struct service_conf *next)
 {
-	const struct service_conf *either = standing ? standing : next;
-
-	d->at.service = either->name;
+	d->at.service = name;
 	if (!standing)
 		tell(d, CHANGE_ADDED, "", "", "");
-	else if (!next)
-		tell(d, CHANGE_REMOVED, "", "", "");
-	else
+	else if (next)
 		service_values(d, standing, next);
+	else
+		tell(d, CHANGE_REMOVED, "", "", "");
 	d->at.service = "";
 }
 
@@ -157,11 +157,13 @@
 	numbers(d, "generation", standing->generation, next->generation);
 	numbers(d, "weight", standing->weight, next->weight);
 	for (uint32_t i = 0; i < standing->n_services; i++)
-		service_diff(d, &standing->services[i],
+		service_diff(d, standing->services[i].name,
+			     &standing->services[i],
 			     service_find(next, standing->services[i].name));
 	for (uint32_t i = 0; i < next->n_services; i++)
 		if (!service_find(standing, next->services[i].name))
-			service_diff(d, NULL, &next->services[i]);
+			service_diff(d, next->services[i].name, NULL,
+				     &next->services[i]);
 }
 
 uint32_t publication_diff(const struct account_conf *standing,
