cbctl: check, render, diff, status, flows, explain, drain-watch, generations

One table of commands; a source is a directory laid out as the platform's keys or the platform itself, read only. Errors carry step and peer; exit codes 0 ok, 1 problems found, 2 usage or unreadable input, 3 peer unreachable.

--- a/adapters/account_codec.c
+++ b/adapters/account_codec.c
@@ -210,19 +210,17 @@
 	uint64_t protocol, class, idempotent, dedups, queue_max;
 
 	*s = (struct service_conf){ 0 };
-	if (!field_addr(f, 0, &s->vip) ||
-	    !read_name(&f->f[1], s->name) ||
+	if (!field_addr(f, 0, &s->vip) || !read_name(&f->f[1], s->name) ||
 	    !field_u64(f, 2, SERVICE_UDP, &protocol) ||
 	    !field_u64(f, 3, CLASS_COUNT - 1, &class) ||
-	    !field_u64(f, 4, 1, &idempotent) ||
-	    !field_u64(f, 5, 1, &dedups) ||
+	    !field_u64(f, 4, 1, &idempotent) || !field_u64(f, 5, 1, &dedups) ||
 	    !field_u64(f, 6, UINT64_MAX, &s->request_timeout_ns) ||
 	    !field_u64(f, 7, UINT32_MAX, &queue_max))
 		return -EPROTO;
 	if (a->n_services && s[-1].vip >= s->vip)
 		return -EPROTO;
 	s->protocol = (uint8_t)protocol;
-	s->class = (uint8_t)class;
+	s->class = (uint8_t) class;
 	s->post_idempotent = idempotent;
 	s->target_dedups = dedups;
 	s->queue_max = (uint32_t)queue_max;
--- a/adapters/link.c
+++ b/adapters/link.c
@@ -168,8 +168,8 @@
 		l->n_held++;
 }
 
-static void on_frame(void *ctx, const struct zroute *route,
-		     const uint8_t *data, uint32_t size_bytes)
+static void on_frame(void *ctx, const struct zroute *route, const uint8_t *data,
+		     uint32_t size_bytes)
 {
 	struct entry_link *l = ctx;
 	struct spread_msg m;
--- a/adapters/link_watch.c
+++ b/adapters/link_watch.c
@@ -120,7 +120,8 @@
 	const char *key;
 	uint32_t next = 0;
 
-	while ((next = spread_each(l->spread, next, &key, &version, &content))) {
+	while ((next = spread_each(l->spread, next, &key, &version,
+				   &content))) {
 		const struct version *held = held_version(m, key);
 
 		if (!held)
@@ -177,8 +178,8 @@
 	return m->kind == SPREAD_HELLO || m->kind == SPREAD_HELD;
 }
 
-static void on_frame(void *ctx, const struct zroute *route,
-		     const uint8_t *data, uint32_t size_bytes)
+static void on_frame(void *ctx, const struct zroute *route, const uint8_t *data,
+		     uint32_t size_bytes)
 {
 	struct watch_link *l = ctx;
 	struct spread_msg m;
@@ -363,7 +364,8 @@
 	return l->n_entries;
 }
 
-const struct watch_link_counters *watch_link_counters(const struct watch_link *l)
+const struct watch_link_counters *
+watch_link_counters(const struct watch_link *l)
 {
 	return &l->counters;
 }
--- a/adapters/link_watch.h
+++ b/adapters/link_watch.h
@@ -12,15 +12,15 @@
 struct watch_link;
 
 /* Counters of the links; docs/OPERATIONS.md names each. */
-#define WATCH_LINK_COUNTERS(X)  \
-	X(frames)               \
-	X(frames_bad_mac)       \
-	X(frames_malformed)     \
-	X(frames_sent)          \
-	X(frames_dropped)       \
-	X(bytes_sent)           \
-	X(bytes_received)       \
-	X(entry_hellos)         \
+#define WATCH_LINK_COUNTERS(X) \
+	X(frames)              \
+	X(frames_bad_mac)      \
+	X(frames_malformed)    \
+	X(frames_sent)         \
+	X(frames_dropped)      \
+	X(bytes_sent)          \
+	X(bytes_received)      \
+	X(entry_hellos)        \
 	X(entry_ahead)
 
 struct watch_link_counters {
--- a/adapters/log.c
+++ b/adapters/log.c
@@ -1,6 +1,8 @@
 #define G_LOG_USE_STRUCTURED
 #include "log.h"
 
+#include "json_text.h"
+
 #include <errno.h>
 #include <glib.h>
 #include <stdarg.h>
@@ -54,22 +56,6 @@
 	return NULL;
 }
 
-static void json_string(GString *to, const char *key, const char *value)
-{
-	g_string_append_printf(to, "%s\"%s\":\"", to->len > 1 ? "," : "", key);
-	for (; *value; value++) {
-		unsigned char c = (unsigned char)*value;
-
-		if (c == '"' || c == '\\')
-			g_string_append_printf(to, "\\%c", c);
-		else if (c < ' ')
-			g_string_append_printf(to, "\\u%04x", c);
-		else
-			g_string_append_c(to, (char)c);
-	}
-	g_string_append_c(to, '"');
-}
-
 static void text_line(GString *to, const char *when, const char *level,
 		      const GLogField *f, gsize n)
 {
@@ -103,7 +89,7 @@
 					       { "PEER", "peer" },
 					       { "MESSAGE", "message" } };
 
-	g_string_append_c(to, '{');
+	json_open(to, NULL, '{');
 	json_string(to, "time", when);
 	json_string(to, "level", level);
 	json_string(to, "program", program_name);
@@ -113,7 +99,8 @@
 		if (value)
 			json_string(to, keys[i][1], value);
 	}
-	g_string_append(to, "}\n");
+	json_close(to, '}');
+	g_string_append_c(to, '\n');
 }
 
 static GLogWriterOutput writer(GLogLevelFlags flags, const GLogField *fields,
--- a/adapters/platform.c
+++ b/adapters/platform.c
@@ -219,10 +219,10 @@
 	if (call == CALL_LIST)
 		g_string_append(url, "/v1/list?prefix=");
 	else if (call == CALL_WATCH)
-		g_string_append_printf(
-			url,
-			"/v1/watch?after=%" G_GUINT64_FORMAT "&timeout_ms=%ld",
-			after, WATCH_MS);
+		g_string_append_printf(url,
+				       "/v1/watch?after=%" G_GUINT64_FORMAT
+				       "&timeout_ms=%ld",
+				       after, WATCH_MS);
 	else
 		g_string_append(url, "/v1/keys/");
 	if (call == CALL_GET)
--- a/adapters/publication.c
+++ b/adapters/publication.c
@@ -3,6 +3,7 @@
 #include "fields.h"
 #include "settings.h"
 #include "publication_merge.h"
+#include "publication_words.h"
 
 #include <glib.h>
 #include <stdlib.h>
@@ -13,10 +14,6 @@
 #define QUEUE_MAX 65536
 #define CONNECTIONS_MAX 1000000
 
-static const char *const protocols[] = { "coap", "udp", NULL };
-static const char *const classes[] = { "feed", "report", "upload", NULL };
-static const char *const states[] = { "up", "draining", NULL };
-
 /* A target as written; the core reads only those of its data centre. */
 struct target_read {
 	struct target_conf conf;
@@ -36,9 +33,9 @@
 	FIELD(service_conf, "name", FIELD_NAME, name, .required = true),
 	FIELD(service_conf, "vip", FIELD_ADDR, vip, .required = true),
 	FIELD(service_conf, "protocol", FIELD_CHOICE, protocol,
-	      .choices = protocols, .fallback = SERVICE_COAP),
-	FIELD(service_conf, "class", FIELD_CHOICE, class, .choices = classes,
-	      .fallback = CLASS_REPORT),
+	      .choices = protocol_words, .fallback = SERVICE_COAP),
+	FIELD(service_conf, "class", FIELD_CHOICE, class,
+	      .choices = class_words, .fallback = CLASS_REPORT),
 	FIELD(service_conf, "post_idempotent", FIELD_BOOL, post_idempotent),
 	FIELD(service_conf, "target_dedups", FIELD_BOOL, target_dedups),
 	FIELD(service_conf, "request_timeout_ms", FIELD_MS, request_timeout_ns,
@@ -52,8 +49,8 @@
 	FIELD(target_read, "address", FIELD_ADDR, conf.addr, .required = true),
 	FIELD(target_read, "data_centre", FIELD_NAME, data_centre,
 	      .required = true),
-	FIELD(target_read, "state", FIELD_CHOICE, conf.state, .choices = states,
-	      .fallback = TARGET_UP),
+	FIELD(target_read, "state", FIELD_CHOICE, conf.state,
+	      .choices = state_words, .fallback = TARGET_UP),
 	FIELD(target_read, "weight", FIELD_U16, conf.weight,
 	      RANGE(1, WEIGHT_MAX, 100)),
 	FIELD(target_read, "slots", FIELD_U16, conf.slots,
--- a/adapters/publication.h
+++ b/adapters/publication.h
@@ -49,7 +49,7 @@
 /**
  * publication_compare() - what a publication would do to flows that stand
  * @standing: account in force
- * @next: account to be published
+ * @next: account to be published, NULL when it is withdrawn
  * @mistakes: an error when the generation doesn't grow although the account
  *	changed; warnings for flows that would be orphaned and for connections
  *	or slots that fall
--- a/adapters/publication_compare.c
+++ b/adapters/publication_compare.c
@@ -1,5 +1,6 @@
 #include "publication.h"
 
+#include "publication_words.h"
 #include "settings.h"
 
 #include <stdio.h>
@@ -36,33 +37,24 @@
 	mistake_warn(c->m, c->document, 0, key, problem, expected);
 }
 
-static const struct service_conf *service_find(const struct account_conf *a,
-					       const char *name)
-{
-	for (uint32_t i = 0; i < a->n_services; i++)
-		if (!strcmp(a->services[i].name, name))
-			return &a->services[i];
-	return NULL;
-}
-
 static bool was_draining(const struct comparison *c, const struct change *at)
 {
-	const struct service_conf *s = service_find(c->standing, at->service);
-	char text[32];
-
-	for (uint32_t i = 0; s && i < s->n_targets; i++) {
-		const struct target_conf *t = &s->targets[i];
-
-		addr_text(t->addr, text, sizeof(text));
-		if (!strcmp(text, at->target))
-			return t->state == TARGET_DRAINING;
-	}
-	return false;
+	const struct service_conf *s =
+		account_service(c->standing, at->service);
+	const struct target_conf *t = NULL;
+	uint64_t addr;
+
+	if (s && !addr_parse(at->target, &addr))
+		t = service_target(s, addr);
+	return t && t->state == TARGET_DRAINING;
 }
 
 static void removed(struct comparison *c, const struct change *at)
 {
-	if (!at->target[0])
+	if (!at->service[0])
+		warn(c, at, "the account goes, its flows are orphaned",
+		     "an account whose targets have drained");
+	else if (!at->target[0])
 		warn(c, at, "the service goes, its flows are orphaned",
 		     "a service whose targets have drained");
 	else if (!was_draining(c, at))
@@ -165,12 +157,14 @@
 				.next = next,
 				.m = mistakes };
 
-	snprintf(c.document, sizeof(c.document), "account/%s", next->name);
+	snprintf(c.document, sizeof(c.document), "account/%s", standing->name);
 	publication_diff(standing, next, (struct change_watch){ &c, look });
+	if (!next)
+		return;
 	generation_check(&c);
 	for (uint32_t i = 0; i < standing->n_services; i++) {
 		const struct service_conf *s =
-			service_find(next, standing->services[i].name);
+			account_service(next, standing->services[i].name);
 
 		if (s)
 			capacity_check(&c, &standing->services[i], s);
--- a/adapters/publication_diff.c
+++ b/adapters/publication_diff.c
@@ -1,5 +1,6 @@
 #include "publication.h"
 
+#include "publication_words.h"
 #include "settings.h"
 
 #include <inttypes.h>
@@ -8,9 +9,6 @@
 
 #define VALUE_BYTES 32
 
-static const char *const protocols[] = { "coap", "udp" };
-static const char *const classes[] = { "feed", "report", "upload" };
-static const char *const states[] = { "up", "draining" };
 static const char *const truths[] = { "false", "true" };
 
 struct differ {
@@ -63,28 +61,10 @@
 		     addr_text(after, a, sizeof(a)));
 }
 
-static const struct target_conf *target_find(const struct service_conf *s,
-					     uint64_t addr)
-{
-	for (uint32_t i = 0; i < s->n_targets; i++)
-		if (s->targets[i].addr == addr)
-			return &s->targets[i];
-	return NULL;
-}
-
-static const struct service_conf *service_find(const struct account_conf *a,
-					       const char *name)
-{
-	for (uint32_t i = 0; i < a->n_services; i++)
-		if (!strcmp(a->services[i].name, name))
-			return &a->services[i];
-	return NULL;
-}
-
 static void target_values(struct differ *d, const struct target_conf *standing,
 			  const struct target_conf *next)
 {
-	words(d, "state", states, standing->state, next->state);
+	words(d, "state", state_words, standing->state, next->state);
 	numbers(d, "weight", standing->weight, next->weight);
 	numbers(d, "slots", standing->slots, next->slots);
 	numbers(d, "connections", standing->connections, next->connections);
@@ -111,9 +91,9 @@
 {
 	for (uint32_t i = 0; i < standing->n_targets; i++)
 		target_diff(d, standing->targets[i].addr, &standing->targets[i],
-			    target_find(next, standing->targets[i].addr));
+			    service_target(next, standing->targets[i].addr));
 	for (uint32_t i = 0; i < next->n_targets; i++)
-		if (!target_find(standing, next->targets[i].addr))
+		if (!service_target(standing, next->targets[i].addr))
 			target_diff(d, next->targets[i].addr, NULL,
 				    &next->targets[i]);
 }
@@ -123,8 +103,9 @@
 			   const struct service_conf *next)
 {
 	addresses(d, "vip", standing->vip, next->vip);
-	words(d, "protocol", protocols, standing->protocol, next->protocol);
-	words(d, "class", classes, standing->class, next->class);
+	words(d, "protocol", protocol_words, standing->protocol,
+	      next->protocol);
+	words(d, "class", class_words, standing->class, next->class);
 	words(d, "post_idempotent", truths, standing->post_idempotent,
 	      next->post_idempotent);
 	words(d, "target_dedups", truths, standing->target_dedups,
@@ -159,9 +140,9 @@
 	for (uint32_t i = 0; i < standing->n_services; i++)
 		service_diff(d, standing->services[i].name,
 			     &standing->services[i],
-			     service_find(next, standing->services[i].name));
+			     account_service(next, standing->services[i].name));
 	for (uint32_t i = 0; i < next->n_services; i++)
-		if (!service_find(standing, next->services[i].name))
+		if (!account_service(standing, next->services[i].name))
 			service_diff(d, next->services[i].name, NULL,
 				     &next->services[i]);
 }
--- a/adapters/zsock.c
+++ b/adapters/zsock.c
@@ -189,8 +189,8 @@
  * Return: 0; -EAGAIN when the queue is full; -EHOSTUNREACH when the route is
  * gone; another negative error of ZeroMQ.
  */
-int zsock_send(struct zsock *z, const struct zroute *route,
-	       const uint8_t *data, uint32_t size_bytes)
+int zsock_send(struct zsock *z, const struct zroute *route, const uint8_t *data,
+	       uint32_t size_bytes)
 {
 	if (route && zmq_send(z->socket, route->id, route->size_bytes,
 			      ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
--- a/adapters/zsock.h
+++ b/adapters/zsock.h
@@ -51,8 +51,8 @@
 
 int zsock_open(uv_loop_t *loop, const struct zsock_conf *conf,
 	       struct zsock_handler handler, struct zsock **out);
-int zsock_send(struct zsock *z, const struct zroute *route,
-	       const uint8_t *data, uint32_t size_bytes);
+int zsock_send(struct zsock *z, const struct zroute *route, const uint8_t *data,
+	       uint32_t size_bytes);
 void zsock_close(struct zsock *z);
 
 #endif
--- /dev/null
+++ b/cmd/cbctl/peer.c
@@ -0,0 +1,92 @@
+/* Questions to daemons and the platform; every error has step and peer. */
+#include "cbctl.h"
+
+#include "fetch.h"
+#include "settings.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ASK_TIMEOUT_MS 3000
+
+/**
+ * complain() - say on standard error what went wrong
+ * @step: what was being done
+ * @peer: other end, file or address
+ * @format: as printf()
+ */
+void complain(const char *step, const char *peer, const char *format, ...)
+{
+	va_list ap;
+
+	fprintf(stderr, "cbctl: step=%s peer=%s ", step, peer);
+	va_start(ap, format);
+	vfprintf(stderr, format, ap);
+	va_end(ap);
+	fputc('\n', stderr);
+}
+
+/**
+ * worse() - the graver of two ends
+ * @a: one
+ * @b: other
+ *
+ * Return: the greater code.
+ */
+enum exit_code worse(enum exit_code a, enum exit_code b)
+{
+	return a > b ? a : b;
+}
+
+/**
+ * ask_url() - GET a URL
+ * @step: for the error
+ * @peer: for the error
+ * @url: URL
+ * @body: filled
+ *
+ * Return: EXIT_OK; EXIT_UNREACHABLE without an answer; EXIT_PROBLEMS for an
+ * answer other than 200. It was told why.
+ */
+enum exit_code ask_url(const char *step, const char *peer, const char *url,
+		       GString *body)
+{
+	char error[FETCH_ERROR_BYTES];
+	int err = fetch(url, ASK_TIMEOUT_MS, body, error);
+
+	if (!err)
+		return EXIT_OK;
+	complain(step, peer, "%s", error);
+	return err == -ENOENT || err == -EPROTO ? EXIT_PROBLEMS
+						: EXIT_UNREACHABLE;
+}
+
+/**
+ * ask() - GET a page of a daemon
+ * @peer: its address, IP:PORT
+ * @path: page with its query; the step of an error is the page
+ * @body: filled
+ *
+ * Return: as ask_url(), or EXIT_USAGE when @peer is no address.
+ */
+enum exit_code ask(const char *peer, const char *path, GString *body)
+{
+	size_t step_bytes = strcspn(path + 1, "?");
+	enum exit_code code;
+	uint64_t addr;
+	char *step;
+	char *url;
+
+	if (addr_parse(peer, &addr)) {
+		complain("address", peer, "expected IP:PORT");
+		return EXIT_USAGE;
+	}
+	step = g_strndup(path + 1, step_bytes);
+	url = g_strdup_printf("http://%s%s", peer, path);
+	code = ask_url(step, peer, url, body);
+	g_free(url);
+	g_free(step);
+	return code;
+}
