--- a/cmd/cbctl/cbctl.h
+++ b/cmd/cbctl/cbctl.h
@@ -3,12 +3,16 @@
 #define CB_CBCTL_H
 
 #include "json_text.h"
+#include "lines_json.h"
 #include "mistakes.h"
 #include "publication.h"
 #include "types.h"
 
 #include <glib.h>
 
+/* Longest wait for an answer of a daemon or of the platform. */
+#define ASK_TIMEOUT_MS 3000
+
 /**
  * enum exit_code - what the process ends with
  * @EXIT_OK: done, and nothing to complain of
@@ -81,7 +85,6 @@
 enum exit_code worse(enum exit_code a, enum exit_code b);
 void complain(const char *step, const char *peer, const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
-void lines_json(GString *to, const char *body);
 void mistakes_json(GString *to, const struct mistakes *m);
 void print_json(GString *json);
 
--- a/cmd/cbctl/diff.c
+++ b/cmd/cbctl/diff.c
@@ -121,6 +121,8 @@
 	if (code == EXIT_OK && m.n_errors) {
 		code = refuse(&m);
 	} else if (code == EXIT_OK) {
+		if (before.n_errors)
+			mistakes_print(&before, stderr);
 		differ(r, &standing, &next, &m);
 		code = m.n_errors ? EXIT_PROBLEMS : EXIT_OK;
 	}
--- a/cmd/cbctl/generations.c
+++ b/cmd/cbctl/generations.c
@@ -91,7 +91,7 @@
 	GString *body = g_string_new(NULL);
 	enum exit_code code = EXIT_OK;
 
-	if (fetch(url, 3000, body, error))
+	if (fetch(url, ASK_TIMEOUT_MS, body, error))
 		code = ask(peer, "/status", body);
 	if (code == EXIT_OK)
 		take_lines(t, peer, body->str);
@@ -132,7 +132,7 @@
 	return false;
 }
 
-/* A VM that never heard of an account lags too, and would not show. */
+/* A VM that answers but never heard of an account lags too, and would not show. */
 static void add_missing(struct table *t, const char *peer)
 {
 	GHashTableIter iter;
@@ -212,6 +212,7 @@
 		g_array_new(FALSE, FALSE, sizeof(struct row)),
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
 	};
+	GPtrArray *answered = g_ptr_array_new();
 	enum exit_code code = EXIT_OK;
 
 	g_array_set_clear_func(t.rows, row_clear);
@@ -220,11 +221,14 @@
 	for (uint32_t i = first; i < r->n_operands; i++) {
 		enum exit_code one = ask_peer(&t, r->operands[i]);
 
+		if (one == EXIT_OK)
+			g_ptr_array_add(answered, (gpointer)r->operands[i]);
 		code = worse(code, one);
 	}
-	for (uint32_t i = first; i < r->n_operands; i++)
-		add_missing(&t, r->operands[i]);
+	for (guint i = 0; i < answered->len; i++)
+		add_missing(&t, g_ptr_array_index(answered, i));
 	code = worse(code, print_table(r, &t));
+	g_ptr_array_free(answered, TRUE);
 	g_array_free(t.rows, TRUE);
 	g_hash_table_destroy(t.newest);
 	return code;
--- a/cmd/cbctl/peer.c
+++ b/cmd/cbctl/peer.c
@@ -9,8 +9,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define ASK_TIMEOUT_MS 3000
-
 /**
  * complain() - say on standard error what went wrong
  * @step: what was being done
@@ -58,7 +56,8 @@
 
 	if (!err)
 		return EXIT_OK;
-	complain(step, peer, "%s", error);
+	complain(step, peer, "%s%s%.*s", error, body->len ? ": " : "",
+		 (int)strcspn(body->str, "\n"), body->str);
 	return err == -ENOENT || err == -EPROTO ? EXIT_PROBLEMS
 						: EXIT_UNREACHABLE;
 }
--- a/test/publication_test.c
+++ b/test/publication_test.c
@@ -320,6 +320,39 @@
 	mistakes_free(&m);
 }
 
+static void fleet_mistakes(const char *other, uint32_t n_errors)
+{
+	struct mistakes m = { 0 };
+	struct account_conf *a = good("generation = 1\n" FIRST);
+	struct account_conf *b = good(other);
+	const struct account_conf *const both[] = { a, b };
+
+	publication_fleet(both, 2, &m);
+	assert_int_equal(m.n_errors, n_errors);
+	mistakes_free(&m);
+	account_free(a);
+	account_free(b);
+}
+
+/*
+ * Symptom: a request lands in another account's service. Events: two accounts
+ * publish one VIP, or a VIP that is a target of the other. Cause: each account
+ * is right by itself.
+ */
+static void a_vip_belongs_to_one_service_of_the_fleet(void **unused)
+{
+	(void)unused;
+	fleet_mistakes("generation = 1\n[[service]]\nname = \"x\"\n"
+		       "vip = \"127.1.0.1:1\"\n",
+		       1);
+	fleet_mistakes("generation = 1\n[[service]]\nname = \"x\"\n"
+		       "vip = \"127.2.0.1:1\"\n",
+		       1);
+	fleet_mistakes("generation = 1\n[[service]]\nname = \"x\"\n"
+		       "vip = \"127.1.0.1:2\"\n",
+		       0);
+}
+
 static const char *find_example(void *ctx, const char *name)
 {
 	(void)name;
@@ -369,6 +402,7 @@
 		cmocka_unit_test(a_target_that_goes_undrained_is_warned_of),
 		cmocka_unit_test(a_service_that_moves_is_warned_of),
 		cmocka_unit_test(a_change_without_a_new_generation_is_refused),
+		cmocka_unit_test(a_vip_belongs_to_one_service_of_the_fleet),
 		cmocka_unit_test(the_examples_render),
 	};
 
