--- a/adapters/publication.c
+++ b/adapters/publication.c
@@ -169,6 +169,19 @@
 				      "a name of its own in the account");
 }
 
+/* It would be published, be in force, and no caller would get an answer. */
+static void carried(struct reading *r, const struct toml_node *table,
+		    const struct service_conf *s)
+{
+	const struct toml_node *node = toml_find(table, "protocol");
+
+	if (s->protocol == SERVICE_UDP && node)
+		mistake_warn(r->m, node->document, node->line,
+			     "service.protocol",
+			     "cb-entry does not carry udp services yet",
+			     "\"coap\"");
+}
+
 static void service_take(struct reading *r, struct toml_node *node)
 {
 	struct service_conf *s;
@@ -182,6 +195,7 @@
 	fields_take(r->m, "service", node, service_fields, s);
 	name_once(r, node, s);
 	endpoint_once(r, node, "service", "vip", s->vip);
+	carried(r, node, s);
 	targets_take(r, node, s);
 	fields_unknown(r->m, "service", node);
 }
