Message IDs of a feed survive its owner; requests are cancelled by token

Cause of a feed that looked still after a planned handover: the new owner began at a random message ID, which the caller had seen within 247 s, and it dropped the updates as repeats. The ID travels with the copy; after a death the successor starts a quarter of the range on.

--- a/adapters/coap_make.c
+++ b/adapters/coap_make.c
@@ -292,12 +292,17 @@
 
 /**
  * coap_wire_cancel() - tell a target to stop
- * @a: ACT_CANCEL_TARGET; with the opening request of a feed as data, the
- *	feed is closed; without, the request with that ID is
+ * @a: ACT_CANCEL_TARGET; with the request, or a feed's opening request, as
+ *	data, and its token
  * @buf: room for the datagram
  * @cap_bytes: its size
  *
- * Return: bytes written; -EMSGSIZE; -EPROTO for a bad opening request.
+ * The request's token with Observe 1 (RFC 7641 section 3.6) and never a reset:
+ * a target matches a reset against message IDs of its own, so one with the
+ * request's ID would end whatever feed had that number last, and let the
+ * request run. Always a GET, so that the cancellation itself runs nothing.
+ *
+ * Return: bytes written; -EMSGSIZE; -EPROTO without a well-formed request.
  */
 int32_t coap_wire_cancel(const struct action *a, uint8_t *buf,
 			 uint32_t cap_bytes)
@@ -306,12 +311,11 @@
 	const uint8_t *options = options_of(a);
 	struct walk w = { .at = options };
 
-	if (!a->data)
-		return coap_wire_empty(WIRE_RESET, a->id, buf, cap_bytes);
-	if (!options)
+	if (!a->data || !options)
 		return -EPROTO;
 	w.end = a->data + a->size_bytes;
-	put_header(&o, a->type, a->data[1], a->id, a->token, a->token_len);
+	put_header(&o, a->type, COAP_REQUEST_GET, a->id, a->token,
+		   a->token_len);
 	put_replaced(&o, &w, COAP_OPTION_OBSERVE, 1);
 	return out_end(&o);
 }
--- a/core/entry.h
+++ b/core/entry.h
@@ -79,7 +79,8 @@
  * @ACT_ANSWER_CALLER: make an answer of our own, see @answer
  * @ACT_SIGNAL_CALLER: send an empty message of @type with @id
  * @ACT_SIGNAL_TARGET: send an empty message of @type with @id
- * @ACT_CANCEL_TARGET: tell the target to stop a request or feed, by @token
+ * @ACT_CANCEL_TARGET: tell the target to stop the request or feed of @token,
+ *	which @data asked for
  * @ACT_PEER: send @peer to the entry @vm
  * @ACT_NOTE: log @note with flow and target
  */
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -11,6 +11,8 @@
 #define SLOT_NONE UINT32_MAX
 #define HOPS_MAX 2
 #define FEED_REQUEST_MAX_BYTES 128
+#define DOWN_ID_FAR 16384
+#define DOWN_ID_NEAR 256
 #define ACTIONS_RESERVE 16
 
 /**
--- a/core/feed.c
+++ b/core/feed.c
@@ -85,6 +85,24 @@
 	return f;
 }
 
+/*
+ * A caller drops an update whose message ID it saw within the last 247 s, and
+ * the feed looks still. IDs of one flow come from one range, so feeds of the
+ * same flow start a quarter of it apart.
+ */
+static uint16_t first_down_id(struct entry *e, const struct feed *f)
+{
+	uint32_t slot = e->feed_heads[f->bucket];
+
+	for (; slot != SLOT_NONE; slot = e->feeds[slot].next) {
+		const struct feed *other = &e->feeds[slot];
+
+		if (same_flow(&other->key, &f->key))
+			return (uint16_t)(other->down_id + DOWN_ID_FAR);
+	}
+	return (uint16_t)rng_next(&e->rng);
+}
+
 /**
  * feed_new() - take a slot for a feed
  * @e: entry
@@ -116,7 +134,7 @@
 	f->request = SLOT_NONE;
 	f->copy_deadline_ns = DEADLINE_NEVER;
 	f->hand_deadline_ns = DEADLINE_NEVER;
-	f->down_id = (uint16_t)rng_next(&e->rng);
+	f->down_id = first_down_id(e, f);
 	f->state = FEED_OPENING;
 	f->heard_ns = e->now_ns;
 	index_put(e->feed_by_identity, f->identity, slot);
--- a/core/feed_copy.c
+++ b/core/feed_copy.c
@@ -49,10 +49,11 @@
 }
 
 static void send_whole(struct entry *e, const struct feed *f, uint64_t vm,
-		       uint8_t ask)
+		       uint8_t ask, uint16_t down_id)
 {
 	struct peer_msg *m = feed_message(e, f, vm, ask);
 
+	m->seq = down_id;
 	m->data = f->opening;
 	m->size_bytes = f->size_bytes;
 }
@@ -76,7 +77,7 @@
 		return;
 	f->copy_deadline_ns = e->now_ns + COPY_RETRY_NS;
 	e->counters.feed_copies_sent++;
-	send_whole(e, f, pair.second, ASK_KEEP);
+	send_whole(e, f, pair.second, ASK_KEEP, f->down_id);
 }
 
 /* feed_copy_close() - tell the second that a feed ended. */
@@ -117,7 +118,7 @@
 	f->hand_deadline_ns = e->now_ns + HAND_RETRY_NS;
 	if (pair.owner == ADDR_NONE || !f->size_bytes)
 		return;
-	send_whole(e, f, pair.owner, ASK_TAKE_OVER);
+	send_whole(e, f, pair.owner, ASK_TAKE_OVER, f->down_id);
 }
 
 /* feed_taken_over() - tell the entry that handed a feed over: it is served. */
@@ -128,6 +129,15 @@
 	e->counters.feeds_taken_over++;
 }
 
+/*
+ * Message IDs that the last server may have used since it told its own: few
+ * when it handed the feed over now, many when it died with an old copy here.
+ */
+static uint16_t skip_ids(const struct entry *e, const struct feed *f)
+{
+	return vm_serves(e, f->served_by) ? DOWN_ID_NEAR : DOWN_ID_FAR;
+}
+
 /*
  * A dead entry leaves all its feeds at once; they are asked for again a few at
  * a time, so that the targets are not swamped.
@@ -142,6 +152,7 @@
 		e->counters.feeds_taken_over++;
 	f->hand_deadline_ns = DEADLINE_NEVER;
 	f->copy_deadline_ns = e->now_ns;
+	f->down_id += skip_ids(e, f);
 	feed_renew(e, f, ADDR_NONE);
 	if (f->state != FEED_FREE)
 		feed_timer_set(e, f);
@@ -169,7 +180,8 @@
 			copy_check_at(e, f, e->now_ns + CHECK_NS);
 	} else if (dead && pair.owner != ADDR_NONE) {
 		if (emit_room(e))
-			send_whole(e, f, pair.owner, ASK_TAKE_OVER);
+			send_whole(e, f, pair.owner, ASK_TAKE_OVER,
+				   f->down_id + DOWN_ID_FAR);
 		copy_check_at(e, f, e->now_ns + HAND_RETRY_NS);
 	} else if (in_pair(e, pair)) {
 		if (f->served_by != pair.owner)
@@ -236,6 +248,7 @@
 	feed_state_set(e, f, FEED_COPY);
 	f->served_by = msg->from;
 	f->target = msg->target;
+	f->down_id = (uint16_t)msg->seq;
 	f->size_bytes = (uint16_t)msg->size_bytes;
 	memcpy(f->opening, msg->data, msg->size_bytes);
 }
--- a/core/send.c
+++ b/core/send.c
@@ -82,15 +82,19 @@
 	timers_set(e->timers, request_slot(e, r), next);
 }
 
+static uint64_t token_of(const struct entry *e, const struct request *r)
+{
+	if (r->feed != SLOT_NONE)
+		return up_token(true, r->feed, e->feeds[r->feed].generation,
+				e->conf.seed);
+	return up_token(false, request_slot(e, r), r->generation, e->conf.seed);
+}
+
 static void transmit(struct entry *e, struct request *r)
 {
 	struct action *a = emit(e, ACT_TO_TARGET);
-	uint64_t token = up_token(false, request_slot(e, r), r->generation,
-				  e->conf.seed);
+	uint64_t token = token_of(e, r);
 
-	if (r->feed != SLOT_NONE)
-		token = up_token(true, r->feed, e->feeds[r->feed].generation,
-				 e->conf.seed);
 	a->key = r->key;
 	a->target = r->target;
 	a->type = WIRE_CONFIRM;
@@ -177,13 +181,27 @@
 	return balance_may_retry(e->balancer, r->key.vip, e->now_ns);
 }
 
+/*
+ * The work of a request that nobody waits for any more would hold a slot. A
+ * block of a transfer is short, and a copy of it without its payload would
+ * disturb the transfer.
+ */
 static void cancel_at_target(struct entry *e, const struct request *r)
 {
-	struct action *a = emit(e, ACT_CANCEL_TARGET);
+	uint64_t token = token_of(e, r);
+	struct action *a;
+	uint16_t id;
 
+	if (r->flags & MSG_PART || !id_next(e, r->target, &id))
+		return;
+	a = emit(e, ACT_CANCEL_TARGET);
 	a->key = r->key;
 	a->target = r->target;
-	a->id = r->up_id;
+	a->id = id;
+	a->token_len = sizeof(token);
+	memcpy(a->token, &token, sizeof(token));
+	a->data = r->data;
+	a->size_bytes = r->size_bytes;
 	e->counters.cancels++;
 }
 
