Several entries may leave at once: each tells every newcomer its buckets' history

Cause: a leaving entry is out of its own ring at once, so when several left together none of them took the pair that the others settled on for its own to hand over, and the outcome was unknown for a cover time (13 requests of promise_prop's 'a planned stop cuts nothing in progress', three leaving in the same millisecond).

--- a/core/entry.c
+++ b/core/entry.c
@@ -335,6 +335,7 @@
 	e->leaving = true;
 	e->leave_deadline_ns = now_ns + e->conf.drain_ns;
 	e->linger_deadline_ns = now_ns + LINGER_NS;
+	streams_leave(e);
 	member_leave(e->members, now_ns);
 	follow_view(e);
 }
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -207,6 +207,7 @@
 	struct index *feed_by_down_id;
 
 	struct stream *streams;
+	uint64_t *held_when_leaving;
 	uint64_t allowance_bytes;
 	uint64_t allowance_ns;
 	struct id_space *ids;
@@ -245,6 +246,7 @@
 void own_message(struct entry *e, const struct flow_key *key,
 		 const struct message *msg, uint8_t hops);
 bool vm_serves(const struct entry *e, uint64_t vm);
+bool vm_owns(const struct entry *e, uint64_t vm);
 uint64_t up_token(bool feed, uint32_t slot, uint32_t generation, uint64_t seed);
 
 /* request.c */
@@ -339,6 +341,7 @@
 /* stream.c */
 int streams_init(struct entry *e);
 void streams_free(struct entry *e);
+void streams_leave(struct entry *e);
 void streams_pair_changed(struct entry *e, uint32_t bucket,
 			  struct ring_pair before, struct ring_pair after);
 uint32_t stream_lines_pending(const struct entry *e);
--- a/core/route.c
+++ b/core/route.c
@@ -50,6 +50,14 @@
 	return m && m->state != MEMBER_DEAD;
 }
 
+/* Whether an entry may own buckets: it lives, and is neither new nor leaving. */
+bool vm_owns(const struct entry *e, uint64_t vm)
+{
+	const struct member *m = member_find(e->members, vm);
+
+	return m && (m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT);
+}
+
 /**
  * forward_to() - hand a caller's datagram to another entry
  * @e: entry
--- a/core/stream.c
+++ b/core/stream.c
@@ -54,7 +54,8 @@
 	uint32_t words = (e->conf.n_buckets + 63) / 64;
 
 	e->streams = calloc(STREAMS_MAX, sizeof(*e->streams));
-	if (!e->streams)
+	e->held_when_leaving = calloc(words, sizeof(uint64_t));
+	if (!e->streams || !e->held_when_leaving)
 		return -ENOMEM;
 	for (uint32_t i = 0; i < STREAMS_MAX; i++) {
 		e->streams[i].due = calloc(words, sizeof(uint64_t));
@@ -67,6 +68,7 @@
 
 void streams_free(struct entry *e)
 {
+	free(e->held_when_leaving);
 	if (!e->streams)
 		return;
 	for (uint32_t i = 0; i < STREAMS_MAX; i++) {
@@ -104,6 +106,11 @@
 	s->refused = 0;
 }
 
+static bool held(const struct entry *e, uint32_t bucket)
+{
+	return e->held_when_leaving[bucket / 64] >> (bucket % 64) & 1;
+}
+
 static void add(struct entry *e, uint64_t vm, uint32_t bucket)
 {
 	struct stream *s = stream_to(e, vm);
@@ -113,24 +120,54 @@
 		return;
 	s->due[bucket / 64] |= bit;
 	s->whole[bucket / 64] &= ~bit;
-	if (ring_covered(e->ring, bucket, e->now_ns))
+	if (held(e, bucket) || ring_covered(e->ring, bucket, e->now_ns))
 		s->whole[bucket / 64] |= bit;
 	s->n_due++;
 }
 
+/**
+ * streams_leave() - note what this entry knows as it begins to leave
+ * @e: entry
+ *
+ * A leaving entry is out of its own ring at once, while the pairs that the
+ * others settle on change more than once when several leave together. So it
+ * owes the history of its buckets to every newcomer until it is gone.
+ */
+void streams_leave(struct entry *e)
+{
+	uint64_t self = e->conf.member.self;
+
+	for (uint32_t i = 0; i < e->conf.n_buckets; i++) {
+		struct ring_pair p = ring_at(e->ring, i);
+
+		if (p.owner != self && p.second != self)
+			continue;
+		if (ring_covered(e->ring, i, e->now_ns))
+			e->held_when_leaving[i / 64] |= 1ULL << (i % 64);
+	}
+}
+
+/* Whether it is this entry that tells newcomers to a bucket its history. */
+static bool teller(const struct entry *e, uint32_t bucket,
+		   struct ring_pair before)
+{
+	uint64_t self = e->conf.member.self;
+
+	if (held(e, bucket) || before.owner == self)
+		return true;
+	return before.second == self && !vm_serves(e, before.owner);
+}
+
 /* streams_pair_changed() - tell a newcomer to a bucket's pair its history. */
 void streams_pair_changed(struct entry *e, uint32_t bucket,
 			  struct ring_pair before, struct ring_pair after)
 {
-	uint64_t self = e->conf.member.self;
 	const uint64_t now[2] = { after.owner, after.second };
 
-	if (before.owner != self && before.second != self)
-		return;
-	if (before.second == self && vm_serves(e, before.owner))
+	if (!teller(e, bucket, before))
 		return;
 	for (uint32_t i = 0; i < 2; i++) {
-		if (now[i] == ADDR_NONE || now[i] == self ||
+		if (now[i] == ADDR_NONE || now[i] == e->conf.member.self ||
 		    now[i] == before.owner || now[i] == before.second)
 			continue;
 		add(e, now[i], bucket);
@@ -190,7 +227,7 @@
 	if (e->now_ns < s->retry_ns)
 		return;
 	if (s->tries > STREAM_TRIES_MAX || s->refused > REFUSED_MAX ||
-	    !vm_serves(e, s->vm)) {
+	    !vm_owns(e, s->vm)) {
 		stream_close(e, s);
 		return;
 	}
