--- a/cmd/cb-watch/documents.c
+++ b/cmd/cb-watch/documents.c
@@ -46,8 +46,7 @@
 
 		if (one->warning)
 			continue;
-		g_string_append_printf(reason,
-				       "%s%s:%u: %s: %s, expected %s",
+		g_string_append_printf(reason, "%s%s:%u: %s: %s, expected %s",
 				       reason->len ? "; " : "", one->document,
 				       one->line, one->key, one->problem,
 				       one->expected);
@@ -118,9 +117,6 @@
 		return err;
 	}
 	err = publish(w, key, revision, revision, c);
-	/* What is published is not in force while we join; peers are needed. */
-	if (!err && !spread_serving(w->spread))
-		documents_roster(w, c);
 	content_free(c);
 	return err;
 }
--- a/core/feed.c
+++ b/core/feed.c
@@ -5,7 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define UNACKED_MAX 4
+/* Longer than a target repeats an update that nobody acknowledges. */
+#define CALLER_GONE_NS (100 * NS_PER_S)
 #define RENEW_NS (3 * NS_PER_S)
 #define RENEW_TRIES_MAX 3
 
@@ -84,6 +85,24 @@
 	return f;
 }
 
+/*
+ * A caller drops an update whose message ID it saw within the last 247 s, and
+ * the feed looks still. IDs of one flow come from one range, so feeds of the
+ * same flow start a quarter of it apart.
+ */
+static uint16_t first_down_id(struct entry *e, const struct feed *f)
+{
+	uint32_t slot = e->feed_heads[f->bucket];
+
+	for (; slot != SLOT_NONE; slot = e->feeds[slot].next) {
+		const struct feed *other = &e->feeds[slot];
+
+		if (same_flow(&other->key, &f->key))
+			return (uint16_t)(other->down_id + DOWN_ID_FAR);
+	}
+	return (uint16_t)rng_next(&e->rng);
+}
+
 /**
  * feed_new() - take a slot for a feed
  * @e: entry
@@ -115,7 +134,7 @@
 	f->request = SLOT_NONE;
 	f->copy_deadline_ns = DEADLINE_NEVER;
 	f->hand_deadline_ns = DEADLINE_NEVER;
-	f->down_id = (uint16_t)rng_next(&e->rng);
+	f->down_id = first_down_id(e, f);
 	f->state = FEED_OPENING;
 	f->heard_ns = e->now_ns;
 	index_put(e->feed_by_identity, f->identity, slot);
@@ -257,8 +276,9 @@
 	f->heard_ns = e->now_ns;
 	if (first)
 		e->counters.feeds_opened++;
+	/* With the answer, not after it: an owner may die in between. */
 	if (first || moved)
-		f->copy_deadline_ns = e->now_ns;
+		feed_copy_send(e, f);
 	if (f->handed_from != ADDR_NONE)
 		feed_taken_over(e, f);
 	if (ring_at(e->ring, f->bucket).owner != e->conf.member.self)
@@ -287,8 +307,8 @@
 	f->up_id = msg->id;
 	f->up_seen = true;
 	index_put(e->feed_by_down_id, down_id_key(&f->key, f->down_id), slot);
-	if (msg->flags & MSG_CONFIRM)
-		f->unacked++;
+	if (msg->flags & MSG_CONFIRM && !f->unacked_since_ns)
+		f->unacked_since_ns = e->now_ns;
 	return f->down_id;
 }
 
@@ -305,10 +325,6 @@
 	struct action *a;
 	uint16_t id = down_id_for(e, f, msg);
 
-	if (f->unacked > UNACKED_MAX) {
-		feed_end(e, f, true);
-		return;
-	}
 	f->heard_ns = e->now_ns;
 	a = emit(e, ACT_TO_CALLER);
 	a->key = f->key;
@@ -356,7 +372,7 @@
 
 	if (!f)
 		return false;
-	f->unacked = 0;
+	f->unacked_since_ns = 0;
 	emit_signal_target(e, f->target, WIRE_ACK, f->up_id);
 	return true;
 }
@@ -469,13 +485,24 @@
 	request_submit(e, r);
 }
 
+/*
+ * The target gives up on a caller that acknowledges nothing, and is silent from
+ * then on. Renewed for ever, the feed of a caller that is gone would hold its
+ * connection for ever.
+ */
+static bool caller_gone(const struct entry *e, const struct feed *f)
+{
+	return f->unacked_since_ns &&
+	       e->now_ns >= f->unacked_since_ns + CALLER_GONE_NS;
+}
+
 /* feed_timer() - a deadline of a feed has come. */
 void feed_timer(struct entry *e, struct feed *f)
 {
 	if (f->state == FEED_FREE)
 		return;
 	if (f->state == FEED_COPY) {
-		feed_adopt(e, f);
+		feed_copy_timer(e, f);
 		return;
 	}
 	if (e->now_ns >= f->copy_deadline_ns)
@@ -484,7 +511,10 @@
 		feed_hand_over(e, f);
 	if (e->now_ns >= f->heard_ns + e->conf.probe_idle_ns) {
 		f->heard_ns = e->now_ns;
-		feed_renew(e, f, ADDR_NONE);
+		if (caller_gone(e, f))
+			feed_end(e, f, true);
+		else
+			feed_renew(e, f, ADDR_NONE);
 		if (f->state == FEED_FREE)
 			return;
 	}
--- a/sim/sim-target/target.h
+++ b/sim/sim-target/target.h
@@ -104,6 +104,7 @@
  * @crawl: work takes this many times as long
  * @shed_percent: share refused as not run
  * @fail_percent: share that runs and then answers 5.00
+ * @lose_percent: share of outgoing datagrams that are lost on the way
  * @cold_start_ns: when the slow start began
  * @cold_deadline_ns: when it is over, 0 for none
  */
@@ -114,6 +115,7 @@
 	uint32_t crawl;
 	uint32_t shed_percent;
 	uint32_t fail_percent;
+	uint32_t lose_percent;
 	uint64_t cold_start_ns;
 	uint64_t cold_deadline_ns;
 };
@@ -174,10 +176,10 @@
 			uint64_t now_ns);
 void load_encode(const struct load *l, uint8_t buf[LOAD_BYTES]);
 
-/* feeds.c: observers, beside libcoap's own list of them. */
+/* observers.c: observers, beside libcoap's own list of them. */
 
 /**
- * struct feed - an observer
+ * struct observer - an observer
  * @session: libcoap's session, a reference is held
  * @token_len: bytes of @token in use
  * @token: token of the request that opened it
@@ -186,7 +188,7 @@
  * @round: last round of notifications that asked for it
  * @lost: the target forgot it; it is silent from now on
  */
-struct feed {
+struct observer {
 	coap_session_t *session;
 	uint8_t token_len;
 	uint8_t token[TOKEN_MAX_BYTES];
@@ -196,18 +198,18 @@
 	bool lost;
 };
 
-struct feeds;
+struct observers;
 
-struct feeds *feeds_new(void);
-void feeds_free(struct feeds *f);
-struct feed *feeds_find(struct feeds *f, coap_session_t *session,
-			coap_bin_const_t token);
-struct feed *feeds_add(struct feeds *f, coap_session_t *session,
-		       coap_bin_const_t token, const char *id);
-void feeds_remove(struct feeds *f, struct feed *feed);
-void feeds_lose(struct feeds *f);
-void feeds_sweep(struct feeds *f, uint32_t round);
-uint32_t feeds_count(const struct feeds *f);
+struct observers *observers_new(void);
+void observers_free(struct observers *f);
+struct observer *observers_find(struct observers *f, coap_session_t *session,
+				coap_bin_const_t token);
+struct observer *observers_add(struct observers *f, coap_session_t *session,
+			       coap_bin_const_t token, const char *id);
+void observers_remove(struct observers *f, struct observer *feed);
+void observers_lose(struct observers *f);
+void observers_sweep(struct observers *f, uint32_t round);
+uint32_t observers_count(const struct observers *f);
 
 /* What the target counts; "stats" on the control port prints them. */
 enum counter {
@@ -224,6 +226,9 @@
 	COUNTERS
 };
 
+struct target;
+struct request;
+
 /**
  * struct path - what the target serves
  * @name: Uri-Path
@@ -231,8 +236,6 @@
  *	leave its code 0 when the answer comes later
  * @observable: takes Observe
  */
-struct target;
-struct request;
 struct path {
 	const char *name;
 	void (*serve)(struct target *t, const struct request *r,
@@ -315,7 +318,7 @@
 	struct slots *slots;
 	struct dedup *dedup;
 	struct uploads *uploads;
-	struct feeds *feeds;
+	struct observers *observers;
 	struct report report;
 	struct behaviour behaviour;
 	uint32_t sequence;
@@ -329,6 +332,7 @@
 void target_close(struct target *t);
 int target_serve_open(struct target *t);
 void target_step(struct target *t);
+void target_abandon(struct target *t);
 void target_notify(struct target *t);
 void target_link(const struct target *t);
 void target_refuse(struct reply *out, const char *reason);
