--- a/core/entry.c
+++ b/core/entry.c
@@ -80,6 +80,7 @@
 	e->now_ns = now_ns;
 	e->join_deadline_ns = DEADLINE_NEVER;
 	e->join_latest_ns = DEADLINE_NEVER;
+	e->sweep_deadline_ns = DEADLINE_NEVER;
 	e->rng.s = conf->seed | 1;
 	e->allowance_ns = now_ns;
 	e->allowance_bytes = conf->peer_bytes_per_s;
@@ -167,6 +168,7 @@
 	if (e->services && e->service_list)
 		list_services(e, c);
 	balance_config(e->balancer, c, now_ns);
+	moves_config(e);
 	requests_drain(e);
 }
 
@@ -315,6 +317,7 @@
 	follow_view(e);
 	claims_expire(e->claims, now_ns);
 	run_timers(e);
+	moves_tick(e);
 	requests_drain(e);
 	streams_tick(e);
 	flow_expire(e->pins, now_ns, FLOW_EXPIRE_BUDGET);
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -11,6 +11,7 @@
 #define SLOT_NONE UINT32_MAX
 #define HOPS_MAX 2
 #define FEED_REQUEST_MAX_BYTES 128
+#define RENEWING_MAX 256
 #define DOWN_ID_FAR 16384
 #define DOWN_ID_NEAR 256
 #define ACTIONS_RESERVE 16
@@ -202,6 +203,10 @@
 	uint32_t n_feeds_held;
 	uint32_t n_feeds_renewing;
 	uint32_t *feed_heads;
+	uint32_t sweep_next;
+	bool sweeping;
+	uint64_t sweep_deadline_ns;
+	uint64_t drained_digest;
 	uint64_t *owner_since_ns;
 	struct index *feed_by_identity;
 	struct index *feed_by_down_id;
@@ -317,6 +322,7 @@
 		 const struct message *msg);
 void feed_renew(struct entry *e, struct feed *f, uint64_t avoid);
 void feed_renew_failed(struct entry *e, struct feed *f, struct request *r);
+void feed_kept(struct entry *e, struct feed *f);
 bool feed_acked_by_caller(struct entry *e, const struct flow_key *key,
 			  uint16_t id);
 bool feed_reset_by_caller(struct entry *e, const struct flow_key *key,
@@ -324,6 +330,13 @@
 void feed_timer(struct entry *e, struct feed *f);
 void feed_timer_set(struct entry *e, struct feed *f);
 
+/* feed_move.c */
+void moves_config(struct entry *e);
+void moves_due(struct entry *e);
+void moves_tick(struct entry *e);
+uint64_t moves_next_ns(const struct entry *e);
+bool target_drains(const struct entry *e, uint64_t vip, uint64_t target);
+
 /* feed_copy.c */
 void feed_copy_send(struct entry *e, struct feed *f);
 void feed_copy_received(struct entry *e, const struct peer_msg *msg);
--- a/core/feed.c
+++ b/core/feed.c
@@ -267,6 +267,7 @@
 
 	if (moved) {
 		count_connection(e, f, false);
+		cancel_at(e, f, f->target);
 		f->target = target;
 		if (!first)
 			e->counters.feeds_moved++;
@@ -284,6 +285,20 @@
 	if (ring_at(e->ring, f->bucket).owner != e->conf.member.self)
 		f->hand_deadline_ns = e->now_ns;
 	feed_timer_set(e, f);
+	if (target_drains(e, f->key.vip, target))
+		moves_due(e);
+}
+
+/**
+ * feed_kept() - no other target took a feed off a draining one: it stays
+ * @e: entry
+ * @f: feed; its target still serves it, and the next sweep tries again
+ */
+void feed_kept(struct entry *e, struct feed *f)
+{
+	feed_state_set(e, f, FEED_OPEN);
+	feed_timer_set(e, f);
+	moves_due(e);
 }
 
 /* feed_refused() - the request that was to open a feed did not. */
@@ -468,8 +483,15 @@
 	uint64_t failed = r->target;
 	uint8_t tries = r->tries;
 
+	bool moving = r->avoid != ADDR_NONE && r->avoid == f->target &&
+		      e->now_ns < f->heard_ns + e->conf.probe_idle_ns;
+
 	f->request = SLOT_NONE;
 	request_drop(e, r);
+	if (moving) {
+		feed_kept(e, f);
+		return;
+	}
 	if (tries >= RENEW_TRIES_MAX) {
 		feed_lost(e, f);
 		return;
--- a/core/feed_copy.c
+++ b/core/feed_copy.c
@@ -15,7 +15,6 @@
 #define DROP_WAIT_NS (10 * NS_PER_S)
 #define CHECK_NS (NS_PER_S / 5)
 #define ADOPT_PACE_NS (20 * NS_PER_MS)
-#define RENEWING_MAX 256
 #define COPY_FIXED_BYTES 96
 
 /* What a PEER_FEED asks, in its field hops. */
--- /dev/null
+++ b/core/feed_move.c
@@ -0,0 +1,97 @@
+/*
+ * Feeds on targets that drain: moved while the target still serves them. A
+ * draining target stops one day, and a feed that waited for that would be
+ * still until its silence is noticed.
+ */
+#include "entry_state.h"
+
+#define SWEEP_BUDGET 1024
+#define SWEEP_PACE_NS (20 * NS_PER_MS)
+#define SWEEP_AGAIN_NS (2 * NS_PER_S)
+
+/* target_drains() - whether a service's target drains or was withdrawn. */
+bool target_drains(const struct entry *e, uint64_t vip, uint64_t target)
+{
+	const struct service_conf *s = service_find(e, vip);
+
+	for (uint32_t i = 0; s && i < s->n_targets; i++) {
+		if (s->targets[i].addr == target)
+			return s->targets[i].state == TARGET_DRAINING;
+	}
+	return true;
+}
+
+static uint64_t digest_of_service(const struct service_conf *s)
+{
+	uint64_t digest = 0;
+
+	for (uint32_t i = 0; i < s->n_targets; i++) {
+		if (s->targets[i].state == TARGET_UP)
+			digest ^= hash_u64(s->targets[i].addr, s->vip);
+	}
+	return digest;
+}
+
+/**
+ * moves_config() - look for feeds to move when a target drains or goes
+ * @e: entry, with its new configuration in force
+ */
+void moves_config(struct entry *e)
+{
+	uint64_t digest = 0;
+
+	for (uint32_t i = 0; i < e->n_services; i++)
+		digest ^= digest_of_service(e->service_list[i]);
+	if (digest != e->drained_digest)
+		e->sweep_deadline_ns = e->now_ns;
+	e->drained_digest = digest;
+}
+
+/* moves_due() - a feed is on a draining target; look at it in a while. */
+void moves_due(struct entry *e)
+{
+	if (e->sweep_deadline_ns == DEADLINE_NEVER)
+		e->sweep_deadline_ns = e->now_ns + SWEEP_AGAIN_NS;
+}
+
+static bool to_move(const struct entry *e, const struct feed *f)
+{
+	return f->state == FEED_OPEN && f->request == SLOT_NONE &&
+	       f->size_bytes && target_drains(e, f->key.vip, f->target);
+}
+
+static void start_when_due(struct entry *e)
+{
+	if (e->sweeping || e->now_ns < e->sweep_deadline_ns)
+		return;
+	e->sweep_deadline_ns = DEADLINE_NEVER;
+	e->sweeping = true;
+	e->sweep_next = 0;
+}
+
+/**
+ * moves_tick() - move some of the feeds that are on draining targets
+ * @e: entry
+ *
+ * The old target goes on with a feed until the new one has accepted it.
+ */
+void moves_tick(struct entry *e)
+{
+	uint32_t budget = SWEEP_BUDGET;
+
+	start_when_due(e);
+	while (e->sweeping && budget-- && emit_room(e)) {
+		struct feed *f = &e->feeds[e->sweep_next];
+
+		if (e->n_feeds_renewing >= RENEWING_MAX)
+			return;
+		if (to_move(e, f))
+			feed_renew(e, f, f->target);
+		e->sweeping = ++e->sweep_next < e->conf.feeds_max;
+	}
+}
+
+uint64_t moves_next_ns(const struct entry *e)
+{
+	return e->sweeping ? e->now_ns + SWEEP_PACE_NS : e->sweep_deadline_ns;
+}
