--- a/core/send.c
+++ b/core/send.c
@@ -244,7 +244,10 @@
 {
 	switch (r->state) {
 	case REQ_CLAIMING:
-		claim_repeat(e, r);
+		if (request_idempotent(e, r))
+			request_submit(e, r);
+		else
+			claim_repeat(e, r);
 		break;
 	case REQ_QUEUED:
 		balance_cancel(e->balancer, request_slot(e, r));
