--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 TESTHELP := $(patsubst %.c,$(B)/%.o,$(filter-out %_test.c,$(wildcard test/*.c))) \
 	    $(patsubst %.cc,$(B)/%.o,$(filter-out %_prop.cc,$(wildcard test/*.cc)))
 
-.PHONY: all check tests demo bench slopes plot soak lint fmt fmt-check clean install help
+.PHONY: all check tests demo bench slopes plot soak fuzz lint fmt fmt-check clean install help
 all: $(PROGS)
 
 help:
@@ -48,6 +48,7 @@
 	@echo "make slopes     the slopes behind docs/CAPACITY.md"
 	@echo "make plot       draw the bench's results into docs/"
 	@echo "make soak       property tests with random seeds"
+	@echo "make fuzz       the codecs under libFuzzer"
 	@echo "make lint fmt   linter, formatter"
 	@echo "make install    programs and manual pages below DESTDIR"
 
@@ -102,8 +103,12 @@
 
 .SECONDARY:
 
+fuzz:
+	@scripts/fuzz
+
 SOURCES := $(wildcard core/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
-	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] test/*.[ch] test/*.cc)
+	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] fuzz/*.[ch] \
+	   test/*.[ch] test/*.cc)
 fmt:
 	clang-format -i $(SOURCES)
 fmt-check:
--- a/cmd/cb-entry/main.c
+++ b/cmd/cb-entry/main.c
@@ -42,13 +42,12 @@
 
 static int run(struct daemon *d)
 {
-	uv_loop_t loop;
 	int err;
 
-	if (uv_loop_init(&loop))
+	d->loop = uv_default_loop();
+	if (!d->loop)
 		return EXIT_FAULT;
-	loop.data = d;
-	d->loop = &loop;
+	d->loop->data = d;
 	err = daemon_open(d);
 	if (err) {
 		log_line(LOG_ERROR, "start", NULL, "%s", uv_strerror(err));
@@ -56,10 +55,10 @@
 	} else {
 		log_line(LOG_INFO, "start", NULL, "running, incarnation %llu",
 			 (unsigned long long)d->incarnation);
-		uv_run(&loop, UV_RUN_DEFAULT);
+		uv_run(d->loop, UV_RUN_DEFAULT);
 	}
 	daemon_close(d);
-	uv_loop_close(&loop);
+	uv_loop_close(d->loop);
 	return d->exit_code;
 }
 
