--- a/adapters/account_codec.c
+++ b/adapters/account_codec.c
@@ -1,4 +1,5 @@
 #include "account_codec.h"
+#include "msgpack_bound.h"
 #include "settings.h"
 
 #include <errno.h>
@@ -167,6 +168,7 @@
 	size_t used = 1;
 
 	if (!item->size_bytes || item->size_bytes > ITEM_MAX_BYTES ||
+	    msgpack_bound(item->data + 1, item->size_bytes - 1) ||
 	    msgpack_unpack_next(u, (const char *)item->data, item->size_bytes,
 				&used) != MSGPACK_UNPACK_SUCCESS ||
 	    used != item->size_bytes || u->data.type != MSGPACK_OBJECT_ARRAY)
@@ -210,19 +212,17 @@
 	uint64_t protocol, class, idempotent, dedups, queue_max;
 
 	*s = (struct service_conf){ 0 };
-	if (!field_addr(f, 0, &s->vip) ||
-	    !read_name(&f->f[1], s->name) ||
+	if (!field_addr(f, 0, &s->vip) || !read_name(&f->f[1], s->name) ||
 	    !field_u64(f, 2, SERVICE_UDP, &protocol) ||
 	    !field_u64(f, 3, CLASS_COUNT - 1, &class) ||
-	    !field_u64(f, 4, 1, &idempotent) ||
-	    !field_u64(f, 5, 1, &dedups) ||
+	    !field_u64(f, 4, 1, &idempotent) || !field_u64(f, 5, 1, &dedups) ||
 	    !field_u64(f, 6, UINT64_MAX, &s->request_timeout_ns) ||
 	    !field_u64(f, 7, UINT32_MAX, &queue_max))
 		return -EPROTO;
 	if (a->n_services && s[-1].vip >= s->vip)
 		return -EPROTO;
 	s->protocol = (uint8_t)protocol;
-	s->class = (uint8_t)class;
+	s->class = (uint8_t) class;
 	s->post_idempotent = idempotent;
 	s->target_dedups = dedups;
 	s->queue_max = (uint32_t)queue_max;
--- a/cmd/cbload/control.c
+++ b/cmd/cbload/control.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define PEER_BYTES_COUNTER "cb_peer_bytes_sent_total"
+/* A datagram on its hop to the flow's owner is a caller's, not control. */
+#define FORWARDED_LABEL "kind=\"forward\""
 #define FETCH_TIMEOUT_MS 500L
 #define READY_TIMEOUT_US (15 * G_USEC_PER_SEC)
 #define READY_PAUSE_US (50 * 1000)
@@ -38,67 +40,85 @@
 	return NULL;
 }
 
-/* Sum of a counter's lines, whatever their labels. */
-static double counter_sum(const char *text, const char *name)
+/* Adds the line's value, if it is of the counter, to the sum it belongs to. */
+static void add_line(const char *line, struct peer_bytes *sum)
 {
-	char **lines = g_strsplit(text, "\n", -1);
-	size_t size = strlen(name);
-	double sum = 0;
+	size_t size = strlen(PEER_BYTES_COUNTER);
+	const char *value = strrchr(line, ' ');
+
+	if (strncmp(line, PEER_BYTES_COUNTER, size) != 0 || !value)
+		return;
+	if (line[size] != ' ' && line[size] != '{')
+		return;
+	if (strstr(line, FORWARDED_LABEL))
+		sum->forwarded += strtod(value, NULL);
+	else
+		sum->control += strtod(value, NULL);
+}
 
-	for (char **l = lines; *l; l++) {
-		const char *value = strrchr(*l, ' ');
+static struct peer_bytes sum_lines(const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	struct peer_bytes sum = { .answered = true };
 
-		if (strncmp(*l, name, size) != 0 || !value)
-			continue;
-		if ((*l)[size] == ' ' || (*l)[size] == '{')
-			sum += strtod(value, NULL);
-	}
+	for (char **l = lines; *l; l++)
+		add_line(*l, &sum);
 	g_strfreev(lines);
 	return sum;
 }
 
 /**
- * control_sample() - read every entry's counter of bytes sent to peers
+ * control_sample() - read every entry's counters of bytes sent to peers
  * @o: command line
  * @out: filled
  */
 void control_sample(const struct options *o, struct control *out)
 {
+	memset(out, 0, sizeof(*out));
 	for (uint32_t i = 0; i < o->n_metrics; i++) {
 		GString *body = fetch(o->metrics[i]);
 
-		out->bytes[i] = -1;
 		if (!body)
 			continue;
-		out->bytes[i] = counter_sum(body->str, PEER_BYTES_COUNTER);
+		out->entry[i] = sum_lines(body->str);
 		g_string_free(body, TRUE);
 	}
 }
 
+/* A counter that went down is of an entry that was started anew. */
+static bool comparable(const struct peer_bytes *begin,
+		       const struct peer_bytes *end)
+{
+	return begin->answered && end->answered &&
+	       end->control >= begin->control;
+}
+
 /**
  * control_rate() - bytes a second that one entry sent to its peers
  * @o: command line
  * @begin, @end: samples
  * @seconds: time between them
- * @n_entries: entries that answered both times
- *
- * Return: the mean over those entries, 0 when there are none.
+ * @out: the mean over the entries that answered both times
  */
-double control_rate(const struct options *o, const struct control *begin,
-		    const struct control *end, double seconds,
-		    uint32_t *n_entries)
+void control_rate(const struct options *o, const struct control *begin,
+		  const struct control *end, double seconds,
+		  struct control_rate *out)
 {
-	double sum = 0;
-
-	*n_entries = 0;
+	memset(out, 0, sizeof(*out));
 	for (uint32_t i = 0; i < o->n_metrics; i++) {
-		/* A counter that went down is of an entry started anew. */
-		if (begin->bytes[i] < 0 || end->bytes[i] < begin->bytes[i])
+		const struct peer_bytes *b = &begin->entry[i];
+		const struct peer_bytes *e = &end->entry[i];
+
+		if (!comparable(b, e))
 			continue;
-		sum += end->bytes[i] - begin->bytes[i];
-		(*n_entries)++;
+		out->bytes_per_s += (e->control - b->control) / seconds;
+		out->forwarded_per_s += (e->forwarded - b->forwarded) / seconds;
+		out->n_entries++;
 	}
-	return *n_entries ? sum / seconds / *n_entries : 0;
+	if (!out->n_entries)
+		return;
+	out->bytes_per_s /= out->n_entries;
+	out->forwarded_per_s /= out->n_entries;
 }
 
 static bool says_ready(const GString *body)
--- a/cmd/cbload/report.c
+++ b/cmd/cbload/report.c
@@ -120,9 +120,10 @@
 	if (!o->n_metrics)
 		printf("control bytes: no --metrics given\n");
 	else
-		printf("control %.0f bytes/s an entry (%u of %u entries)\n",
-		       r->control_bytes_per_s, r->control_entries,
-		       o->n_metrics);
+		printf("control %.0f bytes/s an entry, callers' datagrams "
+		       "forwarded %.0f (%u of %u entries)\n",
+		       r->control.bytes_per_s, r->control.forwarded_per_s,
+		       r->control.n_entries, o->n_metrics);
 }
 
 static void set_bounds(gsl_histogram *h)
@@ -168,7 +169,7 @@
 	printf(",\"imbalance\":%.3f,\"wait_p50_ms\":%.2f"
 	       ",\"wait_p99_ms\":%.2f,\"control_bytes_per_s\":%.0f",
 	       worst_imbalance(r), r->wait_p50_ms, r->wait_p99_ms,
-	       r->control_bytes_per_s);
+	       r->control.bytes_per_s);
 	printf(",\"broken_weighted_ventolario\":%" PRIu64
 	       ",\"broken_weighted_tshwane\":%" PRIu64 "}\n",
 	       tally_weighted_ventolario(t), tally_weighted_tshwane(t));
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -11,6 +11,8 @@
 #define SLOT_NONE UINT32_MAX
 #define HOPS_MAX 2
 #define FEED_REQUEST_MAX_BYTES 128
+#define DOWN_ID_FAR 16384
+#define DOWN_ID_NEAR 256
 #define ACTIONS_RESERVE 16
 
 /**
@@ -93,6 +95,9 @@
 
 #define ANSWER_RELAYED 0xff
 
+/* In the field hops of a PEER_CLAIM for a block: whether it is the last. */
+enum pin_ask { PIN_KEEP, PIN_LAST };
+
 /**
  * enum feed_state - where a feed stands
  * @FEED_FREE: slot not in use
@@ -116,8 +121,10 @@
  * @target: target that holds it
  * @heard_ns: last update
  * @copy_deadline_ns: when to send the second copy (again)
- * @hand_deadline_ns: when to ask the new owner (again) to take it over
+ * @hand_deadline_ns: when to ask the new owner (again) to take it over; of a
+ *	copy: when to adopt it, or drop it, though its server lives
  * @handed_from: entry that waits to hear that we took it over
+ * @served_by: of a copy: entry that serves the feed
  * @generation: of the slot, part of the token towards the target
  * @bucket: bucket of the flow
  * @next: list of its bucket
@@ -130,7 +137,8 @@
  * @down_id: message ID of the last update to the caller
  * @up_id: message ID of the same update from the target
  * @up_seen: @up_id is valid
- * @unacked: confirmable updates in a row that the caller left unacknowledged
+ * @unacked_since_ns: oldest confirmable update since the caller's last
+ *	acknowledgement, 0 when there is none
  * @size_bytes: of @opening
  * @opening: request that opened it, to open it again
  */
@@ -141,7 +149,9 @@
 	uint64_t heard_ns;
 	uint64_t copy_deadline_ns;
 	uint64_t hand_deadline_ns;
+	uint64_t unacked_since_ns;
 	uint64_t handed_from;
+	uint64_t served_by;
 	uint32_t generation;
 	uint32_t bucket;
 	uint32_t next;
@@ -154,7 +164,6 @@
 	uint16_t down_id;
 	uint16_t up_id;
 	bool up_seen;
-	uint8_t unacked;
 	uint16_t size_bytes;
 	uint8_t opening[FEED_REQUEST_MAX_BYTES];
 };
@@ -203,8 +212,12 @@
 	struct id_space *ids;
 	uint64_t view;
 	uint64_t deaths;
+	bool roster_known;
+	bool joined;
 	bool leaving;
 	bool lease_lapsed;
+	uint64_t join_deadline_ns;
+	uint64_t join_latest_ns;
 	uint64_t leave_deadline_ns;
 	uint64_t linger_deadline_ns;
 	struct entry_counters counters;
@@ -314,7 +327,7 @@
 void feed_copy_received(struct entry *e, const struct peer_msg *msg);
 void feed_copy_closed(struct entry *e, const struct peer_msg *msg);
 void feed_copy_close(struct entry *e, struct feed *f);
-void feed_adopt(struct entry *e, struct feed *f);
+void feed_copy_timer(struct entry *e, struct feed *f);
 void feed_hand_over(struct entry *e, struct feed *f);
 void feed_taken_over(struct entry *e, struct feed *f);
 void feeds_pair_changed(struct entry *e, uint32_t bucket,
--- a/sim/sim-target/serve.c
+++ b/sim/sim-target/serve.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /*
  * libcoap lets one confirmable message of a session wait for its ACK at a
@@ -9,6 +10,8 @@
  * one lost ACK would hold back every other caller's answer.
  */
 #define NSTART 16384
+#define SOCKET_BUFFER_BYTES (4 << 20)
+#define SOCKET_SCAN_MAX 256
 #define ROUNDS_SLACK 2
 
 static const struct path paths[] = {
@@ -24,12 +27,16 @@
 };
 
 /**
- * target_link() - let answers out, unless the target is silent
+ * target_link() - let answers out, as far as the faults do
  * @t: target
  */
 void target_link(const struct target *t)
 {
-	coap_debug_set_packet_loss(t->behaviour.silent ? "100%" : "0%");
+	char loss[8];
+
+	g_snprintf(loss, sizeof(loss), "%u%%",
+		   t->behaviour.silent ? 100 : t->behaviour.lose_percent);
+	coap_debug_set_packet_loss(loss);
 }
 
 static bool add_uint(coap_pdu_t *pdu, coap_option_num_t number, uint32_t n)
@@ -174,7 +181,7 @@
  * opened the feed: the answer's type tells, or else that the feed is known.
  */
 static bool is_notification(const coap_pdu_t *request, const coap_pdu_t *answer,
-			    const struct feed *feed)
+			    const struct observer *feed)
 {
 	if (coap_pdu_get_type(answer) == COAP_MESSAGE_ACK)
 		return false;
@@ -197,7 +204,7 @@
 	coap_pdu_set_code(answer, COAP_RESPONSE_CODE_CONTENT);
 }
 
-static void notify(struct target *t, struct feed *feed, coap_pdu_t *answer)
+static void notify(struct target *t, struct observer *feed, coap_pdu_t *answer)
 {
 	struct reply out = { .code = COAP_RESPONSE_CODE_CONTENT };
 
@@ -213,11 +220,13 @@
 	target_fill(t, answer, &out);
 }
 
+/* A cancellation never runs anything, also when it comes too late. */
 static void answer_first(struct target *t, const struct request *r,
 			 struct reply *out)
 {
 	if (r->observe == COAP_OBSERVE_CANCEL &&
-	    r->method == COAP_REQUEST_GET && target_cancel(t, r)) {
+	    r->method == COAP_REQUEST_GET) {
+		target_cancel(t, r);
 		out->code = COAP_RESPONSE_CODE_CONTENT;
 		target_body(t, r->id, 0, out);
 		return;
@@ -229,6 +238,19 @@
 	out->block_szx = r->block.szx;
 }
 
+/* A feed's opening, asked again, gets the number that the feed is at. */
+static void answer_again(struct target *t, const struct request *r,
+			 const struct reply *before, struct reply *out)
+{
+	coap_bin_const_t token = { r->key.token_len, r->key.token };
+	const struct observer *feed =
+		observers_find(t->observers, r->session, token);
+
+	*out = *before;
+	if (feed && out->code == COAP_RESPONSE_CODE_CONTENT)
+		target_body(t, feed->id, feed->sequence, out);
+}
+
 static void answer_request(struct target *t, const struct request *r,
 			   struct reply *out)
 {
@@ -239,8 +261,8 @@
 		verdict = dedup_see(t->dedup, &r->key, uv_hrtime(), &before);
 	if (verdict == DEDUP_PENDING || verdict == DEDUP_ANSWERED) {
 		t->counts[COUNT_REPEATS]++;
-		if (before && verdict == DEDUP_ANSWERED)
-			*out = *before;
+		if (verdict == DEDUP_ANSWERED)
+			answer_again(t, r, before, out);
 		return;
 	}
 	if (verdict == DEDUP_REUSED)
@@ -258,11 +280,12 @@
 	struct target *t = s->t;
 	struct reply out = { 0 };
 	struct request r;
-	struct feed *feed;
+	struct observer *feed;
 
 	target_link(t);
 	coap_session_set_nstart(session, NSTART);
-	feed = feeds_find(t->feeds, session, coap_pdu_get_token(request));
+	feed = observers_find(t->observers, session,
+			      coap_pdu_get_token(request));
 	if (is_notification(request, answer, feed)) {
 		notify(t, feed, answer);
 		return;
@@ -284,7 +307,7 @@
 {
 	t->round++;
 	if (t->round > ROUNDS_SLACK)
-		feeds_sweep(t->feeds, t->round - ROUNDS_SLACK);
+		observers_sweep(t->observers, t->round - ROUNDS_SLACK);
 	coap_resource_notify_observers(t->feed_resource, NULL);
 }
 
@@ -312,6 +335,29 @@
 	return 0;
 }
 
+/*
+ * libcoap reads one datagram a turn; the default buffer of some 250 small
+ * ones overflows when everyone wakes at once, and the load's losses would
+ * then be the stand-in's. It gives no access to its socket but by number.
+ */
+static void grow_buffer(const struct target *t)
+{
+	int size_bytes = SOCKET_BUFFER_BYTES;
+	int fd;
+
+	for (fd = 0; fd < SOCKET_SCAN_MAX; fd++) {
+		struct sockaddr_in at = { 0 };
+		socklen_t len = sizeof(at);
+
+		if (getsockname(fd, (struct sockaddr *)&at, &len) ||
+		    at.sin_family != AF_INET ||
+		    sim_addr((struct sockaddr *)&at) != t->opt.addr)
+			continue;
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size_bytes,
+			   sizeof(size_bytes));
+	}
+}
+
 /**
  * target_serve_open() - bind and register the paths
  * @t: target with @opt set
@@ -334,6 +380,7 @@
 		return -ENOMEM;
 	if (!coap_new_endpoint(t->coap, &at, COAP_PROTO_UDP))
 		return -EADDRNOTAVAIL;
+	grow_buffer(t);
 	coap_resource_release_userdata_handler(t->coap, g_free);
 	for (i = 0; i < sizeof(paths) / sizeof(paths[0]) && !rc; i++)
 		rc = add_path(t, &paths[i]);
