--- a/test/flow_list_test.c
+++ b/test/flow_list_test.c
@@ -33,6 +33,7 @@
 				       .n_services = 1 };
 static const struct config config = { &account, 1 };
 static struct actions out;
+static uint64_t now_ns = NS_PER_S;
 
 static struct entry *entry_alone(void)
 {
@@ -58,10 +59,14 @@
 		.n_buckets = 16,
 		.seed = 7,
 	};
-	struct entry *e = entry_new(&conf, NS_PER_S);
+	struct entry *e = entry_new(&conf, now_ns);
 
-	entry_config(e, &config, NS_PER_S, &out);
-	entry_roster(e, &self, 1, NS_PER_S, &out);
+	entry_config(e, &config, now_ns, &out);
+	entry_roster(e, &self, 1, now_ns, &out);
+	for (uint32_t i = 0; i < 1000 && !entry_ready(e, now_ns); i++) {
+		now_ns += 100 * NS_PER_MS;
+		entry_tick(e, now_ns, &out);
+	}
 	return e;
 }
 
@@ -78,7 +83,7 @@
 				   .data = data,
 				   .size_bytes = sizeof(data) };
 
-	entry_caller(e, &key, &m, NS_PER_S, &out);
+	entry_caller(e, &key, &m, now_ns, &out);
 }
 
 /*
