--- /dev/null
+++ b/bench/bench-balance/main.c
@@ -0,0 +1,180 @@
+/*
+ * bench-balance: our choice of target against round robin, plain hash, local
+ * least-loaded and two random choices, over the same callers.
+ */
+#include "world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define S NS_PER_S
+#define MS NS_PER_MS
+
+static const struct policy *const POLICIES[] = {
+	&policy_ours, &policy_round, &policy_hash, &policy_least, &policy_two,
+};
+#define N_POLICIES (sizeof(POLICIES) / sizeof(POLICIES[0]))
+
+/* A deployment's service, before a scene is chosen. */
+static const struct scene SERVICES[] = {
+	{ .deployment = "ventolario-forecast",
+	  .n_entries = 8,
+	  .n_targets = 15,
+	  .slots = 4,
+	  .delay_ns = MS / 2,
+	  .service_ns = 50 * MS },
+	{ .deployment = "ventolario-ingest",
+	  .n_entries = 8,
+	  .n_targets = 4,
+	  .slots = 4,
+	  .delay_ns = MS / 2,
+	  .service_ns = 50 * MS },
+	{ .deployment = "tshwane-control",
+	  .n_entries = 7,
+	  .n_targets = 15,
+	  .slots = 2,
+	  .delay_ns = 3 * MS / 2,
+	  .service_ns = 50 * MS },
+	{ .deployment = "tshwane-records",
+	  .n_entries = 7,
+	  .n_targets = 4,
+	  .slots = 2,
+	  .delay_ns = 3 * MS / 2,
+	  .service_ns = 50 * MS },
+};
+#define N_SERVICES (sizeof(SERVICES) / sizeof(SERVICES[0]))
+
+/* What happens, laid over a service. */
+static const struct scene SCENES[] = {
+	{ .name = "quiet",
+	  .load_milli = 300,
+	  .warmup_ns = 2 * S,
+	  .end_ns = 42 * S },
+	{ .name = "busy",
+	  .load_milli = 700,
+	  .warmup_ns = 2 * S,
+	  .end_ns = 42 * S },
+	{ .name = "wake",
+	  .load_milli = 200,
+	  .peak_milli = 2000,
+	  .peak_ns = 10 * S,
+	  .peak_end_ns = 15 * S,
+	  .warmup_ns = 10 * S,
+	  .end_ns = 40 * S },
+	{ .name = "join",
+	  .load_milli = 700,
+	  .join_ns = 10 * S,
+	  .warmup_ns = 10 * S,
+	  .end_ns = 40 * S },
+	{ .name = "crawl",
+	  .load_milli = 600,
+	  .crawl_ns = 5 * S,
+	  .warmup_ns = 5 * S,
+	  .end_ns = 45 * S },
+	{ .name = "lie",
+	  .load_milli = 700,
+	  .lie = true,
+	  .warmup_ns = 2 * S,
+	  .end_ns = 42 * S },
+	{ .name = "skew",
+	  .load_milli = 600,
+	  .skew = true,
+	  .warmup_ns = 2 * S,
+	  .end_ns = 42 * S },
+};
+#define N_SCENES (sizeof(SCENES) / sizeof(SCENES[0]))
+
+static const struct scene GROWTH[] = {
+	{ .deployment = "growth-8",
+	  .name = "busy",
+	  .n_entries = 8,
+	  .n_targets = 5400,
+	  .slots = 2,
+	  .delay_ns = MS / 2,
+	  .service_ns = 50 * MS,
+	  .load_milli = 700,
+	  .warmup_ns = 2 * S,
+	  .end_ns = 5 * S },
+	{ .deployment = "growth-458",
+	  .name = "busy",
+	  .n_entries = 458,
+	  .n_targets = 5400,
+	  .slots = 2,
+	  .delay_ns = MS / 2,
+	  .service_ns = 50 * MS,
+	  .load_milli = 700,
+	  .warmup_ns = 2 * S,
+	  .end_ns = 5 * S },
+};
+#define N_GROWTH (sizeof(GROWTH) / sizeof(GROWTH[0]))
+
+static void print_run(const struct scene *s, const struct policy *p,
+		      const struct figures *f)
+{
+	printf("balance %s %s %s imbalance %.3f held %.3f wait_p50_ms %.1f "
+	       "wait_p99_ms "
+	       "%.1f refused %.4f late %.4f goodput %.1f excess %.0f even_s "
+	       "%.0f decide_ns %.0f\n",
+	       s->deployment, s->name, p->name, f->imbalance, f->held,
+	       f->wait_p50_ms, f->wait_p99_ms, f->refused, f->late, f->goodput,
+	       f->excess, f->even_s, f->decide_ns);
+}
+
+static double ratio(double ours, double other)
+{
+	return other > 0 ? ours / other : 0;
+}
+
+static void run(const struct scene *s)
+{
+	struct figures f[N_POLICIES];
+
+	for (uint32_t i = 0; i < N_POLICIES; i++) {
+		memset(&f[i], 0, sizeof(f[i]));
+		world_run(s, POLICIES[i], &f[i]);
+		print_run(s, POLICIES[i], &f[i]);
+	}
+	for (uint32_t i = 1; i < N_POLICIES; i++)
+		printf("ratio balance %s %s ours/%s imbalance %.3f held %.3f "
+		       "wait_p99 "
+		       "%.3f goodput %.3f\n",
+		       s->deployment, s->name, POLICIES[i]->name,
+		       ratio(f[0].imbalance, f[i].imbalance),
+		       ratio(f[0].held, f[i].held),
+		       ratio(f[0].wait_p99_ms, f[i].wait_p99_ms),
+		       ratio(f[0].goodput, f[i].goodput));
+	fflush(stdout);
+}
+
+static struct scene lay_over(const struct scene *service,
+			     const struct scene *scene)
+{
+	struct scene s = *scene;
+
+	s.deployment = service->deployment;
+	s.n_entries = service->n_entries;
+	s.n_targets = service->n_targets;
+	s.slots = service->slots;
+	s.delay_ns = service->delay_ns;
+	s.service_ns = service->service_ns;
+	return s;
+}
+
+int main(int argc, char **argv)
+{
+	const char *only = argc > 1 ? argv[1] : "";
+
+	for (uint32_t i = 0; i < N_SERVICES; i++) {
+		for (uint32_t j = 0; j < N_SCENES; j++) {
+			struct scene s = lay_over(&SERVICES[i], &SCENES[j]);
+
+			if (!*only || !strcmp(only, s.deployment) ||
+			    !strcmp(only, s.name))
+				run(&s);
+		}
+	}
+	for (uint32_t i = 0; i < N_GROWTH; i++)
+		if (!*only || !strcmp(only, GROWTH[i].deployment))
+			run(&GROWTH[i]);
+	return 0;
+}
--- a/core/balance.c
+++ b/core/balance.c
@@ -107,12 +107,13 @@
 	return r;
 }
 
-static struct ruling go(struct balancer *b, uint32_t place, uint8_t class)
+static struct ruling go(struct balancer *b, uint32_t place, uint8_t class,
+			uint64_t now_ns)
 {
 	struct place *p = &b->t.places[place];
 	struct ruling r = { .verdict = VERDICT_GO };
 
-	pick_count(b, place);
+	pick_count(b, place, now_ns);
 	fair_charge(b, p);
 	stats_of(b, &b->t.services[p->service], class)->admitted++;
 	r.target = b->t.targets[p->target].addr;
@@ -179,7 +180,7 @@
 		histogram_add(&stats_of(b, &b->t.services[service], w->class)
 				       ->wait_us,
 			      0);
-		return go(b, place, w->class);
+		return go(b, place, w->class, now_ns);
 	}
 	if (reason == REFUSE_QUEUE)
 		reason = admit_wait(b, service, place, w, now_ns);
@@ -233,7 +234,7 @@
 	admit_started(b, s, now_ns);
 	histogram_add(&stats_of(b, s, it->work.class)->wait_us,
 		      (now_ns - it->queued_ns) / 1000);
-	*r = go(b, place, it->work.class);
+	*r = go(b, place, it->work.class, now_ns);
 }
 
 /**
--- a/core/balance_state.h
+++ b/core/balance_state.h
@@ -84,6 +84,7 @@
  * @n_ejected: candidates ejected
  * @n_own: candidates with a share of their own that are not ejected
  * @turn: latest turn given, where a new target starts
+ * @others_milli: others' work at a target on the average, in 1/1000
  * @queue: work that may go to any target
  * @n_waiting: that and the pinned work
  * @gap_ns: mean time between two starts from the queue while it had work
@@ -105,6 +106,7 @@
 	uint32_t n_ejected;
 	uint32_t n_own;
 	uint64_t turn;
+	uint32_t others_milli;
 	struct queue queue;
 	uint32_t n_waiting;
 	uint64_t gap_ns;
@@ -249,7 +251,7 @@
 		      uint64_t now_ns);
 bool pick_allowed(struct balancer *b, const struct place *p,
 		  const struct work *w, uint64_t now_ns);
-void pick_count(struct balancer *b, uint32_t place);
+void pick_count(struct balancer *b, uint32_t place, uint64_t now_ns);
 
 /* admit.c */
 void queue_init(struct queue *q);
--- a/core/deal.c
+++ b/core/deal.c
@@ -6,30 +6,42 @@
 	return total / n + (distance < total % n);
 }
 
+/* Targets that an entry should be able to choose from. */
+#define CHOICE_MIN 4
+/* Extra requests are at most this many times the slots. */
+#define EXTRA_MAX 3
+
 /**
  * deal_extra_total() - requests past its slots that a target may be sent
+ * @o: order of the deal
  * @slots: slots of the target
- * @n_entries: entries of the data centre
  *
  * They wait in the target's own queue when two entries see the same idle slot
- * at once. An entry alone knows every request in flight and needs none.
+ * at once. As many as the slots are enough where a service has many targets;
+ * with few of them, as many as give each entry a choice. An entry alone knows
+ * every request in flight and needs none.
  *
  * Return: requests, over all entries.
  */
-uint32_t deal_extra_total(uint32_t slots, uint32_t n_entries)
+uint32_t deal_extra_total(const struct deal_order *o, uint32_t slots)
 {
-	return n_entries > 1 ? slots : 0;
+	uint32_t choice =
+		(CHOICE_MIN * o->n_entries + o->n_targets - 1) / o->n_targets;
+	uint32_t extra = choice > 2 * slots ? choice - slots : slots;
+
+	if (o->n_entries < 2)
+		return 0;
+	return extra < EXTRA_MAX * slots ? extra : EXTRA_MAX * slots;
 }
 
 /**
  * deal_target() - one entry's share of one target
+ * @o: order of the deal
  * @slots: requests the target runs at once
  * @connections: feeds it holds at once
  * @offset: slots of the targets dealt before it; each target's slots go to the
  *	entries that follow the last one served, so that the entries' totals
  *	differ by one at most
- * @n_entries: entries of the data centre, at least 1
- * @rank: this entry's place among them, below @n_entries
  *
  * Over all ranks the parts add up to @slots, to deal_extra_total() and to
  * @connections exactly. Connections go to the entries with a part in the slots,
@@ -37,19 +49,18 @@
  *
  * Return: the share.
  */
-struct deal deal_target(uint32_t slots, uint32_t connections, uint64_t offset,
-			uint32_t n_entries, uint32_t rank)
+struct deal deal_target(const struct deal_order *o, uint32_t slots,
+			uint32_t connections, uint64_t offset)
 {
-	uint32_t extra = deal_extra_total(slots, n_entries);
-	uint32_t first = (uint32_t)(offset % n_entries);
-	uint32_t distance = (rank + n_entries - first) % n_entries;
-	uint32_t past = (distance + n_entries - slots % n_entries) % n_entries;
-	uint32_t holders =
-		slots + extra < n_entries ? slots + extra : n_entries;
+	uint32_t n = o->n_entries;
+	uint32_t extra = deal_extra_total(o, slots);
+	uint32_t distance = (o->rank + n - (uint32_t)(offset % n)) % n;
+	uint32_t past = (distance + n - slots % n) % n;
+	uint32_t holders = slots + extra < n ? slots + extra : n;
 	struct deal d;
 
-	d.own = part(slots, n_entries, distance);
-	d.extra = part(extra, n_entries, past);
+	d.own = part(slots, n, distance);
+	d.extra = part(extra, n, past);
 	d.connections = 0;
 	if (distance < holders)
 		d.connections = part(connections, holders, distance);
--- a/core/loadview.c
+++ b/core/loadview.c
@@ -3,8 +3,12 @@
 /* A contradiction costs this much trust, agreement regains less. */
 #define TRUST_LOSS 250
 #define TRUST_GAIN 20
-/* Answers and reports cross on the way, so that counts may differ by one. */
-#define REPORT_SLACK 1
+/* Means over this many reports are compared. */
+#define MEAN_REPORTS 16
+/* They may differ by this much, in 1/1000 of a request. */
+#define MEAN_SLACK_MILLI 150
+/* A request sent this recently may not be in the report. */
+#define ON_THE_WAY_NS (20 * NS_PER_MS)
 
 /**
  * view_init() - know nothing, trust
@@ -27,6 +31,25 @@
 		v->trust = TRUST_FULL;
 }
 
+static void add_to_mean(uint32_t *mean_milli, uint32_t value)
+{
+	*mean_milli = ((MEAN_REPORTS - 1) * *mean_milli + value * 1000) /
+		      MEAN_REPORTS;
+}
+
+/* Judge the last report, once it is clear whether an answer came with it. */
+static void judge(struct load_view *v)
+{
+	if (!v->heard_ns)
+		return;
+	add_to_mean(&v->reported_milli, v->said);
+	add_to_mean(&v->known_milli, v->known);
+	if (v->known_milli > v->reported_milli + MEAN_SLACK_MILLI)
+		lose_trust(v);
+	else
+		gain_trust(v);
+}
+
 /**
  * view_report() - take a report in
  * @v: view
@@ -34,21 +57,22 @@
  * @inflight: requests this entry has at the target
  * @now_ns: time
  *
- * A target that reports less than this entry alone has there is wrong, whatever
- * the reason. Believed, it would draw everybody's work onto itself.
+ * A target that over many reports tells of less than this entry alone has there
+ * is wrong, whatever the reason. Believed, it would draw everybody's work onto
+ * itself. One report may be late or cross a request, so means are compared.
  */
 void view_report(struct load_view *v, const struct load_report *r,
 		 uint32_t inflight, uint64_t now_ns)
 {
 	uint32_t busy = r->running + r->waiting;
 	uint32_t others = busy > inflight ? busy - inflight : 0;
+	bool settled = now_ns > v->sent_ns + ON_THE_WAY_NS;
 
-	if (busy + REPORT_SLACK < inflight)
-		lose_trust(v);
-	else
-		gain_trust(v);
+	judge(v);
 	v->others_milli = (v->others_milli + others * 1000) / 2;
 	v->busy = busy;
+	v->said = busy;
+	v->known = inflight && !settled ? inflight - 1 : inflight;
 	v->connections = r->connections;
 	v->heard_ns = now_ns;
 }
@@ -56,9 +80,11 @@
 /**
  * view_sent() - this entry sent a request to the target
  * @v: view
+ * @now_ns: time
  */
-void view_sent(struct load_view *v)
+void view_sent(struct load_view *v, uint64_t now_ns)
 {
+	v->sent_ns = now_ns;
 	v->busy++;
 }
 
@@ -69,15 +95,20 @@
  * @slots: slots of the target
  * @now_ns: time
  *
- * A target that sheds while its report shows an idle slot contradicts itself.
+ * A target that sheds while its report shows an idle slot contradicts itself. A
+ * report that came with the answer has left the ended request out already.
  */
 void view_ended(struct load_view *v, enum outcome outcome, uint32_t slots,
 		uint64_t now_ns)
 {
 	if (outcome == OUTCOME_SHED && view_idle(v, slots, now_ns))
 		lose_trust(v);
-	if (v->busy)
+	if (v->heard_ns == now_ns) {
+		if (v->known)
+			v->known--;
+	} else if (v->busy) {
 		v->busy--;
+	}
 }
 
 /**
--- a/core/loadview.h
+++ b/core/loadview.h
@@ -20,6 +20,11 @@
  * @busy: running and waiting by the last report, own sends since added
  * @connections: by the last report
  * @trust: 0 to TRUST_FULL
+ * @reported_milli: mean of what the reports said, in 1/1000
+ * @known_milli: mean of what this entry alone had there then, in 1/1000
+ * @said: running and waiting by the last report
+ * @known: requests it had there at the last report
+ * @sent_ns: last send
  */
 struct load_view {
 	uint64_t heard_ns;
@@ -27,12 +32,17 @@
 	uint32_t busy;
 	uint32_t connections;
 	uint32_t trust;
+	uint32_t reported_milli;
+	uint32_t known_milli;
+	uint32_t said;
+	uint32_t known;
+	uint64_t sent_ns;
 };
 
 void view_init(struct load_view *v);
 void view_report(struct load_view *v, const struct load_report *r,
 		 uint32_t inflight, uint64_t now_ns);
-void view_sent(struct load_view *v);
+void view_sent(struct load_view *v, uint64_t now_ns);
 void view_ended(struct load_view *v, enum outcome outcome, uint32_t slots,
 		uint64_t now_ns);
 bool view_usable(const struct load_view *v, uint64_t now_ns);
--- a/core/pick.c
+++ b/core/pick.c
@@ -5,6 +5,8 @@
 #define SCAN_MAX 64
 /* A choice moves a place's turn on by this over its weight. */
 #define TURN_UNIT 1000000ULL
+/* Views over which a service's mean of others' work is taken. */
+#define OTHERS_SAMPLES 63
 /* Share of its turns that a target gets at the start of its slow start. */
 #define SLOW_START_MIN_MILLI 100
 
@@ -137,15 +139,24 @@
 	return has_connection(t, w, now_ns) && has_share_room(s, t, now_ns);
 }
 
-/* Requests there, own and others', whole ones so that equals count as such. */
-static uint64_t load_of(const struct place *p, const struct target *t,
-			const struct work *w, uint64_t now_ns)
+/*
+ * Requests there, own and others', whole ones so that equals count as such. A
+ * target whose reports can't be believed is taken to have what others have on
+ * the average: with none it would look idle and draw the work.
+ */
+static uint64_t load_of(const struct service *s, const struct place *p,
+			const struct target *t, const struct work *w,
+			uint64_t now_ns)
 {
+	uint32_t others_milli = s->others_milli;
+
 	uint64_t load = t->inflight + 1;
 
 	if (w->feed)
 		load += t->feeds;
-	load += (view_others_milli(&t->view, now_ns) + 500) / 1000;
+	if (view_usable(&t->view, now_ns))
+		others_milli = view_others_milli(&t->view, now_ns);
+	load += (others_milli + 500) / 1000;
 	return load * TURN_UNIT / p->weight;
 }
 
@@ -159,6 +170,14 @@
 	return p->turn;
 }
 
+static void note_others(struct service *s, const struct target *t,
+			uint64_t now_ns)
+{
+	s->others_milli = (OTHERS_SAMPLES * s->others_milli +
+			   view_others_milli(&t->view, now_ns)) /
+			  (OTHERS_SAMPLES + 1);
+}
+
 static bool is_better(const struct choice *a, const struct choice *b)
 {
 	if (b->place == INDEX_NONE)
@@ -214,13 +233,15 @@
 
 		if (has_connection(t, w, now_ns))
 			connection = true;
+		if (view_usable(&t->view, now_ns))
+			note_others(s, t, now_ns);
 		if (!pick_allowed(b, p, w, now_ns))
 			continue;
 		if (t->health.ejected) {
 			*place = index;
 			return PICK_FOUND;
 		}
-		c.load = load_of(p, t, w, now_ns);
+		c.load = load_of(s, p, t, w, now_ns);
 		c.turn = turn_of(s, p);
 		if (!passes_slow_start(b, t, now_ns)) {
 			if (is_better(&c, &cold))
@@ -239,8 +260,9 @@
  * pick_count() - a request goes to a place
  * @b: balancer
  * @place: index
+ * @now_ns: time
  */
-void pick_count(struct balancer *b, uint32_t place)
+void pick_count(struct balancer *b, uint32_t place, uint64_t now_ns)
 {
 	struct place *p = &b->t.places[place];
 	struct service *s = &b->t.services[p->service];
@@ -250,7 +272,7 @@
 	s->turn = p->turn;
 	p->turn += TURN_UNIT / p->weight;
 	t->inflight++;
-	view_sent(&t->view);
+	view_sent(&t->view, now_ns);
 	if (t->health.ejected)
 		t->health.trial = true;
 }
--- a/core/tables.c
+++ b/core/tables.c
@@ -445,23 +445,29 @@
 	return err;
 }
 
+static void count_up(struct balancer *b, struct service *s)
+{
+	s->n_up = 0;
+	for (uint32_t i = 0; i < s->n_places; i++)
+		s->n_up += b->t.places[s->first_place + i].state == TARGET_UP;
+}
+
 static void deal_service(struct balancer *b, struct service *s)
 {
 	uint64_t offset = hash_u64(s->vip, DEAL_SEED) % b->n_entries;
 
-	s->n_up = 0;
+	struct deal_order o = { .n_entries = b->n_entries, .rank = b->rank };
+
+	count_up(b, s);
+	o.n_targets = s->n_up;
 	for (uint32_t i = 0; i < s->n_places; i++) {
 		struct place *p = &b->t.places[s->first_place + i];
 		struct target *t = &b->t.targets[p->target];
 
-		if (p->state != TARGET_UP)
-			continue;
-		s->n_up++;
-		if (t->dealt)
+		if (p->state != TARGET_UP || t->dealt)
 			continue;
 		t->dealt = true;
-		t->share = deal_target(t->slots, t->connections, offset,
-				       b->n_entries, b->rank);
+		t->share = deal_target(&o, t->slots, t->connections, offset);
 		offset += t->slots;
 	}
 }
