--- a/core/admit.c
+++ b/core/admit.c
@@ -5,7 +5,11 @@
 
 #define GAP_SAMPLES 8
 #define RETRY_AFTER_MAX_S 120
-/* An estimate has to miss the deadline by this much before it refuses. */
+/*
+ * Work is let in when its estimated wait is below 1/WAIT_DEN of the time it
+ * has left; it is thrown out when the estimate is SLACK_NUM/SLACK_DEN of it.
+ */
+#define WAIT_DEN 2
 #define SLACK_NUM 5
 #define SLACK_DEN 4
 /* Share of the waiting room that any account may fill. */
@@ -82,15 +86,9 @@
 	return idle_ns > s->gap_ns ? idle_ns : s->gap_ns;
 }
 
-static bool misses(uint64_t gap_ns, uint64_t ahead, uint64_t deadline_ns,
-		   uint64_t now_ns)
+static bool starts_late(uint64_t wait_ns, uint64_t deadline_ns, uint64_t now_ns)
 {
-	uint64_t left_ns;
-
-	if (now_ns >= deadline_ns)
-		return true;
-	left_ns = deadline_ns - now_ns;
-	return gap_ns * (ahead + 1) / SLACK_NUM > left_ns / SLACK_DEN;
+	return now_ns >= deadline_ns || wait_ns > deadline_ns - now_ns;
 }
 
 /* Half of the room is open to all, the rest is shared out by weight. */
@@ -124,12 +122,14 @@
 	struct service *s = &b->t.services[service];
 	struct account *a = &b->t.accounts[s->account];
 	struct item *it = &b->items[w->handle];
+	uint64_t wait_ns;
 
 	if (s->n_waiting >= s->queue_max)
 		return REFUSE_QUEUE;
 	if (over_share(b, a))
 		return REFUSE_SHARE;
-	if (misses(gap_now_ns(s, now_ns), s->n_waiting, w->deadline_ns, now_ns))
+	wait_ns = gap_now_ns(s, now_ns) * (s->n_waiting + 1);
+	if (starts_late(wait_ns * WAIT_DEN, w->deadline_ns, now_ns))
 		return REFUSE_DEADLINE;
 	if (!s->n_waiting)
 		s->started_ns = now_ns;
@@ -247,8 +247,8 @@
 	while (handle != INDEX_NONE) {
 		uint32_t next = b->items[handle].next;
 
-		if (misses(gap_ns, ahead, b->items[handle].work.deadline_ns,
-			   now_ns))
+		if (starts_late(gap_ns * (ahead + 1) / SLACK_NUM * SLACK_DEN,
+				b->items[handle].work.deadline_ns, now_ns))
 			admit_doom(b, handle, REFUSE_DEADLINE);
 		else
 			ahead++;
--- a/core/balance.c
+++ b/core/balance.c
@@ -132,7 +132,7 @@
 			return REFUSE_NO_TARGET;
 		p = &b->t.places[*place];
 		if (p->pinned.n ||
-		    !pick_pinned_room(&b->t.targets[p->target], w, now_ns))
+		    !pick_pinned_room(s, &b->t.targets[p->target], w, now_ns))
 			return REFUSE_QUEUE;
 		return REFUSE_NONE;
 	}
--- a/core/balance_state.h
+++ b/core/balance_state.h
@@ -247,8 +247,8 @@
 enum pick { PICK_FOUND, PICK_FULL, PICK_CONNECTIONS, PICK_NONE };
 enum pick pick_place(struct balancer *b, struct service *s,
 		     const struct work *w, uint64_t now_ns, uint32_t *place);
-bool pick_pinned_room(const struct target *t, const struct work *w,
-		      uint64_t now_ns);
+bool pick_pinned_room(const struct service *s, const struct target *t,
+		      const struct work *w, uint64_t now_ns);
 bool pick_allowed(struct balancer *b, const struct place *p,
 		  const struct work *w, uint64_t now_ns);
 void pick_count(struct balancer *b, uint32_t place, uint64_t now_ns);
--- a/core/fair.c
+++ b/core/fair.c
@@ -82,7 +82,8 @@
 
 	if (handle == INDEX_NONE)
 		return INDEX_NONE;
-	if (!pick_pinned_room(t, &b->items[handle].work, now_ns))
+	if (!pick_pinned_room(&b->t.services[p->service], t,
+			      &b->items[handle].work, now_ns))
 		return INDEX_NONE;
 	return handle;
 }
--- a/core/loadview.c
+++ b/core/loadview.c
@@ -3,10 +3,6 @@
 /* A contradiction costs this much trust, agreement regains less. */
 #define TRUST_LOSS 250
 #define TRUST_GAIN 20
-/* Means over this many reports are compared. */
-#define MEAN_REPORTS 16
-/* They may differ by this much, in 1/1000 of a request. */
-#define MEAN_SLACK_MILLI 150
 /* A request sent this recently may not be in the report. */
 #define ON_THE_WAY_NS (20 * NS_PER_MS)
 
@@ -31,23 +27,16 @@
 		v->trust = TRUST_FULL;
 }
 
-static void add_to_mean(uint32_t *mean_milli, uint32_t value)
-{
-	*mean_milli = ((MEAN_REPORTS - 1) * *mean_milli + value * 1000) /
-		      MEAN_REPORTS;
-}
-
-/* Judge the last report, once it is clear whether an answer came with it. */
+/* Judge the last report, once it is clear that no answer came with it. */
 static void judge(struct load_view *v)
 {
-	if (!v->heard_ns)
+	if (!v->known)
 		return;
-	add_to_mean(&v->reported_milli, v->said);
-	add_to_mean(&v->known_milli, v->known);
-	if (v->known_milli > v->reported_milli + MEAN_SLACK_MILLI)
+	if (v->said < v->known)
 		lose_trust(v);
 	else
 		gain_trust(v);
+	v->known = 0;
 }
 
 /**
@@ -57,22 +46,22 @@
  * @inflight: requests this entry has at the target
  * @now_ns: time
  *
- * A target that over many reports tells of less than this entry alone has there
- * is wrong, whatever the reason. Believed, it would draw everybody's work onto
- * itself. One report may be late or cross a request, so means are compared.
+ * A target that tells of less than this entry alone has there is wrong,
+ * whatever the reason. Believed, it would draw everybody's work onto itself.
+ * Now and then a report crosses an answer, so that trust is lost by degrees.
  */
 void view_report(struct load_view *v, const struct load_report *r,
 		 uint32_t inflight, uint64_t now_ns)
 {
 	uint32_t busy = r->running + r->waiting;
 	uint32_t others = busy > inflight ? busy - inflight : 0;
-	bool settled = now_ns > v->sent_ns + ON_THE_WAY_NS;
 
 	judge(v);
 	v->others_milli = (v->others_milli + others * 1000) / 2;
 	v->busy = busy;
 	v->said = busy;
-	v->known = inflight && !settled ? inflight - 1 : inflight;
+	if (now_ns > v->sent_ns + ON_THE_WAY_NS)
+		v->known = inflight;
 	v->connections = r->connections;
 	v->heard_ns = now_ns;
 }
@@ -101,14 +90,13 @@
 void view_ended(struct load_view *v, enum outcome outcome, uint32_t slots,
 		uint64_t now_ns)
 {
-	if (outcome == OUTCOME_SHED && view_idle(v, slots, now_ns))
+	if (outcome == OUTCOME_SHED && view_usable(v, now_ns) &&
+	    v->busy < slots)
 		lose_trust(v);
-	if (v->heard_ns == now_ns) {
-		if (v->known)
-			v->known--;
-	} else if (v->busy) {
+	if (v->heard_ns == now_ns)
+		v->known = 0;
+	else if (v->busy)
 		v->busy--;
-	}
 }
 
 /**
@@ -143,15 +131,21 @@
 }
 
 /**
- * view_idle() - does the target seem to have an idle slot
+ * view_idle() - may the target have an idle slot
  * @v: view
  * @slots: slots of the target
+ * @took_ns: mean time of a request there
  * @now_ns: time
  *
- * Return: true when a fresh believable report, with this entry's own sends
- * since, leaves one.
+ * A report of full slots is out of date once a request's time has passed. A
+ * target that can't be believed is taken to be full.
+ *
+ * Return: true when it may.
  */
-bool view_idle(const struct load_view *v, uint32_t slots, uint64_t now_ns)
+bool view_idle(const struct load_view *v, uint32_t slots, uint64_t took_ns,
+	       uint64_t now_ns)
 {
-	return view_usable(v, now_ns) && v->busy < slots;
+	if (v->trust < TRUST_MIN)
+		return false;
+	return v->busy < slots || now_ns > v->heard_ns + took_ns;
 }
--- a/core/loadview.h
+++ b/core/loadview.h
@@ -20,10 +20,8 @@
  * @busy: running and waiting by the last report, own sends since added
  * @connections: by the last report
  * @trust: 0 to TRUST_FULL
- * @reported_milli: mean of what the reports said, in 1/1000
- * @known_milli: mean of what this entry alone had there then, in 1/1000
  * @said: running and waiting by the last report
- * @known: requests it had there at the last report
+ * @known: requests of this entry that it has to count; 0 judges nothing
  * @sent_ns: last send
  */
 struct load_view {
@@ -32,8 +30,6 @@
 	uint32_t busy;
 	uint32_t connections;
 	uint32_t trust;
-	uint32_t reported_milli;
-	uint32_t known_milli;
 	uint32_t said;
 	uint32_t known;
 	uint64_t sent_ns;
@@ -47,6 +43,7 @@
 		uint64_t now_ns);
 bool view_usable(const struct load_view *v, uint64_t now_ns);
 uint32_t view_others_milli(const struct load_view *v, uint64_t now_ns);
-bool view_idle(const struct load_view *v, uint32_t slots, uint64_t now_ns);
+bool view_idle(const struct load_view *v, uint32_t slots, uint64_t took_ns,
+	       uint64_t now_ns);
 
 #endif
--- a/core/pick.c
+++ b/core/pick.c
@@ -7,6 +7,8 @@
 #define TURN_UNIT 1000000ULL
 /* Views over which a service's mean of others' work is taken. */
 #define OTHERS_SAMPLES 63
+/* Steps of load up to full slots; within one, targets take turns. */
+#define LOAD_STEPS 2
 /* Share of its turns that a target gets at the start of its slow start. */
 #define SLOW_START_MIN_MILLI 100
 
@@ -41,8 +43,8 @@
 	return limit || !own ? limit : 1;
 }
 
-static bool has_room(const struct target *t, uint32_t own, uint32_t extra,
-		     uint64_t now_ns)
+static bool has_room(const struct service *s, const struct target *t,
+		     uint32_t own, uint32_t extra, uint64_t now_ns)
 {
 	uint32_t limit;
 
@@ -54,7 +56,7 @@
 	if (limit < own || is_cold(t, now_ns))
 		return false;
 	return t->inflight < own + extra &&
-	       view_idle(&t->view, t->slots, now_ns);
+	       view_idle(&t->view, t->slots, s->took_ns, now_ns);
 }
 
 /*
@@ -74,6 +76,7 @@
 
 /**
  * pick_pinned_room() - may pinned work go to its target now
+ * @s: its service
  * @t: target
  * @w: work
  * @now_ns: time
@@ -83,15 +86,15 @@
  *
  * Return: true when it may.
  */
-bool pick_pinned_room(const struct target *t, const struct work *w,
-		      uint64_t now_ns)
+bool pick_pinned_room(const struct service *s, const struct target *t,
+		      const struct work *w, uint64_t now_ns)
 {
 	uint32_t own = t->share.own ? t->share.own : 1;
 
 	if (w->feed && view_usable(&t->view, now_ns) &&
 	    t->view.connections >= t->connections)
 		return false;
-	return has_room(t, own, t->share.extra, now_ns);
+	return has_room(s, t, own, t->share.extra, now_ns);
 }
 
 /*
@@ -102,8 +105,8 @@
 			   uint64_t now_ns)
 {
 	if (!s->n_own)
-		return has_room(t, t->share.own + t->share.extra, 0, now_ns);
-	return has_room(t, t->share.own, t->share.extra, now_ns);
+		return has_room(s, t, t->share.own + t->share.extra, 0, now_ns);
+	return has_room(s, t, t->share.own, t->share.extra, now_ns);
 }
 
 static bool is_open(const struct target *t, uint64_t now_ns)
@@ -150,14 +153,16 @@
 {
 	uint32_t others_milli = s->others_milli;
 
-	uint64_t load = t->inflight + 1;
+	uint64_t load = t->inflight;
 
-	if (w->feed)
-		load += t->feeds;
 	if (view_usable(&t->view, now_ns))
 		others_milli = view_others_milli(&t->view, now_ns);
 	load += (others_milli + 500) / 1000;
-	return load * TURN_UNIT / p->weight;
+	if (w->feed)
+		load += t->feeds;
+	else
+		load = (load + 1) * LOAD_STEPS / (t->slots + 1);
+	return (load + 1) * TURN_UNIT / p->weight;
 }
 
 /* A place that was not used for long is due, but only once. */
