--- a/bench/bench-balance/policy_ours.c
+++ b/bench/bench-balance/policy_ours.c
@@ -4,15 +4,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define WORK_MAX 1024
+#define WORK_MIN 1024
+#define WORK_A_SLOT 4
 #define QUEUE_MAX 200
 #define VIP ADDR(0x7f010001, 5683)
 #define TARGET(i) ADDR(0x7f020001 + (i), 5683)
 #define TARGET_INDEX(a) (ADDR_IP(a) - 0x7f020001)
 
 struct handles {
-	uint32_t job[WORK_MAX];
-	uint32_t free[WORK_MAX];
+	uint32_t *job;
+	uint32_t *free;
 	uint32_t n_free;
 };
 
@@ -38,6 +39,7 @@
 {
 	const struct scene *s = world_scene(w);
 	struct ours *o = calloc(1, sizeof(*o));
+	uint32_t work_max;
 
 	o->w = w;
 	o->n_entries = s->n_entries;
@@ -60,12 +62,17 @@
 	o->account.n_services = 1;
 	o->config.accounts = &o->account;
 	o->config.n_accounts = 1;
+	work_max = WORK_A_SLOT * s->n_targets * s->slots / s->n_entries;
+	if (work_max < WORK_MIN)
+		work_max = WORK_MIN;
 	for (uint32_t i = 0; i < s->n_entries; i++) {
 		struct handles *h = &o->handles[i];
 
-		o->b[i] = balance_new(WORK_MAX, (struct rng){ i + 1 });
+		o->b[i] = balance_new(work_max, (struct rng){ i + 1 });
 		balance_peers(o->b[i], s->n_entries, i);
-		for (h->n_free = 0; h->n_free < WORK_MAX; h->n_free++)
+		h->job = calloc(work_max, sizeof(*h->job));
+		h->free = calloc(work_max, sizeof(*h->free));
+		for (h->n_free = 0; h->n_free < work_max; h->n_free++)
 			h->free[h->n_free] = h->n_free;
 	}
 	configure(o);
@@ -76,8 +83,11 @@
 {
 	struct ours *o = ctx;
 
-	for (uint32_t i = 0; i < o->n_entries; i++)
+	for (uint32_t i = 0; i < o->n_entries; i++) {
 		balance_free(o->b[i]);
+		free(o->handles[i].job);
+		free(o->handles[i].free);
+	}
 	free(o->b);
 	free(o->handles);
 	free(o->targets);
--- a/core/balance.c
+++ b/core/balance.c
@@ -10,6 +10,7 @@
 #define LIMIT_CUT_NUM 7
 #define LIMIT_CUT_DEN 10
 #define TOOK_SAMPLES 16
+#define EJECT_ROUND_NS (500 * NS_PER_MS)
 
 /**
  * balance_new() - make a balancer that has no configuration yet
@@ -195,7 +196,10 @@
 	if (now_ns < b->round_deadline_ns)
 		return;
 	b->round_deadline_ns = now_ns + ROUND_NS;
-	eject_round(b, now_ns);
+	if (now_ns >= b->eject_deadline_ns) {
+		b->eject_deadline_ns = now_ns + EJECT_ROUND_NS;
+		eject_round(b, now_ns);
+	}
 	if (!b->n_waiting)
 		return;
 	admit_sweep(b, now_ns);
--- a/core/balance_state.h
+++ b/core/balance_state.h
@@ -12,7 +12,7 @@
 
 #define INDEX_NONE UINT32_MAX
 
-/* Rounds of health, estimates and queues come this often. */
+/* Rounds of estimates and queues come this often. */
 #define ROUND_NS (100 * NS_PER_MS)
 
 /* Slow start of a target that appears in a configuration. */
@@ -218,6 +218,7 @@
  * @n_entries: entries of the data centre
  * @rank: this entry's place among them
  * @round_deadline_ns: next round
+ * @eject_deadline_ns: next comparison of the targets
  * @rng: random source
  */
 struct balancer {
@@ -231,6 +232,7 @@
 	uint32_t n_entries;
 	uint32_t rank;
 	uint64_t round_deadline_ns;
+	uint64_t eject_deadline_ns;
 	struct rng rng;
 };
 
--- a/core/eject.c
+++ b/core/eject.c
@@ -11,6 +11,8 @@
 /* Crawling: this many times the peers' median, and this much above it. */
 #define CRAWL_FACTOR 3
 #define CRAWL_MIN_NS (20 * NS_PER_MS)
+/* Above this many targets the median hardly changes with one of them. */
+#define SELF_MATTERS_MAX 8
 #define EJECT_NS (3 * NS_PER_S)
 #define EJECT_STEPS_MAX 5
 
@@ -121,7 +123,7 @@
 	return &b->t.targets[b->t.places[place].target];
 }
 
-/* Median latency of the service's candidates but @self, 0 when not known. */
+/* Median latency of the service's candidates but @self (or NULL), 0 when not known. */
 static uint64_t peers_median_ns(struct balancer *b, const struct service *s,
 				const struct target *self)
 {
@@ -271,13 +273,20 @@
 static void round_service(struct balancer *b, struct service *s,
 			  uint64_t now_ns)
 {
+	uint64_t median_ns = 0;
+
+	if (s->n_candidates > SELF_MATTERS_MAX)
+		median_ns = peers_median_ns(b, s, NULL);
 	for (uint32_t i = 0; i < s->n_candidates; i++) {
 		struct target *t = candidate(b, s, i);
+		uint64_t peers_ns = median_ns;
 
 		if (t->health.ejected || now_ns < t->warm_deadline_ns ||
 		    t->health.samples < SAMPLES_MIN)
 			continue;
-		if (!health_crawling(&t->health, peers_median_ns(b, s, t)))
+		if (!peers_ns)
+			peers_ns = peers_median_ns(b, s, t);
+		if (!health_crawling(&t->health, peers_ns))
 			continue;
 		if (may_eject(b, t))
 			eject(b, t, now_ns);
--- a/core/tables.c
+++ b/core/tables.c
@@ -522,6 +522,13 @@
 	return false;
 }
 
+/* With no target left that takes work, waiting is of no use to the caller. */
+static void doom_stranded(struct balancer *b, struct service *s)
+{
+	while (!s->n_candidates && s->queue.n)
+		admit_doom(b, s->queue.head, REFUSE_NO_TARGET);
+}
+
 /**
  * tables_deal() - share out the targets anew
  * @b: balancer
@@ -541,6 +548,8 @@
 			deal_floor(b, &b->t.services[i]);
 	for (uint32_t i = 0; i < b->t.n_services; i++)
 		list_candidates(b, &b->t.services[i]);
+	for (uint32_t i = 0; i < b->t.n_services; i++)
+		doom_stranded(b, &b->t.services[i]);
 	for (uint32_t i = 0; i < b->t.n_targets; i++)
 		fair_ready(b, i);
 	eject_recount(b);
--- a/test/balance_fixture.c
+++ b/test/balance_fixture.c
@@ -102,3 +102,34 @@
 	balance_done(f->b, FIXTURE_VIP, target, outcome, took_ms * NS_PER_MS,
 		     f->now_ns);
 }
+
+void fixture_drain(struct fixture *f)
+{
+	struct ruling r;
+	uint32_t handle;
+
+	while (balance_next(f->b, f->now_ns, &handle, &r))
+		;
+}
+
+struct target_stats fixture_stats(struct fixture *f, uint32_t target)
+{
+	struct target_stats t = { 0 };
+	uint32_t cursor = 0;
+
+	while (balance_targets(f->b, &cursor, &t))
+		if (t.addr == fixture_target(target))
+			return t;
+	return t;
+}
+
+uint32_t fixture_ejected(struct fixture *f)
+{
+	struct target_stats t;
+	uint32_t cursor = 0;
+	uint32_t n = 0;
+
+	while (balance_targets(f->b, &cursor, &t))
+		n += t.ejected;
+	return n;
+}
--- a/test/balance_fixture.h
+++ b/test/balance_fixture.h
@@ -40,5 +40,8 @@
 			     uint64_t timeout_ms);
 void fixture_done(struct fixture *f, uint64_t target, enum outcome outcome,
 		  uint64_t took_ms);
+void fixture_drain(struct fixture *f);
+struct target_stats fixture_stats(struct fixture *f, uint32_t target);
+uint32_t fixture_ejected(struct fixture *f);
 
 #endif
