--- /dev/null
+++ b/cmd/cbload/control.c
@@ -0,0 +1,155 @@
+/* What entries say over HTTP: readiness, and bytes sent to their peers. */
+#include "load.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PEER_BYTES_COUNTER "cb_peer_bytes_sent_total"
+/* A datagram on its hop to the flow's owner is a caller's, not control. */
+#define FORWARDED_LABEL "kind=\"forward\""
+#define FETCH_TIMEOUT_MS 500L
+#define READY_TIMEOUT_US (15 * G_USEC_PER_SEC)
+#define READY_PAUSE_US (50 * 1000)
+
+static size_t keep(char *data, size_t size, size_t n, void *to)
+{
+	g_string_append_len(to, data, (gssize)(size * n));
+	return size * n;
+}
+
+/* Body of @url, or NULL when it did not answer 200 in time. */
+static GString *fetch(const char *url)
+{
+	CURL *curl = curl_easy_init();
+	GString *body = g_string_new(NULL);
+	long status = 0;
+
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, FETCH_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, keep);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
+	if (curl_easy_perform(curl) == CURLE_OK)
+		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(curl);
+	if (status == 200)
+		return body;
+	g_string_free(body, TRUE);
+	return NULL;
+}
+
+/* Adds the line's value, if it is of the counter, to the sum it belongs to. */
+static void add_line(const char *line, struct peer_bytes *sum)
+{
+	size_t size = strlen(PEER_BYTES_COUNTER);
+	const char *value = strrchr(line, ' ');
+
+	if (strncmp(line, PEER_BYTES_COUNTER, size) != 0 || !value)
+		return;
+	if (line[size] != ' ' && line[size] != '{')
+		return;
+	if (strstr(line, FORWARDED_LABEL))
+		sum->forwarded += strtod(value, NULL);
+	else
+		sum->control += strtod(value, NULL);
+}
+
+static struct peer_bytes sum_lines(const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	struct peer_bytes sum = { .answered = true };
+
+	for (char **l = lines; *l; l++)
+		add_line(*l, &sum);
+	g_strfreev(lines);
+	return sum;
+}
+
+/**
+ * control_sample() - read every entry's counters of bytes sent to peers
+ * @o: command line
+ * @out: filled
+ */
+void control_sample(const struct options *o, struct control *out)
+{
+	memset(out, 0, sizeof(*out));
+	for (uint32_t i = 0; i < o->n_metrics; i++) {
+		GString *body = fetch(o->metrics[i]);
+
+		if (!body)
+			continue;
+		out->entry[i] = sum_lines(body->str);
+		g_string_free(body, TRUE);
+	}
+}
+
+/* A counter that went down is of an entry that was started anew. */
+static bool comparable(const struct peer_bytes *begin,
+		       const struct peer_bytes *end)
+{
+	return begin->answered && end->answered &&
+	       end->control >= begin->control;
+}
+
+/**
+ * control_rate() - bytes a second that one entry sent to its peers
+ * @o: command line
+ * @begin, @end: samples
+ * @seconds: time between them
+ * @out: the mean over the entries that answered both times
+ */
+void control_rate(const struct options *o, const struct control *begin,
+		  const struct control *end, double seconds,
+		  struct control_rate *out)
+{
+	memset(out, 0, sizeof(*out));
+	for (uint32_t i = 0; i < o->n_metrics; i++) {
+		const struct peer_bytes *b = &begin->entry[i];
+		const struct peer_bytes *e = &end->entry[i];
+
+		if (!comparable(b, e))
+			continue;
+		out->bytes_per_s += (e->control - b->control) / seconds;
+		out->forwarded_per_s += (e->forwarded - b->forwarded) / seconds;
+		out->n_entries++;
+	}
+	if (!out->n_entries)
+		return;
+	out->bytes_per_s /= out->n_entries;
+	out->forwarded_per_s /= out->n_entries;
+}
+
+static bool says_ready(const GString *body)
+{
+	char **lines = g_strsplit(body->str, "\n", -1);
+	bool ready = g_strv_contains((const gchar *const *)lines, "ready");
+
+	g_strfreev(lines);
+	return ready;
+}
+
+/**
+ * wait_ready() - wait until an entry's status has the line "ready"
+ * @url: its /status
+ *
+ * Return: 0, or 1 when it did not within 15 s.
+ */
+int wait_ready(const char *url)
+{
+	int64_t deadline_us = g_get_monotonic_time() + READY_TIMEOUT_US;
+
+	while (g_get_monotonic_time() < deadline_us) {
+		GString *body = fetch(url);
+		bool ready = body && says_ready(body);
+
+		if (body)
+			g_string_free(body, TRUE);
+		if (ready)
+			return 0;
+		g_usleep(READY_PAUSE_US);
+	}
+	fprintf(stderr, "cbload: %s: not ready\n", url);
+	return 1;
+}
--- a/core/peer.h
+++ b/core/peer.h
@@ -22,7 +22,7 @@
  * @PEER_SETTLE: how a claimed request ended
  * @PEER_FEED: second copy of an open feed
  * @PEER_FEED_CLOSE: drop that copy
- * @PEER_PIN: second copy of a pin that differs from the hash
+ * @PEER_PIN: second copy of a transfer's pin; without a target: it ended
  * @PEER_RECORD: a claim's record, handed over by a leaving entry
  * @PEER_HANDOVER: a leaving entry has handed over all of it
  */
@@ -47,7 +47,7 @@
  * enum member_state - what an entry believes of another
  * @MEMBER_ALIVE: answers, or is vouched for
  * @MEMBER_SUSPECT: missed its probes, may still refute
- * @MEMBER_LEAVING: said it goes; serves what it has, owns nothing new
+ * @MEMBER_LEAVING: said it goes, or just came; owns nothing new
  * @MEMBER_DEAD: suspicion ran out
  */
 enum member_state { MEMBER_ALIVE, MEMBER_SUSPECT, MEMBER_LEAVING, MEMBER_DEAD };
@@ -85,20 +85,25 @@
  * @request: hash of caller, VIP and message ID
  * @bucket: bucket of its flow
  * @claimer: VM that may run it
+ * @boot: number of the claimer's process; a restarted one remembers nothing,
+ *	so a claim of its predecessor is not its own
  * @target: target it is meant for, or ADDR_NONE
  * @state: enum claim_state
  * @granted: in a grant: the claimer may go on
  * @covered: in a grant: the granter knows every claim of the bucket that a
  *	caller could still repeat
+ * @slot: request slot at the claimer itself; not coded
  */
 struct claim {
 	uint64_t request;
 	uint32_t bucket;
 	uint64_t claimer;
+	uint64_t boot;
 	uint64_t target;
 	uint8_t state;
 	bool granted;
 	bool covered;
+	uint32_t slot;
 };
 
 /**
--- /dev/null
+++ b/core/request.c
@@ -0,0 +1,349 @@
+#include "entry_state.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MEMORY_RETRY_S 2
+
+/* requests_init() - room for requests_max requests, all of it now. */
+int requests_init(struct entry *e)
+{
+	uint32_t n = e->conf.requests_max;
+
+	e->requests = calloc(n, sizeof(*e->requests));
+	e->by_identity = index_new(n);
+	e->by_up_id = index_new(n);
+	if (!e->requests || !e->by_identity || !e->by_up_id)
+		return -ENOMEM;
+	for (uint32_t i = 0; i < n; i++)
+		e->requests[i].next = i + 1 < n ? i + 1 : SLOT_NONE;
+	e->free_request = 0;
+	e->ended_first = SLOT_NONE;
+	e->ended_last = SLOT_NONE;
+	return 0;
+}
+
+void requests_free(struct entry *e)
+{
+	free(e->requests);
+	index_free(e->by_identity);
+	index_free(e->by_up_id);
+}
+
+uint32_t request_slot(const struct entry *e, const struct request *r)
+{
+	return (uint32_t)(r - e->requests);
+}
+
+uint64_t request_identity(const struct flow_key *key, uint16_t id)
+{
+	return hash_u64(flow_hash(key), id);
+}
+
+uint64_t request_up_id_key(uint64_t target, uint16_t id)
+{
+	return hash_u64(target, 1ULL << 16 | id);
+}
+
+static void ended_unlink(struct entry *e, struct request *r)
+{
+	if (r->prev == SLOT_NONE)
+		e->ended_first = r->next;
+	else
+		e->requests[r->prev].next = r->next;
+	if (r->next == SLOT_NONE)
+		e->ended_last = r->prev;
+	else
+		e->requests[r->next].prev = r->prev;
+}
+
+static void ended_append(struct entry *e, struct request *r)
+{
+	uint32_t slot = request_slot(e, r);
+
+	r->next = SLOT_NONE;
+	r->prev = e->ended_last;
+	if (e->ended_last == SLOT_NONE)
+		e->ended_first = slot;
+	else
+		e->requests[e->ended_last].next = slot;
+	e->ended_last = slot;
+}
+
+static void release(struct entry *e, struct request *r)
+{
+	uint32_t slot = request_slot(e, r);
+
+	index_del(e->by_identity, r->identity, slot);
+	timers_clear(e->timers, slot);
+	r->state = REQ_FREE;
+	r->next = e->free_request;
+	e->free_request = slot;
+}
+
+/**
+ * request_drop() - forget a request without an answer from here
+ * @e: entry
+ * @r: request; another entry answers it, or nobody waits
+ */
+void request_drop(struct entry *e, struct request *r)
+{
+	if (r->state == REQ_ENDED)
+		ended_unlink(e, r);
+	else
+		e->n_active--;
+	release(e, r);
+}
+
+/**
+ * request_new() - take a slot, if need be that of the oldest ended request
+ * @e: entry
+ * @key: flow
+ *
+ * Return: request, or NULL when every slot is active.
+ */
+struct request *request_new(struct entry *e, const struct flow_key *key)
+{
+	uint32_t slot = e->free_request;
+	struct request *r;
+	uint32_t generation;
+
+	if (slot == SLOT_NONE) {
+		if (e->ended_first == SLOT_NONE)
+			return NULL;
+		request_drop(e, &e->requests[e->ended_first]);
+		slot = e->free_request;
+	}
+	r = &e->requests[slot];
+	e->free_request = r->next;
+	generation = r->generation + 1;
+	memset(r, 0, offsetof(struct request, data));
+	r->generation = generation;
+	r->key = *key;
+	r->bucket = ring_bucket(e->ring, key);
+	r->feed = SLOT_NONE;
+	r->arrived_ns = e->now_ns;
+	e->n_active++;
+	return r;
+}
+
+/**
+ * request_end() - a request has had its answer
+ * @e: entry
+ * @r: request; kept to answer a repeat, but for internal ones
+ */
+void request_end(struct entry *e, struct request *r)
+{
+	uint32_t slot = request_slot(e, r);
+
+	if (r->feed != SLOT_NONE && e->feeds[r->feed].request == slot)
+		e->feeds[r->feed].request = SLOT_NONE;
+	if (r->internal) {
+		request_drop(e, r);
+		return;
+	}
+	r->state = REQ_ENDED;
+	e->n_active--;
+	ended_append(e, r);
+	timers_set(e->timers, slot, e->now_ns + e->conf.cover_ns);
+}
+
+/**
+ * request_finish() - a request leaves its target, however it ended
+ * @e: entry
+ * @r: request
+ * @outcome: how it ended
+ */
+void request_finish(struct entry *e, struct request *r, enum outcome outcome)
+{
+	if (r->up_id || r->sends)
+		index_del(e->by_up_id, request_up_id_key(r->target, r->up_id),
+			  request_slot(e, r));
+	if (!r->running)
+		return;
+	r->running = false;
+	balance_done(e->balancer, r->key.vip, r->target, outcome,
+		     e->now_ns - r->sent_ns, e->now_ns);
+}
+
+static bool owned_long_enough(const struct entry *e, const struct request *r)
+{
+	return e->now_ns >= e->owner_since_ns[r->bucket] + e->conf.cover_ns;
+}
+
+/* request_idempotent() - whether the method, or the operator, lets it run twice. */
+bool request_idempotent(const struct entry *e, const struct request *r)
+{
+	const struct service_conf *s = service_find(e, r->key.vip);
+
+	return r->flags & MSG_IDEMPOTENT || (s && s->post_idempotent);
+}
+
+/*
+ * "Not run" is said only when it is known. A non-idempotent request that got
+ * this far was granted, so no one else ran it. An idempotent one has no claim:
+ * an earlier owner may have run it and died before answering, so a new owner
+ * says "unknown" until no caller can be repeating an old request any more.
+ */
+static bool known_not_run(const struct entry *e, const struct request *r)
+{
+	if (r->maybe_run)
+		return false;
+	return !request_idempotent(e, r) || owned_long_enough(e, r);
+}
+
+/**
+ * request_unknown() - end a request whose outcome nobody can tell
+ * @e: entry
+ * @r: request
+ * @why: for the log
+ */
+void request_unknown(struct entry *e, struct request *r, const char *why)
+{
+	request_finish(e, r, OUTCOME_TIMEOUT);
+	if (r->internal) {
+		feed_renew_failed(e, &e->feeds[r->feed], r);
+		return;
+	}
+	emit_note(e, why, &r->key, r->target);
+	claim_settle(e, r, CLAIM_UNKNOWN);
+	e->counters.answered_unknown++;
+	r->answer = ANSWER_UNKNOWN;
+	answer_own(e, &r->key, r);
+	if (r->feed != SLOT_NONE)
+		feed_refused(e, &e->feeds[r->feed], r);
+	request_end(e, r);
+}
+
+/**
+ * request_refuse() - end a request that does not run, at once
+ * @e: entry
+ * @r: request
+ * @reason: enum refusal
+ * @retry_after_s: when the caller may come back
+ */
+void request_refuse(struct entry *e, struct request *r, uint8_t reason,
+		    uint32_t retry_after_s)
+{
+	r->reason = reason;
+	r->retry_after_s = retry_after_s;
+	if (r->internal || !known_not_run(e, r)) {
+		request_unknown(e, r, "refused, but may have run before");
+		return;
+	}
+	claim_settle(e, r, CLAIM_REFUSED);
+	e->counters.refused_not_run++;
+	r->answer = ANSWER_NOT_RUN;
+	answer_own(e, &r->key, r);
+	if (r->feed != SLOT_NONE)
+		feed_refused(e, &e->feeds[r->feed], r);
+	request_end(e, r);
+}
+
+static void refuse_without_slot(struct entry *e, const struct flow_key *key,
+				const struct message *msg)
+{
+	struct request r = { .id = msg->id,
+			     .flags = msg->flags,
+			     .token_len = msg->token_len,
+			     .answer = ANSWER_NOT_RUN,
+			     .reason = REFUSE_MEMORY,
+			     .retry_after_s = MEMORY_RETRY_S };
+
+	r.bucket = ring_bucket(e->ring, key);
+	memcpy(r.token, msg->token, msg->token_len);
+	if (!(msg->flags & MSG_IDEMPOTENT) || !owned_long_enough(e, &r)) {
+		answer_unknown(e, key, msg);
+		return;
+	}
+	e->counters.refused_not_run++;
+	answer_own(e, key, &r);
+}
+
+static uint64_t deadline_of(const struct entry *e, const struct service_conf *s,
+			    const struct message *msg)
+{
+	uint64_t timeout_ns = s->request_timeout_ns;
+
+	if (msg->timeout_ns && msg->timeout_ns < timeout_ns)
+		timeout_ns = msg->timeout_ns;
+	return e->now_ns + timeout_ns;
+}
+
+static bool attach_feed(struct entry *e, struct request *r,
+			const struct message *msg)
+{
+	struct feed *f = feed_find(e, &r->key, msg->token, msg->token_len);
+
+	if (msg->flags & MSG_FEED_CLOSE) {
+		if (f)
+			feed_end(e, f, true);
+		return true;
+	}
+	if (!(msg->flags & MSG_FEED_OPEN))
+		return true;
+	if (!f)
+		f = feed_new(e, &r->key, msg->token, msg->token_len);
+	if (!f)
+		return false;
+	if (f->request != SLOT_NONE)
+		return false;
+	f->size_bytes = 0;
+	if (msg->size_bytes <= FEED_REQUEST_MAX_BYTES) {
+		f->size_bytes = (uint16_t)msg->size_bytes;
+		memcpy(f->opening, msg->data, msg->size_bytes);
+	}
+	f->request = request_slot(e, r);
+	r->feed = feed_slot(e, f);
+	return true;
+}
+
+static uint64_t request_hash(const struct request *r)
+{
+	uint64_t token = 0;
+
+	memcpy(&token, r->token, r->token_len);
+	return hash_u64(token, r->identity + r->token_len);
+}
+
+/**
+ * request_arrived() - a request at the owner of its flow
+ * @e: entry
+ * @key: flow
+ * @msg: request
+ * @hops: forwards so far
+ */
+void request_arrived(struct entry *e, const struct flow_key *key,
+		     const struct message *msg, uint8_t hops)
+{
+	const struct service_conf *s = service_find(e, key->vip);
+	struct request *r;
+
+	if (request_repeated(e, key, msg))
+		return;
+	r = s ? request_new(e, key) : NULL;
+	if (!r) {
+		refuse_without_slot(e, key, msg);
+		return;
+	}
+	e->counters.requests++;
+	r->id = msg->id;
+	r->flags = msg->flags;
+	r->token_len = msg->token_len;
+	memcpy(r->token, msg->token, msg->token_len);
+	r->identity = request_identity(key, msg->id);
+	r->request = request_hash(r);
+	r->deadline_ns = deadline_of(e, s, msg);
+	r->size_bytes = msg->size_bytes;
+	memcpy(r->data, msg->data, msg->size_bytes);
+	index_put(e->by_identity, r->identity, request_slot(e, r));
+	if (!attach_feed(e, r, msg)) {
+		request_refuse(e, r, REFUSE_MEMORY, MEMORY_RETRY_S);
+		return;
+	}
+	if (request_idempotent(e, r))
+		request_submit(e, r);
+	else
+		claim_begin(e, r, hops);
+}
