--- a/core/admit.c
+++ b/core/admit.c
@@ -129,7 +129,8 @@
 	if (over_share(b, a))
 		return REFUSE_SHARE;
 	wait_ns = gap_now_ns(s, now_ns) * (s->n_waiting + 1);
-	if (starts_late(wait_ns * WAIT_DEN, w->deadline_ns, now_ns))
+	if (starts_late(wait_ns * WAIT_DEN + s->took_ns, w->deadline_ns,
+			now_ns))
 		return REFUSE_DEADLINE;
 	if (!s->n_waiting)
 		s->started_ns = now_ns;
