--- a/bench/bench-balance/main.c
+++ b/bench/bench-balance/main.c
@@ -105,6 +105,16 @@
 	  .load_milli = 700,
 	  .warmup_ns = 2 * S,
 	  .end_ns = 5 * S },
+	{ .deployment = "growth-small",
+	  .name = "busy",
+	  .n_entries = 458,
+	  .n_targets = 6,
+	  .slots = 2,
+	  .delay_ns = MS / 2,
+	  .service_ns = 50 * MS,
+	  .load_milli = 700,
+	  .warmup_ns = 10 * S,
+	  .end_ns = 50 * S },
 };
 #define N_GROWTH (sizeof(GROWTH) / sizeof(GROWTH[0]))
 
--- a/core/loadview.c
+++ b/core/loadview.c
@@ -137,8 +137,8 @@
  * @took_ns: mean time of a request there
  * @now_ns: time
  *
- * A report of full slots is out of date once a request's time has passed. A
- * target that can't be believed is taken to be full.
+ * A report of full slots is out of date once a request's time has passed. Of a
+ * target that can't be believed only this entry's own last send is known.
  *
  * Return: true when it may.
  */
@@ -146,6 +146,6 @@
 	       uint64_t now_ns)
 {
 	if (v->trust < TRUST_MIN)
-		return false;
+		return now_ns > v->sent_ns + took_ns;
 	return v->busy < slots || now_ns > v->heard_ns + took_ns;
 }
