--- a/bench/bench-balance/world.c
+++ b/bench/bench-balance/world.c
@@ -1,6 +1,4 @@
-#include "world.h"
-
-#include "histogram.h"
+#include "world_state.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -16,7 +14,6 @@
 /* A target that joins is this many times slower at first, over COLD_NS. */
 #define COLD_FACTOR 4
 #define COLD_NS (8 * NS_PER_S)
-#define EVEN_SHARE 0.8
 
 enum event_kind {
 	EVENT_CALLER,
@@ -30,102 +27,6 @@
 	EVENT_JOIN
 };
 
-struct event {
-	uint64_t at_ns;
-	uint64_t order;
-	uint32_t id;
-	uint8_t kind;
-};
-
-struct model_target {
-	uint32_t running;
-	uint32_t waiting;
-	uint32_t head;
-	uint32_t tail;
-	uint32_t started;
-	uint64_t held_ns;
-	uint64_t changed_ns;
-};
-
-struct world {
-	const struct scene *scene;
-	const struct policy *policy;
-	void *ctx;
-	uint64_t now_ns;
-	struct rng rng;
-	struct event *events;
-	uint32_t n_events;
-	uint32_t events_max;
-	uint64_t order;
-	struct job *jobs;
-	uint32_t n_jobs;
-	uint32_t jobs_max;
-	uint32_t free_job;
-	struct model_target targets[TARGETS_MAX];
-	uint32_t n_targets;
-	struct histogram wait_us;
-	double imbalance_sum;
-	double held_sum;
-	uint32_t windows;
-	uint64_t asked;
-	uint64_t refused;
-	uint64_t late;
-	uint64_t good;
-	uint32_t excess;
-	uint64_t even_ns;
-	uint32_t even_windows;
-	uint64_t decide_ns;
-	uint64_t decisions;
-};
-
-static bool earlier(const struct event *a, const struct event *b)
-{
-	if (a->at_ns != b->at_ns)
-		return a->at_ns < b->at_ns;
-	return a->order < b->order;
-}
-
-static void push(struct world *w, uint64_t at_ns, enum event_kind kind,
-		 uint32_t id)
-{
-	struct event e = { at_ns, w->order++, id, kind };
-	uint32_t at = w->n_events++;
-
-	if (w->n_events > w->events_max) {
-		w->events_max = w->events_max ? 2 * w->events_max : 1024;
-		w->events =
-			realloc(w->events, w->events_max * sizeof(*w->events));
-	}
-	while (at && earlier(&e, &w->events[(at - 1) / 2])) {
-		w->events[at] = w->events[(at - 1) / 2];
-		at = (at - 1) / 2;
-	}
-	w->events[at] = e;
-}
-
-static struct event pop(struct world *w)
-{
-	struct event first = w->events[0];
-	struct event last = w->events[--w->n_events];
-	uint32_t at = 0;
-
-	for (;;) {
-		uint32_t child = 2 * at + 1;
-
-		if (child >= w->n_events)
-			break;
-		if (child + 1 < w->n_events &&
-		    earlier(&w->events[child + 1], &w->events[child]))
-			child++;
-		if (!earlier(&w->events[child], &last))
-			break;
-		w->events[at] = w->events[child];
-		at = child;
-	}
-	w->events[at] = last;
-	return first;
-}
-
 const struct scene *world_scene(const struct world *w)
 {
 	return w->scene;
@@ -156,11 +57,6 @@
 	return (uint64_t)(-log(uniform(w)) * mean_ns) + 1;
 }
 
-static bool counted(const struct world *w)
-{
-	return w->now_ns >= w->scene->warmup_ns;
-}
-
 static uint32_t new_job(struct world *w)
 {
 	uint32_t job = w->free_job;
@@ -188,7 +84,8 @@
 
 	j->target = target;
 	j->sent_ns = w->now_ns;
-	push(w, w->now_ns + w->scene->delay_ns, EVENT_AT_TARGET, job);
+	events_add(&w->events, w->now_ns + w->scene->delay_ns, EVENT_AT_TARGET,
+		   job);
 }
 
 void world_refuse(struct world *w, uint32_t job, uint32_t retry_after_s)
@@ -196,11 +93,11 @@
 	struct job *j = &w->jobs[job];
 
 	if (j->tries < TRIES_MAX) {
-		push(w, w->now_ns + retry_after_s * NS_PER_S, EVENT_RETURN,
-		     job);
+		events_add(&w->events, w->now_ns + retry_after_s * NS_PER_S,
+			   EVENT_RETURN, job);
 		return;
 	}
-	w->refused += counted(w);
+	w->refused += measure_counts(w);
 	free_job(w, job);
 }
 
@@ -258,8 +155,9 @@
 	j->caller = (uint32_t)rng_next(&w->rng);
 	j->entry = entry_of(w, j->caller);
 	j->service_ns = exponential(w, w->scene->service_ns);
-	w->asked += counted(w);
-	push(w, w->now_ns + exponential(w, mean_gap_ns(w)), EVENT_CALLER, 0);
+	w->asked += measure_counts(w);
+	events_add(&w->events, w->now_ns + exponential(w, mean_gap_ns(w)),
+		   EVENT_CALLER, 0);
 	try_job(w, job);
 }
 
@@ -291,13 +189,6 @@
 	return service_ns;
 }
 
-/* Add up requests times time at a target, before their number changes. */
-static void account(struct world *w, struct model_target *t)
-{
-	t->held_ns += (t->running + t->waiting) * (w->now_ns - t->changed_ns);
-	t->changed_ns = w->now_ns;
-}
-
 static void start(struct world *w, uint32_t job)
 {
 	struct job *j = &w->jobs[job];
@@ -306,16 +197,18 @@
 	t->running++;
 	t->started++;
 	j->start_ns = w->now_ns;
-	if (counted(w))
+	if (measure_counts(w))
 		histogram_add(&w->wait_us, (w->now_ns - j->arrive_ns) / 1000);
-	push(w, w->now_ns + slot_time_ns(w, j->target, j->service_ns),
-	     EVENT_FINISH, job);
+	events_add(&w->events,
+		   w->now_ns + slot_time_ns(w, j->target, j->service_ns),
+		   EVENT_FINISH, job);
 }
 
 static void answer(struct world *w, uint32_t job)
 {
 	w->jobs[job].report = report_of(w, w->jobs[job].target);
-	push(w, w->now_ns + w->scene->delay_ns, EVENT_ANSWER, job);
+	events_add(&w->events, w->now_ns + w->scene->delay_ns, EVENT_ANSWER,
+		   job);
 }
 
 static void at_target_event(struct world *w, uint32_t job)
@@ -324,7 +217,7 @@
 	struct model_target *t = &w->targets[j->target];
 	uint32_t here = t->running + t->waiting + 1;
 
-	account(w, t);
+	measure_held(w, t);
 	if (here > w->scene->slots && here - w->scene->slots > w->excess)
 		w->excess = here - w->scene->slots;
 	if (t->running < w->scene->slots) {
@@ -348,7 +241,7 @@
 {
 	struct model_target *t = &w->targets[w->jobs[job].target];
 
-	account(w, t);
+	measure_held(w, t);
 	t->running--;
 	answer(w, job);
 	while (t->waiting && t->running < w->scene->slots) {
@@ -376,10 +269,10 @@
 		return;
 	}
 	if (j->expired || w->now_ns > j->deadline_ns) {
-		w->late += counted(w);
+		w->late += measure_counts(w);
 		w->policy->done(w->ctx, job, OUTCOME_TIMEOUT);
 	} else {
-		w->good += counted(w);
+		w->good += measure_counts(w);
 		w->policy->done(w->ctx, job, OUTCOME_OK);
 	}
 	free_job(w, job);
@@ -395,50 +288,13 @@
 
 		w->policy->report(w->ctx, entry, i, &r);
 	}
-	push(w, w->now_ns + REPORT_NS, EVENT_REPORT, entry);
-}
-
-static void note_even(struct world *w, uint32_t started, double mean)
-{
-	if (!w->scene->join_ns || w->now_ns <= w->scene->join_ns ||
-	    w->even_windows >= 3)
-		return;
-	if (started < EVEN_SHARE * mean) {
-		w->even_windows = 0;
-		return;
-	}
-	if (!w->even_windows++)
-		w->even_ns = w->now_ns - w->scene->join_ns;
+	events_add(&w->events, w->now_ns + REPORT_NS, EVENT_REPORT, entry);
 }
 
 static void window_event(struct world *w)
 {
-	uint32_t most = 0;
-	uint64_t sum = 0;
-	uint64_t held_most = 0;
-	uint64_t held = 0;
-	double mean;
-
-	for (uint32_t i = 0; i < w->n_targets; i++) {
-		account(w, &w->targets[i]);
-		held += w->targets[i].held_ns;
-		if (w->targets[i].held_ns > held_most)
-			held_most = w->targets[i].held_ns;
-		w->targets[i].held_ns = 0;
-		sum += w->targets[i].started;
-		if (w->targets[i].started > most)
-			most = w->targets[i].started;
-	}
-	mean = (double)sum / w->n_targets;
-	note_even(w, w->targets[w->n_targets - 1].started, mean);
-	if (counted(w) && sum) {
-		w->imbalance_sum += most / mean;
-		w->held_sum += (double)held_most * w->n_targets / held;
-		w->windows++;
-	}
-	for (uint32_t i = 0; i < w->n_targets; i++)
-		w->targets[i].started = 0;
-	push(w, w->now_ns + NS_PER_S, EVENT_WINDOW, 0);
+	measure_window(w);
+	events_add(&w->events, w->now_ns + NS_PER_S, EVENT_WINDOW, 0);
 }
 
 static void handle(struct world *w, const struct event *e)
@@ -461,7 +317,7 @@
 		break;
 	case EVENT_TICK:
 		w->policy->tick(w->ctx, e->id);
-		push(w, w->now_ns + TICK_NS, EVENT_TICK, e->id);
+		events_add(&w->events, w->now_ns + TICK_NS, EVENT_TICK, e->id);
 		break;
 	case EVENT_REPORT:
 		report_event(w, e->id);
@@ -486,35 +342,20 @@
 	w->free_job = NONE;
 	w->n_targets = s->n_targets - (s->join_ns != 0);
 	w->ctx = w->policy->open(w);
-	push(w, w->now_ns, EVENT_CALLER, 0);
-	push(w, NS_PER_S, EVENT_WINDOW, 0);
+	events_add(&w->events, w->now_ns, EVENT_CALLER, 0);
+	events_add(&w->events, NS_PER_S, EVENT_WINDOW, 0);
 	if (s->join_ns)
-		push(w, s->join_ns, EVENT_JOIN, 0);
+		events_add(&w->events, s->join_ns, EVENT_JOIN, 0);
 	for (uint32_t i = 0; i < s->n_entries; i++) {
-		push(w, w->now_ns + rng_next(&phase) % TICK_NS, EVENT_TICK, i);
+		events_add(&w->events, w->now_ns + rng_next(&phase) % TICK_NS,
+			   EVENT_TICK, i);
 		if (w->policy->report)
-			push(w, w->now_ns + rng_next(&phase) % REPORT_NS,
-			     EVENT_REPORT, i);
+			events_add(&w->events,
+				   w->now_ns + rng_next(&phase) % REPORT_NS,
+				   EVENT_REPORT, i);
 	}
 }
 
-static void read_figures(const struct world *w, struct figures *out)
-{
-	double counted_s =
-		(double)(w->scene->end_ns - w->scene->warmup_ns) / NS_PER_S;
-
-	out->imbalance = w->windows ? w->imbalance_sum / w->windows : 0;
-	out->held = w->windows ? w->held_sum / w->windows : 0;
-	out->wait_p50_ms = histogram_quantile(&w->wait_us, 0.5) / 1000.0;
-	out->wait_p99_ms = histogram_quantile(&w->wait_us, 0.99) / 1000.0;
-	out->refused = (double)w->refused / w->asked;
-	out->late = (double)w->late / w->asked;
-	out->goodput = w->good / counted_s;
-	out->excess = w->excess;
-	out->even_s = w->even_windows >= 3 ? (double)w->even_ns / NS_PER_S : -1;
-	out->decide_ns = (double)w->decide_ns / w->decisions;
-}
-
 void world_run(const struct scene *scene, const struct policy *policy,
 	       struct figures *out)
 {
@@ -524,16 +365,16 @@
 	w->policy = policy;
 	open_world(w);
 	for (;;) {
-		struct event e = pop(w);
+		struct event e = events_take(&w->events);
 
 		if (e.at_ns >= scene->end_ns)
 			break;
 		w->now_ns = e.at_ns;
 		handle(w, &e);
 	}
-	read_figures(w, out);
+	measure_figures(w, out);
 	policy->close(w->ctx);
-	free(w->events);
+	free(w->events.heap);
 	free(w->jobs);
 	free(w);
 }
--- a/core/balance.c
+++ b/core/balance.c
@@ -3,13 +3,6 @@
 #include <errno.h>
 #include <stdlib.h>
 
-/* A pause after a shed: this long, doubled by each further one. */
-#define HOLD_NS (5 * NS_PER_MS)
-#define HOLD_STEPS_MAX 6
-/* A shed takes this share off the requests allowed at the target. */
-#define LIMIT_CUT_NUM 7
-#define LIMIT_CUT_DEN 10
-#define TOOK_SAMPLES 16
 #define EJECT_ROUND_NS (500 * NS_PER_MS)
 
 /**
@@ -83,13 +76,7 @@
 		return;
 	b->n_entries = n;
 	b->rank = self_rank % n;
-	tables_deal(b);
-}
-
-static struct class_stats *stats_of(struct balancer *b, const struct service *s,
-				    uint8_t class)
-{
-	return &b->t.accounts[s->account].stats[class % CLASS_COUNT];
+	shares_deal(b);
 }
 
 static struct ruling refuse(struct balancer *b, uint32_t service, uint8_t class,
@@ -295,100 +282,6 @@
 	it->state = ITEM_FREE;
 }
 
-static void shed_ended(struct target *t, uint64_t now_ns)
-{
-	uint32_t limit = t->share.own * 1000;
-
-	if (t->limit_milli < limit)
-		limit = t->limit_milli;
-	t->limit_milli = limit / LIMIT_CUT_DEN * LIMIT_CUT_NUM;
-	if (t->limit_milli < 1000)
-		t->limit_milli = 1000;
-	t->hold_deadline_ns = now_ns + (HOLD_NS << t->hold_steps);
-	if (t->hold_steps < HOLD_STEPS_MAX)
-		t->hold_steps++;
-}
-
-static void ok_ended(struct target *t)
-{
-	t->hold_steps = 0;
-	if (t->limit_milli / 1000 < t->share.own)
-		t->limit_milli += 1000 * 1000 / t->limit_milli;
-}
-
-static void service_ended(struct balancer *b, struct service *s,
-			  enum outcome outcome, uint64_t took_ns)
-{
-	stats_of(b, s, s->class)->outcome[outcome]++;
-	if (outcome != OUTCOME_OK)
-		return;
-	budget_success(&b->t.accounts[s->account].budget);
-	if (!s->took_ns)
-		s->took_ns = took_ns;
-	else
-		s->took_ns = ((TOOK_SAMPLES - 1) * s->took_ns + took_ns) /
-			     TOOK_SAMPLES;
-}
-
-/**
- * balance_done() - a request that got VERDICT_GO ended, or a feed opened
- * @b: balancer
- * @vip: its service
- * @target: its target
- * @outcome: how it ended
- * @took_ns: time since it was sent
- * @now_ns: time
- */
-void balance_done(struct balancer *b, uint64_t vip, uint64_t target,
-		  enum outcome outcome, uint64_t took_ns, uint64_t now_ns)
-{
-	uint32_t service = tables_service(&b->t, vip);
-	uint32_t index = tables_target(&b->t, target);
-	struct target *t;
-
-	if (service != INDEX_NONE)
-		service_ended(b, &b->t.services[service], outcome, took_ns);
-	if (index == INDEX_NONE)
-		return;
-	t = &b->t.targets[index];
-	if (t->inflight)
-		t->inflight--;
-	view_ended(&t->view, outcome, t->slots, now_ns);
-	if (outcome == OUTCOME_SHED)
-		shed_ended(t, now_ns);
-	else if (outcome == OUTCOME_OK)
-		ok_ended(t);
-	eject_ended(b, t, outcome, took_ns, now_ns);
-	fair_ready(b, index);
-}
-
-/**
- * balance_may_retry() - take one retry from the budget of the service's account
- * @b: balancer
- * @vip: service
- * @now_ns: time
- *
- * Return: true when there was one.
- */
-bool balance_may_retry(struct balancer *b, uint64_t vip, uint64_t now_ns)
-{
-	uint32_t service = tables_service(&b->t, vip);
-	struct service *s;
-	struct class_stats *stats;
-
-	(void)now_ns;
-	if (service == INDEX_NONE)
-		return false;
-	s = &b->t.services[service];
-	stats = stats_of(b, s, s->class);
-	if (!budget_take(&b->t.accounts[s->account].budget)) {
-		stats->retries_denied++;
-		return false;
-	}
-	stats->retries++;
-	return true;
-}
-
 /**
  * balance_feed() - a feed opened or closed, or was taken over
  * @b: balancer
@@ -450,59 +343,3 @@
 	return first_ns < b->round_deadline_ns ? first_ns
 					       : b->round_deadline_ns;
 }
-
-/**
- * balance_stats() - walk over the counters of each account and class
- * @b: balancer
- * @cursor: 0 at first, moved on by each call
- * @account: name, good until the next balance_config()
- * @class: enum service_class
- * @stats: counters, good until the next balance_config()
- *
- * Return: false at the end.
- */
-bool balance_stats(const struct balancer *b, uint32_t *cursor,
-		   const char **account, uint8_t *class,
-		   const struct class_stats **stats)
-{
-	uint32_t index = *cursor / CLASS_COUNT;
-
-	if (index >= b->t.n_accounts)
-		return false;
-	*class = *cursor % CLASS_COUNT;
-	*account = b->t.accounts[index].name;
-	*stats = &b->t.accounts[index].stats[*class];
-	(*cursor)++;
-	return true;
-}
-
-/**
- * balance_targets() - walk over what is held of each target
- * @b: balancer
- * @cursor: 0 at first, moved on by each call
- * @out: the target
- *
- * Return: false at the end.
- */
-bool balance_targets(const struct balancer *b, uint32_t *cursor,
-		     struct target_stats *out)
-{
-	const struct target *t;
-
-	if (*cursor >= b->t.n_targets)
-		return false;
-	t = &b->t.targets[(*cursor)++];
-	*out = (struct target_stats){
-		.addr = t->addr,
-		.inflight = t->inflight,
-		.feeds = t->feeds,
-		.own = t->share.own,
-		.extra = t->share.extra,
-		.connections = t->share.connections,
-		.ejected = t->health.ejected,
-		.trust_milli = t->view.trust,
-		.latency_ns = t->health.latency_ns,
-		.error_milli = t->health.error_milli,
-	};
-	return true;
-}
--- a/core/balance_state.h
+++ b/core/balance_state.h
@@ -239,7 +239,11 @@
 /* tables.c */
 int tables_build(struct balancer *b, const struct config *c, uint64_t now_ns);
 void tables_clear(struct tables *t);
-void tables_deal(struct balancer *b);
+
+/* shares.c */
+void shares_deal(struct balancer *b);
+
+/* lookup.c */
 uint32_t tables_service(const struct tables *t, uint64_t vip);
 uint32_t tables_target(const struct tables *t, uint64_t addr);
 uint32_t tables_place(const struct tables *t, const struct service *s,
@@ -268,6 +272,10 @@
 void admit_started(struct balancer *b, struct service *s, uint64_t now_ns);
 void admit_sweep(struct balancer *b, uint64_t now_ns);
 
+/* balance_stats.c */
+struct class_stats *stats_of(struct balancer *b, const struct service *s,
+			     uint8_t class);
+
 /* fair.c */
 uint32_t fair_next(struct balancer *b, struct target *t, uint64_t now_ns,
 		   uint32_t *place);
--- a/core/tables.c
+++ b/core/tables.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DEAL_SEED 0x6465616cULL
-
 /* One service on its way into the tables. */
 struct listing {
 	uint64_t vip;
@@ -43,85 +41,6 @@
 	return compare_u64(x->addr, y->addr);
 }
 
-/**
- * tables_service() - find a service
- * @t: tables
- * @vip: its address
- *
- * Return: index, or INDEX_NONE.
- */
-uint32_t tables_service(const struct tables *t, uint64_t vip)
-{
-	uint32_t low = 0;
-	uint32_t high = t->n_services;
-
-	while (low < high) {
-		uint32_t mid = low + (high - low) / 2;
-
-		if (t->services[mid].vip < vip)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	if (low < t->n_services && t->services[low].vip == vip)
-		return low;
-	return INDEX_NONE;
-}
-
-/**
- * tables_target() - find a target
- * @t: tables
- * @addr: its address
- *
- * Return: index, or INDEX_NONE.
- */
-uint32_t tables_target(const struct tables *t, uint64_t addr)
-{
-	uint32_t low = 0;
-	uint32_t high = t->n_targets;
-
-	while (low < high) {
-		uint32_t mid = low + (high - low) / 2;
-
-		if (t->targets[mid].addr < addr)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	if (low < t->n_targets && t->targets[low].addr == addr)
-		return low;
-	return INDEX_NONE;
-}
-
-/**
- * tables_place() - find a target of a service
- * @t: tables
- * @s: service
- * @addr: target's address
- *
- * Return: index of the place, or INDEX_NONE.
- */
-uint32_t tables_place(const struct tables *t, const struct service *s,
-		      uint64_t addr)
-{
-	uint32_t target = tables_target(t, addr);
-	uint32_t low = s->first_place;
-	uint32_t end = s->first_place + s->n_places;
-	uint32_t high = end;
-
-	while (low < high) {
-		uint32_t mid = low + (high - low) / 2;
-
-		if (t->places[mid].target < target)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	if (low < end && t->places[low].target == target)
-		return low;
-	return INDEX_NONE;
-}
-
 /**
  * tables_clear() - free the tables
  * @t: tables
@@ -437,120 +356,10 @@
 	fill_links(&t);
 	free(l);
 	replace(b, &t);
-	tables_deal(b);
+	shares_deal(b);
 	return 0;
 fail:
 	free(l);
 	tables_clear(&t);
 	return err;
 }
-
-static void count_up(struct balancer *b, struct service *s)
-{
-	s->n_up = 0;
-	for (uint32_t i = 0; i < s->n_places; i++)
-		s->n_up += b->t.places[s->first_place + i].state == TARGET_UP;
-}
-
-static void deal_service(struct balancer *b, struct service *s)
-{
-	uint64_t offset = hash_u64(s->vip, DEAL_SEED) % b->n_entries;
-
-	struct deal_order o = { .n_entries = b->n_entries, .rank = b->rank };
-
-	count_up(b, s);
-	o.n_targets = s->n_up;
-	for (uint32_t i = 0; i < s->n_places; i++) {
-		struct place *p = &b->t.places[s->first_place + i];
-		struct target *t = &b->t.targets[p->target];
-
-		if (p->state != TARGET_UP || t->dealt)
-			continue;
-		t->dealt = true;
-		t->share = deal_target(&o, t->slots, t->connections, offset);
-		offset += t->slots;
-	}
-}
-
-/*
- * With fewer slots than entries some entries get none, and their callers would
- * be refused while targets stand idle. Such an entry takes one request at one
- * target, spread by rank.
- */
-static void deal_floor(struct balancer *b, struct service *s)
-{
-	uint32_t nth = s->n_up ? b->rank % s->n_up : 0;
-
-	for (uint32_t i = 0; i < s->n_places; i++) {
-		struct place *p = &b->t.places[s->first_place + i];
-		struct target *t = &b->t.targets[p->target];
-
-		if (p->state != TARGET_UP || nth--)
-			continue;
-		t->share.own = 1;
-		if (!t->share.connections && t->connections)
-			t->share.connections = 1;
-		return;
-	}
-}
-
-static void list_candidates(struct balancer *b, struct service *s)
-{
-	s->n_candidates = 0;
-	for (uint32_t i = 0; i < s->n_places; i++) {
-		uint32_t index = s->first_place + i;
-		struct place *p = &b->t.places[index];
-		struct target *t = &b->t.targets[p->target];
-
-		p->candidate = p->state == TARGET_UP &&
-			       t->share.own + t->share.extra > 0;
-		if (!p->candidate)
-			continue;
-		b->t.candidates[s->first_candidate + s->n_candidates] = index;
-		s->n_candidates++;
-	}
-}
-
-static bool has_own(const struct balancer *b, const struct service *s)
-{
-	for (uint32_t i = 0; i < s->n_places; i++) {
-		const struct place *p = &b->t.places[s->first_place + i];
-
-		if (p->state == TARGET_UP && b->t.targets[p->target].share.own)
-			return true;
-	}
-	return false;
-}
-
-/* With no target left that takes work, waiting is of no use to the caller. */
-static void doom_stranded(struct balancer *b, struct service *s)
-{
-	while (!s->n_candidates && s->queue.n)
-		admit_doom(b, s->queue.head, REFUSE_NO_TARGET);
-}
-
-/**
- * tables_deal() - share out the targets anew
- * @b: balancer
- */
-void tables_deal(struct balancer *b)
-{
-	for (uint32_t i = 0; i < b->t.n_targets; i++) {
-		struct target *t = &b->t.targets[i];
-
-		t->dealt = false;
-		t->share = (struct deal){ 0 };
-	}
-	for (uint32_t i = 0; i < b->t.n_services; i++)
-		deal_service(b, &b->t.services[i]);
-	for (uint32_t i = 0; i < b->t.n_services; i++)
-		if (!has_own(b, &b->t.services[i]))
-			deal_floor(b, &b->t.services[i]);
-	for (uint32_t i = 0; i < b->t.n_services; i++)
-		list_candidates(b, &b->t.services[i]);
-	for (uint32_t i = 0; i < b->t.n_services; i++)
-		doom_stranded(b, &b->t.services[i]);
-	for (uint32_t i = 0; i < b->t.n_targets; i++)
-		fair_ready(b, i);
-	eject_recount(b);
-}
