--- a/bench/bench-balance/main.c
+++ b/bench/bench-balance/main.c
@@ -2,6 +2,7 @@
  * bench-balance: our choice of target against round robin, plain hash, local
  * least-loaded and two random choices, over the same callers.
  */
+#include "feeds.h"
 #include "world.h"
 
 #include <stdio.h>
@@ -183,6 +184,10 @@
 				run(&s);
 		}
 	}
+	for (uint32_t i = 0; i < N_SERVICES; i++)
+		if (!*only || !strcmp(only, "feeds"))
+			feeds_run(SERVICES[i].deployment, SERVICES[i].n_entries,
+				  SERVICES[i].n_targets, SERVICES[i].slots);
 	for (uint32_t i = 0; i < N_GROWTH; i++)
 		if (!*only || !strcmp(only, GROWTH[i].deployment))
 			run(&GROWTH[i]);
