--- a/core/deal.c
+++ b/core/deal.c
@@ -34,6 +34,25 @@
 	return extra < EXTRA_MAX * slots ? extra : EXTRA_MAX * slots;
 }
 
+/*
+ * With fewer slots than entries some would get none, and their callers would be
+ * refused while targets stand idle. Then each entry has one request at one
+ * target, by rank, and the connections there are shared by those it fell to.
+ */
+static struct deal deal_few(const struct deal_order *o, uint32_t connections,
+			    uint32_t nth)
+{
+	uint32_t n = o->n_targets;
+	uint32_t holders = part(o->n_entries, n, nth);
+	struct deal d = { 0 };
+
+	if (o->rank % n != nth)
+		return d;
+	d.own = 1;
+	d.connections = part(connections, holders, o->rank / n);
+	return d;
+}
+
 /**
  * deal_target() - one entry's share of one target
  * @o: order of the deal
@@ -42,27 +61,32 @@
  * @offset: slots of the targets dealt before it; each target's slots go to the
  *	entries that follow the last one served, so that the entries' totals
  *	differ by one at most
+ * @nth: its number among the targets that are up
  *
  * Over all ranks the parts add up to @slots, to deal_extra_total() and to
- * @connections exactly. Connections go to the entries with a part in the slots,
- * since a feed needs a slot to open.
+ * @connections exactly; with fewer slots than entries, own parts to the entries
+ * over the targets instead. Connections go to the entries with a part in the
+ * slots, since a feed needs a slot to open.
  *
  * Return: the share.
  */
 struct deal deal_target(const struct deal_order *o, uint32_t slots,
-			uint32_t connections, uint64_t offset)
+			uint32_t connections, uint64_t offset, uint32_t nth)
 {
 	uint32_t n = o->n_entries;
 	uint32_t extra = deal_extra_total(o, slots);
 	uint32_t distance = (o->rank + n - (uint32_t)(offset % n)) % n;
 	uint32_t past = (distance + n - slots % n) % n;
 	uint32_t holders = slots + extra < n ? slots + extra : n;
-	struct deal d;
+	struct deal d = { 0 };
 
-	d.own = part(slots, n, distance);
+	if (o->n_slots < n) {
+		d = deal_few(o, connections, nth);
+	} else {
+		d.own = part(slots, n, distance);
+		if (distance < holders)
+			d.connections = part(connections, holders, distance);
+	}
 	d.extra = part(extra, n, past);
-	d.connections = 0;
-	if (distance < holders)
-		d.connections = part(connections, holders, distance);
 	return d;
 }
--- a/core/deal.h
+++ b/core/deal.h
@@ -25,15 +25,17 @@
  * @n_entries: entries of the data centre, at least 1
  * @rank: this entry's place among them, below @n_entries
  * @n_targets: targets that are up
+ * @n_slots: slots of them all
  */
 struct deal_order {
 	uint32_t n_entries;
 	uint32_t rank;
 	uint32_t n_targets;
+	uint32_t n_slots;
 };
 
 uint32_t deal_extra_total(const struct deal_order *o, uint32_t slots);
 struct deal deal_target(const struct deal_order *o, uint32_t slots,
-			uint32_t connections, uint64_t offset);
+			uint32_t connections, uint64_t offset, uint32_t nth);
 
 #endif
--- a/core/shares.c
+++ b/core/shares.c
@@ -3,11 +3,20 @@
 
 #define DEAL_SEED 0x6465616cULL
 
-static void count_up(struct balancer *b, struct service *s)
+static uint32_t count_up(struct balancer *b, struct service *s)
 {
+	uint32_t slots = 0;
+
 	s->n_up = 0;
-	for (uint32_t i = 0; i < s->n_places; i++)
-		s->n_up += b->t.places[s->first_place + i].state == TARGET_UP;
+	for (uint32_t i = 0; i < s->n_places; i++) {
+		const struct place *p = &b->t.places[s->first_place + i];
+
+		if (p->state != TARGET_UP)
+			continue;
+		s->n_up++;
+		slots += b->t.targets[p->target].slots;
+	}
+	return slots;
 }
 
 static void deal_service(struct balancer *b, struct service *s)
@@ -16,24 +25,30 @@
 
 	struct deal_order o = { .n_entries = b->n_entries, .rank = b->rank };
 
-	count_up(b, s);
+	uint32_t nth = 0;
+
+	o.n_slots = count_up(b, s);
 	o.n_targets = s->n_up;
 	for (uint32_t i = 0; i < s->n_places; i++) {
 		struct place *p = &b->t.places[s->first_place + i];
 		struct target *t = &b->t.targets[p->target];
 
-		if (p->state != TARGET_UP || t->dealt)
+		if (p->state != TARGET_UP)
+			continue;
+		nth++;
+		if (t->dealt)
 			continue;
 		t->dealt = true;
-		t->share = deal_target(&o, t->slots, t->connections, offset);
+		t->share = deal_target(&o, t->slots, t->connections, offset,
+				       nth - 1);
 		offset += t->slots;
 	}
 }
 
 /*
- * With fewer slots than entries some entries get none, and their callers would
- * be refused while targets stand idle. Such an entry takes one request at one
- * target, spread by rank.
+ * A target that several services list is dealt by the first of them. Another
+ * one that lists only some of its targets may leave an entry without a share;
+ * that entry takes one request at one target, by rank.
  */
 static void deal_floor(struct balancer *b, struct service *s)
 {
