--- a/core/loadview.c
+++ b/core/loadview.c
@@ -3,8 +3,8 @@
 /* A contradiction costs this much trust, agreement regains less. */
 #define TRUST_LOSS 250
 #define TRUST_GAIN 20
-/* Answers and reports cross on the way, so that counts may differ by one. */
-#define REPORT_SLACK 1
+/* A request sent this recently may not be in the report. */
+#define ON_THE_WAY_NS (20 * NS_PER_MS)
 
 /**
  * view_init() - know nothing, trust
@@ -27,6 +27,18 @@
 		v->trust = TRUST_FULL;
 }
 
+/* Judge the last report, once it is clear that no answer came with it. */
+static void judge(struct load_view *v)
+{
+	if (!v->known)
+		return;
+	if (v->said < v->known)
+		lose_trust(v);
+	else
+		gain_trust(v);
+	v->known = 0;
+}
+
 /**
  * view_report() - take a report in
  * @v: view
@@ -34,8 +46,9 @@
  * @inflight: requests this entry has at the target
  * @now_ns: time
  *
- * A target that reports less than this entry alone has there is wrong, whatever
- * the reason. Believed, it would draw everybody's work onto itself.
+ * A target that tells of less than this entry alone has there is wrong,
+ * whatever the reason. Believed, it would draw everybody's work onto itself.
+ * Now and then a report crosses an answer, so that trust is lost by degrees.
  */
 void view_report(struct load_view *v, const struct load_report *r,
 		 uint32_t inflight, uint64_t now_ns)
@@ -43,12 +56,12 @@
 	uint32_t busy = r->running + r->waiting;
 	uint32_t others = busy > inflight ? busy - inflight : 0;
 
-	if (busy + REPORT_SLACK < inflight)
-		lose_trust(v);
-	else
-		gain_trust(v);
+	judge(v);
 	v->others_milli = (v->others_milli + others * 1000) / 2;
 	v->busy = busy;
+	v->said = busy;
+	if (now_ns > v->sent_ns + ON_THE_WAY_NS)
+		v->known = inflight;
 	v->connections = r->connections;
 	v->heard_ns = now_ns;
 }
@@ -56,9 +69,11 @@
 /**
  * view_sent() - this entry sent a request to the target
  * @v: view
+ * @now_ns: time
  */
-void view_sent(struct load_view *v)
+void view_sent(struct load_view *v, uint64_t now_ns)
 {
+	v->sent_ns = now_ns;
 	v->busy++;
 }
 
@@ -69,14 +84,18 @@
  * @slots: slots of the target
  * @now_ns: time
  *
- * A target that sheds while its report shows an idle slot contradicts itself.
+ * A target that sheds while its report shows an idle slot contradicts itself. A
+ * report that came with the answer has left the ended request out already.
  */
 void view_ended(struct load_view *v, enum outcome outcome, uint32_t slots,
 		uint64_t now_ns)
 {
-	if (outcome == OUTCOME_SHED && view_idle(v, slots, now_ns))
+	if (outcome == OUTCOME_SHED && view_usable(v, now_ns) &&
+	    v->busy < slots)
 		lose_trust(v);
-	if (v->busy)
+	if (v->heard_ns == now_ns)
+		v->known = 0;
+	else if (v->busy)
 		v->busy--;
 }
 
@@ -112,15 +131,21 @@
 }
 
 /**
- * view_idle() - does the target seem to have an idle slot
+ * view_idle() - may the target have an idle slot
  * @v: view
  * @slots: slots of the target
+ * @took_ns: mean time of a request there
  * @now_ns: time
  *
- * Return: true when a fresh believable report, with this entry's own sends
- * since, leaves one.
+ * A report of full slots is out of date once a request's time has passed. Of a
+ * target that can't be believed only this entry's own last send is known.
+ *
+ * Return: true when it may.
  */
-bool view_idle(const struct load_view *v, uint32_t slots, uint64_t now_ns)
+bool view_idle(const struct load_view *v, uint32_t slots, uint64_t took_ns,
+	       uint64_t now_ns)
 {
-	return view_usable(v, now_ns) && v->busy < slots;
+	if (v->trust < TRUST_MIN)
+		return now_ns > v->sent_ns + took_ns;
+	return v->busy < slots || now_ns > v->heard_ns + took_ns;
 }
