--- a/test/link_test.c
+++ b/test/link_test.c
@@ -15,7 +15,7 @@
 #define PORT 7002
 #define VM ADDR(0x7f280301, 7000)
 #define DATA_CENTRE "garda"
-#define GIVE_UP_MS 20000
+#define GIVE_UP_MS 10000
 
 static const uint8_t key[32] = { 1 };
 static const uint8_t other_key[32] = { 2 };
@@ -198,6 +198,8 @@
 {
 	struct fixture *f = *state;
 
+	if (f->watch.spread)
+		watch_stop(f);
 	entry_link_close(f->link);
 	uv_close((uv_handle_t *)&f->give_up, NULL);
 	uv_run(&f->loop, UV_RUN_DEFAULT);
@@ -223,7 +225,6 @@
 	assert_int_equal(f->entry.n_vms, 1);
 	spread_withdraw(f->watch.spread, "account/sailing", 9, 1);
 	wait_for_u32(f, &f->entry.n_gone, 1);
-	watch_stop(f);
 }
 
 /*
@@ -247,7 +248,6 @@
 	publish_account(f, 6);
 	wait_for(f, &f->entry.generation, 6);
 	assert_int_equal(f->entry.n_accounts, 2);
-	watch_stop(f);
 }
 
 /*
@@ -265,7 +265,6 @@
 	wait_for(f, &watch_link_counters(f->watch.link)->frames_bad_mac, 2);
 	assert_int_equal(f->entry.n_accounts, 0);
 	assert_int_equal(watch_link_counters(f->watch.link)->entry_hellos, 0);
-	watch_stop(f);
 }
 
 int main(void)
