--- a/cmd/cbload/load.h
+++ b/cmd/cbload/load.h
@@ -88,17 +88,34 @@
 int logs_read(const struct options *o, struct logs *out);
 
 /**
- * struct control - bytes that entries sent to one another
- * @bytes: their counter by entry, -1 when it did not answer
+ * struct peer_bytes - bytes that an entry sent to other entries
+ * @answered: the entry answered
+ * @control: messages of its own
+ * @forwarded: callers' datagrams on their hop to the owner
  */
+struct peer_bytes {
+	bool answered;
+	double control;
+	double forwarded;
+};
+
 struct control {
-	double bytes[MAX_FILES];
+	struct peer_bytes entry[MAX_FILES];
+};
+
+/**
+ * struct control_rate - the same a second, mean of @n_entries entries
+ */
+struct control_rate {
+	double bytes_per_s;
+	double forwarded_per_s;
+	uint32_t n_entries;
 };
 
 void control_sample(const struct options *o, struct control *out);
-double control_rate(const struct options *o, const struct control *begin,
-		    const struct control *end, double seconds,
-		    uint32_t *n_entries);
+void control_rate(const struct options *o, const struct control *begin,
+		  const struct control *end, double seconds,
+		  struct control_rate *out);
 int wait_ready(const char *url);
 
 /**
@@ -110,8 +127,7 @@
 	uint32_t windows[N_LOG_SERVICES];
 	double wait_p50_ms;
 	double wait_p99_ms;
-	double control_bytes_per_s;
-	uint32_t control_entries;
+	struct control_rate control;
 };
 
 int report_make(const struct options *o, GArray *records,
