--- a/Makefile
+++ b/Makefile
@@ -69,12 +69,15 @@
 
 # bench-faults runs the decisions on the tests' own bed.
 TESTBED := $(patsubst %.c,$(B)/%.o,$(wildcard test/testbed*.c))
+# slopes-spread measures on the bed of the spread's tests.
+SPREADBED := $(B)/test/spread_net.o
+bed = $(if $(filter %/bench-faults/,$(1)),$(TESTBED)) $(if $(filter %/slopes-spread/,$(1)),$(SPREADBED))
 
 define PROG
-$(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(if $(filter %/bench-faults/,$(1)),$(TESTBED))
+$(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(call bed,$(1))
 	@mkdir -p $$(@D)
 	@echo LD $$@
-	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(if $(filter %/bench-faults/,$(1)),$(TESTBED)) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
+	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(call bed,$(1)) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
 endef
 $(foreach d,$(PROGDIRS),$(eval $(call PROG,$(d))))
 
--- a/test/spread_net.c
+++ b/test/spread_net.c
@@ -13,8 +13,9 @@
 #define CALL_NS (5 * NET_MS)
 #define WATCH_NS (20 * NET_S)
 #define KEYS_MAX 64
-#define TEXT_MAX 16384
-#define ITEMS_MAX 2048
+/* A value of the platform holds a megabyte at most. */
+#define TEXT_MAX (1 << 20)
+#define ITEMS_MAX 32768
 #define LOG_MAX 4096
 #define VMS_MAX 512
 #define VM_BASE 0x7f280100U
@@ -174,7 +175,7 @@
 
 static void publish_vms(struct net *net)
 {
-	char text[TEXT_MAX] = "";
+	char text[16 * VMS_MAX] = "";
 	size_t used = 0;
 
 	for (uint32_t i = 0; i < net->n; i++)
@@ -254,7 +255,7 @@
 static int render(struct vm *vm, char *text, char *template_copy,
 		  struct content **out, uint64_t *generation, char *wanted)
 {
-	struct item items[ITEMS_MAX];
+	static struct item items[ITEMS_MAX];
 	uint32_t n = split(text, items, 0);
 	const char *name;
 
@@ -281,13 +282,14 @@
 			 uint32_t size_bytes, uint64_t revision, char *template)
 {
 	struct vm *vm = ctx;
-	char copy[TEXT_MAX] = "", template_copy[TEXT_MAX];
-	struct item items[ITEMS_MAX];
+	static char copy[TEXT_MAX + 1], template_copy[TEXT_MAX + 1];
+	static struct item items[ITEMS_MAX];
 	struct content *c = NULL;
 	uint64_t generation = revision;
 	int err = 0;
 
 	memcpy(copy, text, size_bytes);
+	copy[size_bytes] = 0;
 	if (template)
 		vm->template[0] = 0;
 	if (!strcmp(key, VMS_KEY))
@@ -529,8 +531,9 @@
 	bool reached = net->platform != NET_DOWN && vm->side == 0;
 	struct reader_answer a = { 0 };
 	struct call call = vm->call;
-	char body[TEXT_MAX] = "";
+	static char body[TEXT_MAX];
 
+	body[0] = 0;
 	if (!call.active || net->now_ns < call.due_ns)
 		return;
 	if (reached && call.kind == CALL_WATCH && v->revision <= call.after &&
