--- a/adapters/account_codec.h
+++ b/adapters/account_codec.h
@@ -5,8 +5,6 @@
 #include "config.h"
 #include "content.h"
 
-#define ACCOUNT_CODEC_VERSION 1
-
 /**
  * account_encode() - an account as a content
  * @a: account; its name and generation travel beside the content
--- a/core/spread_internal.h
+++ b/core/spread_internal.h
@@ -120,4 +120,14 @@
 void peers_digest(struct spread *s, uint64_t vm, bool ask, uint64_t now_ns);
 void peers_agreed(struct spread *s, uint64_t vm, uint64_t now_ns);
 
+/* spread_readers.c */
+void readers_rank(struct spread *s);
+void readers_heard(struct spread *s, struct spread_peer *p,
+		   const struct spread_msg *msg, uint64_t now_ns);
+void readers_tick(struct spread *s, uint64_t now_ns);
+
+/* spread_relay.c */
+void relay_accepted(struct spread *s, struct record *r, uint64_t from,
+		    uint64_t now_ns);
+
 #endif
