toml: depth and line length are bounded before the parser sees a document

Cause: a dotted key of 100,000 parts killed the process (SIGSEGV, stack overflow in the parser's recursion), a line of 100,000 array items took 12.4 s (the parser goes back to the line's start for each value), an integer too large reads as the largest one. A document that an operator publishes by mistake would have killed or stalled cb-watch on all VMs at once, and a generation with a finger slip could never have been followed by another. Ruled out: patching the parser (packaged), counting brackets alone (as before: dots and long lines got past it; brackets in comments were counted).

--- a/adapters/publication.c
+++ b/adapters/publication.c
@@ -9,6 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * A generation never falls. One that has no room above it, as a slip of the
+ * finger or the parser's largest integer in place of a larger one, could never
+ * be followed by another.
+ */
+#define GENERATION_MAX 1000000000000000LL
 #define WEIGHT_MAX 1000
 #define TIMEOUT_MAX_MS 3600000
 #define QUEUE_MAX 65536
@@ -27,7 +33,7 @@
 
 static const struct field generation_field =
 	FIELD(account_conf, "generation", FIELD_U64, generation,
-	      .required = true, RANGE(1, INT64_MAX, 0));
+	      .required = true, RANGE(1, GENERATION_MAX, 0));
 
 static const struct field service_fields[] = {
 	FIELD(service_conf, "name", FIELD_NAME, name, .required = true),
--- a/adapters/publication_compare.c
+++ b/adapters/publication_compare.c
@@ -9,6 +9,7 @@
 #define DOCUMENT_BYTES 128
 #define KEY_TEXT_BYTES 128
 #define PROBLEM_BYTES 160
+#define JUMP_USUAL_MAX 1000000
 
 /**
  * struct comparison - two accounts, and what differs besides the generation
@@ -32,8 +33,8 @@
 	char key[KEY_TEXT_BYTES];
 
 	snprintf(key, sizeof(key), "%s%s%s%s%s", at->service,
-		 at->target[0] ? "." : "", at->target, at->key[0] ? "." : "",
-		 at->key);
+		 at->target[0] ? "." : "", at->target,
+		 at->service[0] && at->key[0] ? "." : "", at->key);
 	mistake_warn(c->m, c->document, 0, key, problem, expected);
 }
 
@@ -135,6 +136,20 @@
 		     "one target with state = \"up\"");
 }
 
+/* A slip of the finger can't be taken back: a lower one is refused. */
+static void jump_check(struct comparison *c)
+{
+	struct change at = { .service = "", .target = "", .key = "generation" };
+	char problem[PROBLEM_BYTES];
+
+	if (c->next->generation < c->standing->generation + JUMP_USUAL_MAX)
+		return;
+	snprintf(problem, sizeof(problem), "jumps from %llu to %llu",
+		 (unsigned long long)c->standing->generation,
+		 (unsigned long long)c->next->generation);
+	warn(c, &at, problem, "the next one; no lower one is taken after it");
+}
+
 static void generation_check(struct comparison *c)
 {
 	char problem[PROBLEM_BYTES];
@@ -162,6 +177,7 @@
 	if (!next)
 		return;
 	generation_check(&c);
+	jump_check(&c);
 	for (uint32_t i = 0; i < standing->n_services; i++) {
 		const struct service_conf *s =
 			account_service(next, standing->services[i].name);
--- a/adapters/toml.cc
+++ b/adapters/toml.cc
@@ -1,5 +1,9 @@
 #include "toml.h"
 
+extern "C" {
+#include "toml_shape.h"
+}
+
 #include <algorithm>
 #include <cstdlib>
 #include <cstring>
@@ -43,26 +47,6 @@
 	}
 };
 
-/*
- * The parser recurses for each nested array or inline table, so a document of
- * open brackets would end in a stack overflow, that is, a dead process. Count
- * them first. Brackets in strings count too; nobody writes 64 unclosed ones.
- */
-static bool too_deep(const char *text, size_t size_bytes)
-{
-	unsigned depth = 0;
-
-	for (size_t i = 0; i < size_bytes; i++) {
-		if (text[i] == '[' || text[i] == '{')
-			depth++;
-		else if ((text[i] == ']' || text[i] == '}') && depth > 0)
-			depth--;
-		if (depth > TOML_DEPTH_MAX)
-			return true;
-	}
-	return false;
-}
-
 static void *allocate(size_t n, size_t size_bytes)
 {
 	void *p = calloc(n ? n : 1, size_bytes);
@@ -195,16 +179,8 @@
 {
 	struct toml_node *root = nullptr;
 
-	if (size_bytes > TOML_MAX_BYTES) {
-		mistake_add(m, document, 0, "", "document too large",
-			    "at most 1 MiB");
+	if (!toml_shape_check(document, text, size_bytes, m))
 		return nullptr;
-	}
-	if (too_deep(text, size_bytes)) {
-		mistake_add(m, document, 0, "", "values nest too deep",
-			    "at most 64 levels");
-		return nullptr;
-	}
 	try {
 		root = static_cast<toml_node *>(allocate(1, sizeof(toml_node)));
 		parse(std::string(text, size_bytes), document, root);
--- a/adapters/toml.h
+++ b/adapters/toml.h
@@ -13,9 +13,6 @@
 
 #include <stddef.h>
 
-#define TOML_MAX_BYTES (1U << 20)
-#define TOML_DEPTH_MAX 64
-
 enum toml_kind {
 	TOML_STRING,
 	TOML_INTEGER,
--- a/test/publication_test.c
+++ b/test/publication_test.c
@@ -163,6 +163,8 @@
 	  "missing" },
 	{ NULL, "generation = 0\n", "account/club", 1, "generation",
 	  "out of range" },
+	{ NULL, "generation = 99999999999999999999\n", "account/club", 1,
+	  "generation", "out of range" },
 	{ NULL, "generation = 1\n[[service]]\nname = \"a\"\n", "account/club",
 	  2, "service.vip", "missing" },
 	{ NULL, WITH("queue_max = -1"), "account/club", 5, "service.queue_max",
@@ -315,6 +317,9 @@
 	(void)unused;
 	compare("generation = 3\n" FIRST, "generation = 3\n" FIRST, &m);
 	assert_int_equal(m.n, 0);
+	compare("generation = 3\n" FIRST, "generation = 30000000\n" FIRST, &m);
+	assert_true(warned(&m, "generation", "jumps from 3"));
+	mistakes_free(&m);
 	compare("generation = 3\n" FIRST, "generation = 3\n" BOTH, &m);
 	assert_int_equal(m.n_errors, 1);
 	mistakes_free(&m);
