--- a/adapters/lines_json.c
+++ b/adapters/lines_json.c
@@ -18,6 +18,10 @@
 	{ "gauge", "gauges", { "name", "value" } },
 	{ "counter", "counters", { "name", "value" } },
 	{ "target", "targets", { "address", "values" } },
+	{ "request", "requests", { "values" } },
+	{ "feed", "feeds", { "values" } },
+	{ "copy", "copies", { "values" } },
+	{ "pin", "pins", { "values" } },
 	{ "refused", "refused", { "key", "reason" } },
 };
 
--- a/cmd/cbctl/cbctl.h
+++ b/cmd/cbctl/cbctl.h
@@ -82,6 +82,10 @@
 enum exit_code ask(const char *peer, const char *path, GString *body);
 enum exit_code ask_url(const char *step, const char *peer, const char *url,
 		       GString *body);
+enum exit_code each_peer(const struct request *r, uint32_t n,
+			 enum exit_code (*load)(const struct request *r,
+						const char *peer,
+						GString *body));
 enum exit_code worse(enum exit_code a, enum exit_code b);
 void complain(const char *step, const char *peer, const char *format, ...)
 	__attribute__((format(printf, 3, 4)));
@@ -92,6 +96,7 @@
 enum exit_code render_run(const struct request *r);
 enum exit_code diff_run(const struct request *r);
 enum exit_code status_run(const struct request *r);
+enum exit_code targets_run(const struct request *r);
 enum exit_code flows_run(const struct request *r);
 enum exit_code explain_run(const struct request *r);
 enum exit_code drain_run(const struct request *r);
--- a/cmd/cbctl/status.c
+++ b/cmd/cbctl/status.c
@@ -1,4 +1,4 @@
-/* status, flows, explain: pages of daemons, as they are or as JSON. */
+/* status, targets, explain: pages of daemons, as they are or as JSON. */
 #include "cbctl.h"
 
 #include "settings.h"
@@ -16,33 +16,50 @@
 	g_strfreev(lines);
 }
 
-static enum exit_code one(const struct request *r, const char *peer,
-			  const char *path, GString *json)
+static void peer_json(GString *json, const char *peer, const char *body)
+{
+	json_open(json, NULL, '{');
+	json_string(json, "peer", peer);
+	lines_json(json, body);
+	json_close(json, '}');
+}
+
+static enum exit_code one_peer(const struct request *r, const char *peer,
+			       enum exit_code (*load)(const struct request *r,
+						      const char *peer,
+						      GString *body),
+			       GString *json)
 {
 	GString *body = g_string_new(NULL);
-	enum exit_code code = ask(peer, path, body);
+	enum exit_code code = load(r, peer, body);
 
-	if (code == EXIT_OK && r->json) {
-		json_open(json, NULL, '{');
-		json_string(json, "peer", peer);
-		lines_json(json, body->str);
-		json_close(json, '}');
-	} else if (code == EXIT_OK) {
+	if (code == EXIT_OK && r->json)
+		peer_json(json, peer, body->str);
+	else if (code == EXIT_OK)
 		print_lines(peer, body->str);
-	}
 	g_string_free(body, TRUE);
 	return code;
 }
 
-static enum exit_code pages(const struct request *r, uint32_t n,
-			    const char *path)
+/**
+ * each_peer() - print a page of each of the first operands
+ * @r: command line
+ * @n: how many of its operands are peers
+ * @load: loads the page
+ *
+ * Return: the gravest end.
+ */
+enum exit_code each_peer(const struct request *r, uint32_t n,
+			 enum exit_code (*load)(const struct request *r,
+						const char *peer,
+						GString *body))
 {
 	GString *json = g_string_new(NULL);
 	enum exit_code code = EXIT_OK;
 
 	json_open(json, NULL, '[');
 	for (uint32_t i = 0; i < n; i++)
-		code = worse(code, one(r, r->operands[i], path, json));
+		code = worse(code, one_peer(r, r->operands[i], load, json));
 	json_close(json, ']');
 	if (r->json)
 		print_json(json);
@@ -51,25 +68,47 @@
 	return code;
 }
 
-enum exit_code status_run(const struct request *r)
+static enum exit_code status_load(const struct request *r, const char *peer,
+				  GString *body)
 {
-	return pages(r, r->n_operands, "/status");
+	(void)r;
+	return ask(peer, "/status", body);
 }
 
-enum exit_code flows_run(const struct request *r)
+static enum exit_code targets_load(const struct request *r, const char *peer,
+				   GString *body)
 {
-	char *path = g_strdup_printf("/flows?limit=%u", r->limit);
-	enum exit_code code = pages(r, r->n_operands, path);
+	char *path = g_strdup_printf("/targets?limit=%u", r->limit);
+	enum exit_code code = ask(peer, path, body);
 
 	g_free(path);
 	return code;
 }
 
+static enum exit_code explain_load(const struct request *r, const char *peer,
+				   GString *body)
+{
+	char *path = g_strdup_printf("/explain?caller=%s&vip=%s",
+				     r->operands[1], r->operands[2]);
+	enum exit_code code = ask(peer, path, body);
+
+	g_free(path);
+	return code;
+}
+
+enum exit_code status_run(const struct request *r)
+{
+	return each_peer(r, r->n_operands, status_load);
+}
+
+enum exit_code targets_run(const struct request *r)
+{
+	return each_peer(r, r->n_operands, targets_load);
+}
+
 enum exit_code explain_run(const struct request *r)
 {
-	enum exit_code code;
 	uint64_t addr;
-	char *path;
 
 	for (uint32_t i = 1; i < r->n_operands; i++) {
 		if (!addr_parse(r->operands[i], &addr))
@@ -77,9 +116,5 @@
 		complain("address", r->operands[i], "expected IP:PORT");
 		return EXIT_USAGE;
 	}
-	path = g_strdup_printf("/explain?caller=%s&vip=%s", r->operands[1],
-			       r->operands[2]);
-	code = pages(r, 1, path);
-	g_free(path);
-	return code;
+	return each_peer(r, 1, explain_load);
 }
--- a/test/json_test.c
+++ b/test/json_test.c
@@ -88,6 +88,9 @@
 	expect("target 127.2.0.1:5683 inflight=1 feeds=2\n",
 	       "{\"targets\":[{\"address\":\"127.2.0.1:5683\",\"inflight\":1,"
 	       "\"feeds\":2}]}");
+	expect("feed caller=127.8.0.1:9 target=- age_ms=4\npin vip=x state=y\n",
+	       "{\"feeds\":[{\"caller\":\"127.8.0.1:9\",\"target\":\"-\","
+	       "\"age_ms\":4}],\"pins\":[{\"vip\":\"x\",\"state\":\"y\"}]}");
 	expect("refused account/x: no generation: 3\n",
 	       "{\"refused\":[{\"key\":\"account/x:\","
 	       "\"reason\":\"no generation: 3\"}]}");
--- a/test/toml_prop.cc
+++ b/test/toml_prop.cc
@@ -136,6 +136,14 @@
 				read_whole("a = " + std::string(n, c));
 				read_whole(std::string(n, c));
 			});
+	ok &= rc::check("dotted keys are a mistake, not a stack overflow", [] {
+		const auto n = *rc::gen::inRange(100, 200000);
+		std::string s = *rc::gen::element<std::string>("a", "[a");
+
+		for (int i = 0; i < n; i++)
+			s += i % 100 ? ".a" : ".a = {\na";
+		read_whole(s + " = 1");
+	});
 	ok &= rc::check("a damaged account renders or is refused",
 			[] { render(damage(account_text), template_text); });
 	ok &= rc::check("a damaged template renders or is refused",
