History of buckets in one number each; the first account keeps a doubled VIP

Buckets whose history is whole are now named in 2 bytes, 640 a message. Cause of callers taken over by another account with the same VIP: the last by name overwrote the index. The first now keeps it, on every entry alike.

--- a/core/entry.c
+++ b/core/entry.c
@@ -139,6 +139,13 @@
 		for (uint32_t k = 0; k < a->n_services; k++) {
 			const struct service_conf *s = &a->services[k];
 
+			/*
+			 * Two accounts may not have one VIP. Should it happen,
+			 * the first by name keeps it on every entry; the other
+			 * must not take its callers.
+			 */
+			if (service_find(e, s->vip))
+				continue;
 			e->service_list[n] = s;
 			index_put(e->services, hash_u64(s->vip, 0), n);
 			n++;
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -213,6 +213,7 @@
 
 	struct stream *streams;
 	uint64_t *held_when_leaving;
+	uint8_t *refused_names;
 	uint64_t allowance_bytes;
 	uint64_t allowance_ns;
 	struct id_space *ids;
--- a/core/peer.h
+++ b/core/peer.h
@@ -23,8 +23,9 @@
  * @PEER_FEED: second copy of an open feed
  * @PEER_FEED_CLOSE: drop that copy
  * @PEER_PIN: second copy of a transfer's pin; without a target: it ended
- * @PEER_RECORD: a claim's record, handed over by a leaving entry
- * @PEER_HANDOVER: a leaving entry has handed over all of it
+ * @PEER_RECORD: history of buckets for an entry that joins their pairs: claims,
+ *	and as data the buckets whose history is whole now
+ * @PEER_HANDOVER: answer to it; as data the buckets not taken yet
  */
 enum peer_kind {
 	PEER_PING = 1,
--- a/core/stream.c
+++ b/core/stream.c
@@ -1,7 +1,7 @@
 /*
  * Handing a bucket's history to an entry that joins its pair: the records of
- * its non-idempotent requests and then, as a line without a state, the word
- * that these were all. One message at a time to each receiver, repeated until
+ * its non-idempotent requests, and the numbers of the buckets whose history is
+ * whole with them. One message at a time to each receiver, repeated until
  * acknowledged. Without it a second loss within the time in which callers
  * repeat would leave nobody who knows what ran.
  */
@@ -16,6 +16,9 @@
 #define STREAM_TRIES_MAX 25
 #define REFUSED_MAX 50
 #define LINE_BYTES 40
+#define MESSAGE_BYTES 64
+#define NAMED_MAX 640
+#define NAME_BYTES 2
 
 /**
  * struct stream - what one receiver still has to be told
@@ -28,10 +31,13 @@
  * @cursor: record of that bucket to go on with, CLAIM_SLOT_NONE at its start
  * @in_bucket: @cursor is valid
  * @retry_ns: when to repeat the message under way
- * @n_lines: its lines; 0 when none is under way
+ * @under_way: a message is out
+ * @n_lines: its records
  * @tries: times it was sent
  * @refused: messages in a row of which the receiver refused a part
- * @lines: the lines
+ * @lines: records
+ * @n_named: buckets named as whole
+ * @named: their numbers, 16 bits each, big endian
  */
 struct stream {
 	uint64_t vm;
@@ -43,19 +49,34 @@
 	uint32_t cursor;
 	bool in_bucket;
 	uint64_t retry_ns;
+	bool under_way;
 	uint8_t n_lines;
 	uint8_t tries;
 	uint8_t refused;
+	uint16_t n_named;
 	struct claim lines[CLAIMS_MAX];
+	uint8_t named[NAMED_MAX * NAME_BYTES];
 };
 
+static void name_put(uint8_t *names, uint32_t i, uint32_t bucket)
+{
+	names[i * NAME_BYTES] = (uint8_t)(bucket >> 8);
+	names[i * NAME_BYTES + 1] = (uint8_t)bucket;
+}
+
+static uint32_t name_get(const uint8_t *names, uint32_t i)
+{
+	return (uint32_t)names[i * NAME_BYTES] << 8 | names[i * NAME_BYTES + 1];
+}
+
 int streams_init(struct entry *e)
 {
 	uint32_t words = (e->conf.n_buckets + 63) / 64;
 
 	e->streams = calloc(STREAMS_MAX, sizeof(*e->streams));
 	e->held_when_leaving = calloc(words, sizeof(uint64_t));
-	if (!e->streams || !e->held_when_leaving)
+	e->refused_names = calloc(NAMED_MAX, NAME_BYTES);
+	if (!e->streams || !e->held_when_leaving || !e->refused_names)
 		return -ENOMEM;
 	for (uint32_t i = 0; i < STREAMS_MAX; i++) {
 		e->streams[i].due = calloc(words, sizeof(uint64_t));
@@ -69,6 +90,7 @@
 void streams_free(struct entry *e)
 {
 	free(e->held_when_leaving);
+	free(e->refused_names);
 	if (!e->streams)
 		return;
 	for (uint32_t i = 0; i < STREAMS_MAX; i++) {
@@ -100,7 +122,7 @@
 	memset(s->due, 0, words * sizeof(uint64_t));
 	s->vm = ADDR_NONE;
 	s->n_due = 0;
-	s->n_lines = 0;
+	s->under_way = false;
 	s->in_bucket = false;
 	s->tries = 0;
 	s->refused = 0;
@@ -176,7 +198,11 @@
 
 static void bucket_done(struct stream *s)
 {
-	s->due[s->scan / 64] &= ~(1ULL << (s->scan % 64));
+	uint64_t bit = 1ULL << (s->scan % 64);
+
+	if (s->whole[s->scan / 64] & bit)
+		name_put(s->named, s->n_named++, s->scan);
+	s->due[s->scan / 64] &= ~bit;
 	s->n_due--;
 	s->in_bucket = false;
 }
@@ -187,7 +213,7 @@
 		s->scan = (s->scan + 1) % e->conf.n_buckets;
 }
 
-/* Records of one bucket into the message; its last line says: these were all. */
+/* Records of one bucket into the message, and its name when these are all. */
 static void fill_bucket(struct entry *e, struct stream *s)
 {
 	uint32_t slot = claims_first(e->claims, s->scan);
@@ -201,25 +227,38 @@
 	}
 	s->cursor = slot;
 	s->in_bucket = true;
-	if (slot != CLAIM_SLOT_NONE || s->n_lines == CLAIMS_MAX)
-		return;
-	memset(&s->lines[s->n_lines], 0, sizeof(s->lines[0]));
-	s->lines[s->n_lines].bucket = s->scan;
-	s->lines[s->n_lines].covered =
-		s->whole[s->scan / 64] >> (s->scan % 64) & 1;
-	s->n_lines++;
-	bucket_done(s);
+	if (slot == CLAIM_SLOT_NONE)
+		bucket_done(s);
 }
 
-static void send_lines(struct entry *e, struct stream *s)
+static void fill(struct entry *e, struct stream *s)
+{
+	s->n_lines = 0;
+	s->n_named = 0;
+	s->seq = rng_next(&e->rng);
+	while (s->n_due && s->n_lines < CLAIMS_MAX && s->n_named < NAMED_MAX) {
+		next_due(e, s);
+		fill_bucket(e, s);
+	}
+	s->under_way = true;
+}
+
+static uint32_t stream_bytes(const struct stream *s)
+{
+	return MESSAGE_BYTES + s->n_lines * LINE_BYTES +
+	       s->n_named * NAME_BYTES;
+}
+
+static void send_message(struct entry *e, struct stream *s)
 {
 	struct peer_msg *m = emit_peer(e, s->vm, PEER_RECORD);
 
 	m->seq = s->seq;
 	m->n_claims = s->n_lines;
 	memcpy(m->claims, s->lines, s->n_lines * sizeof(s->lines[0]));
+	m->data = s->named;
+	m->size_bytes = s->n_named * NAME_BYTES;
 	s->tries++;
-	s->retry_ns = e->now_ns + STREAM_RETRY_NS;
 }
 
 static void stream_go_on(struct entry *e, struct stream *s)
@@ -227,25 +266,15 @@
 	if (e->now_ns < s->retry_ns)
 		return;
 	if (s->tries > STREAM_TRIES_MAX || s->refused > REFUSED_MAX ||
-	    !vm_owns(e, s->vm)) {
+	    !vm_owns(e, s->vm) || (!s->under_way && !s->n_due)) {
 		stream_close(e, s);
 		return;
 	}
-	if (!s->n_lines && !s->n_due) {
-		stream_close(e, s);
-		return;
-	}
-	if (!allowance_take(e, CLAIMS_MAX * LINE_BYTES)) {
-		s->retry_ns = e->now_ns + STREAM_RETRY_NS;
-		return;
-	}
-	if (!s->n_lines)
-		s->seq = rng_next(&e->rng);
-	while (s->tries == 0 && s->n_due && s->n_lines < CLAIMS_MAX) {
-		next_due(e, s);
-		fill_bucket(e, s);
-	}
-	send_lines(e, s);
+	if (!s->under_way)
+		fill(e, s);
+	s->retry_ns = e->now_ns + STREAM_RETRY_NS;
+	if (allowance_take(e, stream_bytes(s)))
+		send_message(e, s);
 }
 
 /* streams_tick() - send what is due to each receiver. */
@@ -272,24 +301,19 @@
  * pair. The sender may have heard of the change before us: taken now, the word
  * would be lost, and after the next change nobody would know the history.
  *
- * Return: false when it has to be sent again, later.
+ * Return: false when it has to be said again, later.
  */
-static bool take_line(struct entry *e, const struct claim *line)
+static bool take_name(struct entry *e, uint32_t bucket)
 {
 	struct ring_pair pair;
 
-	if (line->bucket >= e->conf.n_buckets)
+	if (bucket >= e->conf.n_buckets)
 		return true;
-	if (line->state != CLAIM_NONE || line->request != 0) {
-		take_record(e, line);
-		return true;
-	}
-	pair = ring_at(e->ring, line->bucket);
+	pair = ring_at(e->ring, bucket);
 	if (pair.owner != e->conf.member.self &&
 	    pair.second != e->conf.member.self)
 		return false;
-	if (line->covered)
-		ring_cover(e->ring, line->bucket);
+	ring_cover(e->ring, bucket);
 	return true;
 }
 
@@ -297,12 +321,21 @@
 void stream_received(struct entry *e, const struct peer_msg *msg)
 {
 	struct peer_msg *m = emit_peer(e, msg->from, PEER_HANDOVER);
+	uint32_t refused = 0;
 
-	m->seq = msg->seq;
 	for (uint8_t i = 0; i < msg->n_claims; i++) {
-		if (!take_line(e, &msg->claims[i]))
-			m->claims[m->n_claims++] = msg->claims[i];
+		if (msg->claims[i].bucket < e->conf.n_buckets)
+			take_record(e, &msg->claims[i]);
+	}
+	for (uint32_t i = 0; i < msg->size_bytes / NAME_BYTES; i++) {
+		uint32_t bucket = name_get(msg->data, i);
+
+		if (refused < NAMED_MAX && !take_name(e, bucket))
+			name_put(e->refused_names, refused++, bucket);
 	}
+	m->seq = msg->seq;
+	m->data = e->refused_names;
+	m->size_bytes = refused * NAME_BYTES;
 }
 
 static void due_again(const struct entry *e, struct stream *s, uint32_t bucket)
@@ -315,23 +348,27 @@
 	s->n_due++;
 }
 
+static void acked(struct entry *e, struct stream *s, const struct peer_msg *msg)
+{
+	uint32_t refused = msg->size_bytes / NAME_BYTES;
+
+	s->under_way = false;
+	s->tries = 0;
+	s->retry_ns = e->now_ns + (refused ? STREAM_RETRY_NS : 0);
+	s->refused = refused ? s->refused + 1 : 0;
+	for (uint32_t i = 0; i < refused; i++)
+		due_again(e, s, name_get(msg->data, i));
+	stream_go_on(e, s);
+}
+
 /* stream_acked() - PEER_HANDOVER: the receiver has the message under way. */
 void stream_acked(struct entry *e, const struct peer_msg *msg)
 {
 	for (uint32_t i = 0; i < STREAMS_MAX; i++) {
 		struct stream *s = &e->streams[i];
 
-		if (s->vm != msg->from || !s->n_lines || s->seq != msg->seq)
-			continue;
-		s->n_lines = 0;
-		s->tries = 0;
-		s->retry_ns = e->now_ns;
-		s->refused = msg->n_claims ? s->refused + 1 : 0;
-		if (msg->n_claims)
-			s->retry_ns += STREAM_RETRY_NS;
-		for (uint8_t k = 0; k < msg->n_claims; k++)
-			due_again(e, s, msg->claims[k].bucket);
-		stream_go_on(e, s);
+		if (s->vm == msg->from && s->under_way && s->seq == msg->seq)
+			acked(e, s, msg);
 	}
 }
 
@@ -340,7 +377,7 @@
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < STREAMS_MAX; i++)
-		n += e->streams[i].n_due + (e->streams[i].n_lines > 0);
+		n += e->streams[i].n_due + e->streams[i].under_way;
 	return n;
 }
 
