--- a/cmd/cbload/load.h
+++ b/cmd/cbload/load.h
@@ -58,6 +58,7 @@
 struct callers;
 
 int options_read(int argc, char **argv, struct options *o);
+void options_free(struct options *o);
 
 GArray *plan_make(const struct options *o);
 
--- a/cmd/cbload/main.c
+++ b/cmd/cbload/main.c
@@ -125,28 +125,41 @@
 	return err || !tally_clean(&report.tally) ? EXIT_UNCLEAN : 0;
 }
 
-int main(int argc, char **argv)
+static int load_and_account(const struct options *o)
 {
-	struct options o;
-	struct run run = { .o = &o };
+	struct run run = { .o = o };
 	struct control begin;
 	int status;
-	int err = options_read(argc, argv, &o);
+	int err;
 
-	if (err)
-		return err > 0 ? 0 : EXIT_USAGE;
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	if (o.wait_ready)
-		return wait_ready(o.wait_ready);
-	control_sample(&o, &begin);
+	control_sample(o, &begin);
 	err = run_load(&run);
 	if (err) {
 		fprintf(stderr, "cbload: libcoap: %s\n", g_strerror(-err));
 		return EXIT_UNCLEAN;
 	}
-	status = account(&o, &run, &begin);
+	status = account(o, &run, &begin);
 	callers_close(run.callers);
 	g_array_free(run.plan, TRUE);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct options o;
+	int status;
+	int err = options_read(argc, argv, &o);
+
+	if (err) {
+		options_free(&o);
+		return err > 0 ? 0 : EXIT_USAGE;
+	}
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (o.wait_ready)
+		status = wait_ready(o.wait_ready);
+	else
+		status = load_and_account(&o);
 	curl_global_cleanup();
+	options_free(&o);
 	return status;
 }
--- a/cmd/cbload/options.c
+++ b/cmd/cbload/options.c
@@ -259,37 +259,57 @@
 	       "refused or broken; 1 something was; 2 bad usage.\n");
 }
 
-/**
- * options_read() - read and check the command line
- * @argc, @argv: as main() got them
- * @o: filled
- *
- * Return: 0 to go on; 1 when help or version was printed; -EINVAL after
- * every mistake was printed; -ENOMEM.
- */
-int options_read(int argc, char **argv, struct options *o)
+static int parse(int argc, char **argv, struct table *t, struct options *o)
 {
-	struct table t;
 	int mistakes;
 
-	make_load(&t);
-	make_rest(&t);
-	if (arg_nullcheck((void **)&t))
+	if (arg_nullcheck((void **)t))
 		return -ENOMEM;
-	set_defaults(&t);
-	mistakes = arg_parse(argc, argv, (void **)&t);
-	if (t.help->count) {
-		print_help((void **)&t);
+	set_defaults(t);
+	mistakes = arg_parse(argc, argv, (void **)t);
+	if (t->help->count) {
+		print_help((void **)t);
 		return 1;
 	}
-	if (t.version->count) {
+	if (t->version->count) {
 		printf("cbload " VERSION "\n");
 		return 1;
 	}
 	if (mistakes) {
-		arg_print_errors(stderr, t.end, "cbload");
+		arg_print_errors(stderr, t->end, "cbload");
 		return -EINVAL;
 	}
+	return read_table(t, o);
+}
+
+/**
+ * options_read() - read and check the command line
+ * @argc, @argv: as main() got them
+ * @o: filled; to be freed with options_free() in any case
+ *
+ * Return: 0 to go on; 1 when help or version was printed; -EINVAL after
+ * every mistake was printed; -ENOMEM.
+ */
+int options_read(int argc, char **argv, struct options *o)
+{
+	struct table t;
+	int err;
+
 	memset(o, 0, sizeof(*o));
-	return read_table(&t, o);
+	make_load(&t);
+	make_rest(&t);
+	err = parse(argc, argv, &t, o);
+	arg_freetable((void **)&t, sizeof(t) / sizeof(void *));
+	return err;
+}
+
+/**
+ * options_free() - free what options_read() kept
+ * @o: command line
+ */
+void options_free(struct options *o)
+{
+	for (uint32_t i = 0; i < o->n_runs; i++)
+		free(o->runs_service[i] ? o->runs_service[i] : o->runs[i]);
+	o->n_runs = 0;
 }
