One entry carries a transfer from its first block to its last

Cause of uploads cut after a change of owner: a target knows a transfer by the address its blocks come from (RFC 7959), and the new owner sent the next block from its own. The entry that began a transfer now carries it to the end, also as it leaves; the new owner forwards later blocks to it, or says 'not run, begin again' when it is gone. A claim is complete when all of the present pair but the claimer granted it, so a carrier, or an owner whose bucket moved while its claim was out, goes on as it is. Blocks before the last run nothing at the target and need no claim: claims of an upload of n blocks n to 1. Claims and grants name only what the receiver lacks. The second's copy of pins is gone: it had no more use.

--- a/adapters/coap_make.c
+++ b/adapters/coap_make.c
@@ -199,6 +199,7 @@
 	[REFUSE_MEMORY] = "no memory",
 	[REFUSE_SHED] = "targets shed it",
 	[REFUSE_LEAVING] = "leaving",
+	[REFUSE_TRANSFER] = "transfer interrupted, begin again",
 };
 
 static const char *reason_text(uint8_t reason)
--- a/adapters/coap_wire.c
+++ b/adapters/coap_wire.c
@@ -87,6 +87,18 @@
 		s->m->flags |= MSG_MORE;
 }
 
+static void scan_block1(struct scan *s, const coap_opt_t *opt)
+{
+	uint32_t value;
+
+	scan_block(s, opt);
+	if (!s->request || !(s->m->flags & MSG_PART))
+		return;
+	s->m->flags |= MSG_BODY;
+	if (option_uint(opt, &value) && (value >> 4) == 0)
+		s->m->flags |= MSG_START;
+}
+
 static void scan_timeout(struct scan *s, const coap_opt_t *opt)
 {
 	uint32_t ms;
@@ -117,7 +129,7 @@
 	void (*scan)(struct scan *s, const coap_opt_t *opt);
 } scans[] = { { COAP_OPTION_OBSERVE, scan_observe },
 	      { COAP_OPTION_BLOCK2, scan_block },
-	      { COAP_OPTION_BLOCK1, scan_block },
+	      { COAP_OPTION_BLOCK1, scan_block1 },
 	      { OPTION_TIMEOUT, scan_timeout },
 	      { OPTION_LOAD, scan_load } };
 
--- a/bench/bench-packet/main.c
+++ b/bench/bench-packet/main.c
@@ -262,7 +262,7 @@
 		{ "record_32", with_claims(PEER_RECORD, CLAIMS_MAX) },
 		{ "feed_40_opening", with_data(of_flow(PEER_FEED, 4), 40) },
 		{ "feed_close", of_flow(PEER_FEED_CLOSE, 4) },
-		{ "pin", of_flow(PEER_PIN, 0) },
+		{ "unpin", of_flow(PEER_UNPIN, 0) },
 		{ "handover", message(PEER_HANDOVER) },
 	};
 
--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -7,7 +7,7 @@
 	[PEER_FORWARD] = "forward",   [PEER_CLAIM] = "claim",
 	[PEER_GRANT] = "grant",	      [PEER_SETTLE] = "settle",
 	[PEER_FEED] = "feed",	      [PEER_FEED_CLOSE] = "feed_close",
-	[PEER_PIN] = "pin",	      [PEER_RECORD] = "record",
+	[PEER_UNPIN] = "unpin",	      [PEER_RECORD] = "record",
 	[PEER_HANDOVER] = "handover",
 };
 
@@ -30,7 +30,7 @@
 	[REFUSE_SHARE] = "share",	  [REFUSE_DEADLINE] = "deadline",
 	[REFUSE_NO_TARGET] = "no_target", [REFUSE_CONNECTIONS] = "connections",
 	[REFUSE_MEMORY] = "memory",	  [REFUSE_SHED] = "shed",
-	[REFUSE_LEAVING] = "leaving",
+	[REFUSE_LEAVING] = "leaving",	  [REFUSE_TRANSFER] = "transfer",
 };
 
 static const struct {
--- a/core/balance.h
+++ b/core/balance.h
@@ -18,6 +18,7 @@
  * @REFUSE_MEMORY: no room for the request
  * @REFUSE_SHED: targets shed it and the retry budget is spent
  * @REFUSE_LEAVING: this entry is leaving
+ * @REFUSE_TRANSFER: block of a transfer that another entry began and lost
  */
 enum refusal {
 	REFUSE_NONE,
@@ -29,6 +30,7 @@
 	REFUSE_MEMORY,
 	REFUSE_SHED,
 	REFUSE_LEAVING,
+	REFUSE_TRANSFER,
 	REFUSE_COUNT
 };
 
--- a/core/claiming.c
+++ b/core/claiming.c
@@ -5,6 +5,8 @@
  */
 #include "entry_state.h"
 
+#include <string.h>
+
 /* Whether this process may act on what it knew before: its lease holds. */
 bool claim_safe_now(const struct entry *e)
 {
@@ -75,15 +77,15 @@
 }
 
 static void pass_to_claimer(struct entry *e, struct request *r,
-			    uint64_t claimer, uint8_t hops)
+			    uint64_t claimer)
 {
-	forward_to(e, claimer, &r->key, r->data, r->size_bytes, hops, claimer);
+	forward_to(e, claimer, &r->key, r->data, r->size_bytes, LAST_HOP,
+		   FORWARD_REPEAT);
 	request_drop(e, r);
 }
 
 /* A request whose record says that it was claimed already. */
-static void claimed_before(struct entry *e, struct request *r, struct claim *c,
-			   uint8_t hops)
+static void claimed_before(struct entry *e, struct request *r, struct claim *c)
 {
 	bool may_run = c->state == CLAIM_OPEN || c->state == CLAIM_DONE;
 
@@ -93,7 +95,7 @@
 	}
 	if (may_run && c->claimer != e->conf.member.self &&
 	    vm_serves(e, c->claimer)) {
-		pass_to_claimer(e, r, c->claimer, hops);
+		pass_to_claimer(e, r, c->claimer);
 		return;
 	}
 	/*
@@ -108,15 +110,14 @@
  * claim_begin() - claim a non-idempotent request that arrived at its owner
  * @e: entry
  * @r: request
- * @hops: forwards so far
  */
-void claim_begin(struct entry *e, struct request *r, uint8_t hops)
+void claim_begin(struct entry *e, struct request *r)
 {
 	struct claim mine = claim_of(e, r, CLAIM_OPEN);
 	struct claim *c = claims_find(e->claims, r->request);
 
 	if (c && c->state != CLAIM_NONE) {
-		claimed_before(e, r, c, hops);
+		claimed_before(e, r, c);
 		return;
 	}
 	if (c)
@@ -131,9 +132,9 @@
 	claim_repeat(e, r);
 }
 
-static void granted(struct entry *e, struct request *r, bool covered)
+static void granted(struct entry *e, struct request *r)
 {
-	if (!covered && !ring_covered(e->ring, r->bucket, e->now_ns)) {
+	if (!r->covered && !ring_covered(e->ring, r->bucket, e->now_ns)) {
 		e->counters.claims_uncovered++;
 		request_unknown(e, r, "no entry knows the bucket's history");
 		return;
@@ -142,37 +143,39 @@
 	request_submit(e, r);
 }
 
-/* Ownership moved while the claim was out: the new owner starts afresh. */
-static void release_and_pass(struct entry *e, struct request *r, uint64_t owner)
+static bool granted_by(const struct entry *e, const struct request *r,
+		       uint64_t vm)
 {
-	struct claim *c = claims_find(e->claims, r->request);
-
-	if (c && own_claim(e, c)) {
-		c->state = CLAIM_NONE;
-		send_settlement(e, c);
-	}
-	forward_to(e, owner, &r->key, r->data, r->size_bytes, 1, ADDR_NONE);
-	request_drop(e, r);
+	return vm == ADDR_NONE || vm == e->conf.member.self ||
+	       r->granted_by[0] == vm || r->granted_by[1] == vm;
 }
 
-static void send_claim(struct entry *e, struct request *r, uint64_t second)
+/*
+ * The sender itself is the claimer: that needs no words, nor does a target
+ * that is not chosen yet.
+ */
+static void send_claim(struct entry *e, struct request *r, uint64_t vm)
 {
-	struct peer_msg *m = emit_peer(e, second, PEER_CLAIM);
+	struct peer_msg *m;
 
+	if (granted_by(e, r, vm))
+		return;
+	m = emit_peer(e, vm, PEER_CLAIM);
 	e->counters.claims_sent++;
 	m->n_claims = 1;
-	m->claims[0] = claim_of(e, r, CLAIM_OPEN);
-	if (!(r->flags & MSG_PART))
-		return;
-	m->key = r->key;
-	m->hops = r->flags & MSG_MORE ? PIN_KEEP : PIN_LAST;
-	m->target = flow_lookup(e->pins, &r->key, e->now_ns);
+	m->claims[0].request = r->request;
+	m->claims[0].bucket = r->bucket;
+	m->claims[0].state = CLAIM_OPEN;
 }
 
 /**
- * claim_repeat() - ask (again) for the grant a request waits for
+ * claim_repeat() - ask (again) for the grants a request waits for
  * @e: entry
  * @r: request in REQ_CLAIMING
+ *
+ * Those of the bucket's pair, as it is now: the second's for an owner, both
+ * for an entry that lost the bucket while the claim was out, or that carries a
+ * transfer for the owner.
  */
 void claim_repeat(struct entry *e, struct request *r)
 {
@@ -192,14 +195,10 @@
 		request_unknown(e, r, "this side has no majority");
 		return;
 	}
-	if (pair.owner != e->conf.member.self && pair.owner != ADDR_NONE) {
-		release_and_pass(e, r, pair.owner);
-		return;
-	}
-	if (pair.second == ADDR_NONE)
-		granted(e, r, false);
-	else
-		send_claim(e, r, pair.second);
+	send_claim(e, r, pair.owner);
+	send_claim(e, r, pair.second);
+	if (granted_by(e, r, pair.owner) && granted_by(e, r, pair.second))
+		granted(e, r);
 }
 
 /*
@@ -249,22 +248,18 @@
 	line->state = c->state;
 }
 
-/*
- * The second also keeps the pin of a transfer, and gives it to a new owner. It
- * drops it with the last block: a pin left behind would come back with the
- * flow's next transfer.
- */
-static void exchange_pin(struct entry *e, const struct peer_msg *ask,
-			 struct peer_msg *reply)
+/* A grant needs no more than its name: the claimer knows its own claim. */
+static struct claim reply_line(const struct claim *line)
 {
-	if (ask->key.caller == ADDR_NONE)
-		return;
-	if (ask->target != ADDR_NONE)
-		flow_pin(e->pins, &ask->key, ask->target, e->now_ns);
-	reply->key = ask->key;
-	reply->target = flow_lookup(e->pins, &ask->key, e->now_ns);
-	if (ask->hops == PIN_LAST)
-		flow_unpin(e->pins, &ask->key);
+	struct claim reply = *line;
+
+	if (!line->granted)
+		return reply;
+	memset(&reply, 0, sizeof(reply));
+	reply.request = line->request;
+	reply.granted = true;
+	reply.covered = line->covered;
+	return reply;
 }
 
 /* claim_asked() - another entry asks to run requests: PEER_CLAIM. */
@@ -278,10 +273,11 @@
 		if (line.bucket >= e->conf.n_buckets)
 			continue;
 		line.slot = SLOT_NONE;
+		line.claimer = msg->from;
+		line.boot = msg->incarnation;
 		rule_on_claim(e, &line, msg->from);
-		reply->claims[reply->n_claims++] = line;
+		reply->claims[reply->n_claims++] = reply_line(&line);
 	}
-	exchange_pin(e, msg, reply);
 }
 
 static void denied(struct entry *e, struct request *r, struct claim *mine,
@@ -291,7 +287,26 @@
 	mine->claimer = line->claimer;
 	mine->boot = line->boot;
 	mine->state = line->state;
-	claimed_before(e, r, mine, 1);
+	claimed_before(e, r, mine);
+}
+
+/* Only the words of the present pair, all of them, complete a claim. */
+static void note_grant(struct entry *e, struct request *r, uint64_t from,
+		       bool covered)
+{
+	struct ring_pair pair = ring_at(e->ring, r->bucket);
+
+	if (from == pair.owner)
+		r->granted_by[0] = from;
+	else if (from == pair.second)
+		r->granted_by[1] = from;
+	else
+		return;
+	r->covered |= covered;
+	if (!claim_safe_now(e))
+		return;
+	if (granted_by(e, r, pair.owner) && granted_by(e, r, pair.second))
+		granted(e, r);
 }
 
 static void answer_to_claim(struct entry *e, const struct claim *line,
@@ -305,20 +320,16 @@
 	r = &e->requests[c->slot];
 	if (r->state != REQ_CLAIMING || r->request != line->request)
 		return;
-	/* Only the present second's word completes the pair. */
-	if (ring_at(e->ring, r->bucket).second != from || !claim_safe_now(e))
-		return;
-	if (line->granted)
-		granted(e, r, line->covered);
-	else
+	if (!line->granted) {
 		denied(e, r, c, line);
+		return;
+	}
+	note_grant(e, r, from, line->covered);
 }
 
 /* claim_granted() - the second's answers to our claims: PEER_GRANT. */
 void claim_granted(struct entry *e, const struct peer_msg *msg)
 {
-	if (msg->key.caller != ADDR_NONE && msg->target != ADDR_NONE)
-		flow_pin(e->pins, &msg->key, msg->target, e->now_ns);
 	for (uint8_t i = 0; i < msg->n_claims; i++)
 		answer_to_claim(e, &msg->claims[i], msg->from);
 	requests_drain(e);
--- a/core/entry.c
+++ b/core/entry.c
@@ -22,6 +22,16 @@
 	a->peer = *msg;
 }
 
+/* A newcomer's second is who would own the bucket without it, and did. */
+static void took_over(struct entry *e, uint32_t bucket, struct ring_pair before,
+		      struct ring_pair after)
+{
+	e->owner_since_ns[bucket] = e->now_ns;
+	e->owner_before[bucket] = before.owner;
+	if (before.owner == ADDR_NONE)
+		e->owner_before[bucket] = after.second;
+}
+
 static void pair_changed(void *ctx, uint32_t bucket, struct ring_pair before,
 			 struct ring_pair after)
 {
@@ -29,7 +39,7 @@
 	uint64_t self = e->conf.member.self;
 
 	if (after.owner == self && before.owner != self)
-		e->owner_since_ns[bucket] = e->now_ns;
+		took_over(e, bucket, before, after);
 	if (before.owner == ADDR_NONE)
 		return;
 	feeds_pair_changed(e, bucket, before, after);
@@ -52,8 +62,9 @@
 	e->claims = claims_new(c->claims_max, c->n_buckets, c->cover_ns);
 	e->timers = timers_new(c->requests_max + c->feeds_max);
 	e->owner_since_ns = calloc(c->n_buckets, sizeof(uint64_t));
+	e->owner_before = calloc(c->n_buckets, sizeof(uint64_t));
 	if (!e->members || !e->ring || !e->balancer || !e->pins || !e->claims ||
-	    !e->timers || !e->owner_since_ns)
+	    !e->timers || !e->owner_since_ns || !e->owner_before)
 		return -ENOMEM;
 	if (requests_init(e) < 0 || feeds_init(e) < 0)
 		return -ENOMEM;
@@ -110,6 +121,7 @@
 	index_free(e->services);
 	free(e->service_list);
 	free(e->owner_since_ns);
+	free(e->owner_before);
 	free(e);
 }
 
--- a/core/entry.h
+++ b/core/entry.h
@@ -31,6 +31,8 @@
  * @MSG_FEED_CLOSE: closes a feed
  * @MSG_PART: block of a larger transfer, has to reach the same target
  * @MSG_MORE: not the last block, of a request or of an answer
+ * @MSG_BODY: the block is of the request's body, and kept by the target
+ * @MSG_START: first of several blocks of a request's body
  * @MSG_SHED: an answer that says: not run, come back later
  * @MSG_FAILED: an answer that says: the target failed
  */
@@ -43,7 +45,9 @@
 	MSG_PART = 1 << 5,
 	MSG_MORE = 1 << 6,
 	MSG_SHED = 1 << 7,
-	MSG_FAILED = 1 << 8
+	MSG_FAILED = 1 << 8,
+	MSG_BODY = 1 << 9,
+	MSG_START = 1 << 10
 };
 
 /**
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -10,6 +10,8 @@
 
 #define SLOT_NONE UINT32_MAX
 #define HOPS_MAX 2
+/* Of a datagram that its receiver may not forward again. */
+#define LAST_HOP (HOPS_MAX - 1)
 #define FEED_REQUEST_MAX_BYTES 128
 #define RENEWING_MAX 256
 #define DOWN_ID_FAR 16384
@@ -54,6 +56,9 @@
  * @acked: target acknowledged it
  * @running: counted in the balancer
  * @maybe_run: a target may have run it
+ * @orphan: block of a transfer that nobody can go on with
+ * @covered: one of its granters knows the bucket's history
+ * @granted_by: entries that granted its claim
  * @answer: when ended: enum own_answer, or ANSWER_RELAYED
  * @reason: enum refusal
  * @retry_after_s: told to the caller
@@ -87,6 +92,9 @@
 	bool acked;
 	bool running;
 	bool maybe_run;
+	bool orphan;
+	bool covered;
+	uint64_t granted_by[2];
 	uint8_t answer;
 	uint8_t reason;
 	uint32_t retry_after_s;
@@ -96,8 +104,13 @@
 
 #define ANSWER_RELAYED 0xff
 
-/* In the field hops of a PEER_CLAIM for a block: whether it is the last. */
-enum pin_ask { PIN_KEEP, PIN_LAST };
+/**
+ * enum forward_ask - what a forwarded datagram asks, in its field seq
+ * @FORWARD_OWN: act as the owner of its flow
+ * @FORWARD_REPEAT: answer as the claimer of this request; run nothing
+ * @FORWARD_TRANSFER: go on as the entry that began this transfer
+ */
+enum forward_ask { FORWARD_OWN, FORWARD_REPEAT, FORWARD_TRANSFER };
 
 /**
  * enum feed_state - where a feed stands
@@ -208,6 +221,7 @@
 	uint64_t sweep_deadline_ns;
 	uint64_t drained_digest;
 	uint64_t *owner_since_ns;
+	uint64_t *owner_before;
 	struct index *feed_by_identity;
 	struct index *feed_by_down_id;
 
@@ -248,9 +262,9 @@
 const struct service_conf *service_find(const struct entry *e, uint64_t vip);
 bool forward_to(struct entry *e, uint64_t vm, const struct flow_key *key,
 		const uint8_t *data, uint32_t size_bytes, uint8_t hops,
-		uint64_t about);
+		uint8_t ask);
 void own_message(struct entry *e, const struct flow_key *key,
-		 const struct message *msg, uint8_t hops);
+		 const struct message *msg);
 bool vm_serves(const struct entry *e, uint64_t vm);
 bool vm_owns(const struct entry *e, uint64_t vm);
 uint64_t up_token(bool feed, uint32_t slot, uint32_t generation, uint64_t seed);
@@ -261,7 +275,7 @@
 struct request *request_new(struct entry *e, const struct flow_key *key);
 uint32_t request_slot(const struct entry *e, const struct request *r);
 void request_arrived(struct entry *e, const struct flow_key *key,
-		     const struct message *msg, uint8_t hops);
+		     const struct message *msg);
 void request_submit(struct entry *e, struct request *r);
 void request_send(struct entry *e, struct request *r, uint64_t target);
 void request_refuse(struct entry *e, struct request *r, uint8_t reason,
@@ -293,12 +307,23 @@
 void answer_unknown(struct entry *e, const struct flow_key *key,
 		    const struct message *msg);
 
+/* transfer.c */
+uint64_t transfer_target(struct entry *e, const struct request *r);
+void transfer_pin(struct entry *e, struct request *r);
+void transfer_follow(struct entry *e, struct request *r,
+		     const struct message *answer);
+bool transfer_carried(struct entry *e, const struct flow_key *key,
+		      const struct message *msg);
+bool transfer_elsewhere(struct entry *e, struct request *r);
+bool transfer_runs_nothing(const struct request *r);
+bool transfer_may_move(const struct request *r);
+
 /* answer.c */
 void target_message(struct entry *e, uint64_t target,
 		    const struct message *msg);
 
 /* claiming.c */
-void claim_begin(struct entry *e, struct request *r, uint8_t hops);
+void claim_begin(struct entry *e, struct request *r);
 void claim_repeat(struct entry *e, struct request *r);
 void claim_settle(struct entry *e, struct request *r, uint8_t state);
 void claim_asked(struct entry *e, const struct peer_msg *msg);
--- a/core/peer.h
+++ b/core/peer.h
@@ -22,7 +22,7 @@
  * @PEER_SETTLE: how a claimed request ended
  * @PEER_FEED: second copy of an open feed
  * @PEER_FEED_CLOSE: drop that copy
- * @PEER_PIN: second copy of a transfer's pin; without a target: it ended
+ * @PEER_UNPIN: the caller began its transfer anew: forget the old one
  * @PEER_RECORD: history of buckets for an entry that joins their pairs: claims,
  *	and as data the buckets whose history is whole now
  * @PEER_HANDOVER: answer to it; as data the buckets not taken yet
@@ -38,7 +38,7 @@
 	PEER_SETTLE,
 	PEER_FEED,
 	PEER_FEED_CLOSE,
-	PEER_PIN,
+	PEER_UNPIN,
 	PEER_RECORD,
 	PEER_HANDOVER,
 	PEER_KIND_COUNT
--- a/core/request.c
+++ b/core/request.c
@@ -177,6 +177,8 @@
 {
 	const struct service_conf *s = service_find(e, r->key.vip);
 
+	if (transfer_runs_nothing(r))
+		return true;
 	return r->flags & MSG_IDEMPOTENT || (s && s->post_idempotent);
 }
 
@@ -188,6 +190,8 @@
  */
 static bool known_not_run(const struct entry *e, const struct request *r)
 {
+	if (transfer_runs_nothing(r))
+		return true;
 	if (r->maybe_run)
 		return false;
 	return !request_idempotent(e, r) || owned_long_enough(e, r);
@@ -324,10 +328,9 @@
  * @e: entry
  * @key: flow
  * @msg: request
- * @hops: forwards so far
  */
 void request_arrived(struct entry *e, const struct flow_key *key,
-		     const struct message *msg, uint8_t hops)
+		     const struct message *msg)
 {
 	const struct service_conf *s = service_find(e, key->vip);
 	struct request *r;
@@ -354,8 +357,10 @@
 		request_refuse(e, r, REFUSE_MEMORY, MEMORY_RETRY_S);
 		return;
 	}
+	if (transfer_elsewhere(e, r))
+		return;
 	if (!request_idempotent(e, r))
-		claim_begin(e, r, hops);
+		claim_begin(e, r);
 	else if (claim_safe_now(e))
 		request_submit(e, r);
 	else
--- a/core/route.c
+++ b/core/route.c
@@ -66,8 +66,7 @@
  * @data: datagram
  * @size_bytes: its size
  * @hops: forwards so far
- * @about: the receiver itself when it is asked as the claimer of a repeat,
- *	else ADDR_NONE
+ * @ask: enum forward_ask
  *
  * Two entries that disagree on the owner would hand a datagram to and fro;
  * the hop count ends that, and the caller's repeat finds them agreed.
@@ -76,7 +75,7 @@
  */
 bool forward_to(struct entry *e, uint64_t vm, const struct flow_key *key,
 		const uint8_t *data, uint32_t size_bytes, uint8_t hops,
-		uint64_t about)
+		uint8_t ask)
 {
 	struct peer_msg *m;
 
@@ -87,7 +86,7 @@
 	m = emit_peer(e, vm, PEER_FORWARD);
 	m->hops = (uint8_t)(hops + 1);
 	m->key = *key;
-	m->about = about;
+	m->seq = ask;
 	m->data = data;
 	m->size_bytes = size_bytes;
 	e->counters.forwards++;
@@ -99,14 +98,13 @@
  * @e: entry
  * @key: flow
  * @msg: datagram
- * @hops: forwards so far
  */
 void own_message(struct entry *e, const struct flow_key *key,
-		 const struct message *msg, uint8_t hops)
+		 const struct message *msg)
 {
 	switch (msg->kind) {
 	case MSG_REQUEST:
-		request_arrived(e, key, msg, hops);
+		request_arrived(e, key, msg);
 		break;
 	case MSG_ACK:
 		feed_acked_by_caller(e, key, msg->id);
@@ -152,7 +150,7 @@
 		if (m->state != MEMBER_ALIVE || m->vm == e->conf.member.self)
 			continue;
 		forward_to(e, m->vm, key, msg->data, msg->size_bytes, hops,
-			   ADDR_NONE);
+			   FORWARD_OWN);
 		return;
 	}
 }
@@ -174,16 +172,20 @@
 		return;
 	if (msg->kind == MSG_REQUEST && request_repeated(e, key, msg))
 		return;
+	if (transfer_carried(e, key, msg)) {
+		request_arrived(e, key, msg);
+		return;
+	}
 	if (!e->joined) {
 		route_elsewhere(e, key, msg, hops);
 		return;
 	}
 	pair = ring_at(e->ring, ring_bucket(e->ring, key));
 	if (pair.owner == e->conf.member.self)
-		own_message(e, key, msg, hops);
+		own_message(e, key, msg);
 	else if (pair.owner != ADDR_NONE)
 		forward_to(e, pair.owner, key, msg->data, msg->size_bytes, hops,
-			   ADDR_NONE);
+			   FORWARD_OWN);
 }
 
 /**
@@ -209,12 +211,17 @@
 {
 	if (!inner)
 		return;
-	if (msg->about != e->conf.member.self) {
+	if (msg->seq == FORWARD_OWN) {
 		route(e, &msg->key, inner, msg->hops);
 		return;
 	}
-	/* Asked as claimer: replay or absorb what is known, run nothing. */
-	if (!request_repeated(e, &msg->key, inner))
+	if (inner->size_bytes > DATAGRAM_MAX_BYTES)
+		return;
+	if (request_repeated(e, &msg->key, inner))
+		return;
+	if (msg->seq == FORWARD_TRANSFER)
+		request_arrived(e, &msg->key, inner);
+	else
 		answer_unknown(e, &msg->key, inner);
 }
 
@@ -254,11 +261,8 @@
 	case PEER_FEED_CLOSE:
 		feed_copy_closed(e, msg);
 		break;
-	case PEER_PIN:
-		if (msg->target == ADDR_NONE)
-			flow_unpin(e->pins, &msg->key);
-		else
-			flow_pin(e->pins, &msg->key, msg->target, now_ns);
+	case PEER_UNPIN:
+		flow_unpin(e->pins, &msg->key);
 		break;
 	case PEER_RECORD:
 		stream_received(e, msg);
--- a/core/send.c
+++ b/core/send.c
@@ -37,9 +37,12 @@
 		request_refuse(e, r, REFUSE_NO_TARGET, COME_BACK_S);
 		return;
 	}
+	if (r->orphan) {
+		request_refuse(e, r, REFUSE_TRANSFER, COME_BACK_S);
+		return;
+	}
 	w.class = class_of(r, s);
-	if (r->flags & MSG_PART)
-		w.pinned = flow_lookup(e->pins, &r->key, e->now_ns);
+	w.pinned = transfer_target(e, r);
 	ruling = balance_submit(e->balancer, &w, e->now_ns);
 	/*
 	 * A transfer goes on at the target it began on, though operators have
@@ -109,36 +112,6 @@
 	arm(e, r);
 }
 
-static void tell_pin(struct entry *e, const struct request *r, uint64_t target)
-{
-	struct ring_pair pair = ring_at(e->ring, r->bucket);
-	struct peer_msg *m;
-
-	if (pair.second == ADDR_NONE || pair.second == e->conf.member.self)
-		return;
-	m = emit_peer(e, pair.second, PEER_PIN);
-	m->key = r->key;
-	m->target = target;
-}
-
-static void pin_part(struct entry *e, struct request *r)
-{
-	if (flow_lookup(e->pins, &r->key, e->now_ns) == r->target)
-		return;
-	if (flow_pin(e->pins, &r->key, r->target, e->now_ns) < 0) {
-		e->counters.flow_table_full++;
-		return;
-	}
-	e->counters.pins_made++;
-	tell_pin(e, r, r->target);
-}
-
-static void unpin(struct entry *e, struct request *r)
-{
-	if (flow_unpin(e->pins, &r->key) == 0 && request_idempotent(e, r))
-		tell_pin(e, r, ADDR_NONE);
-}
-
 /**
  * request_send() - send a request to a target
  * @e: entry
@@ -165,7 +138,7 @@
 	if (c && !request_idempotent(e, r))
 		c->target = target;
 	if (r->flags & MSG_PART)
-		pin_part(e, r);
+		transfer_pin(e, r);
 	r->state = REQ_SENT;
 	r->maybe_run = true;
 	r->acked = false;
@@ -176,7 +149,8 @@
 
 static bool may_try_another(struct entry *e, const struct request *r)
 {
-	if (r->tries >= TRIES_MAX || r->deadline_ns <= e->now_ns)
+	if (r->tries >= TRIES_MAX || r->deadline_ns <= e->now_ns ||
+	    !transfer_may_move(r))
 		return false;
 	return balance_may_retry(e->balancer, r->key.vip, e->now_ns);
 }
@@ -335,23 +309,6 @@
 	feed_update(e, f, target, msg);
 }
 
-/*
- * A pin lasts as long as its transfer. Kept longer, it would send the flow's
- * next transfer to the same target, also to one that drains by then.
- */
-static void follow_transfer(struct entry *e, struct request *r,
-			    const struct message *msg)
-{
-	uint16_t both = r->flags | msg->flags;
-
-	if (!(both & MSG_PART))
-		return;
-	if (both & MSG_MORE)
-		pin_part(e, r);
-	else
-		unpin(e, r);
-}
-
 /**
  * request_answered() - the target's answer to a request
  * @e: entry
@@ -373,7 +330,7 @@
 		return;
 	}
 	request_finish(e, r, failed ? OUTCOME_ERROR : OUTCOME_OK);
-	follow_transfer(e, r, msg);
+	transfer_follow(e, r, msg);
 	claim_settle(e, r, CLAIM_DONE);
 	e->counters.answers++;
 	reply_keep(r, msg);
--- a/test/testbed_caller.c
+++ b/test/testbed_caller.c
@@ -101,7 +101,7 @@
 	static const uint16_t flags[OP_CLASSES] = {
 		[OP_FEED] = MSG_IDEMPOTENT | MSG_FEED_OPEN,
 		[OP_GET] = MSG_IDEMPOTENT,
-		[OP_UPLOAD] = MSG_PART,
+		[OP_UPLOAD] = MSG_PART | MSG_BODY,
 	};
 	struct fake_caller *c = &f->callers[i];
 	struct dgram d = { .kind = DGRAM_REQUEST,
@@ -114,6 +114,8 @@
 
 	if (c->class_ == OP_UPLOAD && c->part + 1 < TESTBED_PARTS)
 		d.flags |= MSG_MORE;
+	if (c->class_ == OP_UPLOAD && c->part == 0)
+		d.flags |= MSG_START;
 	c->token = rng_next(&f->rng);
 	memcpy(d.token, &c->token, sizeof(d.token));
 	c->sent = d;
