--- a/core/entry.c
+++ b/core/entry.c
@@ -291,12 +291,30 @@
 
 	if (!valid && !e->lease_lapsed)
 		e->counters.lease_lapses++;
+	if (valid)
+		e->stale = false;
 	e->lease_lapsed = !valid;
 	if (deaths != e->deaths)
 		ring_uncover(e->ring, e->now_ns);
 	e->deaths = deaths;
 }
 
+/*
+ * What a process that was paused finds in its sockets is as old as its view:
+ * repeats of requests that others have answered since, blocks of transfers
+ * that went on without it. Callers repeat what matters; so all of it is
+ * dropped until peers have answered again.
+ */
+static void watch_pause(struct entry *e)
+{
+	bool paused = e->ticked_ns &&
+		      e->now_ns > e->ticked_ns + e->conf.member.lease_ns;
+
+	if (paused)
+		e->stale = true;
+	e->ticked_ns = e->now_ns;
+}
+
 static void run_timers(struct entry *e)
 {
 	uint32_t id;
@@ -331,6 +349,7 @@
 void entry_tick(struct entry *e, uint64_t now_ns, struct actions *out)
 {
 	begin(e, now_ns, out);
+	watch_pause(e);
 	member_tick(e->members, now_ns);
 	entry_watch_lease(e);
 	follow_view(e);
--- a/core/entry.h
+++ b/core/entry.h
@@ -205,6 +205,7 @@
 	X(flow_table_full)   \
 	X(no_service)        \
 	X(oversize)          \
+	X(stale_dropped)     \
 	X(lease_lapses)      \
 	X(handed_over)       \
 	X(stale_sends_stopped)
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -237,6 +237,8 @@
 	bool joined;
 	bool leaving;
 	bool lease_lapsed;
+	bool stale;
+	uint64_t ticked_ns;
 	uint64_t join_deadline_ns;
 	uint64_t join_latest_ns;
 	uint64_t leave_deadline_ns;
--- a/core/feed.c
+++ b/core/feed.c
@@ -7,7 +7,7 @@
 
 /* Longer than a target repeats an update that nobody acknowledges. */
 #define CALLER_GONE_NS (100 * NS_PER_S)
-#define RENEW_NS (3 * NS_PER_S)
+#define RENEW_NS (800 * NS_PER_MS)
 #define RENEW_TRIES_MAX 3
 
 /* feeds_init() - room for feeds_max feeds and second copies, all of it now. */
--- a/core/request.c
+++ b/core/request.c
@@ -311,18 +311,6 @@
 	return hash_u64(token, r->identity + r->token_len);
 }
 
-/*
- * A process that was paused reads datagrams that are as old as its view, and
- * would give them to targets that drain by now. It waits until it has heard
- * from its peers again, and for news that is as old to be read as well.
- */
-static void hold_until_safe(struct entry *e, struct request *r)
-{
-	r->state = REQ_CLAIMING;
-	timers_set(e->timers, request_slot(e, r),
-		   e->now_ns + e->conf.claim_timeout_ns);
-}
-
 /**
  * request_arrived() - a request at the owner of its flow
  * @e: entry
@@ -359,10 +347,8 @@
 	}
 	if (transfer_elsewhere(e, r))
 		return;
-	if (!request_idempotent(e, r))
-		claim_begin(e, r);
-	else if (claim_safe_now(e))
+	if (request_idempotent(e, r))
 		request_submit(e, r);
 	else
-		hold_until_safe(e, r);
+		claim_begin(e, r);
 }
--- a/core/route.c
+++ b/core/route.c
@@ -164,6 +164,10 @@
 		e->counters.oversize++;
 		return;
 	}
+	if (e->stale) {
+		e->counters.stale_dropped++;
+		return;
+	}
 	if (!service_find(e, key->vip)) {
 		e->counters.no_service++;
 		return;
--- a/core/send.c
+++ b/core/send.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define REPEAT_NS NS_PER_S
-#define RENEW_REPEAT_NS (NS_PER_S / 2)
+#define RENEW_REPEAT_NS (300 * NS_PER_MS)
 #define SENDS_MAX 3
 #define TRIES_MAX 3
 #define COME_BACK_S 2
@@ -218,10 +218,7 @@
 {
 	switch (r->state) {
 	case REQ_CLAIMING:
-		if (request_idempotent(e, r))
-			request_submit(e, r);
-		else
-			claim_repeat(e, r);
+		claim_repeat(e, r);
 		break;
 	case REQ_QUEUED:
 		balance_cancel(e->balancer, request_slot(e, r));
