Majority, deaths and seeds: who may say that it knows a bucket's history

An entry that lacked a majority for a suspicion's time starts its cover anew. Cause of outcomes unknown for a cover time after one entry's cut healed: it told each peer that it had been dead here, and the whole fleet doubted itself; it now tells only deaths during which its side had a majority. An entry without a majority holds a request 2.5 s instead of ending it as unknown, since the caller's repeat will likely reach one that has. Renewals refused by busy targets wait instead of counting as failures. Seeds of entries are mixed with their addresses.

--- a/core/claiming.c
+++ b/core/claiming.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+#define MAJORITY_WAIT_NS (2500 * NS_PER_MS)
+
 /* Whether this process may act on what it knew before: its lease holds. */
 bool claim_safe_now(const struct entry *e)
 {
@@ -168,6 +170,19 @@
 	m->claims[0].state = CLAIM_OPEN;
 }
 
+/*
+ * The fabric goes on handing requests to an entry that is cut off from its
+ * peers, and the caller's next repeat will likely reach one that is not. An
+ * answer at once would end the request as unknown for nothing.
+ */
+static void wait_for_majority(struct entry *e, struct request *r)
+{
+	if (e->now_ns < r->arrived_ns + MAJORITY_WAIT_NS)
+		return;
+	e->counters.no_majority++;
+	request_unknown(e, r, "this side has no majority");
+}
+
 /**
  * claim_repeat() - ask (again) for the grants a request waits for
  * @e: entry
@@ -191,8 +206,7 @@
 	if (!claim_safe_now(e))
 		return;
 	if (!member_majority(e->members)) {
-		e->counters.no_majority++;
-		request_unknown(e, r, "this side has no majority");
+		wait_for_majority(e, r);
 		return;
 	}
 	send_claim(e, r, pair.owner);
--- a/core/entry.c
+++ b/core/entry.c
@@ -92,7 +92,9 @@
 	e->join_deadline_ns = DEADLINE_NEVER;
 	e->join_latest_ns = DEADLINE_NEVER;
 	e->sweep_deadline_ns = DEADLINE_NEVER;
-	e->rng.s = conf->seed | 1;
+	e->minority_since_ns = DEADLINE_NEVER;
+	/* Seeds of one fleet may be alike; its entries' choices may not. */
+	e->rng.s = hash_u64(conf->seed, conf->member.self) | 1;
 	e->allowance_ns = now_ns;
 	e->allowance_bytes = conf->peer_bytes_per_s;
 	if (parts_init(e) < 0) {
@@ -279,6 +281,26 @@
 	follow_view(e);
 }
 
+/*
+ * Without a majority for as long as it takes to be declared dead, this entry's
+ * buckets may have been claimed for by the other side of a partition. When the
+ * majority comes over, say because VMs of that side are replaced, it may not
+ * answer "never seen" for them.
+ */
+static void watch_majority(struct entry *e)
+{
+	if (!member_majority(e->members)) {
+		if (e->minority_since_ns == DEADLINE_NEVER)
+			e->minority_since_ns = e->now_ns;
+		return;
+	}
+	if (e->minority_since_ns != DEADLINE_NEVER &&
+	    e->now_ns >=
+		    e->minority_since_ns + e->conf.member.suspect_timeout_ns)
+		ring_uncover(e->ring, e->now_ns);
+	e->minority_since_ns = DEADLINE_NEVER;
+}
+
 /*
  * A process that was paused and declared dead was replaced in its pairs. It
  * would answer "never seen" about claims made without it, so it no longer
@@ -297,6 +319,7 @@
 	if (deaths != e->deaths)
 		ring_uncover(e->ring, e->now_ns);
 	e->deaths = deaths;
+	watch_majority(e);
 }
 
 /*
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -137,6 +137,7 @@
  * @copy_deadline_ns: when to send the second copy (again)
  * @hand_deadline_ns: when to ask the new owner (again) to take it over; of a
  *	copy: when to adopt it, or drop it, though its server lives
+ * @renewals: failed since its target last answered
  * @handed_from: entry that waits to hear that we took it over
  * @served_by: of a copy: entry that serves the feed
  * @generation: of the slot, part of the token towards the target
@@ -164,6 +165,7 @@
 	uint64_t copy_deadline_ns;
 	uint64_t hand_deadline_ns;
 	uint64_t unacked_since_ns;
+	uint32_t renewals;
 	uint64_t handed_from;
 	uint64_t served_by;
 	uint32_t generation;
@@ -233,6 +235,7 @@
 	struct id_space *ids;
 	uint64_t view;
 	uint64_t deaths;
+	uint64_t minority_since_ns;
 	bool roster_known;
 	bool joined;
 	bool leaving;
--- a/core/feed.c
+++ b/core/feed.c
@@ -9,6 +9,8 @@
 #define CALLER_GONE_NS (100 * NS_PER_S)
 #define RENEW_NS (800 * NS_PER_MS)
 #define RENEW_TRIES_MAX 3
+#define RENEW_LATER_NS (300 * NS_PER_MS)
+#define RENEWALS_MAX 12
 
 /* feeds_init() - room for feeds_max feeds and second copies, all of it now. */
 int feeds_init(struct entry *e)
@@ -274,6 +276,7 @@
 	}
 	count_connection(e, f, true);
 	feed_state_set(e, f, FEED_OPEN);
+	f->renewals = 0;
 	f->heard_ns = e->now_ns;
 	if (first)
 		e->counters.feeds_opened++;
@@ -472,6 +475,14 @@
 	request_submit(e, r);
 }
 
+/* Targets are busy for now, say because many feeds move at once. */
+static void renew_later(struct entry *e, struct feed *f)
+{
+	feed_state_set(e, f, FEED_OPEN);
+	f->heard_ns = e->now_ns - e->conf.probe_idle_ns + RENEW_LATER_NS;
+	feed_timer_set(e, f);
+}
+
 /**
  * feed_renew_failed() - a target did not take a feed again: try another
  * @e: entry
@@ -486,16 +497,22 @@
 	bool moving = r->avoid != ADDR_NONE && r->avoid == f->target &&
 		      e->now_ns < f->heard_ns + e->conf.probe_idle_ns;
 
+	bool refused = r->reason != REFUSE_NONE;
+
 	f->request = SLOT_NONE;
 	request_drop(e, r);
 	if (moving) {
 		feed_kept(e, f);
 		return;
 	}
-	if (tries >= RENEW_TRIES_MAX) {
+	if (tries >= RENEW_TRIES_MAX || ++f->renewals > RENEWALS_MAX) {
 		feed_lost(e, f);
 		return;
 	}
+	if (refused) {
+		renew_later(e, f);
+		return;
+	}
 	cancel_at(e, f, failed);
 	r = renewal(e, f);
 	if (!r) {
--- a/core/member_impl.h
+++ b/core/member_impl.h
@@ -45,12 +45,15 @@
  * @push: its news has not been sent on its own yet
  * @left: it said that it leaves, and has not come back since
  * @tell_deadline_ns: not told of its suspicion again before this
+ * @missed: this side had a majority while it was dead here, so that buckets
+ *	may have changed hands without it
  * @death: incarnation at which it was dead here, and has yet to be told; or 0
  */
 struct trait {
 	uint16_t news_left;
 	bool push;
 	bool left;
+	bool missed;
 	uint64_t tell_deadline_ns;
 	uint64_t death;
 };
--- a/core/member_news.c
+++ b/core/member_news.c
@@ -53,14 +53,18 @@
 	spread_news(m, i, now_ns);
 }
 
-/* It refuted in time for others, too late for us: it doesn't know that. */
+/*
+ * It refuted in time for others, too late for us: it doesn't know that. An
+ * entry that was cut off from all others granted nothing without them; told
+ * that they were dead, the whole fleet would doubt what it knows.
+ */
 static void note_death(struct membership *m, uint32_t i, const struct gossip *g)
 {
 	const struct member *e = &m->all[i];
 	struct trait *t = &m->trait[i];
 
 	if (e->state != MEMBER_DEAD || !e->incarnation || t->left ||
-	    g->incarnation - e->incarnation > REFUTATIONS_MAX)
+	    !t->missed || g->incarnation - e->incarnation > REFUTATIONS_MAX)
 		return;
 	m->n_untold += !t->death;
 	t->death = e->incarnation;
@@ -107,6 +111,7 @@
 	if (g->incarnation == e->incarnation && g->state <= e->state)
 		return;
 	note_death(m, i, g);
+	m->trait[i].missed = false;
 	if (g->state == MEMBER_LEAVING)
 		m->trait[i].left = true;
 	else if (g->state != MEMBER_DEAD)
--- a/core/member_set.c
+++ b/core/member_set.c
@@ -147,6 +147,8 @@
 		m->n_live += m->all[i].vm != m->conf.self;
 	}
 	m->majority = count_majority(m);
+	for (i = 0; i < m->n && m->majority; i++)
+		m->trait[i].missed |= m->all[i].state == MEMBER_DEAD;
 }
 
 /**
