A record handed over wins over a claim that has not led to a send

Cause of a request run by both sides of a healed partition: the isolated entry's claim was still out when its new peer handed over the record of the other side's run, and the record was ignored because one was there.

--- a/core/claiming.c
+++ b/core/claiming.c
@@ -215,20 +215,30 @@
 		granted(e, r);
 }
 
+/* The request that a claim of ours is out for, or NULL when it is past that. */
+static struct request *still_claiming(struct entry *e, const struct claim *c)
+{
+	struct request *r;
+
+	if (!own_claim(e, c) || c->state != CLAIM_OPEN)
+		return NULL;
+	if (c->slot >= e->conf.requests_max)
+		return NULL;
+	r = &e->requests[c->slot];
+	if (r->state != REQ_CLAIMING || r->request != c->request)
+		return NULL;
+	return r;
+}
+
 /*
  * Two entries that both believe they own a flow claim the same request at each
  * other. Without a rule both would refuse; the lower address goes on.
  */
 static bool yields(struct entry *e, const struct claim *c, uint64_t from)
 {
-	struct request *r;
+	struct request *r = still_claiming(e, c);
 
-	if (!own_claim(e, c) || c->state != CLAIM_OPEN)
-		return false;
-	r = &e->requests[c->slot];
-	if (r->state != REQ_CLAIMING || r->request != c->request)
-		return false;
-	if (from > e->conf.member.self)
+	if (!r || from > e->conf.member.self)
 		return false;
 	request_drop(e, r);
 	return true;
@@ -304,6 +314,25 @@
 	claimed_before(e, r, mine);
 }
 
+/**
+ * claim_overruled() - a record handed over names another claimer
+ * @e: entry
+ * @mine: record here
+ * @line: the record handed over
+ *
+ * While a claim of this entry was out, across a partition, the other side ran
+ * the request. Its record has to win over a claim that has not led to a send.
+ */
+void claim_overruled(struct entry *e, struct claim *mine,
+		     const struct claim *line)
+{
+	struct request *r = still_claiming(e, mine);
+
+	if (!r || (line->claimer == mine->claimer && line->boot == mine->boot))
+		return;
+	denied(e, r, mine, line);
+}
+
 /* Only the words of the present pair, all of them, complete a claim. */
 static void note_grant(struct entry *e, struct request *r, uint64_t from,
 		       bool covered)
@@ -327,12 +356,9 @@
 			    uint64_t from)
 {
 	struct claim *c = claims_find(e->claims, line->request);
-	struct request *r;
+	struct request *r = c ? still_claiming(e, c) : NULL;
 
-	if (!c || !own_claim(e, c) || c->slot >= e->conf.requests_max)
-		return;
-	r = &e->requests[c->slot];
-	if (r->state != REQ_CLAIMING || r->request != line->request)
+	if (!r)
 		return;
 	if (!line->granted) {
 		denied(e, r, c, line);
--- a/core/stream.c
+++ b/core/stream.c
@@ -294,6 +294,8 @@
 		claims_put(e->claims, line, e->now_ns);
 	else if (c->state == CLAIM_NONE)
 		*c = *line;
+	else
+		claim_overruled(e, c, line);
 }
 
 /*
