--- a/cmd/cb-watch/operators.c
+++ b/cmd/cb-watch/operators.c
@@ -44,6 +44,14 @@
 #undef X
 }
 
+/* Until it serves, what is held is not in force at the entry beside. */
+static const char *state_word(const struct watch *w, const struct version *v)
+{
+	if (version_withdrawn(v))
+		return "withdrawn";
+	return spread_serving(w->spread) ? "live" : "held";
+}
+
 static void write_generations(const struct watch *w, GString *out)
 {
 	const struct content *content;
@@ -55,10 +63,9 @@
 				   &content))) {
 		if (version_empty(version))
 			continue;
-		g_string_append_printf(
-			out, "%s %lu %lu %016lx %s\n", key, version->generation,
-			version->revision, version->hash,
-			version_withdrawn(version) ? "withdrawn" : "live");
+		g_string_append_printf(out, "%s %lu %lu %016lx %s\n", key,
+				       version->generation, version->revision,
+				       version->hash, state_word(w, version));
 	}
 }
 
