--- a/core/balance_state.h
+++ b/core/balance_state.h
@@ -12,7 +12,7 @@
 
 #define INDEX_NONE UINT32_MAX
 
-/* Rounds of health, estimates and queues come this often. */
+/* Rounds of estimates and queues come this often. */
 #define ROUND_NS (100 * NS_PER_MS)
 
 /* Slow start of a target that appears in a configuration. */
@@ -84,6 +84,7 @@
  * @n_ejected: candidates ejected
  * @n_own: candidates with a share of their own that are not ejected
  * @turn: latest turn given, where a new target starts
+ * @others_milli: others' work at a target on the average, in 1/1000
  * @queue: work that may go to any target
  * @n_waiting: that and the pinned work
  * @gap_ns: mean time between two starts from the queue while it had work
@@ -105,6 +106,7 @@
 	uint32_t n_ejected;
 	uint32_t n_own;
 	uint64_t turn;
+	uint32_t others_milli;
 	struct queue queue;
 	uint32_t n_waiting;
 	uint64_t gap_ns;
@@ -216,6 +218,7 @@
  * @n_entries: entries of the data centre
  * @rank: this entry's place among them
  * @round_deadline_ns: next round
+ * @eject_deadline_ns: next comparison of the targets
  * @rng: random source
  */
 struct balancer {
@@ -229,13 +232,18 @@
 	uint32_t n_entries;
 	uint32_t rank;
 	uint64_t round_deadline_ns;
+	uint64_t eject_deadline_ns;
 	struct rng rng;
 };
 
 /* tables.c */
 int tables_build(struct balancer *b, const struct config *c, uint64_t now_ns);
 void tables_clear(struct tables *t);
-void tables_deal(struct balancer *b);
+
+/* shares.c */
+void shares_deal(struct balancer *b);
+
+/* lookup.c */
 uint32_t tables_service(const struct tables *t, uint64_t vip);
 uint32_t tables_target(const struct tables *t, uint64_t addr);
 uint32_t tables_place(const struct tables *t, const struct service *s,
@@ -245,11 +253,11 @@
 enum pick { PICK_FOUND, PICK_FULL, PICK_CONNECTIONS, PICK_NONE };
 enum pick pick_place(struct balancer *b, struct service *s,
 		     const struct work *w, uint64_t now_ns, uint32_t *place);
-bool pick_pinned_room(const struct target *t, const struct work *w,
-		      uint64_t now_ns);
+bool pick_pinned_room(const struct service *s, const struct target *t,
+		      const struct work *w, uint64_t now_ns);
 bool pick_allowed(struct balancer *b, const struct place *p,
 		  const struct work *w, uint64_t now_ns);
-void pick_count(struct balancer *b, uint32_t place);
+void pick_count(struct balancer *b, uint32_t place, uint64_t now_ns);
 
 /* admit.c */
 void queue_init(struct queue *q);
@@ -264,6 +272,10 @@
 void admit_started(struct balancer *b, struct service *s, uint64_t now_ns);
 void admit_sweep(struct balancer *b, uint64_t now_ns);
 
+/* balance_stats.c */
+struct class_stats *stats_of(struct balancer *b, const struct service *s,
+			     uint8_t class);
+
 /* fair.c */
 uint32_t fair_next(struct balancer *b, struct target *t, uint64_t now_ns,
 		   uint32_t *place);
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -11,6 +11,7 @@
 #define SLOT_NONE UINT32_MAX
 #define HOPS_MAX 2
 #define FEED_REQUEST_MAX_BYTES 128
+#define RENEWING_MAX 256
 #define DOWN_ID_FAR 16384
 #define DOWN_ID_NEAR 256
 #define ACTIONS_RESERVE 16
@@ -202,11 +203,16 @@
 	uint32_t n_feeds_held;
 	uint32_t n_feeds_renewing;
 	uint32_t *feed_heads;
+	uint32_t sweep_next;
+	bool sweeping;
+	uint64_t sweep_deadline_ns;
+	uint64_t drained_digest;
 	uint64_t *owner_since_ns;
 	struct index *feed_by_identity;
 	struct index *feed_by_down_id;
 
 	struct stream *streams;
+	uint64_t *held_when_leaving;
 	uint64_t allowance_bytes;
 	uint64_t allowance_ns;
 	struct id_space *ids;
@@ -245,6 +251,7 @@
 void own_message(struct entry *e, const struct flow_key *key,
 		 const struct message *msg, uint8_t hops);
 bool vm_serves(const struct entry *e, uint64_t vm);
+bool vm_owns(const struct entry *e, uint64_t vm);
 uint64_t up_token(bool feed, uint32_t slot, uint32_t generation, uint64_t seed);
 
 /* request.c */
@@ -315,6 +322,7 @@
 		 const struct message *msg);
 void feed_renew(struct entry *e, struct feed *f, uint64_t avoid);
 void feed_renew_failed(struct entry *e, struct feed *f, struct request *r);
+void feed_kept(struct entry *e, struct feed *f);
 bool feed_acked_by_caller(struct entry *e, const struct flow_key *key,
 			  uint16_t id);
 bool feed_reset_by_caller(struct entry *e, const struct flow_key *key,
@@ -322,6 +330,13 @@
 void feed_timer(struct entry *e, struct feed *f);
 void feed_timer_set(struct entry *e, struct feed *f);
 
+/* feed_move.c */
+void moves_config(struct entry *e);
+void moves_due(struct entry *e);
+void moves_tick(struct entry *e);
+uint64_t moves_next_ns(const struct entry *e);
+bool target_drains(const struct entry *e, uint64_t vip, uint64_t target);
+
 /* feed_copy.c */
 void feed_copy_send(struct entry *e, struct feed *f);
 void feed_copy_received(struct entry *e, const struct peer_msg *msg);
@@ -339,6 +354,7 @@
 /* stream.c */
 int streams_init(struct entry *e);
 void streams_free(struct entry *e);
+void streams_leave(struct entry *e);
 void streams_pair_changed(struct entry *e, uint32_t bucket,
 			  struct ring_pair before, struct ring_pair after);
 uint32_t stream_lines_pending(const struct entry *e);
--- a/core/pick.c
+++ b/core/pick.c
@@ -5,6 +5,10 @@
 #define SCAN_MAX 64
 /* A choice moves a place's turn on by this over its weight. */
 #define TURN_UNIT 1000000ULL
+/* Views over which a service's mean of others' work is taken. */
+#define OTHERS_SAMPLES 63
+/* Steps of load up to full slots; within one, targets take turns. */
+#define LOAD_STEPS 2
 /* Share of its turns that a target gets at the start of its slow start. */
 #define SLOW_START_MIN_MILLI 100
 
@@ -39,8 +43,8 @@
 	return limit || !own ? limit : 1;
 }
 
-static bool has_room(const struct target *t, uint32_t own, uint32_t extra,
-		     uint64_t now_ns)
+static bool has_room(const struct service *s, const struct target *t,
+		     uint32_t own, uint32_t extra, uint64_t now_ns)
 {
 	uint32_t limit;
 
@@ -52,7 +56,7 @@
 	if (limit < own || is_cold(t, now_ns))
 		return false;
 	return t->inflight < own + extra &&
-	       view_idle(&t->view, t->slots, now_ns);
+	       view_idle(&t->view, t->slots, s->took_ns, now_ns);
 }
 
 /*
@@ -72,6 +76,7 @@
 
 /**
  * pick_pinned_room() - may pinned work go to its target now
+ * @s: its service
  * @t: target
  * @w: work
  * @now_ns: time
@@ -81,15 +86,15 @@
  *
  * Return: true when it may.
  */
-bool pick_pinned_room(const struct target *t, const struct work *w,
-		      uint64_t now_ns)
+bool pick_pinned_room(const struct service *s, const struct target *t,
+		      const struct work *w, uint64_t now_ns)
 {
 	uint32_t own = t->share.own ? t->share.own : 1;
 
 	if (w->feed && view_usable(&t->view, now_ns) &&
 	    t->view.connections >= t->connections)
 		return false;
-	return has_room(t, own, t->share.extra, now_ns);
+	return has_room(s, t, own, t->share.extra, now_ns);
 }
 
 /*
@@ -100,8 +105,8 @@
 			   uint64_t now_ns)
 {
 	if (!s->n_own)
-		return has_room(t, t->share.own + t->share.extra, 0, now_ns);
-	return has_room(t, t->share.own, t->share.extra, now_ns);
+		return has_room(s, t, t->share.own + t->share.extra, 0, now_ns);
+	return has_room(s, t, t->share.own, t->share.extra, now_ns);
 }
 
 static bool is_open(const struct target *t, uint64_t now_ns)
@@ -137,16 +142,27 @@
 	return has_connection(t, w, now_ns) && has_share_room(s, t, now_ns);
 }
 
-/* Requests there, own and others', whole ones so that equals count as such. */
-static uint64_t load_of(const struct place *p, const struct target *t,
-			const struct work *w, uint64_t now_ns)
+/*
+ * Requests there, own and others', whole ones so that equals count as such. A
+ * target whose reports can't be believed is taken to have what others have on
+ * the average: with none it would look idle and draw the work.
+ */
+static uint64_t load_of(const struct service *s, const struct place *p,
+			const struct target *t, const struct work *w,
+			uint64_t now_ns)
 {
-	uint64_t load = t->inflight + 1;
+	uint32_t others_milli = s->others_milli;
+
+	uint64_t load = t->inflight;
 
+	if (view_usable(&t->view, now_ns))
+		others_milli = view_others_milli(&t->view, now_ns);
+	load += (others_milli + 500) / 1000;
 	if (w->feed)
 		load += t->feeds;
-	load += (view_others_milli(&t->view, now_ns) + 500) / 1000;
-	return load * TURN_UNIT / p->weight;
+	else
+		load = (load + 1) * LOAD_STEPS / (t->slots + 1);
+	return (load + 1) * TURN_UNIT / p->weight;
 }
 
 /* A place that was not used for long is due, but only once. */
@@ -159,6 +175,14 @@
 	return p->turn;
 }
 
+static void note_others(struct service *s, const struct target *t,
+			uint64_t now_ns)
+{
+	s->others_milli = (OTHERS_SAMPLES * s->others_milli +
+			   view_others_milli(&t->view, now_ns)) /
+			  (OTHERS_SAMPLES + 1);
+}
+
 static bool is_better(const struct choice *a, const struct choice *b)
 {
 	if (b->place == INDEX_NONE)
@@ -214,13 +238,15 @@
 
 		if (has_connection(t, w, now_ns))
 			connection = true;
+		if (view_usable(&t->view, now_ns))
+			note_others(s, t, now_ns);
 		if (!pick_allowed(b, p, w, now_ns))
 			continue;
 		if (t->health.ejected) {
 			*place = index;
 			return PICK_FOUND;
 		}
-		c.load = load_of(p, t, w, now_ns);
+		c.load = load_of(s, p, t, w, now_ns);
 		c.turn = turn_of(s, p);
 		if (!passes_slow_start(b, t, now_ns)) {
 			if (is_better(&c, &cold))
@@ -239,8 +265,9 @@
  * pick_count() - a request goes to a place
  * @b: balancer
  * @place: index
+ * @now_ns: time
  */
-void pick_count(struct balancer *b, uint32_t place)
+void pick_count(struct balancer *b, uint32_t place, uint64_t now_ns)
 {
 	struct place *p = &b->t.places[place];
 	struct service *s = &b->t.services[p->service];
@@ -250,7 +277,7 @@
 	s->turn = p->turn;
 	p->turn += TURN_UNIT / p->weight;
 	t->inflight++;
-	view_sent(&t->view);
+	view_sent(&t->view, now_ns);
 	if (t->health.ejected)
 		t->health.trial = true;
 }
