Reader: a platform that counts anew is read; refused accounts wait for templates

Symptom: after the platform lost its memory and counted revisions from 0, no publication had effect: platform_starts_again failed with '0x2 != 0x3'. Cause: documents whose revision is below the known one were not read at all. Tombstones keep no contents; a change of a template lists again, so that an account refused for want of it is tried at once.

--- a/core/reader.c
+++ b/core/reader.c
@@ -17,8 +17,16 @@
 #define WATCH_SPACING_NS (100 * NS_PER_MS)
 #define NEVER_NS UINT64_MAX
 
+/* What was read lately, by hash of the key; a collision costs a call. */
+#define SEEN_SLOTS 16384
+
 enum step { STEP_LIST, STEP_KEY, STEP_TEMPLATE, STEP_WATCH };
 
+struct seen {
+	uint64_t key_hash;
+	uint64_t revision;
+};
+
 struct wanted {
 	char key[PUBLISHED_KEY_MAX_BYTES];
 	uint64_t revision;
@@ -37,6 +45,8 @@
 	uint64_t next_deadline_ns;
 	uint64_t relist_deadline_ns;
 	uint64_t after;
+	uint64_t platform_revision;
+	struct seen *seen;
 	struct wanted *queue;
 	uint32_t n_queue;
 	char *document;
@@ -71,7 +81,8 @@
 		 data_centre);
 	r->queue = calloc(READER_QUEUE_MAX, sizeof(*r->queue));
 	r->listed = calloc(READER_QUEUE_MAX, sizeof(*r->listed));
-	if (!r->queue || !r->listed) {
+	r->seen = calloc(SEEN_SLOTS, sizeof(*r->seen));
+	if (!r->queue || !r->listed || !r->seen) {
 		reader_free(r);
 		return NULL;
 	}
@@ -84,6 +95,7 @@
 		return;
 	free(r->queue);
 	free(r->listed);
+	free(r->seen);
 	free(r->document);
 	free(r);
 }
@@ -100,6 +112,44 @@
 	       !strcmp(key, r->vms_key);
 }
 
+static uint64_t key_hash(const char *key)
+{
+	return XXH3_64bits(key, strlen(key));
+}
+
+static bool was_seen(const struct reader *r, const char *key, uint64_t revision)
+{
+	uint64_t hash = key_hash(key);
+	const struct seen *s = &r->seen[hash % SEEN_SLOTS];
+
+	return s->key_hash == hash && s->revision == revision;
+}
+
+static void note_seen(struct reader *r, const char *key, uint64_t revision)
+{
+	uint64_t hash = key_hash(key);
+
+	r->seen[hash % SEEN_SLOTS] = (struct seen){ hash, revision };
+}
+
+/*
+ * A revision up to the known one is old news, unless the platform is behind
+ * what is known: it is stale, or lost its memory and counts from 0 again.
+ * Its publications would then be skipped for good, so each is read once;
+ * their generations decide.
+ */
+static bool is_old(const struct reader *r, const char *key,
+		   const struct version *known, uint64_t revision)
+{
+	uint64_t newest = known->revision > known->withdrawn_revision
+				  ? known->revision
+				  : known->withdrawn_revision;
+
+	if (revision > newest)
+		return false;
+	return newest <= r->platform_revision || was_seen(r, key, revision);
+}
+
 /* Queue a key unless what is known of it is as new. */
 static void want(struct reader *r, const char *key, uint64_t revision)
 {
@@ -107,9 +157,7 @@
 
 	if (!is_ours(r, key) || strlen(key) >= PUBLISHED_KEY_MAX_BYTES)
 		return;
-	if (known && revision <= known->revision)
-		return;
-	if (known && revision <= known->withdrawn_revision)
+	if (known && is_old(r, key, known, revision))
 		return;
 	for (uint32_t i = 0; i < r->n_queue; i++)
 		if (!strcmp(r->queue[i].key, key)) {
@@ -199,8 +247,8 @@
 }
 
 /* Read "REVISION KEY" and move past the line; false at the end. */
-static bool next_line(struct reader *r, const char **at, const char *end,
-		      uint64_t *revision, char key[PUBLISHED_KEY_MAX_BYTES])
+static bool next_line(const char **at, const char *end, uint64_t *revision,
+		      char key[PUBLISHED_KEY_MAX_BYTES], uint64_t *malformed)
 {
 	while (*at < end) {
 		const char *newline = memchr(*at, '\n', end - *at);
@@ -217,16 +265,12 @@
 		if (sscanf(line, "%lu %79s%n", revision, key, &used) == 2 &&
 		    used == (int)strlen(line))
 			return true;
-		r->counters.answers_malformed++;
+		if (malformed)
+			++*malformed;
 	}
 	return false;
 }
 
-static uint64_t key_hash(const char *key)
-{
-	return XXH3_64bits(key, strlen(key));
-}
-
 static int by_value(const void *a, const void *b)
 {
 	const uint64_t *x = a, *y = b;
@@ -234,6 +278,20 @@
 	return (*x > *y) - (*x < *y);
 }
 
+/* Highest revision that an answer with lines shows. */
+static uint64_t highest_revision(const struct reader_answer *a)
+{
+	const char *at = a->body;
+	char key[PUBLISHED_KEY_MAX_BYTES];
+	uint64_t highest = a->revision;
+	uint64_t revision;
+
+	while (next_line(&at, a->body + a->size_bytes, &revision, key, NULL))
+		if (revision > highest)
+			highest = revision;
+	return highest;
+}
+
 static void note_listed(struct reader *r, const char *key)
 {
 	if (is_ours(r, key) && r->n_listed < READER_QUEUE_MAX)
@@ -269,23 +327,22 @@
 {
 	const char *at = a->body;
 	char key[PUBLISHED_KEY_MAX_BYTES];
-	uint64_t highest = a->revision;
 	uint64_t revision;
 
 	if (a->status != 200) {
 		back_off(r, now_ns);
 		return;
 	}
+	r->platform_revision = highest_revision(a);
 	r->n_listed = 0;
-	while (next_line(r, &at, a->body + a->size_bytes, &revision, key)) {
-		if (revision > highest)
-			highest = revision;
+	while (next_line(&at, a->body + a->size_bytes, &revision, key,
+			 &r->counters.answers_malformed)) {
 		note_listed(r, key);
 		want(r, key, revision);
 	}
-	r->after = highest;
+	r->after = r->platform_revision;
 	r->relist_deadline_ns = now_ns + RELIST_PERIOD_NS;
-	find_gone(r, highest);
+	find_gone(r, r->platform_revision);
 }
 
 static void finish_document(struct reader *r, int err)
@@ -317,6 +374,7 @@
 		return;
 	}
 	r->counters.documents++;
+	note_seen(r, w.key, a->revision);
 	err = r->port.document(r->port.ctx, w.key, a->body, a->size_bytes,
 			       a->revision, r->template);
 	if (err != -ENOENT) {
@@ -362,22 +420,24 @@
 {
 	const char *at = a->body;
 	char key[PUBLISHED_KEY_MAX_BYTES];
-	uint64_t highest = a->revision;
 	uint64_t revision;
 
 	if (a->status != 200) {
 		back_off(r, now_ns);
 		return;
 	}
-	while (next_line(r, &at, a->body + a->size_bytes, &revision, key)) {
-		if (revision > highest)
-			highest = revision;
+	r->platform_revision = highest_revision(a);
+	while (next_line(&at, a->body + a->size_bytes, &revision, key,
+			 &r->counters.answers_malformed)) {
 		want(r, key, revision);
+		/* Accounts that were refused may render by it. */
+		if (!strncmp(key, TEMPLATE_PREFIX, strlen(TEMPLATE_PREFIX)))
+			r->relist_deadline_ns = now_ns;
 	}
-	if (highest < r->after)
+	if (r->platform_revision < r->after)
 		r->counters.platform_behind++;
 	else
-		r->after = highest;
+		r->after = r->platform_revision;
 	if (!a->size_bytes)
 		r->next_deadline_ns = now_ns + WATCH_SPACING_NS;
 }
--- a/core/spread.c
+++ b/core/spread.c
@@ -113,7 +113,7 @@
 	copy = content_new(content->items, content->n);
 	if (!copy)
 		return -ENOMEM;
-	store_take(s, r, copy);
+	store_take(r, copy);
 	store_join(s, r, &v);
 	relay_accepted(s, r, ADDR_NONE, now_ns);
 	return 0;
--- a/core/spread_internal.h
+++ b/core/spread_internal.h
@@ -106,7 +106,7 @@
 struct record *store_get(struct spread *s, const char *key);
 uint32_t key_bucket(const char *key);
 void store_join(struct spread *s, struct record *r, const struct version *v);
-void store_take(struct spread *s, struct record *r, struct content *take);
+void store_take(struct record *r, struct content *take);
 const struct content *store_base(const struct record *r, uint64_t hash);
 void store_announce(struct spread *s, const struct record *r);
 void store_free(struct spread *s);
--- a/core/spread_relay.c
+++ b/core/spread_relay.c
@@ -200,7 +200,7 @@
 	}
 	if (o->version.generation == r->version.generation)
 		s->counters.conflicts++;
-	store_take(s, r, c);
+	store_take(r, c);
 	store_join(s, r, &o->version);
 	r->asked_deadline_ns = 0;
 	relay_accepted(s, r, msg->from, now_ns);
--- a/core/spread_store.c
+++ b/core/spread_store.c
@@ -76,6 +76,16 @@
 	s->buckets[key_bucket(r->key)] ^= digest;
 }
 
+static void record_clear(struct record *r)
+{
+	content_free(r->content);
+	r->content = NULL;
+	for (uint32_t i = 0; i < CONTENT_HISTORY; i++) {
+		content_free(r->history[i]);
+		r->history[i] = NULL;
+	}
+}
+
 /* Join a version whose content, if it needs one, is already in place. */
 void store_join(struct spread *s, struct record *r, const struct version *v)
 {
@@ -83,15 +93,14 @@
 	version_join(&r->version, v);
 	store_toggle(s, r);
 	if (version_withdrawn(&r->version) && r->content) {
-		store_take(s, r, NULL);
+		record_clear(r);
 		s->counters.withdrawn++;
 	}
 }
 
 /* Replace the content; the old one is kept as a base for deltas. */
-void store_take(struct spread *s, struct record *r, struct content *take)
+void store_take(struct record *r, struct content *take)
 {
-	(void)s;
 	if (r->content) {
 		content_free(r->history[CONTENT_HISTORY - 1]);
 		memmove(&r->history[1], &r->history[0],
@@ -124,10 +133,7 @@
 
 void store_free(struct spread *s)
 {
-	for (uint32_t i = 0; i < s->n_records; i++) {
-		content_free(s->records[i].content);
-		for (uint32_t j = 0; j < CONTENT_HISTORY; j++)
-			content_free(s->records[i].history[j]);
-	}
+	for (uint32_t i = 0; i < s->n_records; i++)
+		record_clear(&s->records[i]);
 	free(s->records);
 }
--- a/test/spread_net.c
+++ b/test/spread_net.c
@@ -173,6 +173,16 @@
 			strdup(net->live.documents[i].text);
 }
 
+static void publish_vms(struct net *net);
+
+void net_forget(struct net *net)
+{
+	view_clear(&net->live);
+	net->live.revision = 0;
+	net->n_log = 0;
+	publish_vms(net);
+}
+
 static void publish_vms(struct net *net)
 {
 	char text[16 * VMS_MAX] = "";
--- a/test/spread_net.h
+++ b/test/spread_net.h
@@ -27,6 +27,8 @@
 void net_publish(struct net *net, const char *key, const char *text);
 void net_delete(struct net *net, const char *key);
 void net_platform(struct net *net, enum net_platform state);
+/* The platform lost its memory and counts revisions from 0 again. */
+void net_forget(struct net *net);
 /* From now on the platform shows what it shows now, when it is stale. */
 void net_remember(struct net *net);
 
--- a/test/spread_test.c
+++ b/test/spread_test.c
@@ -446,6 +446,33 @@
 	net_free(net);
 }
 
+/*
+ * Symptom: publications have no effect any more, nowhere.
+ * Events: the platform loses its memory and counts revisions from 0 again;
+ * the operator publishes everything anew, then the next generation.
+ * Cause: a document whose revision is below the known one is not even read.
+ */
+static void platform_starts_again(void **state)
+{
+	struct net *net = started();
+
+	(void)state;
+	for (uint64_t i = 0; i < 20; i++)
+		net_publish(net, "template/t", "x");
+	net_publish(net, ACCOUNT, "2|a|c");
+	net_run(net, IN_FORCE);
+	net_forget(net);
+	net_publish(net, ACCOUNT, "1|a|b");
+	net_run(net, 90 * NET_S);
+	assert_all(net, 2);
+	for (uint32_t i = 0; i < N; i++)
+		assert_false(net_withdrawn(net, i, ACCOUNT));
+	net_publish(net, ACCOUNT, "3|a|d");
+	net_run(net, IN_FORCE);
+	assert_all(net, 3);
+	net_free(net);
+}
+
 /* A template takes force with the next generation of an account, not alone. */
 static void template_with_next_generation(void **state)
 {
@@ -465,6 +492,12 @@
 	net_run(net, IN_FORCE);
 	assert_all(net, 3);
 	assert_int_not_equal(net_hash(net, 0, ACCOUNT), hash);
+	net_publish(net, ACCOUNT, "4|@later|a");
+	net_run(net, IN_FORCE);
+	assert_all(net, 3);
+	net_publish(net, "template/later", "z");
+	net_run(net, IN_FORCE);
+	assert_all(net, 4);
 	assert_true(net_converged(net));
 	net_free(net);
 }
@@ -487,6 +520,7 @@
 		cmocka_unit_test(stale_platform_lacks_account),
 		cmocka_unit_test(platform_down_for_an_hour),
 		cmocka_unit_test(frames_are_lost),
+		cmocka_unit_test(platform_starts_again),
 		cmocka_unit_test(template_with_next_generation),
 	};
 
