--- a/core/reader.c
+++ b/core/reader.c
@@ -1,4 +1,5 @@
 #include "reader.h"
+#include "reader_lines.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -246,31 +247,6 @@
 	r->port.state(r->port.ctx, false, false);
 }
 
-/* Read "REVISION KEY" and move past the line; false at the end. */
-static bool next_line(const char **at, const char *end, uint64_t *revision,
-		      char key[PUBLISHED_KEY_MAX_BYTES], uint64_t *malformed)
-{
-	while (*at < end) {
-		const char *newline = memchr(*at, '\n', end - *at);
-		const char *stop = newline ? newline : end;
-		char line[PUBLISHED_KEY_MAX_BYTES + 24] = "";
-		size_t size_bytes = stop - *at;
-		int used = 0;
-
-		if (size_bytes < sizeof(line))
-			memcpy(line, *at, size_bytes);
-		*at = newline ? newline + 1 : end;
-		if (!size_bytes)
-			continue;
-		if (sscanf(line, "%lu %79s%n", revision, key, &used) == 2 &&
-		    used == (int)strlen(line))
-			return true;
-		if (malformed)
-			++*malformed;
-	}
-	return false;
-}
-
 static int by_value(const void *a, const void *b)
 {
 	const uint64_t *x = a, *y = b;
@@ -278,20 +254,6 @@
 	return (*x > *y) - (*x < *y);
 }
 
-/* Highest revision that an answer with lines shows. */
-static uint64_t highest_revision(const struct reader_answer *a)
-{
-	const char *at = a->body;
-	char key[PUBLISHED_KEY_MAX_BYTES];
-	uint64_t highest = a->revision;
-	uint64_t revision;
-
-	while (next_line(&at, a->body + a->size_bytes, &revision, key, NULL))
-		if (revision > highest)
-			highest = revision;
-	return highest;
-}
-
 static void note_listed(struct reader *r, const char *key)
 {
 	if (is_ours(r, key) && r->n_listed < READER_QUEUE_MAX)
@@ -333,10 +295,10 @@
 		back_off(r, now_ns);
 		return;
 	}
-	r->platform_revision = highest_revision(a);
+	r->platform_revision = lines_highest(a);
 	r->n_listed = 0;
-	while (next_line(&at, a->body + a->size_bytes, &revision, key,
-			 &r->counters.answers_malformed)) {
+	while (lines_next(&at, a->body + a->size_bytes, &revision, key,
+			  &r->counters.answers_malformed)) {
 		note_listed(r, key);
 		want(r, key, revision);
 	}
@@ -426,9 +388,9 @@
 		back_off(r, now_ns);
 		return;
 	}
-	r->platform_revision = highest_revision(a);
-	while (next_line(&at, a->body + a->size_bytes, &revision, key,
-			 &r->counters.answers_malformed)) {
+	r->platform_revision = lines_highest(a);
+	while (lines_next(&at, a->body + a->size_bytes, &revision, key,
+			  &r->counters.answers_malformed)) {
 		want(r, key, revision);
 		/* Accounts that were refused may render by it. */
 		if (!strncmp(key, TEMPLATE_PREFIX, strlen(TEMPLATE_PREFIX)))
