--- a/cmd/cb-watch/main.c
+++ b/cmd/cb-watch/main.c
@@ -40,10 +40,11 @@
 	err = log_open("cb-watch", &settings->log);
 	if (!err)
 		err = watch_open(&w, &loop, settings);
-	if (!err) {
+	if (!err)
 		uv_run(&loop, UV_RUN_DEFAULT);
+	if (w.loop)
 		watch_close(&w);
-	}
+	uv_loop_close(&loop);
 	curl_global_cleanup();
 	return err ? EXIT_FAILURE : EXIT_SUCCESS;
 }
