--- a/test/content_prop.cc
+++ b/test/content_prop.cc
@@ -115,23 +115,25 @@
 		more.insert(more.end(), some.rbegin(), some.rend());
 		RC_ASSERT(make(some)->hash == make(more)->hash);
 	});
-	ok &= rc::check("a wrong delta is refused or gives a content",
-			[](std::vector<uint32_t> removed) {
-				owned from = make(texts());
-				strings added_texts = texts();
-				auto added = items_of(added_texts);
-				struct delta d = {
-					removed.data(),
-					static_cast<uint32_t>(removed.size()),
-					added.data(),
-					static_cast<uint32_t>(added.size()),
-				};
-				owned patched(content_patch(from.get(), &d));
-
-				if (patched)
-					RC_ASSERT(patched->n <=
-						  from->n + d.n_added);
-			});
+	ok &= rc::check("only a delta that fits the base is taken", [] {
+		owned from = make(texts());
+		auto removed = *rc::gen::container<std::vector<uint32_t>>(
+			rc::gen::inRange<uint32_t>(0, 4));
+		struct delta d = {
+			removed.data(),
+			static_cast<uint32_t>(removed.size()),
+			nullptr,
+			0,
+		};
+		bool fits = true;
+
+		for (size_t i = 0; i < removed.size(); i++)
+			fits &= removed[i] < from->n &&
+				(!i || removed[i - 1] < removed[i]);
+		owned patched(content_patch(from.get(), &d));
+		RC_ASSERT(fits == !!patched);
+		RC_ASSERT(!fits || patched->n == from->n - d.n_removed);
+	});
 	return ok;
 }
 
