--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -137,6 +137,7 @@
  * @copy_deadline_ns: when to send the second copy (again)
  * @hand_deadline_ns: when to ask the new owner (again) to take it over; of a
  *	copy: when to adopt it, or drop it, though its server lives
+ * @renewals: failed since its target last answered
  * @handed_from: entry that waits to hear that we took it over
  * @served_by: of a copy: entry that serves the feed
  * @generation: of the slot, part of the token towards the target
@@ -164,6 +165,7 @@
 	uint64_t copy_deadline_ns;
 	uint64_t hand_deadline_ns;
 	uint64_t unacked_since_ns;
+	uint32_t renewals;
 	uint64_t handed_from;
 	uint64_t served_by;
 	uint32_t generation;
@@ -233,10 +235,13 @@
 	struct id_space *ids;
 	uint64_t view;
 	uint64_t deaths;
+	uint64_t minority_since_ns;
 	bool roster_known;
 	bool joined;
 	bool leaving;
 	bool lease_lapsed;
+	bool stale;
+	uint64_t ticked_ns;
 	uint64_t join_deadline_ns;
 	uint64_t join_latest_ns;
 	uint64_t leave_deadline_ns;
@@ -256,6 +261,7 @@
 			uint8_t type, uint16_t id);
 
 /* entry.c */
+void entry_begin(struct entry *e, uint64_t now_ns, struct actions *out);
 void entry_watch_lease(struct entry *e);
 
 /* route.c */
--- a/test/testbed_target.c
+++ b/test/testbed_target.c
@@ -118,6 +118,8 @@
 		return;
 	if (op->class_ == OP_FEED && op->runs > 0 && op->target == i)
 		return;
+	if (d->flags & MSG_PART && d->seq > 0)
+		return;
 	trace_line(f, "t%u drains and gets op %u", i, d->op);
 	f->verdict.late_work++;
 }
@@ -128,8 +130,6 @@
 	struct op *op = op_at(f, d->op);
 
 	trace_line(f, "t%u runs op %u", i, d->op);
-	if (!(d->flags & MSG_PART))
-		note_new_work(f, i, d);
 	op->runs++;
 	op->wrong_service |= op->service != t->service;
 	op->target = i;
@@ -137,17 +137,19 @@
 	hook_at(f, POINT_RUN, d->op, TESTBED_NONE);
 }
 
-/* Answer's flags of a part; the last one runs the upload. */
-static uint16_t take_part(struct testbed *f, uint32_t i, const struct dgram *d)
+/*
+ * Answer's flags of a part; the last one runs the upload. An upload is known by
+ * the address that its parts come from, as RFC 7959 has it.
+ */
+static uint16_t take_part(struct testbed *f, uint32_t i, uint64_t vm,
+			  const struct dgram *d)
 {
 	struct fake_target *t = &f->targets[i];
-	gpointer key = GUINT_TO_POINTER(d->op + 1);
+	gpointer key = GSIZE_TO_POINTER(hash_u64(vm, d->op + 1));
 	uint32_t have = GPOINTER_TO_UINT(g_hash_table_lookup(t->parts, key));
 
 	if (d->seq > have)
 		return MSG_FAILED;
-	if (have == 0)
-		note_new_work(f, i, d);
 	if (d->seq == have)
 		have++;
 	g_hash_table_insert(t->parts, key, GUINT_TO_POINTER(have));
@@ -169,7 +171,7 @@
 
 	if (t->up && ev->arg == t->generation) {
 		if (j.d.flags & MSG_PART)
-			flags = take_part(f, ev->node, &j.d);
+			flags = take_part(f, ev->node, j.vm, &j.d);
 		t->running--;
 		if (t->mode != MODE_SILENT)
 			answer(f, ev->node, &j, flags);
@@ -318,8 +320,10 @@
 	} else if (t->mode == MODE_SHED || t->n_jobs == JOBS_MAX) {
 		shed(f, i, j);
 	} else if (j->d.flags & MSG_FEED_OPEN) {
+		note_new_work(f, i, &j->d);
 		open_feed(f, i, j);
 	} else {
+		note_new_work(f, i, &j->d);
 		t->jobs[t->n_jobs++] = *j;
 		run_queue(f, i);
 	}
