--- a/core/admit.c
+++ b/core/admit.c
@@ -9,7 +9,7 @@
  * Work is let in when its estimated wait is below 1/WAIT_DEN of the time it
  * has left; it is thrown out when the estimate is SLACK_NUM/SLACK_DEN of it.
  */
-#define WAIT_DEN 2
+#define WAIT_DEN 4
 #define SLACK_NUM 5
 #define SLACK_DEN 4
 /* Share of the waiting room that any account may fill. */
