--- a/bench/bench-balance/main.c
+++ b/bench/bench-balance/main.c
@@ -2,6 +2,7 @@
  * bench-balance: our choice of target against round robin, plain hash, local
  * least-loaded and two random choices, over the same callers.
  */
+#include "changes.h"
 #include "feeds.h"
 #include "world.h"
 
@@ -195,6 +196,11 @@
 		if (!*only || !strcmp(only, "feeds"))
 			feeds_run(SERVICES[i].deployment, SERVICES[i].n_entries,
 				  SERVICES[i].n_targets, SERVICES[i].slots);
+	if (!*only || !strcmp(only, "change")) {
+		changes_run(96, 6);
+		changes_run(960, 6);
+		changes_run(3840, 6);
+	}
 	for (uint32_t i = 0; i < N_GROWTH; i++)
 		if (!*only || !strcmp(only, GROWTH[i].deployment))
 			run(&GROWTH[i]);
--- a/core/admit.c
+++ b/core/admit.c
@@ -94,15 +94,12 @@
 /* Half of the room is open to all, the rest is shared out by weight. */
 static bool over_share(const struct balancer *b, const struct account *a)
 {
-	uint64_t weights = 0;
 	uint64_t share;
 
 	if (b->n_waiting < b->work_max / ROOM_OPEN_DEN)
 		return false;
-	for (uint32_t i = 0; i < b->t.n_accounts; i++)
-		weights += b->t.accounts[i].weight;
 	share = (uint64_t)(b->work_max - b->work_max / ROOM_OPEN_DEN) *
-		a->weight / weights;
+		a->weight / b->t.weights;
 	return a->n_waiting > share;
 }
 
--- a/core/balance_state.h
+++ b/core/balance_state.h
@@ -188,13 +188,14 @@
 
 /**
  * struct tables - everything that a change of configuration builds anew
- * @accounts: in configuration order
+ * @accounts: sorted by name
  * @services: sorted by VIP
  * @places: by service, sorted by target address
  * @targets: sorted by address
  * @links: places by target
  * @candidates: places by service
  * @scratch: room for one service's latencies
+ * @weights: sum of the accounts' weights
  */
 struct tables {
 	struct account *accounts;
@@ -204,6 +205,7 @@
 	uint32_t *links;
 	uint32_t *candidates;
 	uint64_t *scratch;
+	uint64_t weights;
 	uint32_t n_accounts;
 	uint32_t n_services;
 	uint32_t n_places;
--- a/core/tables.c
+++ b/core/tables.c
@@ -89,12 +89,24 @@
 	}
 }
 
+/* Both configurations are sorted by name. */
 static const struct account *find_account(const struct tables *t,
 					  const char *name)
 {
-	for (uint32_t i = 0; i < t->n_accounts; i++)
-		if (!strcmp(t->accounts[i].name, name))
-			return &t->accounts[i];
+	uint32_t low = 0;
+	uint32_t high = t->n_accounts;
+
+	while (low < high) {
+		uint32_t mid = low + (high - low) / 2;
+		int order = strcmp(t->accounts[mid].name, name);
+
+		if (!order)
+			return &t->accounts[mid];
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
 	return NULL;
 }
 
@@ -113,6 +125,7 @@
 		memcpy(a->name, c->accounts[i].name, NAME_MAX_BYTES);
 		a->weight = c->accounts[i].weight ? c->accounts[i].weight : 1;
 		a->n_waiting = 0;
+		t->weights += a->weight;
 	}
 }
 
