Weights share out requests too

With one request at a time all of them went to the heaviest target (80 of 80 instead of 60), since its load over its weight was the least: weight now counts in the turns only. Feeds were right.

--- a/core/pick.c
+++ b/core/pick.c
@@ -159,10 +159,8 @@
 		others_milli = view_others_milli(&t->view, now_ns);
 	load += (others_milli + 500) / 1000;
 	if (w->feed)
-		load += t->feeds;
-	else
-		load = (load + 1) * LOAD_STEPS / (t->slots + 1);
-	return (load + 1) * TURN_UNIT / p->weight;
+		return (load + t->feeds + 1) * TURN_UNIT / p->weight;
+	return (load + 1) * LOAD_STEPS / (t->slots + 1);
 }
 
 /* A place that was not used for long is due, but only once. */
--- a/test/balance_test.c
+++ b/test/balance_test.c
@@ -24,6 +24,37 @@
 	fixture_close(&f);
 }
 
+static void weights_share_out_requests_and_feeds(void **state)
+{
+	struct fixture f;
+	uint32_t requests = 0;
+	uint32_t feeds = 0;
+
+	(void)state;
+	fixture_open(&f, 2, 4, 100);
+	f.services[0].targets[0].weight = 300;
+	fixture_config(&f);
+	for (uint32_t i = 0; i < 80; i++) {
+		struct ruling r = fixture_submit(&f, 0, 5000);
+
+		requests += r.target == fixture_target(0);
+		fixture_done(&f, r.target, OUTCOME_OK, 20);
+	}
+	for (uint32_t i = 0; i < 80; i++) {
+		struct work w = fixture_work(&f, 0, 5000);
+		struct ruling r;
+
+		w.feed = true;
+		r = balance_submit(f.b, &w, f.now_ns);
+		fixture_done(&f, r.target, OUTCOME_OK, 20);
+		balance_feed(f.b, FIXTURE_VIP, r.target, 1);
+		feeds += r.target == fixture_target(0);
+	}
+	assert_in_range(requests, 58, 62);
+	assert_in_range(feeds, 58, 62);
+	fixture_close(&f);
+}
+
 static void queue_runs_when_a_slot_frees(void **state)
 {
 	struct fixture f;
@@ -73,6 +104,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(spreads_over_idle_targets),
+		cmocka_unit_test(weights_share_out_requests_and_feeds),
 		cmocka_unit_test(queue_runs_when_a_slot_frees),
 		cmocka_unit_test(expired_work_comes_out),
 	};
