--- a/core/balance_state.h
+++ b/core/balance_state.h
@@ -13,7 +13,7 @@
 #define INDEX_NONE UINT32_MAX
 
 /* Rounds of estimates and queues come this often. */
-#define ROUND_NS (100 * NS_PER_MS)
+#define ROUND_NS (20 * NS_PER_MS)
 
 /* Slow start of a target that appears in a configuration. */
 #define SLOW_START_NS (10 * NS_PER_S)
