--- a/core/request.c
+++ b/core/request.c
@@ -177,6 +177,8 @@
 {
 	const struct service_conf *s = service_find(e, r->key.vip);
 
+	if (transfer_runs_nothing(r))
+		return true;
 	return r->flags & MSG_IDEMPOTENT || (s && s->post_idempotent);
 }
 
@@ -188,6 +190,8 @@
  */
 static bool known_not_run(const struct entry *e, const struct request *r)
 {
+	if (transfer_runs_nothing(r))
+		return true;
 	if (r->maybe_run)
 		return false;
 	return !request_idempotent(e, r) || owned_long_enough(e, r);
@@ -307,27 +311,14 @@
 	return hash_u64(token, r->identity + r->token_len);
 }
 
-/*
- * A process that was paused reads datagrams that are as old as its view, and
- * would give them to targets that drain by now. It waits until it has heard
- * from its peers again, and for news that is as old to be read as well.
- */
-static void hold_until_safe(struct entry *e, struct request *r)
-{
-	r->state = REQ_CLAIMING;
-	timers_set(e->timers, request_slot(e, r),
-		   e->now_ns + e->conf.claim_timeout_ns);
-}
-
 /**
  * request_arrived() - a request at the owner of its flow
  * @e: entry
  * @key: flow
  * @msg: request
- * @hops: forwards so far
  */
 void request_arrived(struct entry *e, const struct flow_key *key,
-		     const struct message *msg, uint8_t hops)
+		     const struct message *msg)
 {
 	const struct service_conf *s = service_find(e, key->vip);
 	struct request *r;
@@ -354,10 +345,10 @@
 		request_refuse(e, r, REFUSE_MEMORY, MEMORY_RETRY_S);
 		return;
 	}
-	if (!request_idempotent(e, r))
-		claim_begin(e, r, hops);
-	else if (claim_safe_now(e))
+	if (transfer_elsewhere(e, r))
+		return;
+	if (request_idempotent(e, r))
 		request_submit(e, r);
 	else
-		hold_until_safe(e, r);
+		claim_begin(e, r);
 }
