--- a/cmd/cb-entry/callers.c
+++ b/cmd/cb-entry/callers.c
@@ -251,6 +251,21 @@
 		d->dropped[DROP_SEND_CALLER]++;
 }
 
+/**
+ * callers_lost() - datagrams of callers that came while a socket was full
+ * @d: daemon
+ *
+ * Return: number, without those of VIPs that were closed since.
+ */
+uint64_t callers_lost(const struct daemon *d)
+{
+	uint64_t lost = datagram_lost(&d->fabric_socket);
+
+	for (uint32_t i = 0; i < d->vips->n; i++)
+		lost += datagram_lost(&d->vips->list[i]->socket);
+	return lost;
+}
+
 /**
  * callers_close() - close the VIPs
  * @d: daemon
--- a/cmd/cb-entry/daemon.h
+++ b/cmd/cb-entry/daemon.h
@@ -124,9 +124,11 @@
 		  uv_udp_recv_cb received);
 bool datagram_send(uv_udp_t *socket, uint64_t to, const uint8_t *buf,
 		   uint32_t size_bytes);
+uint64_t datagram_lost(const uv_udp_t *socket);
 
 /* callers.c */
 int callers_open(struct daemon *d);
+uint64_t callers_lost(const struct daemon *d);
 void callers_config(struct daemon *d);
 void callers_send(struct daemon *d, const struct flow_key *key,
 		  const uint8_t *buf, uint32_t size_bytes);
--- a/cmd/cb-entry/datagram.c
+++ b/cmd/cb-entry/datagram.c
@@ -2,6 +2,7 @@
 #include "daemon.h"
 
 #include <arpa/inet.h>
+#include <linux/sock_diag.h>
 #include <string.h>
 
 #define SOCKET_BUFFER_BYTES (4 << 20)
@@ -95,3 +96,27 @@
 	return uv_udp_try_send(socket, &b, 1, (const struct sockaddr *)&in) >=
 	       0;
 }
+
+/**
+ * datagram_lost() - datagrams that came while the socket was full
+ * @socket: open socket, or one that was never opened
+ *
+ * Nothing else tells of them: a process that is too slow on the hour would
+ * look idle and its callers' repeats like more work.
+ *
+ * Return: number since the socket was opened.
+ */
+uint64_t datagram_lost(const uv_udp_t *socket)
+{
+	uint32_t info[SK_MEMINFO_VARS] = { 0 };
+	socklen_t size_bytes = sizeof(info);
+	uv_os_fd_t fd;
+
+	if (socket->type != UV_UDP)
+		return 0;
+	if (uv_fileno((const uv_handle_t *)socket, &fd))
+		return 0;
+	if (getsockopt(fd, SOL_SOCKET, SO_MEMINFO, info, &size_bytes))
+		return 0;
+	return info[SK_MEMINFO_DROPS];
+}
--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -106,6 +106,24 @@
 				       (unsigned long long)d->dropped[i]);
 }
 
+static void put_lost(const struct daemon *d, GString *to)
+{
+	const struct {
+		const char *socket;
+		uint64_t lost;
+	} rows[] = {
+		{ "callers", callers_lost(d) },
+		{ "targets", datagram_lost(&d->target_socket) },
+		{ "peers", datagram_lost(&d->peer_socket) },
+	};
+
+	g_string_append(to, "# TYPE cb_socket_full_total counter\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(
+			to, "cb_socket_full_total{socket=\"%s\"} %llu\n",
+			rows[i].socket, (unsigned long long)rows[i].lost);
+}
+
 static void put_process(GString *to)
 {
 	size_t resident_bytes = 0;
@@ -209,6 +227,7 @@
 	put_gauges(d, to);
 	put_traffic(d, to);
 	put_drops(d, to);
+	put_lost(d, to);
 	put_process(to);
 	put_rows(d, to, put_ends);
 	g_string_append(to, "# TYPE cb_wait_microseconds histogram\n");
