--- a/cmd/cb-entry/callers.c
+++ b/cmd/cb-entry/callers.c
@@ -22,6 +22,7 @@
 	struct vip_socket **list;
 	uint32_t n;
 	uint32_t capacity;
+	bool failed;
 };
 
 static void received(struct daemon *d, const struct flow_key *key,
@@ -156,6 +157,7 @@
 	v->socket.data = v;
 	if (!err && vip_insert(d->vips, at, v))
 		return;
+	d->vips->failed = true;
 	log_line(LOG_ERROR, "callers.bind", addr_text(vip, text, sizeof(text)),
 		 "%s", uv_strerror(err ? err : UV_ENOMEM));
 	vip_close(v);
@@ -194,6 +196,7 @@
 
 	if (d->settings.callers_mode != CALLERS_DIRECT)
 		return;
+	s->failed = false;
 	for (uint32_t i = 0; i < s->n; i++)
 		s->list[i]->wanted = false;
 	for (uint32_t i = 0; i < d->config.n_accounts; i++) {
@@ -205,6 +208,19 @@
 	vips_close_unwanted(s);
 }
 
+/**
+ * callers_retry() - bind the VIPs again that could not be bound
+ * @d: daemon
+ *
+ * The address may have been held by another process, or not have been given
+ * to the VM yet.
+ */
+void callers_retry(struct daemon *d)
+{
+	if (d->vips->failed)
+		callers_config(d);
+}
+
 static bool fabric_send(struct daemon *d, const struct flow_key *key,
 			const uint8_t *buf, uint32_t size_bytes)
 {
--- a/cmd/cb-entry/daemon.c
+++ b/cmd/cb-entry/daemon.c
@@ -123,8 +123,7 @@
 	struct daemon *d = timer->loop->data;
 
 	act_second(d);
-	/* An address that was still held by another process may be free. */
-	callers_config(d);
+	callers_retry(d);
 }
 
 /* Arm the timer once a turn of the loop, not once a datagram. */
--- a/cmd/cb-entry/daemon.h
+++ b/cmd/cb-entry/daemon.h
@@ -130,6 +130,7 @@
 int callers_open(struct daemon *d);
 uint64_t callers_lost(const struct daemon *d);
 void callers_config(struct daemon *d);
+void callers_retry(struct daemon *d);
 void callers_send(struct daemon *d, const struct flow_key *key,
 		  const uint8_t *buf, uint32_t size_bytes);
 void callers_close(struct daemon *d);
