cb-entry drops callers' datagrams that waited through a pause

Symptom: uploads cut by 4.08 the moment a stopped entry went on (demo, FAULT=freeze-entry, 12 to 14 of 394 uploads). Cause, from a trace of one upload: the woken entry forwarded blocks that had waited 3 s; the present owner replayed their answers; libcoap's client took 2.31 for an earlier block as one for the last and sent on.

--- a/cmd/cb-entry/daemon.c
+++ b/cmd/cb-entry/daemon.c
@@ -94,6 +94,27 @@
 	watch_leaving(d);
 }
 
+/* Time by which the loop is late, beyond the deadline it waited for. */
+static uint64_t late_ns(const struct daemon *d, uint64_t now_ns)
+{
+	uint64_t due_ns = d->armed_ns > d->turn_ns ? d->armed_ns : d->turn_ns;
+
+	return now_ns > due_ns ? now_ns - due_ns : 0;
+}
+
+/* Later than a lease lasts: the process, or its VM, stood still. */
+static void watch_pause(struct daemon *d, uint64_t now_ns)
+{
+	uint64_t late = late_ns(d, now_ns);
+
+	if (late <= ms(d->settings.lease_ms))
+		return;
+	log_line(LOG_WARNING, "pause", NULL, "stood still for %llu ms",
+		 (unsigned long long)(late / NS_PER_MS));
+	d->woken = true;
+	callers_discard(d);
+}
+
 /**
  * daemon_catch_up() - act on deadlines that have passed, before an event
  * @d: daemon
@@ -108,8 +129,10 @@
 {
 	uint64_t now_ns = uv_hrtime();
 
-	if (now_ns >= d->armed_ns)
-		tick(d, now_ns);
+	if (now_ns < d->armed_ns)
+		return now_ns;
+	watch_pause(d, now_ns);
+	tick(d, now_ns);
 	return now_ns;
 }
 
@@ -133,6 +156,7 @@
 	uint64_t now_ns = uv_hrtime();
 	uint64_t wait_ms = 0;
 
+	d->turn_ns = now_ns;
 	d->armed_ns = entry_next_ns(d->entry);
 	if (d->armed_ns > now_ns)
 		wait_ms = (d->armed_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS;
@@ -140,6 +164,13 @@
 	uv_timer_start(&d->tick_timer, on_tick, wait_ms, 0);
 }
 
+static void after_wait(uv_check_t *check)
+{
+	struct daemon *d = check->loop->data;
+
+	d->woken = false;
+}
+
 static void on_stop(uv_signal_t *signal, int number)
 {
 	struct daemon *d = signal->loop->data;
@@ -164,10 +195,12 @@
 	uv_timer_init(d->loop, &d->tick_timer);
 	uv_timer_init(d->loop, &d->second_timer);
 	uv_prepare_init(d->loop, &d->prepare);
+	uv_check_init(d->loop, &d->check);
 	uv_signal_init(d->loop, &d->sigterm);
 	uv_signal_init(d->loop, &d->sigint);
 	uv_timer_start(&d->second_timer, on_second, 0, SECOND_MS);
 	uv_prepare_start(&d->prepare, before_wait);
+	uv_check_start(&d->check, after_wait);
 	uv_signal_start(&d->sigterm, on_stop, SIGTERM);
 	uv_signal_start(&d->sigint, on_stop, SIGINT);
 }
@@ -188,6 +221,7 @@
 
 	d->incarnation = wall_clock_ms();
 	d->armed_ns = UINT64_MAX;
+	d->turn_ns = uv_hrtime();
 	conf = entry_conf_of(d);
 	d->entry = entry_new(&conf, uv_hrtime());
 	if (!d->entry)
