--- a/cmd/cb-entry/callers.c
+++ b/cmd/cb-entry/callers.c
@@ -282,25 +282,6 @@
 	return lost;
 }
 
-/**
- * callers_discard() - drop what callers sent during a pause of this process
- * @d: daemon
- *
- * Its callers have sent it again since, and another entry has answered. Taken
- * now, it would make that entry answer once more, out of order: a caller's
- * library that matches answers by token takes "continue" for an earlier block
- * as one for the last and sends blocks that no target waits for. One would
- * see uploads cut by 4.08 the moment an entry goes on.
- */
-void callers_discard(struct daemon *d)
-{
-	uint64_t n = datagram_discard(&d->fabric_socket);
-
-	for (uint32_t i = 0; i < d->vips->n; i++)
-		n += datagram_discard(&d->vips->list[i]->socket);
-	d->dropped[DROP_CALLER_STALE] += n;
-}
-
 /**
  * callers_close() - close the VIPs
  * @d: daemon
--- a/cmd/cb-entry/daemon.c
+++ b/cmd/cb-entry/daemon.c
@@ -103,16 +103,13 @@
 }
 
 /* Later than a lease lasts: the process, or its VM, stood still. */
-static void watch_pause(struct daemon *d, uint64_t now_ns)
+static void note_pause(const struct daemon *d, uint64_t now_ns)
 {
 	uint64_t late = late_ns(d, now_ns);
 
-	if (late <= ms(d->settings.lease_ms))
-		return;
-	log_line(LOG_WARNING, "pause", NULL, "stood still for %llu ms",
-		 (unsigned long long)(late / NS_PER_MS));
-	d->woken = true;
-	callers_discard(d);
+	if (late > ms(d->settings.lease_ms))
+		log_line(LOG_WARNING, "pause", NULL, "stood still for %llu ms",
+			 (unsigned long long)(late / NS_PER_MS));
 }
 
 /**
@@ -131,7 +128,7 @@
 
 	if (now_ns < d->armed_ns)
 		return now_ns;
-	watch_pause(d, now_ns);
+	note_pause(d, now_ns);
 	tick(d, now_ns);
 	return now_ns;
 }
@@ -164,13 +161,6 @@
 	uv_timer_start(&d->tick_timer, on_tick, wait_ms, 0);
 }
 
-static void after_wait(uv_check_t *check)
-{
-	struct daemon *d = check->loop->data;
-
-	d->woken = false;
-}
-
 static void on_stop(uv_signal_t *signal, int number)
 {
 	struct daemon *d = signal->loop->data;
@@ -195,12 +185,10 @@
 	uv_timer_init(d->loop, &d->tick_timer);
 	uv_timer_init(d->loop, &d->second_timer);
 	uv_prepare_init(d->loop, &d->prepare);
-	uv_check_init(d->loop, &d->check);
 	uv_signal_init(d->loop, &d->sigterm);
 	uv_signal_init(d->loop, &d->sigint);
 	uv_timer_start(&d->second_timer, on_second, 0, SECOND_MS);
 	uv_prepare_start(&d->prepare, before_wait);
-	uv_check_start(&d->check, after_wait);
 	uv_signal_start(&d->sigterm, on_stop, SIGTERM);
 	uv_signal_start(&d->sigint, on_stop, SIGINT);
 }
--- a/cmd/cb-entry/daemon.h
+++ b/cmd/cb-entry/daemon.h
@@ -22,8 +22,6 @@
 
 /**
  * enum drop - why a datagram went no further
- * @DROP_CALLER_STALE: waited while this process was paused
- * @DROP_PEER_STALE: forwarded datagram that did
  * @DROP_PROXY: fabric's header is wrong
  * @DROP_CALLER_FORMAT: caller's datagram is malformed
  * @DROP_TARGET_FORMAT: target's datagram is malformed
@@ -37,8 +35,6 @@
  * @DROP_SEND_PEER: socket towards peers refused it
  */
 enum drop {
-	DROP_CALLER_STALE,
-	DROP_PEER_STALE,
 	DROP_PROXY,
 	DROP_CALLER_FORMAT,
 	DROP_TARGET_FORMAT,
@@ -76,7 +72,6 @@
  * @config: all client accounts in force
  * @armed_ns: when entry_tick() is due
  * @turn_ns: when the loop last began to wait
- * @woken: this turn of the loop began after a pause of the process
  * @leaving: a planned stop is under way
  * @exit_code: of the process
  * @dropped: by enum drop
@@ -95,7 +90,6 @@
 	uint64_t incarnation;
 	uint64_t armed_ns;
 	uint64_t turn_ns;
-	bool woken;
 	bool leaving;
 	int exit_code;
 	uint64_t dropped[DROP_COUNT];
@@ -115,7 +109,6 @@
 	uv_timer_t second_timer;
 	uv_timer_t apply_timer;
 	uv_prepare_t prepare;
-	uv_check_t check;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	char recv[RECV_CHUNKS * RECV_CHUNK_BYTES];
@@ -134,12 +127,10 @@
 bool datagram_send(uv_udp_t *socket, uint64_t to, const uint8_t *buf,
 		   uint32_t size_bytes);
 uint64_t datagram_lost(const uv_udp_t *socket);
-uint64_t datagram_discard(const uv_udp_t *socket);
 
 /* callers.c */
 int callers_open(struct daemon *d);
 uint64_t callers_lost(const struct daemon *d);
-void callers_discard(struct daemon *d);
 void callers_config(struct daemon *d);
 void callers_retry(struct daemon *d);
 void callers_send(struct daemon *d, const struct flow_key *key,
--- a/cmd/cb-entry/datagram.c
+++ b/cmd/cb-entry/datagram.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #define SOCKET_BUFFER_BYTES (4 << 20)
-#define DISCARD_MAX 100000
 
 /**
  * sockaddr_of() - endpoint as the system knows it
@@ -43,7 +42,6 @@
 	struct daemon *d = handle->loop->data;
 
 	(void)suggested;
-	daemon_catch_up(d);
 	*buf = uv_buf_init(d->recv, sizeof(d->recv));
 }
 
@@ -122,24 +120,3 @@
 		return 0;
 	return info[SK_MEMINFO_DROPS];
 }
-
-/**
- * datagram_discard() - drop what waits in a socket
- * @socket: open socket, or one that was never opened
- *
- * Return: datagrams dropped.
- */
-uint64_t datagram_discard(const uv_udp_t *socket)
-{
-	uint64_t n = 0;
-	uv_os_fd_t fd;
-	char byte;
-
-	if (socket->type != UV_UDP)
-		return 0;
-	if (uv_fileno((const uv_handle_t *)socket, &fd))
-		return 0;
-	while (n < DISCARD_MAX && recv(fd, &byte, 1, MSG_DONTWAIT) >= 0)
-		n++;
-	return n;
-}
--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -37,8 +37,6 @@
 	const char *family;
 	const char *reason;
 } drop_names[DROP_COUNT] = {
-	[DROP_CALLER_STALE] = { "cb_caller_dropped_total", "stale" },
-	[DROP_PEER_STALE] = { "cb_peer_dropped_total", "stale" },
 	[DROP_PROXY] = { "cb_caller_dropped_total", "proxy" },
 	[DROP_CALLER_FORMAT] = { "cb_caller_dropped_total", "format" },
 	[DROP_SEND_CALLER] = { "cb_caller_dropped_total", "send" },
--- a/cmd/cb-entry/peers.c
+++ b/cmd/cb-entry/peers.c
@@ -20,11 +20,6 @@
 	uint64_t now_ns = daemon_catch_up(d);
 	struct message inner;
 
-	/* As callers_discard(); what entries say of themselves still counts. */
-	if (m->kind == PEER_FORWARD && d->woken) {
-		d->dropped[DROP_PEER_STALE]++;
-		return;
-	}
 	if (m->kind == PEER_FORWARD) {
 		if (coap_wire_read(m->data, m->size_bytes, &inner)) {
 			d->dropped[DROP_PEER_INNER]++;
