--- a/core/claiming.c
+++ b/core/claiming.c
@@ -230,6 +230,12 @@
 	return r;
 }
 
+/* claim_is_out() - whether a record is of a claim here that waits for grants. */
+bool claim_is_out(struct entry *e, const struct claim *c)
+{
+	return still_claiming(e, c) != NULL;
+}
+
 /*
  * Two entries that both believe they own a flow claim the same request at each
  * other. Without a rule both would refuse; the lower address goes on.
@@ -322,15 +328,19 @@
  *
  * While a claim of this entry was out, across a partition, the other side ran
  * the request. Its record has to win over a claim that has not led to a send.
+ * Of two others, nobody can tell which ran it, and neither is granted it now.
  */
 void claim_overruled(struct entry *e, struct claim *mine,
 		     const struct claim *line)
 {
 	struct request *r = still_claiming(e, mine);
 
-	if (!r || (line->claimer == mine->claimer && line->boot == mine->boot))
+	if (line->claimer == mine->claimer && line->boot == mine->boot)
 		return;
-	denied(e, r, mine, line);
+	if (r)
+		denied(e, r, mine, line);
+	else if (!own_claim(e, mine))
+		mine->state = CLAIM_UNKNOWN;
 }
 
 /* Only the words of the present pair, all of them, complete a claim. */
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -336,6 +336,7 @@
 void claim_granted(struct entry *e, const struct peer_msg *msg);
 void claim_settled(struct entry *e, const struct peer_msg *msg);
 bool claim_safe_now(const struct entry *e);
+bool claim_is_out(struct entry *e, const struct claim *c);
 void claim_overruled(struct entry *e, struct claim *mine,
 		     const struct claim *line);
 
--- a/core/stream.c
+++ b/core/stream.c
@@ -133,6 +133,14 @@
 	return e->held_when_leaving[bucket / 64] >> (bucket % 64) & 1;
 }
 
+/* On the smaller side of a partition, what the other side ran is not known. */
+static bool knows_history(const struct entry *e, uint32_t bucket)
+{
+	if (!member_majority(e->members))
+		return false;
+	return held(e, bucket) || ring_covered(e->ring, bucket, e->now_ns);
+}
+
 static void add(struct entry *e, uint64_t vm, uint32_t bucket)
 {
 	struct stream *s = stream_to(e, vm);
@@ -142,7 +150,7 @@
 		return;
 	s->due[bucket / 64] |= bit;
 	s->whole[bucket / 64] &= ~bit;
-	if (held(e, bucket) || ring_covered(e->ring, bucket, e->now_ns))
+	if (knows_history(e, bucket))
 		s->whole[bucket / 64] |= bit;
 	s->n_due++;
 }
@@ -222,7 +230,11 @@
 	    claims_at(e->claims, s->cursor)->bucket == s->scan)
 		slot = s->cursor;
 	while (slot != CLAIM_SLOT_NONE && s->n_lines < CLAIMS_MAX) {
-		s->lines[s->n_lines++] = *claims_at(e->claims, slot);
+		const struct claim *c = claims_at(e->claims, slot);
+
+		/* Not granted yet: taken for a grant it would become one. */
+		if (!claim_is_out(e, c))
+			s->lines[s->n_lines++] = *c;
 		slot = claims_after(e->claims, slot);
 	}
 	s->cursor = slot;
