--- a/core/claiming.c
+++ b/core/claiming.c
@@ -136,7 +136,7 @@
 
 static void granted(struct entry *e, struct request *r)
 {
-	if (!r->covered && !ring_covered(e->ring, r->bucket, e->now_ns)) {
+	if (!r->covered && !history_known(e, r->bucket)) {
 		e->counters.claims_uncovered++;
 		request_unknown(e, r, "no entry knows the bucket's history");
 		return;
@@ -255,7 +255,7 @@
 	struct claim *c = claims_find(e->claims, line->request);
 
 	line->granted = true;
-	line->covered = ring_covered(e->ring, line->bucket, e->now_ns);
+	line->covered = history_known(e, line->bucket);
 	if (!c) {
 		line->granted = claims_put(e->claims, line, e->now_ns) != NULL;
 		line->state = line->granted ? CLAIM_OPEN : CLAIM_UNKNOWN;
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -390,6 +390,7 @@
 int streams_init(struct entry *e);
 void streams_free(struct entry *e);
 void streams_leave(struct entry *e);
+bool history_known(const struct entry *e, uint32_t bucket);
 void streams_pair_changed(struct entry *e, uint32_t bucket,
 			  struct ring_pair before, struct ring_pair after);
 uint32_t stream_lines_pending(const struct entry *e);
--- a/core/stream.c
+++ b/core/stream.c
@@ -133,8 +133,16 @@
 	return e->held_when_leaving[bucket / 64] >> (bucket % 64) & 1;
 }
 
-/* On the smaller side of a partition, what the other side ran is not known. */
-static bool knows_history(const struct entry *e, uint32_t bucket)
+/**
+ * history_known() - whether this entry knows all that ran in a bucket
+ * @e: entry
+ * @bucket: bucket
+ *
+ * Return: true in its pair for the cover time, or told by one that was; also
+ * for what a leaving entry held, since some still have it in their pairs. On
+ * the smaller side of a partition what the other side ran is not known.
+ */
+bool history_known(const struct entry *e, uint32_t bucket)
 {
 	if (!member_majority(e->members))
 		return false;
@@ -150,7 +158,7 @@
 		return;
 	s->due[bucket / 64] |= bit;
 	s->whole[bucket / 64] &= ~bit;
-	if (knows_history(e, bucket))
+	if (history_known(e, bucket))
 		s->whole[bucket / 64] |= bit;
 	s->n_due++;
 }
