--- a/bench/slopes-entry/change.c
+++ b/bench/slopes-entry/change.c
@@ -40,6 +40,24 @@
 	return (double)best_ns / 1000;
 }
 
+/* Shares of the targets after a change of the fleet. */
+static double peers_us(uint32_t targets)
+{
+	struct config c = pump_config(1, 10, targets);
+	struct rng rng = { .s = 1 };
+	struct balancer *b = balance_new(1024, rng);
+	uint64_t start_ns;
+
+	balance_config(b, &c, NS_PER_S);
+	start_ns = clock_ns();
+	for (uint32_t i = 0; i < TICKS; i++)
+		balance_peers(b, 457 + i % 2, 7);
+	start_ns = clock_ns() - start_ns;
+	balance_free(b);
+	config_free(&c);
+	return (double)start_ns / TICKS / 1000;
+}
+
 /* A tick of an entry that nothing happens to, by targets. */
 static double tick_us(uint32_t services, uint32_t targets)
 {
@@ -138,6 +156,9 @@
 	for (uint32_t i = 0; i < SIZES; i++)
 		report("us_tick_targets", targets[i] * 10,
 		       tick_us(10, targets[i]), "us");
+	for (uint32_t i = 0; i < SIZES; i++)
+		report("us_peers_targets", targets[i] * 10,
+		       peers_us(targets[i]), "us");
 	for (uint32_t i = 0; i < SIZES; i++)
 		codec(sizes[i]);
 	for (uint32_t i = 0; i < SIZES; i++)
--- a/bench/slopes-entry/feeds.c
+++ b/bench/slopes-entry/feeds.c
@@ -96,6 +96,9 @@
 	       "us");
 	report(planned ? "bytes_feed_handover" : "bytes_feed_takeover", moved,
 	       (double)copies(p), "bytes");
+	if (planned)
+		report("bytes_feed_handover_leaver", moved,
+		       (double)p->nodes[0].sent_bytes, "bytes");
 	report(planned ? "feeds_held_after_leave" : "feeds_held_after_death", n,
 	       held(p, 1) + held(p, 2), "feeds");
 	pump_free(p);
--- a/bench/slopes-entry/pump.h
+++ b/bench/slopes-entry/pump.h
@@ -85,6 +85,7 @@
 		      uint32_t targets);
 void pump_free(struct pump *p);
 void pump_run(struct pump *p, uint64_t for_ns);
+uint64_t pump_target(uint32_t i);
 struct flow_key pump_key(uint32_t i);
 void pump_caller(struct pump *p, uint32_t node, const struct flow_key *key,
 		 enum pump_request kind, uint16_t id);
--- a/bench/slopes-entry/traffic.c
+++ b/bench/slopes-entry/traffic.c
@@ -135,6 +135,11 @@
 	pump_push(p, FROM_TARGET, k->node, k->target, NULL, buf, (int32_t)n);
 }
 
+uint64_t pump_target(uint32_t i)
+{
+	return TARGET(i);
+}
+
 struct flow_key pump_key(uint32_t i)
 {
 	return (struct flow_key){ CALLER(i), VIP(0) };
--- a/bench/slopes-entry/work.c
+++ b/bench/slopes-entry/work.c
@@ -11,7 +11,7 @@
 #define TARGETS 16
 #define COVER_NS (95 * NS_PER_S)
 #define SPACING_NS (NS_PER_S / 200)
-#define POLLS 1000
+#define POLL_TARGETS 5000
 
 /* Parts that entries have in one flow. */
 enum part { OWNER, SECOND, OTHER, PARTS };
@@ -65,7 +65,7 @@
 static uint64_t claim_bytes(const struct pump *p)
 {
 	return p->sent[PEER_CLAIM].bytes + p->sent[PEER_GRANT].bytes +
-	       p->sent[PEER_SETTLE].bytes + p->sent[PEER_PIN].bytes;
+	       p->sent[PEER_SETTLE].bytes;
 }
 
 static void gets(uint32_t n)
@@ -156,6 +156,11 @@
 static void polls(uint32_t n)
 {
 	static const char text[] = "12 3 1800";
+	struct config c = pump_config(1, 10, POLL_TARGETS / 10);
+	struct actions *out = calloc(1, sizeof(*out));
+	struct entry_conf conf = pump_conf();
+	struct entry *e = entry_new(&conf, NS_PER_S);
+	struct load_report r = { .running = 1, .connections = 1800 };
 	uint64_t start_ns = clock_ns();
 	uint64_t bytes = 0;
 	uint8_t buf[128];
@@ -166,6 +171,16 @@
 			 UDP_IP_BYTES;
 	report("us_load_poll_made", n, (double)(clock_ns() - start_ns) / 1000,
 	       "us");
+	entry_config(e, &c, NS_PER_S, out);
+	start_ns = clock_ns();
+	for (uint32_t i = 0; i < n; i++)
+		entry_load_report(e, pump_target(i % POLL_TARGETS), &r,
+				  NS_PER_S + i);
+	report("us_load_report_taken", n,
+	       (double)(clock_ns() - start_ns) / 1000, "us");
+	entry_free(e);
+	config_free(&c);
+	free(out);
 	report("bytes_load_poll", n, (double)bytes, "bytes");
 	report("bytes_load_report", n,
 	       n * (double)(UDP_IP_BYTES + 5 + strlen(text)), "bytes");
