--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -261,6 +261,7 @@
 			uint8_t type, uint16_t id);
 
 /* entry.c */
+void entry_begin(struct entry *e, uint64_t now_ns, struct actions *out);
 void entry_watch_lease(struct entry *e);
 
 /* route.c */
@@ -335,6 +336,8 @@
 void claim_granted(struct entry *e, const struct peer_msg *msg);
 void claim_settled(struct entry *e, const struct peer_msg *msg);
 bool claim_safe_now(const struct entry *e);
+void claim_overruled(struct entry *e, struct claim *mine,
+		     const struct claim *line);
 
 /* feed.c */
 int feeds_init(struct entry *e);
