Tests hold a loopback address of their own

Cause: link_test and http_test bound fixed addresses, sim_platform_test and sim_target_test one made of 16 bits of the process id; two runs at once met.

--- a/test/http_test.c
+++ b/test/http_test.c
@@ -1,6 +1,8 @@
 /* The operators' HTTP server, driven over loopback in one loop. */
 #include "http.h"
 
+#include "loopback.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
@@ -11,7 +13,7 @@
 #include <stdarg.h>
 #include <cmocka.h>
 
-#define SERVER ADDR(0x7f500001, 17080)
+#define SERVER ADDR(loopback_host(), 17080)
 #define TURNS_MAX 2000
 #define TOO_LARGE_BYTES (3u << 20)
 
--- a/test/link_test.c
+++ b/test/link_test.c
@@ -2,18 +2,20 @@
 #include "account_codec.h"
 #include "link.h"
 #include "link_watch.h"
+#include "loopback.h"
+#include "settings.h"
 #include "spread.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
 
-#define ENDPOINT "tcp://127.40.3.1:7002"
 #define PORT 7002
-#define VM ADDR(0x7f280301, 7000)
+#define VM ADDR(loopback_host(), 7000)
 #define DATA_CENTRE "garda"
 #define GIVE_UP_MS 10000
 
@@ -33,6 +35,7 @@
 };
 
 struct fixture {
+	char endpoint[64];
 	uv_loop_t loop;
 	uv_timer_t give_up;
 	bool gave_up;
@@ -132,7 +135,8 @@
 static void watch_start(struct fixture *f, uint64_t generation)
 {
 	struct watch_side *w = &f->watch;
-	struct watch_link_conf conf = { ENDPOINT, PORT, VM, DATA_CENTRE, key };
+	struct watch_link_conf conf = { f->endpoint, PORT, VM, DATA_CENTRE,
+					key };
 	struct watch_link_handler handler = { w, no_peer };
 	struct spread_conf sconf = { .self = VM, .readers = 2 };
 	struct spread_port port = { w, no_send, all_readable, in_force };
@@ -158,7 +162,7 @@
 
 static void entry_start(struct fixture *f, const uint8_t *with_key)
 {
-	struct link_conf conf = { ENDPOINT, VM, DATA_CENTRE, with_key };
+	struct link_conf conf = { f->endpoint, VM, DATA_CENTRE, with_key };
 	struct link_handler handler = { &f->entry, on_account, on_gone,
 					on_roster };
 
@@ -184,8 +188,11 @@
 static int setup(void **state)
 {
 	static struct fixture f;
+	char vm[32];
 
 	memset(&f, 0, sizeof(f));
+	snprintf(f.endpoint, sizeof(f.endpoint), "tcp://%s",
+		 addr_text(ADDR(loopback_host(), PORT), vm, sizeof(vm)));
 	uv_loop_init(&f.loop);
 	uv_timer_init(&f.loop, &f.give_up);
 	f.give_up.data = &f;
@@ -208,11 +215,13 @@
 
 static void accounts_and_roster_arrive(void **state)
 {
-	static const char vms[] = "127.40.3.1:7000 live\n"
-				  "127.40.3.2:7000 leaving\n";
+	char vm[32];
+	char vms[128];
 	struct fixture *f = *state;
 	struct content *c;
 
+	snprintf(vms, sizeof(vms), "%s live\n127.0.9.9:7000 leaving\n",
+		 addr_text(VM, vm, sizeof(vm)));
 	watch_start(f, 2);
 	entry_start(f, key);
 	wait_for(f, &f->entry.generation, 2);
--- a/test/sim_platform_test.c
+++ b/test/sim_platform_test.c
@@ -1,6 +1,7 @@
 /* The configuration service stand-in, read over loopback in one loop. */
 #include "sim-platform/platform.h"
 
+#include "loopback.h"
 #include "settings.h"
 
 #include <arpa/inet.h>
@@ -13,8 +14,7 @@
 #include <stdarg.h>
 #include <cmocka.h>
 
-/* An address for each process, so that two runs at once do not meet. */
-#define FRONT(i) ADDR(0x7f0a0000 | (getpid() & 0xffff), 17500 + (i))
+#define FRONT(i) ADDR(loopback_host(), 17500 + (i))
 #define TURNS_MAX 100000
 #define QUIET_TURNS 50
 #define LATER_NS (UINT64_MAX - 1)
--- a/test/sim_target_test.c
+++ b/test/sim_target_test.c
@@ -1,6 +1,8 @@
 /* The target stand-in on libcoap, asked over loopback in one loop. */
 #include "sim-target/target.h"
 
+#include "loopback.h"
+
 #include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -10,8 +12,7 @@
 #include <stdarg.h>
 #include <cmocka.h>
 
-/* An address for each process, so that two runs at once do not meet. */
-#define TARGET ADDR(0x7f0a0000 | (getpid() & 0xffff), 15683)
+#define TARGET ADDR(loopback_host(), 15683)
 #define TURNS_MAX 100000
 #define QUIET_TURNS 50
 
