What callers of each client account were told, by class and reason

Until now refusals were counted where the balancer ruled; those of the entry (no memory, no grant, leaving) and outcomes unknown had no account, so that a client account's refusals could not be accounted for. core/reply.c is the one place every final answer passes, so the counters are kept there, in core/account_stats.c: answered, refused and unknown by reason, answer time. Counters of an account that is withdrawn stay.

/metrics: cb_answered_total, cb_refused_total, cb_unknown_total, cb_answer_microseconds, cb_admitted_total, cb_queued_total, cb_wait_microseconds by account and class; the balancer's outcomes and retries are counted by the service's class and renamed cb_service_*, since under the label of the request's class they did not add up (61 ended of 44 admitted). Every family has a TYPE line. /status and cbctl status show the same in lines. cbload uses adapters/fetch.c.

--- a/cmd/cb-entry/daemon.h
+++ b/cmd/cb-entry/daemon.h
@@ -160,4 +160,8 @@
 /* metrics.c */
 void metrics_write(const struct daemon *d, GString *to);
 
+/* metrics_accounts.c */
+void metrics_accounts(const struct daemon *d, GString *to);
+void status_accounts(const struct daemon *d, GString *to);
+
 #endif
--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -1,6 +1,8 @@
 /* Metrics in the Prometheus text format. */
 #include "daemon.h"
 
+#include <string.h>
+
 static const char *const kind_names[PEER_KIND_COUNT] = {
 	[PEER_PING] = "ping",	      [PEER_ACK] = "ack",
 	[PEER_PING_REQ] = "ping_req", [PEER_GOSSIP] = "gossip",
@@ -11,28 +13,6 @@
 	[PEER_HANDOVER] = "handover",
 };
 
-static const char *const class_names[CLASS_COUNT] = {
-	[CLASS_FEED] = "feed",
-	[CLASS_REPORT] = "report",
-	[CLASS_UPLOAD] = "upload",
-};
-
-static const char *const outcome_names[OUTCOME_COUNT] = {
-	[OUTCOME_OK] = "ok",
-	[OUTCOME_SHED] = "shed",
-	[OUTCOME_ERROR] = "error",
-	[OUTCOME_TIMEOUT] = "timeout",
-	[OUTCOME_CANCELLED] = "cancelled",
-};
-
-static const char *const refusal_names[REFUSE_COUNT] = {
-	[REFUSE_NONE] = "none",		  [REFUSE_QUEUE] = "queue",
-	[REFUSE_SHARE] = "share",	  [REFUSE_DEADLINE] = "deadline",
-	[REFUSE_NO_TARGET] = "no_target", [REFUSE_CONNECTIONS] = "connections",
-	[REFUSE_MEMORY] = "memory",	  [REFUSE_SHED] = "shed",
-	[REFUSE_LEAVING] = "leaving",
-};
-
 static const struct {
 	const char *family;
 	const char *reason;
@@ -99,11 +79,18 @@
 
 static void put_drops(const struct daemon *d, GString *to)
 {
-	for (uint32_t i = 0; i < DROP_COUNT; i++)
+	const char *family = "";
+
+	for (uint32_t i = 0; i < DROP_COUNT; i++) {
+		if (strcmp(family, drop_names[i].family))
+			g_string_append_printf(to, "# TYPE %s counter\n",
+					       drop_names[i].family);
+		family = drop_names[i].family;
 		g_string_append_printf(to, "%s{reason=\"%s\"} %llu\n",
 				       drop_names[i].family,
 				       drop_names[i].reason,
 				       (unsigned long long)d->dropped[i]);
+	}
 }
 
 static void put_process(GString *to)
@@ -122,82 +109,6 @@
 			       usage.ru_stime.tv_usec));
 }
 
-/* One account and class: its labels, and what is counted. */
-struct row {
-	const char *account;
-	const char *class;
-	const struct class_stats *stats;
-};
-
-static void put_row(GString *to, const struct row *r, const char *name,
-		    const char *label, const char *label_value, uint64_t value)
-{
-	if (!value)
-		return;
-	g_string_append_printf(
-		to, "%s{account=\"%s\",class=\"%s\",%s=\"%s\"} %llu\n", name,
-		r->account, r->class, label, label_value,
-		(unsigned long long)value);
-}
-
-static void put_ends(GString *to, const struct row *r)
-{
-	const struct class_stats *s = r->stats;
-
-	put_row(to, r, "cb_work_total", "event", "admitted", s->admitted);
-	put_row(to, r, "cb_work_total", "event", "queued", s->queued);
-	put_row(to, r, "cb_work_total", "event", "retried", s->retries);
-	put_row(to, r, "cb_work_total", "event", "retry_denied",
-		s->retries_denied);
-	for (uint32_t i = 0; i < REFUSE_COUNT; i++)
-		put_row(to, r, "cb_refused_total", "reason", refusal_names[i],
-			s->refused[i]);
-	for (uint32_t i = 0; i < OUTCOME_COUNT; i++)
-		put_row(to, r, "cb_outcome_total", "outcome", outcome_names[i],
-			s->outcome[i]);
-}
-
-static void put_wait(GString *to, const struct row *r)
-{
-	const struct histogram *h = &r->stats->wait_us;
-	uint64_t below = 0;
-	char bound[32];
-
-	if (!h->count)
-		return;
-	for (uint32_t i = 0; i < HISTOGRAM_BUCKETS - 1; i++) {
-		if (!h->bucket[i])
-			continue;
-		below += h->bucket[i];
-		g_snprintf(bound, sizeof(bound), "%llu",
-			   (unsigned long long)histogram_bound(i));
-		put_row(to, r, "cb_wait_microseconds_bucket", "le", bound,
-			below);
-	}
-	put_row(to, r, "cb_wait_microseconds_bucket", "le", "+Inf", h->count);
-	g_string_append_printf(
-		to,
-		"cb_wait_microseconds_sum{account=\"%s\",class=\"%s\"} %llu\n"
-		"cb_wait_microseconds_count{account=\"%s\",class=\"%s\"} "
-		"%llu\n",
-		r->account, r->class, (unsigned long long)h->sum, r->account,
-		r->class, (unsigned long long)h->count);
-}
-
-static void put_rows(const struct daemon *d, GString *to,
-		     void (*put_one)(GString *to, const struct row *r))
-{
-	const struct balancer *b = entry_balancer(d->entry);
-	uint32_t cursor = 0;
-	uint8_t class;
-	struct row r;
-
-	while (balance_stats(b, &cursor, &r.account, &class, &r.stats)) {
-		r.class = class_names[class];
-		put_one(to, &r);
-	}
-}
-
 /**
  * metrics_write() - all metrics
  * @d: daemon
@@ -210,7 +121,5 @@
 	put_traffic(d, to);
 	put_drops(d, to);
 	put_process(to);
-	put_rows(d, to, put_ends);
-	g_string_append(to, "# TYPE cb_wait_microseconds histogram\n");
-	put_rows(d, to, put_wait);
+	metrics_accounts(d, to);
 }
--- /dev/null
+++ b/cmd/cb-entry/metrics_accounts.c
@@ -0,0 +1,276 @@
+/* Metrics by client account and class, and by target. */
+#include "daemon.h"
+
+#include <string.h>
+
+static const char *const class_names[CLASS_COUNT] = {
+	[CLASS_FEED] = "feed",
+	[CLASS_REPORT] = "report",
+	[CLASS_UPLOAD] = "upload",
+};
+
+static const char *const outcome_names[OUTCOME_COUNT] = {
+	[OUTCOME_OK] = "ok",
+	[OUTCOME_SHED] = "shed",
+	[OUTCOME_ERROR] = "error",
+	[OUTCOME_TIMEOUT] = "timeout",
+	[OUTCOME_CANCELLED] = "cancelled",
+};
+
+static const char *const refusal_names[REFUSE_COUNT] = {
+	[REFUSE_NONE] = "none",		  [REFUSE_QUEUE] = "queue",
+	[REFUSE_SHARE] = "share",	  [REFUSE_DEADLINE] = "deadline",
+	[REFUSE_NO_TARGET] = "no_target", [REFUSE_CONNECTIONS] = "connections",
+	[REFUSE_MEMORY] = "memory",	  [REFUSE_SHED] = "shed",
+	[REFUSE_LEAVING] = "leaving",
+};
+
+/**
+ * struct row - one account and class
+ * @answers: what callers were told
+ * @work: what the balancer did; NULL for an account that is withdrawn
+ */
+struct row {
+	const char *account;
+	const char *class;
+	const struct answer_stats *answers;
+	const struct class_stats *work;
+};
+
+static void put_value(GString *to, const struct row *r, const char *name,
+		      uint64_t value)
+{
+	if (value)
+		g_string_append_printf(to,
+				       "%s{account=\"%s\",class=\"%s\"} %llu\n",
+				       name, r->account, r->class,
+				       (unsigned long long)value);
+}
+
+static void put_label(GString *to, const struct row *r, const char *name,
+		      const char *label, const char *label_value,
+		      uint64_t value)
+{
+	if (value)
+		g_string_append_printf(
+			to, "%s{account=\"%s\",class=\"%s\",%s=\"%s\"} %llu\n",
+			name, r->account, r->class, label, label_value,
+			(unsigned long long)value);
+}
+
+static void put_reasons(GString *to, const struct row *r, const char *name,
+			const uint64_t values[REFUSE_COUNT])
+{
+	for (uint32_t i = 0; i < REFUSE_COUNT; i++)
+		put_label(to, r, name, "reason", refusal_names[i], values[i]);
+}
+
+/* Cumulative buckets; those that add nothing are left out. */
+static void put_histogram(GString *to, const struct row *r, const char *name,
+			  const struct histogram *h)
+{
+	char *bucket = g_strconcat(name, "_bucket", NULL);
+	uint64_t below = 0;
+	char bound[32];
+
+	for (uint32_t i = 0; h->count && i < HISTOGRAM_BUCKETS - 1; i++) {
+		below += h->bucket[i];
+		g_snprintf(bound, sizeof(bound), "%llu",
+			   (unsigned long long)histogram_bound(i));
+		if (h->bucket[i])
+			put_label(to, r, bucket, "le", bound, below);
+	}
+	put_label(to, r, bucket, "le", "+Inf", h->count);
+	g_free(bucket);
+	if (h->count)
+		g_string_append_printf(
+			to,
+			"%s_sum{account=\"%s\",class=\"%s\"} %llu\n"
+			"%s_count{account=\"%s\",class=\"%s\"} %llu\n",
+			name, r->account, r->class, (unsigned long long)h->sum,
+			name, r->account, r->class,
+			(unsigned long long)h->count);
+}
+
+static void put_answered(GString *to, const struct row *r, const char *name)
+{
+	put_value(to, r, name, r->answers->answered);
+}
+
+static void put_refused(GString *to, const struct row *r, const char *name)
+{
+	put_reasons(to, r, name, r->answers->not_run);
+}
+
+static void put_unknown(GString *to, const struct row *r, const char *name)
+{
+	put_reasons(to, r, name, r->answers->unknown);
+}
+
+static void put_answer_time(GString *to, const struct row *r, const char *name)
+{
+	put_histogram(to, r, name, &r->answers->answer_us);
+}
+
+static void put_admitted(GString *to, const struct row *r, const char *name)
+{
+	if (r->work)
+		put_value(to, r, name, r->work->admitted);
+}
+
+static void put_queued(GString *to, const struct row *r, const char *name)
+{
+	if (r->work)
+		put_value(to, r, name, r->work->queued);
+}
+
+static void put_wait(GString *to, const struct row *r, const char *name)
+{
+	if (r->work)
+		put_histogram(to, r, name, &r->work->wait_us);
+}
+
+static void put_retries(GString *to, const struct row *r, const char *name)
+{
+	if (r->work)
+		put_value(to, r, name, r->work->retries);
+}
+
+static void put_retries_denied(GString *to, const struct row *r,
+			       const char *name)
+{
+	if (r->work)
+		put_value(to, r, name, r->work->retries_denied);
+}
+
+static void put_outcome(GString *to, const struct row *r, const char *name)
+{
+	for (uint32_t i = 0; r->work && i < OUTCOME_COUNT; i++)
+		put_label(to, r, name, "outcome", outcome_names[i],
+			  r->work->outcome[i]);
+}
+
+/* The last three carry the class of the service, not of the request. */
+static const struct {
+	const char *name;
+	const char *type;
+	void (*put)(GString *to, const struct row *r, const char *name);
+} families[] = {
+	{ "cb_answered_total", "counter", put_answered },
+	{ "cb_refused_total", "counter", put_refused },
+	{ "cb_unknown_total", "counter", put_unknown },
+	{ "cb_answer_microseconds", "histogram", put_answer_time },
+	{ "cb_admitted_total", "counter", put_admitted },
+	{ "cb_queued_total", "counter", put_queued },
+	{ "cb_wait_microseconds", "histogram", put_wait },
+	{ "cb_service_retries_total", "counter", put_retries },
+	{ "cb_service_retries_denied_total", "counter", put_retries_denied },
+	{ "cb_service_outcome_total", "counter", put_outcome },
+};
+
+/* The balancer's row of an account and class; both walk by name and class. */
+static const struct class_stats *work_of(const struct daemon *d,
+					 const struct row *r, uint32_t *cursor)
+{
+	const struct balancer *b = entry_balancer(d->entry);
+	const struct class_stats *stats;
+	const char *account;
+	uint32_t next = *cursor;
+	uint8_t class;
+
+	if (!balance_stats(b, &next, &account, &class, &stats) ||
+	    strcmp(account, r->account))
+		return NULL;
+	*cursor = next;
+	return stats;
+}
+
+static GArray *rows_of(const struct daemon *d)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct row));
+	uint32_t cursor = 0;
+	uint32_t work_cursor = 0;
+	uint8_t class;
+	struct row r;
+
+	while (entry_answers(d->entry, &cursor, &r.account, &class,
+			     &r.answers)) {
+		r.class = class_names[class];
+		r.work = work_of(d, &r, &work_cursor);
+		g_array_append_val(rows, r);
+	}
+	return rows;
+}
+
+/**
+ * metrics_accounts() - what was done for each client account
+ * @d: daemon
+ * @to: where to add it
+ */
+void metrics_accounts(const struct daemon *d, GString *to)
+{
+	GArray *rows = rows_of(d);
+
+	for (size_t f = 0; f < G_N_ELEMENTS(families); f++) {
+		g_string_append_printf(to, "# TYPE %s %s\n", families[f].name,
+				       families[f].type);
+		for (guint i = 0; i < rows->len; i++)
+			families[f].put(to, &g_array_index(rows, struct row, i),
+					families[f].name);
+	}
+	g_array_free(rows, TRUE);
+}
+
+static void status_reasons(GString *to, const struct row *r, const char *what,
+			   const uint64_t values[REFUSE_COUNT])
+{
+	for (uint32_t i = 0; i < REFUSE_COUNT; i++)
+		if (values[i])
+			g_string_append_printf(to, "%s %s %s %s %llu\n", what,
+					       r->account, r->class,
+					       refusal_names[i],
+					       (unsigned long long)values[i]);
+}
+
+static void status_row(GString *to, const struct row *r)
+{
+	const struct answer_stats *a = r->answers;
+	uint64_t refused = 0;
+	uint64_t unknown = 0;
+
+	for (uint32_t i = 0; i < REFUSE_COUNT; i++) {
+		refused += a->not_run[i];
+		unknown += a->unknown[i];
+	}
+	g_string_append_printf(
+		to,
+		"answers %s %s answered=%llu refused=%llu unknown=%llu "
+		"answer_p50_us=%llu answer_p99_us=%llu wait_p50_us=%llu "
+		"wait_p99_us=%llu\n",
+		r->account, r->class, (unsigned long long)a->answered,
+		(unsigned long long)refused, (unsigned long long)unknown,
+		(unsigned long long)histogram_quantile(&a->answer_us, 0.50),
+		(unsigned long long)histogram_quantile(&a->answer_us, 0.99),
+		(unsigned long long)(r->work ? histogram_quantile(
+						       &r->work->wait_us, 0.50)
+					     : 0),
+		(unsigned long long)(r->work ? histogram_quantile(
+						       &r->work->wait_us, 0.99)
+					     : 0));
+	status_reasons(to, r, "not_run", a->not_run);
+	status_reasons(to, r, "outcome_unknown", a->unknown);
+}
+
+/**
+ * status_accounts() - the same in lines for operators
+ * @d: daemon
+ * @to: where to add it
+ */
+void status_accounts(const struct daemon *d, GString *to)
+{
+	GArray *rows = rows_of(d);
+
+	for (guint i = 0; i < rows->len; i++)
+		status_row(to, &g_array_index(rows, struct row, i));
+	g_array_free(rows, TRUE);
+}
--- a/cmd/cb-entry/operator.c
+++ b/cmd/cb-entry/operator.c
@@ -102,6 +102,7 @@
 	put_accounts(d, body);
 	put_gauges(d, body);
 	put_counters(d, body);
+	status_accounts(d, body);
 	return STATUS_OK;
 }
 
--- a/cmd/cbload/control.c
+++ b/cmd/cbload/control.c
@@ -1,7 +1,7 @@
 /* What entries say over HTTP: readiness, and bytes sent to their peers. */
+#include "fetch.h"
 #include "load.h"
 
-#include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,32 +9,17 @@
 #define PEER_BYTES_COUNTER "cb_peer_bytes_sent_total"
 /* A datagram on its hop to the flow's owner is a caller's, not control. */
 #define FORWARDED_LABEL "kind=\"forward\""
-#define FETCH_TIMEOUT_MS 500L
+#define FETCH_TIMEOUT_MS 500
 #define READY_TIMEOUT_US (15 * G_USEC_PER_SEC)
 #define READY_PAUSE_US (50 * 1000)
 
-static size_t keep(char *data, size_t size, size_t n, void *to)
-{
-	g_string_append_len(to, data, (gssize)(size * n));
-	return size * n;
-}
-
 /* Body of @url, or NULL when it did not answer 200 in time. */
-static GString *fetch(const char *url)
+static GString *page(const char *url)
 {
-	CURL *curl = curl_easy_init();
+	char error[FETCH_ERROR_BYTES];
 	GString *body = g_string_new(NULL);
-	long status = 0;
-
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, FETCH_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, keep);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
-	if (curl_easy_perform(curl) == CURLE_OK)
-		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
-	curl_easy_cleanup(curl);
-	if (status == 200)
+
+	if (!fetch(url, FETCH_TIMEOUT_MS, body, error))
 		return body;
 	g_string_free(body, TRUE);
 	return NULL;
@@ -76,7 +61,7 @@
 {
 	memset(out, 0, sizeof(*out));
 	for (uint32_t i = 0; i < o->n_metrics; i++) {
-		GString *body = fetch(o->metrics[i]);
+		GString *body = page(o->metrics[i]);
 
 		if (!body)
 			continue;
@@ -141,7 +126,7 @@
 	int64_t deadline_us = g_get_monotonic_time() + READY_TIMEOUT_US;
 
 	while (g_get_monotonic_time() < deadline_us) {
-		GString *body = fetch(url);
+		GString *body = page(url);
 		bool ready = body && says_ready(body);
 
 		if (body)
--- /dev/null
+++ b/core/account_stats.c
@@ -0,0 +1,218 @@
+#include "account_stats.h"
+
+#include "index.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One client account's counters. */
+struct account_row {
+	char name[NAME_MAX_BYTES];
+	struct answer_stats by_class[CLASS_COUNT];
+};
+
+/* A service in force, and whose it is. */
+struct service_row {
+	uint64_t vip;
+	uint8_t class;
+	uint32_t account;
+};
+
+/**
+ * struct account_stats - counters of all accounts
+ * @accounts: sorted by name; one that is withdrawn stays, so
+ *	that what it was refused can still be accounted for
+ * @services: those in force
+ * @by_vip: their numbers
+ */
+struct account_stats {
+	struct account_row *accounts;
+	uint32_t n_accounts;
+	struct service_row *services;
+	uint32_t n_services;
+	struct index *by_vip;
+};
+
+/**
+ * account_stats_new() - counters without accounts
+ *
+ * Return: counters, or NULL without memory.
+ */
+struct account_stats *account_stats_new(void)
+{
+	return calloc(1, sizeof(struct account_stats));
+}
+
+void account_stats_free(struct account_stats *a)
+{
+	if (!a)
+		return;
+	free(a->accounts);
+	free(a->services);
+	index_free(a->by_vip);
+	free(a);
+}
+
+static int by_name(const void *name, const void *row)
+{
+	return strcmp(name, ((const struct account_row *)row)->name);
+}
+
+/* Below 0: the old list's name comes next; above 0: the new one's; 0: both. */
+static int next_of(const struct account_stats *a, uint32_t old,
+		   const struct config *c, uint32_t new)
+{
+	if (old == a->n_accounts)
+		return 1;
+	if (new == c->n_accounts)
+		return -1;
+	return strcmp(a->accounts[old].name, c->accounts[new].name);
+}
+
+/* Both lists are sorted by name. */
+static uint32_t merge(struct account_row *to, const struct account_stats *a,
+		      const struct config *c)
+{
+	uint32_t n = 0;
+	uint32_t old = 0;
+	uint32_t new = 0;
+
+	while (old < a->n_accounts || new < c->n_accounts) {
+		int order = next_of(a, old, c, new);
+
+		if (order <= 0)
+			to[n] = a->accounts[old++];
+		else
+			strcpy(to[n].name, c->accounts[new].name);
+		new += order >= 0;
+		n++;
+	}
+	return n;
+}
+
+static int add_accounts(struct account_stats *a, const struct config *c)
+{
+	uint32_t most = a->n_accounts + c->n_accounts;
+	struct account_row *grown = calloc(most + 1, sizeof(*grown));
+
+	if (!grown)
+		return -ENOMEM;
+	a->n_accounts = merge(grown, a, c);
+	free(a->accounts);
+	a->accounts = grown;
+	return 0;
+}
+
+static const struct service_row *find(const struct account_stats *a,
+				      uint64_t vip)
+{
+	uint32_t slot;
+
+	if (!a->by_vip)
+		return NULL;
+	slot = index_get(a->by_vip, hash_u64(vip, 0));
+	if (slot == INDEX_NONE || a->services[slot].vip != vip)
+		return NULL;
+	return &a->services[slot];
+}
+
+/* Of two accounts with one VIP the first by name has it, as in entry.c. */
+static void add_services(struct account_stats *a, const struct account_conf *of)
+{
+	const struct account_row *row = bsearch(
+		of->name, a->accounts, a->n_accounts, sizeof(*row), by_name);
+
+	for (uint32_t i = 0; i < of->n_services; i++) {
+		const struct service_conf *s = &of->services[i];
+
+		if (find(a, s->vip))
+			continue;
+		a->services[a->n_services] = (struct service_row){
+			.vip = s->vip,
+			.class = s->class,
+			.account = (uint32_t)(row - a->accounts),
+		};
+		index_put(a->by_vip, hash_u64(s->vip, 0), a->n_services++);
+	}
+}
+
+/**
+ * account_stats_config() - follow the accounts in force
+ * @a: counters; those of accounts known already are kept
+ * @c: configuration
+ *
+ * Return: 0, or -ENOMEM: nothing is counted then.
+ */
+int account_stats_config(struct account_stats *a, const struct config *c)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < c->n_accounts; i++)
+		n += c->accounts[i].n_services;
+	free(a->services);
+	index_free(a->by_vip);
+	a->n_services = 0;
+	a->services = calloc(n + 1, sizeof(*a->services));
+	a->by_vip = index_new(n + 1);
+	if (!a->services || !a->by_vip || add_accounts(a, c)) {
+		index_free(a->by_vip);
+		a->by_vip = NULL;
+		return -ENOMEM;
+	}
+	for (uint32_t i = 0; i < c->n_accounts; i++)
+		add_services(a, &c->accounts[i]);
+	return 0;
+}
+
+static uint8_t class_of(const struct service_row *s, uint16_t flags)
+{
+	if (flags & MSG_FEED_OPEN)
+		return CLASS_FEED;
+	if (flags & MSG_PART)
+		return CLASS_UPLOAD;
+	return s->class == CLASS_FEED ? CLASS_REPORT : s->class;
+}
+
+/**
+ * account_stats_find() - where to count the end of a request
+ * @a: counters
+ * @vip: its service
+ * @flags: enum message_flags of the request
+ *
+ * Return: the counters, or NULL when the service isn't in force.
+ */
+struct answer_stats *account_stats_find(struct account_stats *a, uint64_t vip,
+					uint16_t flags)
+{
+	const struct service_row *s = find(a, vip);
+
+	if (!s)
+		return NULL;
+	return &a->accounts[s->account].by_class[class_of(s, flags)];
+}
+
+/**
+ * account_stats_each() - walk over the counters of each account and class
+ * @a: counters
+ * @cursor: 0 at first, moved on by each call
+ * @account: name, good until the next configuration
+ * @class: enum service_class
+ * @stats: counters, good until the next configuration
+ *
+ * Return: false at the end.
+ */
+bool account_stats_each(const struct account_stats *a, uint32_t *cursor,
+			const char **account, uint8_t *class,
+			const struct answer_stats **stats)
+{
+	uint32_t row = *cursor / CLASS_COUNT;
+
+	if (row >= a->n_accounts)
+		return false;
+	*class = *cursor % CLASS_COUNT;
+	*account = a->accounts[row].name;
+	*stats = &a->accounts[row].by_class[*class];
+	(*cursor)++;
+	return true;
+}
--- /dev/null
+++ b/core/account_stats.h
@@ -0,0 +1,21 @@
+/*
+ * What the callers of each client account were told by this entry: answered,
+ * refused and why, outcome unknown. Private to core/; entry.h has the accessor.
+ */
+#ifndef CB_ACCOUNT_STATS_H
+#define CB_ACCOUNT_STATS_H
+
+#include "entry.h"
+
+struct account_stats;
+
+struct account_stats *account_stats_new(void);
+void account_stats_free(struct account_stats *a);
+int account_stats_config(struct account_stats *a, const struct config *c);
+struct answer_stats *account_stats_find(struct account_stats *a, uint64_t vip,
+					uint16_t flags);
+bool account_stats_each(const struct account_stats *a, uint32_t *cursor,
+			const char **account, uint8_t *class,
+			const struct answer_stats **stats);
+
+#endif
--- a/core/entry.c
+++ b/core/entry.c
@@ -48,12 +48,13 @@
 	e->ring = ring_new(c->n_buckets, c->member.self, c->settle_ns,
 			   c->cover_ns, watch);
 	e->balancer = balance_new(c->requests_max, balance_rng);
+	e->stats = account_stats_new();
 	e->pins = flow_table_new(c->flows_max, FLOW_IDLE_NS);
 	e->claims = claims_new(c->claims_max, c->n_buckets, c->cover_ns);
 	e->timers = timers_new(c->requests_max + c->feeds_max);
 	e->owner_since_ns = calloc(c->n_buckets, sizeof(uint64_t));
-	if (!e->members || !e->ring || !e->balancer || !e->pins || !e->claims ||
-	    !e->timers || !e->owner_since_ns)
+	if (!e->members || !e->ring || !e->balancer || !e->stats || !e->pins ||
+	    !e->claims || !e->timers || !e->owner_since_ns)
 		return -ENOMEM;
 	if (requests_init(e) < 0 || feeds_init(e) < 0)
 		return -ENOMEM;
@@ -104,6 +105,7 @@
 	member_free(e->members);
 	ring_free(e->ring);
 	balance_free(e->balancer);
+	account_stats_free(e->stats);
 	flow_table_free(e->pins);
 	claims_free(e->claims);
 	timers_free(e->timers);
@@ -174,6 +176,7 @@
 	e->config = c;
 	if (e->services && e->service_list)
 		list_services(e, c);
+	account_stats_config(e->stats, c);
 	balance_config(e->balancer, c, now_ns);
 	moves_config(e);
 	requests_drain(e);
@@ -483,6 +486,23 @@
 	return member_all(e->members, out);
 }
 
+/**
+ * entry_answers() - walk over what callers of each account and class were told
+ * @e: entry
+ * @cursor: 0 at first, moved on by each call
+ * @account: name, good until the next entry_config()
+ * @class: enum service_class
+ * @stats: counters, good until the next entry_config()
+ *
+ * Return: false at the end.
+ */
+bool entry_answers(const struct entry *e, uint32_t *cursor,
+		   const char **account, uint8_t *class,
+		   const struct answer_stats **stats)
+{
+	return account_stats_each(e->stats, cursor, account, class, stats);
+}
+
 const struct balancer *entry_balancer(const struct entry *e)
 {
 	return e->balancer;
--- a/core/entry.h
+++ b/core/entry.h
@@ -249,6 +249,22 @@
 	uint32_t pins;
 };
 
+/**
+ * struct answer_stats - what callers of one class of one client account were
+ *	told; repeats of an answer are not counted again
+ * @answered: got a target's answer
+ * @not_run: refused, known not to have run, by enum refusal
+ * @unknown: may have run, by enum refusal; REFUSE_NONE when no refusal led to
+ *	it: no answer in time, or no grant
+ * @answer_us: from arrival to the target's answer, microseconds
+ */
+struct answer_stats {
+	uint64_t answered;
+	uint64_t not_run[REFUSE_COUNT];
+	uint64_t unknown[REFUSE_COUNT];
+	struct histogram answer_us;
+};
+
 struct entry;
 
 struct entry_gauges entry_gauges(const struct entry *e);
@@ -276,6 +292,9 @@
 				const struct flow_key *key);
 uint32_t entry_members(const struct entry *e, const struct member **out);
 const struct balancer *entry_balancer(const struct entry *e);
+bool entry_answers(const struct entry *e, uint32_t *cursor,
+		   const char **account, uint8_t *class,
+		   const struct answer_stats **stats);
 uint64_t entry_next_ns(const struct entry *e);
 const struct entry_counters *entry_counters(const struct entry *e);
 
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -2,6 +2,7 @@
 #ifndef CB_ENTRY_STATE_H
 #define CB_ENTRY_STATE_H
 
+#include "account_stats.h"
 #include "claims.h"
 #include "entry.h"
 #include "flow.h"
@@ -182,6 +183,7 @@
 	struct membership *members;
 	struct ring *ring;
 	struct balancer *balancer;
+	struct account_stats *stats;
 	struct flow_table *pins;
 	struct claims *claims;
 	struct timers *timers;
--- a/core/reply.c
+++ b/core/reply.c
@@ -11,8 +11,7 @@
 	       !memcmp(r->token, msg->token, msg->token_len);
 }
 
-/* reply_relay() - send the target's answer, kept in the slot, to the caller. */
-void reply_relay(struct entry *e, const struct request *r)
+static void relay(struct entry *e, const struct request *r)
 {
 	struct action *a = emit(e, ACT_TO_CALLER);
 	bool confirm = r->flags & MSG_CONFIRM;
@@ -27,9 +26,22 @@
 	a->size_bytes = r->size_bytes;
 }
 
-/* answer_own() - send the balancer's own answer that a request ended with. */
-void answer_own(struct entry *e, const struct flow_key *key,
-		const struct request *r)
+/* reply_relay() - send the target's answer, kept in the slot, to the caller. */
+void reply_relay(struct entry *e, const struct request *r)
+{
+	struct answer_stats *s =
+		account_stats_find(e->stats, r->key.vip, r->flags);
+
+	if (s) {
+		s->answered++;
+		histogram_add(&s->answer_us,
+			      (e->now_ns - r->arrived_ns) / 1000);
+	}
+	relay(e, r);
+}
+
+static void tell(struct entry *e, const struct flow_key *key,
+		 const struct request *r)
 {
 	struct action *a = emit(e, ACT_ANSWER_CALLER);
 	bool confirm = r->flags & MSG_CONFIRM;
@@ -44,13 +56,31 @@
 	a->retry_after_s = r->retry_after_s;
 }
 
+/* answer_own() - send the balancer's own answer that a request ended with. */
+void answer_own(struct entry *e, const struct flow_key *key,
+		const struct request *r)
+{
+	struct answer_stats *s =
+		account_stats_find(e->stats, key->vip, r->flags);
+
+	if (s && r->answer == ANSWER_NOT_RUN)
+		s->not_run[r->reason]++;
+	else if (s)
+		s->unknown[r->reason]++;
+	tell(e, key, r);
+}
+
 /* answer_unknown() - the same for a request that holds no slot. */
 void answer_unknown(struct entry *e, const struct flow_key *key,
 		    const struct message *msg)
 {
+	struct answer_stats *s =
+		account_stats_find(e->stats, key->vip, msg->flags);
 	struct action *a = emit(e, ACT_ANSWER_CALLER);
 	bool confirm = msg->flags & MSG_CONFIRM;
 
+	if (s)
+		s->unknown[REFUSE_NONE]++;
 	a->key = *key;
 	a->type = confirm ? WIRE_ACK : WIRE_PLAIN;
 	a->id = confirm ? msg->id : (uint16_t)rng_next(&e->rng);
@@ -87,9 +117,9 @@
 	}
 	e->counters.answers_replayed++;
 	if (r->answer == ANSWER_RELAYED)
-		reply_relay(e, r);
+		relay(e, r);
 	else
-		answer_own(e, &r->key, r);
+		tell(e, &r->key, r);
 	return true;
 }
 
--- a/core/tables.c
+++ b/core/tables.c
@@ -17,12 +17,19 @@
 	return (a > b) - (a < b);
 }
 
+/*
+ * Of two accounts with one VIP the first by name keeps it, as in entry.c. By
+ * VIP alone their order would be qsort()'s, and the balancer could queue and
+ * count an account's work as the other's, or send it to the other's targets.
+ */
 static int compare_listing(const void *a, const void *b)
 {
 	const struct listing *x = a;
 	const struct listing *y = b;
 
-	return compare_u64(x->vip, y->vip);
+	if (x->vip != y->vip)
+		return compare_u64(x->vip, y->vip);
+	return compare_u64(x->account, y->account);
 }
 
 static int compare_target_conf(const void *a, const void *b)
