--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -9,7 +9,7 @@
 	[PEER_FORWARD] = "forward",   [PEER_CLAIM] = "claim",
 	[PEER_GRANT] = "grant",	      [PEER_SETTLE] = "settle",
 	[PEER_FEED] = "feed",	      [PEER_FEED_CLOSE] = "feed_close",
-	[PEER_PIN] = "pin",	      [PEER_RECORD] = "record",
+	[PEER_UNPIN] = "unpin",	      [PEER_RECORD] = "record",
 	[PEER_HANDOVER] = "handover",
 };
 
