sim-tell: a key put to sim-platform arrives

libcurl sent a body of unknown size with 'Expect: 100-continue' and waited one second for an answer sim-platform does not give; the call's timeout was one second too. Every put failed with 'Timeout was reached', which scripts/demo writes to tell.log only, so that FAULT=drain-target drained nothing and a VM that went stayed in the published list. Ruled out: a proxy (NOPROXY is set) and sim-platform (curl with a known size is answered in 1 ms).

--- a/sim/sim-tell/main.c
+++ b/sim/sim-tell/main.c
@@ -68,14 +68,21 @@
 	return strncmp(line, "error", 5) == 0;
 }
 
-/* Body of the answer goes to stdout, as libcurl does by itself. */
+/*
+ * Body of the answer goes to stdout, as libcurl does by itself. Left to itself
+ * libcurl asks with "Expect: 100-continue" and waits a second for an answer
+ * that the stand-in does not give: as long as the whole call may take, so that
+ * nothing was ever put.
+ */
 static int put(const char *url, const char *path)
 {
+	struct curl_slist *headers = curl_slist_append(NULL, "Expect:");
 	FILE *f = fopen(path, "r");
 	CURL *curl;
 	CURLcode code;
 
 	if (!f) {
+		curl_slist_free_all(headers);
 		perror(path);
 		return 1;
 	}
@@ -84,10 +91,12 @@
 	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(curl, CURLOPT_UPLOAD, 1L);
 	curl_easy_setopt(curl, CURLOPT_READDATA, f);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(curl, CURLOPT_FAILONERROR, 1L);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT, (long)ANSWER_TIMEOUT_S);
 	code = curl_easy_perform(curl);
 	curl_easy_cleanup(curl);
+	curl_slist_free_all(headers);
 	fclose(f);
 	if (code != CURLE_OK)
 		fprintf(stderr, "%s: %s\n", url, curl_easy_strerror(code));
