cb-watch refuses an account whose VIP another account has in force

The check of all accounts together was cbctl's only; a publication that was not checked came in force and entries gave the VIP to the first account by name, which could be the newcomer. The reader now refuses such a document whole, with document, line, key and the other account, and tries it again when an account's version in force changes, since it then lists the platform anew.

Order: the account in force keeps its VIP. A list is read by name, so of two that appear together every reader takes the first by name. Two readers may still accept one each at the same instant; both are in force then at every VM, the first by name holds the VIP there, as at the entries, and vips_doubled says so.

--- a/cmd/cb-watch/documents.c
+++ b/cmd/cb-watch/documents.c
@@ -121,6 +121,18 @@
 	return err;
 }
 
+static void note_vips(struct watch *w, const char *key,
+		      const struct content *content)
+{
+	const char *name = key + strlen(ACCOUNT_PREFIX);
+	struct account_conf *a = NULL;
+
+	if (content && account_decode(name, 1, content, &a))
+		return;
+	vips_put(w->vips, name, a);
+	account_free(a);
+}
+
 static int publish_account(struct watch *w, const char *key, uint64_t revision,
 			   struct account_conf *a)
 {
@@ -131,9 +143,27 @@
 		return err;
 	err = publish(w, key, a->generation, revision, c);
 	content_free(c);
+	/* documents_check() noted VIPs that did not come in force after all. */
+	if (err)
+		note_vips(w, key, spread_content(w->spread, key));
 	return err;
 }
 
+/*
+ * Callers of a VIP would reach the targets of whichever account an entry looks
+ * at first. The account that is in force keeps it, the other is refused whole
+ * and tried again when the accounts in force change.
+ */
+static bool vips_free_for(struct watch *w, const char *key, const char *text,
+			  struct template_source source, struct mistakes *m)
+{
+	vips_check(w->vips, key + strlen(ACCOUNT_PREFIX), text, source, m);
+	if (!m->n_errors)
+		return true;
+	w->vips_refused = true;
+	return false;
+}
+
 static int take_account(struct watch *w, const char *key, const char *text,
 			uint64_t revision, char template[NAME_MAX_BYTES])
 {
@@ -148,7 +178,7 @@
 	if (r.wanted[0] && template) {
 		g_strlcpy(template, r.wanted, NAME_MAX_BYTES);
 		err = -ENOENT;
-	} else if (!a) {
+	} else if (!a || !vips_free_for(w, key, text, source, &mistakes)) {
 		note_mistakes(w, key, &mistakes);
 	} else {
 		err = publish_account(w, key, revision, a);
@@ -267,10 +297,33 @@
 	if (strncmp(key, ACCOUNT_PREFIX, strlen(ACCOUNT_PREFIX)))
 		return -EINVAL;
 	err = account_decode(key + strlen(ACCOUNT_PREFIX), 1, content, &a);
+	/* Noted before it is in force, which waits until this VM serves. */
+	if (!err)
+		vips_put(w->vips, a->name, a);
 	account_free(a);
 	return err;
 }
 
+/**
+ * documents_in_force() - a key's version is in force
+ * @w: process
+ * @key: key
+ * @content: its content; NULL when withdrawn
+ */
+void documents_in_force(struct watch *w, const char *key,
+			const struct content *content)
+{
+	if (!strcmp(key, w->vms_key)) {
+		if (content)
+			documents_roster(w, content);
+		return;
+	}
+	note_vips(w, key, content);
+	if (w->vips_refused)
+		reader_relist(w->reader, uv_hrtime());
+	w->vips_refused = false;
+}
+
 struct reader_port documents_port(struct watch *w)
 {
 	return (struct reader_port){
@@ -292,4 +345,6 @@
 	if (w->refused)
 		g_hash_table_destroy(w->refused);
 	w->refused = NULL;
+	vips_free(w->vips);
+	w->vips = NULL;
 }
--- a/cmd/cb-watch/operators.c
+++ b/cmd/cb-watch/operators.c
@@ -33,6 +33,7 @@
 	gauge(out, "platform_ok", w->platform_ok);
 	gauge(out, "entries", watch_link_entry_count(w->link));
 	gauge(out, "documents_refused", g_hash_table_size(w->refused));
+	gauge(out, "vips_doubled", vips_doubled(w->vips));
 #define X(name) counter(out, "spread_" #name, s->name);
 	SPREAD_COUNTERS(X)
 #undef X
@@ -84,6 +85,7 @@
 			       w->platform_ok ? "answers" : "not read");
 	g_string_append_printf(out, "entries %u\n",
 			       watch_link_entry_count(w->link));
+	g_string_append_printf(out, "vips_doubled %u\n", vips_doubled(w->vips));
 	g_string_append_printf(out, "digest %016lx\n", spread_root(w->spread));
 	g_hash_table_foreach(w->refused, write_refused, out);
 }
--- a/cmd/cb-watch/watch.c
+++ b/cmd/cb-watch/watch.c
@@ -95,8 +95,7 @@
 		 version->generation, version->revision,
 		 content ? "" : " withdrawn");
 	watch_link_entries(w->link, key, version, content);
-	if (content && !strcmp(key, w->vms_key))
-		documents_roster(w, content);
+	documents_in_force(w, key, content);
 }
 
 static int make_core(struct watch *w, uint64_t now_ns)
@@ -187,6 +186,7 @@
 		 settings->data_centre);
 	w->refused =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	w->vips = vips_new();
 	err = make_core(w, uv_hrtime());
 	if (!err)
 		err = platform_open(loop, settings->platform_url, answers,
--- a/cmd/cb-watch/watch.h
+++ b/cmd/cb-watch/watch.h
@@ -8,6 +8,7 @@
 #include "reader.h"
 #include "settings.h"
 #include "spread.h"
+#include "vips.h"
 
 #include <glib.h>
 #include <uv.h>
@@ -20,6 +21,8 @@
  * @template_text: its text, NULL when the platform has none
  * @refused: documents that the platform has and that are not in force, with
  *	the reason, by key
+ * @vips: VIPs of the accounts in force
+ * @vips_refused: some account was refused for a VIP of another
  * @vms: scratch for the list of VMs
  */
 struct watch {
@@ -38,6 +41,8 @@
 	char template[NAME_MAX_BYTES];
 	char *template_text;
 	GHashTable *refused;
+	struct vips *vips;
+	bool vips_refused;
 	uint64_t *vms;
 	bool roster_known;
 	bool platform_ok;
@@ -51,6 +56,8 @@
 struct reader_port documents_port(struct watch *w);
 void documents_free(struct watch *w);
 int documents_check(void *ctx, const char *key, const struct content *content);
+void documents_in_force(struct watch *w, const char *key,
+			const struct content *content);
 void documents_roster(struct watch *w, const struct content *content);
 
 /* operators.c */
--- a/core/reader.c
+++ b/core/reader.c
@@ -264,6 +264,23 @@
 			r->port.gone(r->port.ctx, key, revision);
 }
 
+static int by_key_downwards(const void *a, const void *b)
+{
+	const struct wanted *x = a, *y = b;
+
+	return strcmp(y->key, x->key);
+}
+
+/*
+ * The queue is read from its end, so this reads by name. Of two accounts that
+ * ask for one VIP the first to be read gets it: in the platform's order it
+ * could be another one at each reader.
+ */
+static void sort_queue(struct reader *r)
+{
+	qsort(r->queue, r->n_queue, sizeof(*r->queue), by_key_downwards);
+}
+
 static void answered_list(struct reader *r, const struct reader_answer *a,
 			  uint64_t now_ns)
 {
@@ -283,6 +300,7 @@
 		note_listed(r, key);
 		want(r, key, revision);
 	}
+	sort_queue(r);
 	r->after = highest;
 	r->relist_deadline_ns = now_ns + RELIST_PERIOD_NS;
 	find_gone(r, highest);
@@ -374,6 +392,7 @@
 			highest = revision;
 		want(r, key, revision);
 	}
+	sort_queue(r);
 	if (highest < r->after)
 		r->counters.platform_behind++;
 	else
@@ -422,6 +441,17 @@
 		proceed(r, now_ns);
 }
 
+/**
+ * reader_relist() - compare the whole list again once the call under way ends,
+ *	so that documents that were refused are tried again
+ * @r: reader
+ * @now_ns: time
+ */
+void reader_relist(struct reader *r, uint64_t now_ns)
+{
+	r->relist_deadline_ns = now_ns;
+}
+
 uint64_t reader_next_ns(const struct reader *r)
 {
 	return r->next_deadline_ns;
--- a/test/balance_test.c
+++ b/test/balance_test.c
@@ -69,12 +69,38 @@
 	fixture_close(&f);
 }
 
+/*
+ * Symptom: callers of one client account reach another's targets, at some
+ * entries only.
+ * Sequence: two accounts have one VIP in force.
+ * Cause: their services sorted by VIP alone, so that which of them is found is
+ * up to the sort, while the rest of the entry takes the first by name.
+ */
+static void first_account_keeps_a_doubled_vip(void **state)
+{
+	struct fixture f;
+
+	(void)state;
+	fixture_open(&f, 1, 64, 100);
+	for (uint32_t i = 1; i < FIXTURE_SERVICES_MAX; i++) {
+		fixture_account(&f, 100);
+		f.services[i].vip = FIXTURE_VIP;
+		f.targets[i][0].addr = fixture_target(i);
+	}
+	fixture_config(&f);
+	for (uint32_t i = 0; i < 8; i++)
+		assert_int_equal(fixture_submit(&f, i, 5000).target,
+				 fixture_target(0));
+	fixture_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(spreads_over_idle_targets),
 		cmocka_unit_test(queue_runs_when_a_slot_frees),
 		cmocka_unit_test(expired_work_comes_out),
+		cmocka_unit_test(first_account_keeps_a_doubled_vip),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
