--- a/Makefile
+++ b/Makefile
@@ -124,6 +124,7 @@
 		--enable=warning,portability,performance -j 8 \
 		--suppress=missingIncludeSystem -Icore -Iadapters -Isim \
 		$(filter-out %.cc %.h,$(SOURCES))
+	scripts/check-docs
 
 DESTDIR ?=
 PREFIX ?= /usr/local
--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -1,5 +1,6 @@
 /* Metrics in the Prometheus text format. */
 #include "daemon.h"
+#include "usage.h"
 
 #include <string.h>
 
@@ -93,20 +94,26 @@
 	}
 }
 
+static void put_link(const struct daemon *d, GString *to)
+{
+	const struct link_counters *c;
+
+	if (!d->link)
+		return;
+	c = entry_link_counters(d->link);
+#define X(name) put(to, "cb_" #name "_total", "counter", c->name);
+	LINK_COUNTERS(X)
+#undef X
+}
+
 static void put_process(GString *to)
 {
-	size_t resident_bytes = 0;
-	uv_rusage_t usage;
+	struct usage u;
 
-	if (uv_resident_set_memory(&resident_bytes) == 0)
-		put(to, "cb_process_resident_bytes", "gauge", resident_bytes);
-	if (uv_getrusage(&usage))
+	if (usage_read(&u))
 		return;
-	put(to, "cb_process_cpu_microseconds_total", "counter",
-	    (uint64_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) *
-			    1000000 +
-		    (uint64_t)(usage.ru_utime.tv_usec +
-			       usage.ru_stime.tv_usec));
+	put(to, "cb_process_resident_bytes", "gauge", u.resident_bytes);
+	put(to, "cb_process_cpu_microseconds_total", "counter", u.cpu_us);
 }
 
 /**
@@ -120,6 +127,7 @@
 	put_gauges(d, to);
 	put_traffic(d, to);
 	put_drops(d, to);
+	put_link(d, to);
 	put_process(to);
 	metrics_accounts(d, to);
 }
--- a/cmd/cb-watch/operators.c
+++ b/cmd/cb-watch/operators.c
@@ -1,4 +1,5 @@
 /* What operators read over HTTP: /status /metrics /generations. */
+#include "usage.h"
 #include "watch.h"
 
 #include <string.h>
@@ -27,6 +28,7 @@
 	const struct spread_counters *s = spread_counters(w->spread);
 	const struct reader_counters *r = reader_counters(w->reader);
 	const struct watch_link_counters *l = watch_link_counters(w->link);
+	struct usage u;
 
 	gauge(out, "serving", spread_serving(w->spread));
 	gauge(out, "reader", spread_is_reader(w->spread));
@@ -34,6 +36,10 @@
 	gauge(out, "entries", watch_link_entry_count(w->link));
 	gauge(out, "documents_refused", g_hash_table_size(w->refused));
 	gauge(out, "vips_doubled", vips_doubled(w->vips));
+	if (!usage_read(&u)) {
+		gauge(out, "process_resident_bytes", u.resident_bytes);
+		counter(out, "process_cpu_microseconds", u.cpu_us);
+	}
 #define X(name) counter(out, "spread_" #name, s->name);
 	SPREAD_COUNTERS(X)
 #undef X
