--- a/core/entry.c
+++ b/core/entry.c
@@ -93,7 +93,9 @@
 	e->join_deadline_ns = DEADLINE_NEVER;
 	e->join_latest_ns = DEADLINE_NEVER;
 	e->sweep_deadline_ns = DEADLINE_NEVER;
-	e->rng.s = conf->seed | 1;
+	e->minority_since_ns = DEADLINE_NEVER;
+	/* Seeds of one fleet may be alike; its entries' choices may not. */
+	e->rng.s = hash_u64(conf->seed, conf->member.self) | 1;
 	e->allowance_ns = now_ns;
 	e->allowance_bytes = conf->peer_bytes_per_s;
 	if (parts_init(e) < 0) {
@@ -127,11 +129,31 @@
 	free(e);
 }
 
-static void begin(struct entry *e, uint64_t now_ns, struct actions *out)
+/*
+ * What a process that was paused finds in its sockets is as old as its view:
+ * repeats of requests that others have answered since, blocks of transfers
+ * that went on without it. Callers repeat what matters; so all of it is
+ * dropped until peers have answered again. Noticed on any event, since a loop
+ * may hand over datagrams before it runs timers.
+ */
+static void watch_pause(struct entry *e)
+{
+	if (e->ticked_ns && e->now_ns > e->ticked_ns + e->conf.member.lease_ns)
+		e->stale = true;
+}
+
+/**
+ * entry_begin() - take the time and the list of actions of a call
+ * @e: entry
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_begin(struct entry *e, uint64_t now_ns, struct actions *out)
 {
 	out->n = 0;
 	e->out = out;
 	e->now_ns = now_ns;
+	watch_pause(e);
 }
 
 static uint32_t count_services(const struct config *c)
@@ -180,7 +202,7 @@
 {
 	uint32_t n = count_services(c);
 
-	begin(e, now_ns, out);
+	entry_begin(e, now_ns, out);
 	index_free(e->services);
 	free(e->service_list);
 	e->services = index_new(n + 1);
@@ -274,7 +296,7 @@
 void entry_roster(struct entry *e, const uint64_t *vms, uint32_t n,
 		  uint64_t now_ns, struct actions *out)
 {
-	begin(e, now_ns, out);
+	entry_begin(e, now_ns, out);
 	member_roster(e->members, vms, n, now_ns);
 	if (!e->roster_known)
 		e->join_latest_ns = now_ns + JOIN_WAIT_NS;
@@ -282,6 +304,26 @@
 	follow_view(e);
 }
 
+/*
+ * Without a majority for as long as it takes to be declared dead, this entry's
+ * buckets may have been claimed for by the other side of a partition. When the
+ * majority comes over, say because VMs of that side are replaced, it may not
+ * answer "never seen" for them.
+ */
+static void watch_majority(struct entry *e)
+{
+	if (!member_majority(e->members)) {
+		if (e->minority_since_ns == DEADLINE_NEVER)
+			e->minority_since_ns = e->now_ns;
+		return;
+	}
+	if (e->minority_since_ns != DEADLINE_NEVER &&
+	    e->now_ns >=
+		    e->minority_since_ns + e->conf.member.suspect_timeout_ns)
+		ring_uncover(e->ring, e->now_ns);
+	e->minority_since_ns = DEADLINE_NEVER;
+}
+
 /*
  * A process that was paused and declared dead was replaced in its pairs. It
  * would answer "never seen" about claims made without it, so it no longer
@@ -300,22 +342,7 @@
 	if (deaths != e->deaths)
 		ring_uncover(e->ring, e->now_ns);
 	e->deaths = deaths;
-}
-
-/*
- * What a process that was paused finds in its sockets is as old as its view:
- * repeats of requests that others have answered since, blocks of transfers
- * that went on without it. Callers repeat what matters; so all of it is
- * dropped until peers have answered again.
- */
-static void watch_pause(struct entry *e)
-{
-	bool paused = e->ticked_ns &&
-		      e->now_ns > e->ticked_ns + e->conf.member.lease_ns;
-
-	if (paused)
-		e->stale = true;
-	e->ticked_ns = e->now_ns;
+	watch_majority(e);
 }
 
 static void run_timers(struct entry *e)
@@ -351,8 +378,8 @@
  */
 void entry_tick(struct entry *e, uint64_t now_ns, struct actions *out)
 {
-	begin(e, now_ns, out);
-	watch_pause(e);
+	entry_begin(e, now_ns, out);
+	e->ticked_ns = now_ns;
 	member_tick(e->members, now_ns);
 	entry_watch_lease(e);
 	follow_view(e);
@@ -373,7 +400,7 @@
  */
 void entry_leave(struct entry *e, uint64_t now_ns, struct actions *out)
 {
-	begin(e, now_ns, out);
+	entry_begin(e, now_ns, out);
 	if (e->leaving)
 		return;
 	e->leaving = true;
