--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -106,6 +106,24 @@
 #undef X
 }
 
+static void put_lost(const struct daemon *d, GString *to)
+{
+	const struct {
+		const char *socket;
+		uint64_t lost;
+	} rows[] = {
+		{ "callers", callers_lost(d) },
+		{ "targets", datagram_lost(&d->target_socket) },
+		{ "peers", datagram_lost(&d->peer_socket) },
+	};
+
+	g_string_append(to, "# TYPE cb_socket_full_total counter\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(
+			to, "cb_socket_full_total{socket=\"%s\"} %llu\n",
+			rows[i].socket, (unsigned long long)rows[i].lost);
+}
+
 static void put_process(GString *to)
 {
 	struct usage u;
@@ -128,6 +146,7 @@
 	put_traffic(d, to);
 	put_drops(d, to);
 	put_link(d, to);
+	put_lost(d, to);
 	put_process(to);
 	metrics_accounts(d, to);
 }
