--- a/core/member.c
+++ b/core/member.c
@@ -253,7 +253,7 @@
 		if (m->all[i].state == MEMBER_DEAD || i == (uint32_t)self)
 			continue;
 		msg = (struct peer_msg){ .kind = PEER_GOSSIP };
-		member_add_item(&msg, &m->all[self]);
+		member_add_item(m, &msg, self);
 		member_send(m, m->all[i].vm, &msg);
 	}
 	member_due(m, now_ns);
--- a/core/member_impl.h
+++ b/core/member_impl.h
@@ -150,7 +150,8 @@
 void member_learn(struct membership *m, const struct gossip *g, bool spread,
 		  uint64_t now_ns);
 void member_send(struct membership *m, uint64_t vm, struct peer_msg *msg);
-void member_add_item(struct peer_msg *msg, const struct member *e);
+void member_add_item(const struct membership *m, struct peer_msg *msg,
+		     uint32_t i);
 void member_push_due(struct membership *m, uint64_t now_ns);
 void member_send_view(struct membership *m, uint64_t vm);
 void member_tell_deaths(struct membership *m);
--- a/core/member_news.c
+++ b/core/member_news.c
@@ -128,16 +128,24 @@
 
 /**
  * member_add_item() - put what is believed of a member on a message
+ * @m: membership
  * @msg: message with room for it
- * @e: member
+ * @i: member's index
+ *
+ * One that left and is gone is told of as leaving. Heard of as dead, a newcomer
+ * would count it among those whose majority it needs, for as long as the list
+ * names it.
  */
-void member_add_item(struct peer_msg *msg, const struct member *e)
+void member_add_item(const struct membership *m, struct peer_msg *msg,
+		     uint32_t i)
 {
 	struct gossip *g = &msg->gossip[msg->n_gossip++];
+	const struct member *e = &m->all[i];
+	bool gone = e->state == MEMBER_DEAD && m->trait[i].left;
 
 	*g = (struct gossip){ .vm = e->vm,
 			      .incarnation = e->incarnation,
-			      .state = e->state };
+			      .state = gone ? MEMBER_LEAVING : e->state };
 }
 
 static bool has_item(const struct peer_msg *msg, uint64_t vm)
@@ -159,7 +167,7 @@
 	if (i < 0 || !m->all[i].incarnation || has_item(msg, vm))
 		return;
 	if (m->all[i].state == MEMBER_SUSPECT || m->all[i].state == MEMBER_DEAD)
-		member_add_item(msg, &m->all[i]);
+		member_add_item(m, msg, i);
 }
 
 /* Of the news left, that which was sent least often. */
@@ -188,7 +196,7 @@
 		i = freshest(m, msg);
 		if (i < 0)
 			return;
-		member_add_item(msg, &m->all[i]);
+		member_add_item(m, msg, i);
 		m->n_hot -= !--m->trait[i].news_left;
 	}
 }
@@ -210,7 +218,7 @@
 {
 	stamp(m, msg);
 	if (m->leaving && !has_item(msg, m->conf.self))
-		member_add_item(msg, &m->all[member_index(m, m->conf.self)]);
+		member_add_item(m, msg, member_index(m, m->conf.self));
 	add_receiver(m, vm, msg);
 	add_news(m, msg);
 	m->out.send(m->out.ctx, vm, msg);
@@ -228,7 +236,7 @@
 			continue;
 		}
 		m->trait[i].push = false;
-		member_add_item(msg, &m->all[i]);
+		member_add_item(m, msg, i);
 	}
 	return left;
 }
@@ -279,7 +287,7 @@
 	for (i = 0; i < m->n; i++) {
 		if (!m->all[i].incarnation)
 			continue;
-		member_add_item(&msg, &m->all[i]);
+		member_add_item(m, &msg, i);
 		if (msg.n_gossip < GOSSIP_MAX)
 			continue;
 		m->out.send(m->out.ctx, vm, &msg);
--- a/core/member_probe.c
+++ b/core/member_probe.c
@@ -221,7 +221,7 @@
 	int32_t i = member_index(m, msg->from);
 
 	if (i >= 0 && m->all[i].incarnation > msg->incarnation)
-		member_add_item(&ack, &m->all[i]);
+		member_add_item(m, &ack, i);
 	member_send(m, msg->from, &ack);
 	if (msg->about != msg->from || !m->sync_budget)
 		return;
