--- a/core/member_news.c
+++ b/core/member_news.c
@@ -157,34 +157,39 @@
 		member_add_item(msg, &m->all[i]);
 }
 
-/* Of the news left, that which was sent least often. */
-static int32_t freshest(const struct membership *m, const struct peer_msg *msg)
+/* Keep the @room freshest in @best, sorted; returns how many there are. */
+static uint32_t rank(const struct membership *m, uint32_t *best, uint32_t n,
+		     uint32_t room, uint32_t i)
 {
-	int32_t best = -1;
-	uint32_t i;
-
-	for (i = 0; i < m->n; i++) {
-		if (!m->trait[i].news_left || has_item(msg, m->all[i].vm))
-			continue;
-		if (best < 0 ||
-		    m->trait[i].news_left > m->trait[best].news_left)
-			best = i;
-	}
-	return best;
+	uint32_t left = m->trait[i].news_left, at = n;
+
+	if (n == room && m->trait[best[n - 1]].news_left >= left)
+		return n;
+	if (n == room)
+		at = --n;
+	for (; at && m->trait[best[at - 1]].news_left < left; at--)
+		best[at] = best[at - 1];
+	best[at] = i;
+	return n + 1;
 }
 
+/* News that was sent least often first; of equal news any, not the same. */
 static void add_news(struct membership *m, struct peer_msg *msg)
 {
-	int32_t i;
+	uint32_t best[GOSSIP_MAX], n = 0, room = GOSSIP_MAX - msg->n_gossip;
+	uint32_t i, k, start;
 
-	if (!m->n_hot)
+	if (!m->n_hot || !room)
 		return;
-	while (msg->n_gossip < GOSSIP_MAX) {
-		i = freshest(m, msg);
-		if (i < 0)
-			return;
-		member_add_item(msg, &m->all[i]);
-		m->n_hot -= !--m->trait[i].news_left;
+	start = rng_next(&m->rng) % m->n;
+	for (k = 0; k < m->n; k++) {
+		i = start + k < m->n ? start + k : start + k - m->n;
+		if (m->trait[i].news_left && !has_item(msg, m->all[i].vm))
+			n = rank(m, best, n, room, i);
+	}
+	for (k = 0; k < n; k++) {
+		member_add_item(msg, &m->all[best[k]]);
+		m->n_hot -= !--m->trait[best[k]].news_left;
 	}
 }
 
--- a/core/ring.c
+++ b/core/ring.c
@@ -35,6 +35,7 @@
 	uint32_t cap_vms;
 	uint64_t *vms;
 	uint64_t *next_vms;
+	uint64_t *gone;
 	struct bucket *bucket;
 	uint32_t n_pending;
 	uint32_t *pending;
@@ -156,25 +157,28 @@
 		return;
 	free(r->vms);
 	free(r->next_vms);
+	free(r->gone);
 	free(r->bucket);
 	free(r->pending);
 	free(r);
 }
 
-static bool reserve(struct ring *r, uint32_t n)
+static bool lengthen(uint64_t **vms, uint32_t n)
 {
-	uint64_t *vms, *next;
+	uint64_t *longer = realloc(*vms, n * sizeof(**vms));
+
+	if (longer)
+		*vms = longer;
+	return longer != NULL;
+}
 
+static bool reserve(struct ring *r, uint32_t n)
+{
 	if (n <= r->cap_vms)
 		return true;
-	vms = realloc(r->vms, n * sizeof(*vms));
-	if (!vms)
-		return false;
-	r->vms = vms;
-	next = realloc(r->next_vms, n * sizeof(*next));
-	if (!next)
+	if (!lengthen(&r->vms, n) || !lengthen(&r->next_vms, n) ||
+	    !lengthen(&r->gone, n))
 		return false;
-	r->next_vms = next;
 	r->cap_vms = n;
 	return true;
 }
@@ -189,16 +193,16 @@
 		offer(b, candidate_of(r->vms[v], i));
 }
 
-/* Only buckets that had a VM which is gone have to look for another. */
-static void drop_gone(struct ring *r)
+/* Only buckets that had one of the VMs now gone have to look for another. */
+static void drop_gone(struct ring *r, const uint64_t *gone, uint32_t n)
 {
 	const struct bucket *b;
 	uint32_t i;
 
 	for (i = 0; i < r->n_buckets; i++) {
 		b = &r->bucket[i];
-		if ((b->best[0].vm && !live(r, b->best[0].vm)) ||
-		    (b->best[1].vm && !live(r, b->best[1].vm)))
+		if (among(gone, n, b->best[0].vm) ||
+		    among(gone, n, b->best[1].vm))
 			place_anew(r, i);
 	}
 }
@@ -211,22 +215,35 @@
 		offer(&r->bucket[i], candidate_of(vm, i));
 }
 
+/* Split the old set by the new one: who stays in front, who is gone behind. */
+static uint32_t part(uint64_t *old, uint32_t n_old, const uint64_t *next,
+		     uint32_t n_next, uint64_t *gone)
+{
+	uint32_t i, kept = 0, n_gone = 0;
+
+	for (i = 0; i < n_old; i++) {
+		if (among(next, n_next, old[i]))
+			old[kept++] = old[i];
+		else
+			gone[n_gone++] = old[i];
+	}
+	return kept;
+}
+
 /* Take over the live set; true when it differs from the last. */
 static bool take_set(struct ring *r, const uint64_t *vms, uint32_t n)
 {
 	uint64_t *old = r->vms;
-	uint32_t i, kept = 0, n_old = r->n_vms;
+	uint32_t i, kept, n_old = r->n_vms;
 
 	memcpy(r->next_vms, vms, n * sizeof(*vms));
 	n = sort_unique(r->next_vms, n);
 	if (n == n_old && !memcmp(old, r->next_vms, n * sizeof(*old)))
 		return false;
-	for (i = 0; i < n_old; i++)
-		if (among(r->next_vms, n, old[i]))
-			old[kept++] = old[i];
+	kept = part(old, n_old, r->next_vms, n, r->gone);
 	r->n_vms = kept;
 	if (kept < n_old)
-		drop_gone(r);
+		drop_gone(r, r->gone, n_old - kept);
 	for (i = 0; i < n; i++)
 		if (!among(old, kept, r->next_vms[i]))
 			add_new(r, r->next_vms[i]);
@@ -430,7 +447,7 @@
  */
 uint64_t ring_bytes(const struct ring *r)
 {
-	return sizeof(*r) + 2ULL * r->cap_vms * sizeof(*r->vms) +
+	return sizeof(*r) + 3ULL * r->cap_vms * sizeof(*r->vms) +
 	       (uint64_t)r->n_buckets *
 		       (sizeof(*r->bucket) + sizeof(*r->pending));
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -20,15 +20,15 @@
 	return a->order < b->order;
 }
 
-static void swap(struct packet *a, struct packet *b)
+static void swap(struct packet **a, struct packet **b)
 {
-	struct packet t = *a;
+	struct packet *t = *a;
 
 	*a = *b;
 	*b = t;
 }
 
-static void heap_push(struct fleet *f, const struct packet *p)
+static void heap_push(struct fleet *f, struct packet *p)
 {
 	uint32_t i = f->n_heap++;
 
@@ -36,21 +36,21 @@
 		f->cap_heap = f->cap_heap ? 2 * f->cap_heap : 1024;
 		f->heap = realloc(f->heap, f->cap_heap * sizeof(*f->heap));
 	}
-	f->heap[i] = *p;
-	for (; i && before(&f->heap[i], &f->heap[(i - 1) / 2]); i = (i - 1) / 2)
+	f->heap[i] = p;
+	for (; i && before(f->heap[i], f->heap[(i - 1) / 2]); i = (i - 1) / 2)
 		swap(&f->heap[i], &f->heap[(i - 1) / 2]);
 }
 
-static struct packet heap_pop(struct fleet *f)
+static struct packet *heap_pop(struct fleet *f)
 {
-	struct packet top = f->heap[0];
+	struct packet *top = f->heap[0];
 	uint32_t i = 0, c;
 
 	f->heap[0] = f->heap[--f->n_heap];
 	while ((c = 2 * i + 1) < f->n_heap) {
-		if (c + 1 < f->n_heap && before(&f->heap[c + 1], &f->heap[c]))
+		if (c + 1 < f->n_heap && before(f->heap[c + 1], f->heap[c]))
 			c++;
-		if (before(&f->heap[i], &f->heap[c]))
+		if (before(f->heap[i], f->heap[c]))
 			break;
 		swap(&f->heap[i], &f->heap[c]);
 		i = c;
@@ -72,20 +72,22 @@
 {
 	struct node *from = ctx;
 	struct fleet *f = from->fleet;
-	struct packet p = { .to = index_of(vm), .msg = *msg };
+	uint32_t at = from - f->node, to = index_of(vm);
+	struct packet *p;
 
 	from->messages++;
 	if (f->size_bytes)
 		from->bytes += f->size_bytes(msg);
-	if (p.to >= f->n || rng_next(&f->rng) % 100 < f->loss_percent)
+	if (to >= f->n || rng_next(&f->rng) % 100 < f->loss_percent)
 		return;
-	p.from = from - f->node;
-	if (f->blocked && f->blocked(p.from, p.to))
+	if (f->blocked && f->blocked(at, to))
 		return;
-	p.order = f->order++;
-	p.due_ns = f->now_ns + LATENCY_MIN_NS +
-		   rng_next(&f->rng) % LATENCY_SPREAD_NS;
-	heap_push(f, &p);
+	p = malloc(sizeof(*p));
+	*p = (struct packet){ .from = at, .to = to, .msg = *msg };
+	p->order = f->order++;
+	p->due_ns = f->now_ns + LATENCY_MIN_NS +
+		    rng_next(&f->rng) % LATENCY_SPREAD_NS;
+	heap_push(f, p);
 }
 
 struct fleet *fleet_new(uint32_t n, uint64_t seed)
@@ -114,6 +116,8 @@
 
 	for (i = 0; i < f->n; i++)
 		member_free(f->node[i].m);
+	while (f->n_heap)
+		free(heap_pop(f));
 	free(f->heap);
 	free(f);
 }
@@ -172,45 +176,78 @@
 	return due_ns > o->paused_deadline_ns ? due_ns : o->paused_deadline_ns;
 }
 
+/* Tournament over the nodes' next ticks; the root is the earliest. */
+static void reschedule(struct fleet *f, uint32_t i)
+{
+	uint32_t at = FLEET_MAX + i;
+
+	f->due_ns[i] = next_tick(&f->node[i]);
+	for (; at > 1; at /= 2) {
+		uint32_t a = f->tick[at], b = f->tick[at ^ 1];
+
+		f->tick[at / 2] = f->due_ns[b] < f->due_ns[a] ? b : a;
+	}
+}
+
 /* A paused process finds its messages when it wakes, before its timers run. */
 static void deliver(struct fleet *f)
 {
-	struct packet p = heap_pop(f);
-	struct node *to = &f->node[p.to];
+	struct packet *p = heap_pop(f);
+	struct node *to = &f->node[p->to];
 
-	if (!to->m || to->side != f->node[p.from].side)
-		return;
-	if (f->now_ns < to->paused_deadline_ns) {
-		p.due_ns = to->paused_deadline_ns;
-		heap_push(f, &p);
+	if (to->m && f->now_ns < to->paused_deadline_ns &&
+	    to->side == f->node[p->from].side) {
+		p->due_ns = to->paused_deadline_ns;
+		heap_push(f, p);
 		return;
 	}
-	member_message(to->m, &p.msg, f->now_ns);
+	if (to->m && to->side == f->node[p->from].side) {
+		member_message(to->m, &p->msg, f->now_ns);
+		reschedule(f, p->to);
+	}
+	free(p);
+}
+
+static bool next_event(struct fleet *f, uint64_t end_ns)
+{
+	uint32_t at = f->tick[1];
+	uint64_t tick_ns = f->due_ns[at];
+	uint64_t due_ns = f->n_heap ? f->heap[0]->due_ns : UINT64_MAX;
+	bool tick = tick_ns < due_ns;
+
+	if (tick)
+		due_ns = tick_ns;
+	if (due_ns > end_ns)
+		return false;
+	if (due_ns > f->now_ns)
+		f->now_ns = due_ns;
+	if (!tick) {
+		deliver(f);
+		return true;
+	}
+	member_tick(f->node[at].m, f->now_ns);
+	reschedule(f, at);
+	return true;
 }
 
 void fleet_run(struct fleet *f, uint64_t for_ns)
 {
-	uint64_t end_ns = f->now_ns + for_ns, due_ns;
-	uint32_t i, at;
-
-	for (;;) {
-		due_ns = f->n_heap ? f->heap[0].due_ns : UINT64_MAX;
-		at = f->n;
-		for (i = 0; i < f->n; i++) {
-			if (next_tick(&f->node[i]) >= due_ns)
-				continue;
-			due_ns = next_tick(&f->node[i]);
-			at = i;
-		}
-		if (due_ns > end_ns)
-			break;
-		if (due_ns > f->now_ns)
-			f->now_ns = due_ns;
-		if (at < f->n)
-			member_tick(f->node[at].m, f->now_ns);
-		else
-			deliver(f);
+	uint64_t end_ns = f->now_ns + for_ns;
+	uint32_t i;
+
+	for (i = 0; i < FLEET_MAX; i++)
+		f->due_ns[i] = UINT64_MAX;
+	for (i = 0; i < FLEET_MAX; i++)
+		f->tick[FLEET_MAX + i] = i;
+	for (i = 0; i < f->n; i++)
+		f->due_ns[i] = next_tick(&f->node[i]);
+	for (i = FLEET_MAX - 1; i; i--) {
+		uint32_t a = f->tick[2 * i], b = f->tick[2 * i + 1];
+
+		f->tick[i] = f->due_ns[b] < f->due_ns[a] ? b : a;
 	}
+	while (next_event(f, end_ns))
+		;
 	f->now_ns = end_ns;
 }
 
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -40,9 +40,11 @@
 	struct member_conf conf;
 	uint32_t (*size_bytes)(const struct peer_msg *msg);
 	bool (*blocked)(uint32_t from, uint32_t to);
-	struct packet *heap;
+	struct packet **heap;
 	uint32_t n_heap, cap_heap;
 	uint64_t order;
+	uint64_t due_ns[FLEET_MAX];
+	uint32_t tick[2 * FLEET_MAX];
 };
 
 struct fleet *fleet_new(uint32_t n, uint64_t seed);
