--- a/core/peer.h
+++ b/core/peer.h
@@ -22,7 +22,7 @@
  * @PEER_SETTLE: how a claimed request ended
  * @PEER_FEED: second copy of an open feed
  * @PEER_FEED_CLOSE: drop that copy
- * @PEER_PIN: second copy of a pin that differs from the hash
+ * @PEER_PIN: second copy of a transfer's pin; without a target: it ended
  * @PEER_RECORD: a claim's record, handed over by a leaving entry
  * @PEER_HANDOVER: a leaving entry has handed over all of it
  */
@@ -47,7 +47,7 @@
  * enum member_state - what an entry believes of another
  * @MEMBER_ALIVE: answers, or is vouched for
  * @MEMBER_SUSPECT: missed its probes, may still refute
- * @MEMBER_LEAVING: said it goes; serves what it has, owns nothing new
+ * @MEMBER_LEAVING: said it goes, or just came; owns nothing new
  * @MEMBER_DEAD: suspicion ran out
  */
 enum member_state { MEMBER_ALIVE, MEMBER_SUSPECT, MEMBER_LEAVING, MEMBER_DEAD };
