Only messages of membership say that their sender is alive

Cause: a process that has yet to join forwards what the fabric hands it; a member that had not heard from it took that for a join, at the incarnation it later leaves behind, and placed buckets on it for a settle time. And since join and refutation raise the incarnation, the core's other messages, which carry the one it started with, no longer counted as signs of life.

Now only ping, ack, ping request and gossip, which carry the sender's state, can make it alive; other messages count as life up to 256 refutations back.

--- a/core/member.c
+++ b/core/member.c
@@ -181,7 +181,12 @@
 	find_next(m);
 }
 
-/* Whom a message is from; false when a newer process has its address. */
+/*
+ * Whom a message is from; false when a newer process has its address. Only
+ * messages of this module say whether their sender leaves or has yet to join:
+ * taking a forwarded datagram for a join would give buckets to a process that
+ * knows nobody. Other messages may carry the incarnation it started with.
+ */
 static bool heard_from(struct membership *m, const struct peer_msg *msg,
 		       uint64_t now_ns)
 {
@@ -191,12 +196,14 @@
 	struct member *e;
 	int32_t i;
 
-	member_learn(m, &g, true, now_ns);
+	if (msg->kind <= PEER_GOSSIP)
+		member_learn(m, &g, true, now_ns);
 	i = member_index(m, msg->from);
 	if (i < 0)
 		return false;
 	e = &m->all[i];
-	if (msg->incarnation < e->incarnation)
+	if (msg->incarnation > e->incarnation ||
+	    e->incarnation - msg->incarnation > REFUTATIONS_MAX)
 		return false;
 	e->heard_ns = now_ns;
 	if (e->state == MEMBER_LEAVING)
--- a/core/member_impl.h
+++ b/core/member_impl.h
@@ -31,7 +31,7 @@
 #define SYNC_AFTER_PERIODS 5
 
 /* Incarnations closer than this are of one process that refuted. */
-#define REFUTATIONS_MAX 1000000
+#define REFUTATIONS_MAX 256
 
 /* Members told a period that they had been dead here. */
 #define DEATHS_TOLD_PER_PERIOD 16
--- a/test/member_test.c
+++ b/test/member_test.c
@@ -309,6 +309,62 @@
 	fleet_free(f);
 }
 
+/*
+ * Symptom: an entry that has just started is given flows, and places them by
+ * a view of its own.
+ * Events: it knows nobody yet, answers probes, forwards a caller's datagram
+ * that the fabric handed it.
+ * Cause: its first message taken for a join, before it says so.
+ */
+static void joining_member_owns_nothing_before_it_says_so(void **state)
+{
+	struct fleet *f = fleet_up(8);
+	struct peer_msg msg = { .kind = PEER_FORWARD, .from = fleet_vm(6) };
+	uint32_t i;
+
+	(void)state;
+	fleet_kill(f, 6);
+	fleet_run(f, 2 * NS_PER_S);
+	f->conf.joining = true;
+	fleet_start(f, 6);
+	fleet_roster(f, 6, 0, 8);
+	msg.incarnation = f->conf.incarnation;
+	member_message(f->node[1].m, &msg, f->now_ns);
+	for (i = 0; i < 200; i++) {
+		assert_int_equal(fleet_holders(f, 6, MEMBER_ALIVE), 0);
+		fleet_run(f, 10 * NS_PER_MS);
+	}
+	assert_true(lease(f, 6));
+	assert_true(member_majority(f->node[6].m));
+	member_join(f->node[6].m, f->now_ns);
+	fleet_run(f, 2 * NS_PER_MS);
+	assert_true(fleet_converged(f));
+	fleet_free(f);
+}
+
+/*
+ * Symptom: a member under load is suspected though it sends all the time.
+ * Events: its acks get lost, its other messages arrive; they carry the
+ * incarnation it started with, a refutation behind.
+ * Cause: signs of life dropped as those of an earlier process.
+ */
+static void any_message_is_a_sign_of_life(void **state)
+{
+	struct fleet *f = fleet_up(2);
+	struct peer_msg msg = { .kind = PEER_CLAIM, .from = fleet_vm(1) };
+	uint32_t i;
+
+	(void)state;
+	msg.incarnation = member_find(f->node[1].m, msg.from)->incarnation - 1;
+	f->loss_percent = 100;
+	for (i = 0; i < 100; i++) {
+		fleet_run(f, 20 * NS_PER_MS);
+		member_message(f->node[0].m, &msg, f->now_ns);
+		assert_true(fleet_believes(f, 0, 1, MEMBER_ALIVE));
+	}
+	fleet_free(f);
+}
+
 static bool pair_blocked(uint32_t from, uint32_t to)
 {
 	return (from == 1 && to == 5) || (from == 5 && to == 1);
@@ -409,6 +465,8 @@
 		cmocka_unit_test(leaving_member_stays_leaving),
 		cmocka_unit_test(one_side_of_a_cut_goes_on),
 		cmocka_unit_test(cut_off_member_loses_its_lease),
+		cmocka_unit_test(joining_member_owns_nothing_before_it_says_so),
+		cmocka_unit_test(any_message_is_a_sign_of_life),
 		cmocka_unit_test(cut_between_two_kills_neither),
 		cmocka_unit_test(clock_set_back_at_restart_is_overcome),
 		cmocka_unit_test(fleet_of_one_acts),
