--- a/core/member_impl.h
+++ b/core/member_impl.h
@@ -161,7 +161,11 @@
 			uint64_t now_ns);
 void member_on_ack(struct membership *m, const struct peer_msg *msg,
 		   uint64_t now_ns);
+
+/* core/member_lease.c */
+void member_note_outcome(struct membership *m, bool answered);
 void member_revalidate(struct membership *m);
+void member_acked(struct membership *m, uint64_t vm, const struct probe *p);
 
 /* core/member.c */
 void member_due(struct membership *m, uint64_t deadline_ns);
--- a/core/member_probe.c
+++ b/core/member_probe.c
@@ -123,13 +123,6 @@
 	member_tell_deaths(m);
 }
 
-static void note_outcome(struct membership *m, bool answered)
-{
-	m->outcomes = m->outcomes << 1 | answered;
-	if (m->n_outcomes < OUTCOMES_MAX)
-		m->n_outcomes++;
-}
-
 static void ask_helpers(struct membership *m, struct probe *p, uint64_t now_ns)
 {
 	struct peer_msg msg;
@@ -183,7 +176,7 @@
 	}
 	p->seq = 0;
 	if (member_is_live(&m->all[i]))
-		note_outcome(m, heard);
+		member_note_outcome(m, heard);
 	if (!heard)
 		suspect(m, i, now_ns);
 }
@@ -258,18 +251,6 @@
 	member_send(m, p->origin, &ack);
 }
 
-static void validated_by(struct membership *m, uint64_t vm, uint64_t seq)
-{
-	uint32_t k;
-
-	if (seq <= m->fresh_seq || m->n_validators == VALIDATORS_MAX)
-		return;
-	for (k = 0; k < m->n_validators; k++)
-		if (m->validators[k] == vm)
-			return;
-	m->validators[m->n_validators++] = vm;
-}
-
 /*
  * A view that differs for some periods won't mend by news alone, which is
  * sent a bounded number of times: ask for all of it.
@@ -302,7 +283,6 @@
 		   uint64_t now_ns)
 {
 	struct probe *p = find_probe(m, msg->seq, msg->about);
-	uint64_t lease_ns = m->conf.lease_ns;
 	int32_t i;
 
 	if (!p)
@@ -314,22 +294,8 @@
 	}
 	i = member_index(m, p->vm);
 	if (i >= 0 && member_is_live(&m->all[i]))
-		note_outcome(m, true);
-	validated_by(m, msg->from, p->seq);
-	if (m->conf.suspect_timeout_ns < lease_ns)
-		lease_ns = m->conf.suspect_timeout_ns;
-	if (p->sent_ns + lease_ns > m->ack_deadline_ns)
-		m->ack_deadline_ns = p->sent_ns + lease_ns;
+		member_note_outcome(m, true);
+	member_acked(m, msg->from, p);
 	p->seq = 0;
 	compare_views(m, msg, now_ns);
 }
-
-/**
- * member_revalidate() - believe no ack to a ping sent up to now
- * @m: membership
- */
-void member_revalidate(struct membership *m)
-{
-	m->fresh_seq = m->seq;
-	m->n_validators = 0;
-}
--- a/core/ring.c
+++ b/core/ring.c
@@ -1,99 +1,11 @@
 /*
- * Rendezvous hash: each live VM has a score for each bucket, the two highest
- * are the bucket's pair. A change of the live set is compared, not computed
- * anew. A pair follows it by one member per settle time: two entries whose
- * views differ only by what is still on its way then have a member in common,
- * which sees the claims of both.
+ * The pair of entries that holds each bucket. It follows the live set by one
+ * member per settle time: two entries whose views differ only by what is still
+ * on its way then have a member in common, which sees the claims of both.
  */
-#include "ring.h"
+#include "ring_impl.h"
 
 #include <stdlib.h>
-#include <string.h>
-
-#define NEVER UINT64_MAX
-
-struct candidate {
-	uint64_t vm;
-	uint64_t score;
-};
-
-struct bucket {
-	struct candidate best[2];
-	struct ring_pair pair;
-	uint64_t change_deadline_ns;
-	uint64_t cover_deadline_ns;
-};
-
-struct ring {
-	uint32_t n_buckets;
-	uint64_t self;
-	uint64_t settle_ns;
-	uint64_t cover_ns;
-	struct ring_watch watch;
-	bool placed;
-	uint32_t n_vms;
-	uint32_t cap_vms;
-	uint64_t *vms;
-	uint64_t *next_vms;
-	uint64_t *gone;
-	struct bucket *bucket;
-	uint32_t n_pending;
-	uint32_t *pending;
-	uint64_t next_ns;
-};
-
-static bool beats(struct candidate a, struct candidate b)
-{
-	if (a.score != b.score)
-		return a.score > b.score;
-	return a.vm > b.vm;
-}
-
-static struct candidate candidate_of(uint64_t vm, uint32_t bucket)
-{
-	return (struct candidate){ .vm = vm, .score = hash_u64(bucket, vm) };
-}
-
-static void offer(struct bucket *b, struct candidate c)
-{
-	if (beats(c, b->best[0])) {
-		b->best[1] = b->best[0];
-		b->best[0] = c;
-	} else if (beats(c, b->best[1])) {
-		b->best[1] = c;
-	}
-}
-
-static int by_address(const void *a, const void *b)
-{
-	uint64_t x = *(const uint64_t *)a;
-	uint64_t y = *(const uint64_t *)b;
-
-	return (x > y) - (x < y);
-}
-
-static uint32_t sort_unique(uint64_t *vms, uint32_t n)
-{
-	uint32_t i, kept = 0;
-
-	qsort(vms, n, sizeof(*vms), by_address);
-	for (i = 0; i < n; i++) {
-		if (vms[i] == ADDR_NONE || (kept && vms[kept - 1] == vms[i]))
-			continue;
-		vms[kept++] = vms[i];
-	}
-	return kept;
-}
-
-static bool among(const uint64_t *vms, uint32_t n, uint64_t vm)
-{
-	return bsearch(&vm, vms, n, sizeof(*vms), by_address) != NULL;
-}
-
-static bool live(const struct ring *r, uint64_t vm)
-{
-	return vm != ADDR_NONE && among(r->vms, r->n_vms, vm);
-}
 
 static bool in_pair(struct ring_pair p, uint64_t vm)
 {
@@ -163,96 +75,6 @@
 	free(r);
 }
 
-static bool lengthen(uint64_t **vms, uint32_t n)
-{
-	uint64_t *longer = realloc(*vms, n * sizeof(**vms));
-
-	if (longer)
-		*vms = longer;
-	return longer != NULL;
-}
-
-static bool reserve(struct ring *r, uint32_t n)
-{
-	if (n <= r->cap_vms)
-		return true;
-	if (!lengthen(&r->vms, n) || !lengthen(&r->next_vms, n) ||
-	    !lengthen(&r->gone, n))
-		return false;
-	r->cap_vms = n;
-	return true;
-}
-
-static void place_anew(struct ring *r, uint32_t i)
-{
-	struct bucket *b = &r->bucket[i];
-	uint32_t v;
-
-	memset(b->best, 0, sizeof(b->best));
-	for (v = 0; v < r->n_vms; v++)
-		offer(b, candidate_of(r->vms[v], i));
-}
-
-/* Only buckets that had one of the VMs now gone have to look for another. */
-static void drop_gone(struct ring *r, const uint64_t *gone, uint32_t n)
-{
-	const struct bucket *b;
-	uint32_t i;
-
-	for (i = 0; i < r->n_buckets; i++) {
-		b = &r->bucket[i];
-		if (among(gone, n, b->best[0].vm) ||
-		    among(gone, n, b->best[1].vm))
-			place_anew(r, i);
-	}
-}
-
-static void add_new(struct ring *r, uint64_t vm)
-{
-	uint32_t i;
-
-	for (i = 0; i < r->n_buckets; i++)
-		offer(&r->bucket[i], candidate_of(vm, i));
-}
-
-/* Split the old set by the new one: who stays in front, who is gone behind. */
-static uint32_t part(uint64_t *old, uint32_t n_old, const uint64_t *next,
-		     uint32_t n_next, uint64_t *gone)
-{
-	uint32_t i, kept = 0, n_gone = 0;
-
-	for (i = 0; i < n_old; i++) {
-		if (among(next, n_next, old[i]))
-			old[kept++] = old[i];
-		else
-			gone[n_gone++] = old[i];
-	}
-	return kept;
-}
-
-/* Take over the live set; true when it differs from the last. */
-static bool take_set(struct ring *r, const uint64_t *vms, uint32_t n)
-{
-	uint64_t *old = r->vms;
-	uint32_t i, kept, n_old = r->n_vms;
-
-	memcpy(r->next_vms, vms, n * sizeof(*vms));
-	n = sort_unique(r->next_vms, n);
-	if (n == n_old && !memcmp(old, r->next_vms, n * sizeof(*old)))
-		return false;
-	kept = part(old, n_old, r->next_vms, n, r->gone);
-	r->n_vms = kept;
-	if (kept < n_old)
-		drop_gone(r, r->gone, n_old - kept);
-	for (i = 0; i < n; i++)
-		if (!among(old, kept, r->next_vms[i]))
-			add_new(r, r->next_vms[i]);
-	r->vms = r->next_vms;
-	r->next_vms = old;
-	r->n_vms = n;
-	return true;
-}
-
 /*
  * Next pair on the way to the wanted one. When they have a member in common,
  * going there changes one member. Otherwise the best live VM comes in as
@@ -270,7 +92,7 @@
 	if (old.owner == ADDR_NONE || want.owner == ADDR_NONE ||
 	    in_pair(old, want.owner) || in_pair(old, want.second))
 		return want;
-	if (old.second != ADDR_NONE && !live(r, old.owner))
+	if (old.second != ADDR_NONE && !ring_is_live(r, old.owner))
 		kept = old.second;
 	return (struct ring_pair){ .owner = want.owner, .second = kept };
 }
@@ -339,9 +161,7 @@
 void ring_update(struct ring *r, const uint64_t *vms, uint32_t n,
 		 uint64_t now_ns)
 {
-	if (!reserve(r, n + 1))
-		return;
-	if (take_set(r, vms, n))
+	if (ring_place(r, vms, n))
 		list_pending(r);
 	apply_due(r, now_ns);
 	r->placed = r->placed || r->n_vms > 0;
