Pairs that may be claimed by: steady ones; a majority just won waits

A majority just won now counts after lease plus suspicion time.

Tried and dropped: acks that validate only when their sender's view is equal.

--- a/core/member.c
+++ b/core/member.c
@@ -61,6 +61,7 @@
 	m->all[i].state = conf->joining ? MEMBER_LEAVING : MEMBER_ALIVE;
 	m->all[i].incarnation = conf->incarnation;
 	member_recount(m);
+	m->had_majority = m->majority;
 	return m;
 }
 
@@ -178,6 +179,7 @@
 	members_due(m, now_ns);
 	member_round(m, now_ns);
 	member_push_due(m, now_ns);
+	member_watch_majority(m, now_ns);
 	find_next(m);
 }
 
@@ -234,6 +236,7 @@
 	for (k = 0; k < msg->n_gossip && k < GOSSIP_MAX; k++)
 		member_learn(m, &msg->gossip[k], !view, now_ns);
 	current = heard_from(m, msg, now_ns);
+	member_watch_majority(m, now_ns);
 	if (msg->kind == PEER_PING)
 		member_on_ping(m, msg);
 	if (!current)
--- a/core/member_impl.h
+++ b/core/member_impl.h
@@ -82,6 +82,8 @@
  * @n_silent: dead ones that are still probed
  * @n_hot: members with news left to send
  * @n_untold: members yet to be told of their death
+ * @majority: now; @had_majority: when it was last looked at
+ * @majority_deadline_ns: a majority just won counts from then on
  * @deaths: times it heard that it was declared dead
  * @death_incarnation: highest of its incarnations at which it was
  * @order: members to probe this turn, shuffled; @order_at: next of them
@@ -108,6 +110,8 @@
 	uint32_t n_hot;
 	uint32_t n_untold;
 	bool majority;
+	bool had_majority;
+	uint64_t majority_deadline_ns;
 	bool leaving;
 	uint64_t incarnation;
 	uint64_t view;
@@ -166,6 +170,7 @@
 void member_note_outcome(struct membership *m, bool answered);
 void member_revalidate(struct membership *m);
 void member_acked(struct membership *m, uint64_t vm, const struct probe *p);
+void member_watch_majority(struct membership *m, uint64_t now_ns);
 
 /* core/member.c */
 void member_due(struct membership *m, uint64_t deadline_ns);
--- a/core/member_lease.c
+++ b/core/member_lease.c
@@ -85,19 +85,38 @@
 	return m->n_outcomes >= OUTCOMES_MIN && 2 * answered < m->n_outcomes;
 }
 
+/**
+ * member_watch_majority() - after each change: a majority just won waits
+ * @m: membership
+ * @now_ns: now
+ *
+ * When a member can be reached from the other side of a cut than before, this
+ * side may count it while the old side still does, until that side's lease
+ * runs out or it declares the member dead. Both would act.
+ */
+void member_watch_majority(struct membership *m, uint64_t now_ns)
+{
+	if (m->majority && !m->had_majority)
+		m->majority_deadline_ns =
+			now_ns + m->conf.lease_ns + m->conf.suspect_timeout_ns;
+	m->had_majority = m->majority;
+}
+
 /**
  * member_lease_valid() - whether this entry may act on what it believes
  * @m: membership
  * @now_ns: now, from the clock and not from the last tick
  *
  * False after a pause of the lease time, or once it heard itself declared
- * dead, until enough members have answered pings sent since; and while most
- * probes go unanswered.
+ * dead, until enough members have answered pings sent since; while most probes
+ * go unanswered; and for a while after a majority was won.
  *
  * Return: true when it may.
  */
 bool member_lease_valid(const struct membership *m, uint64_t now_ns)
 {
+	if (m->majority && now_ns < m->majority_deadline_ns)
+		return false;
 	return now_ns < m->run_deadline_ns && validated(m) &&
 	       !cut_off(m, now_ns);
 }
--- a/core/member_set.c
+++ b/core/member_set.c
@@ -231,4 +231,5 @@
 			member_due(m, e->deadline_ns);
 	}
 	member_recount(m);
+	member_watch_majority(m, now_ns);
 }
--- a/core/ring.c
+++ b/core/ring.c
@@ -164,7 +164,10 @@
 	if (ring_place(r, vms, n))
 		list_pending(r);
 	apply_due(r, now_ns);
-	r->placed = r->placed || r->n_vms > 0;
+	if (r->placed || !r->n_vms)
+		return;
+	r->placed = true;
+	r->steady_deadline_ns = now_ns + r->settle_ns;
 }
 
 /**
@@ -214,6 +217,28 @@
 	return wanted(&r->bucket[bucket]);
 }
 
+/**
+ * ring_steady() - whether self may claim by a bucket's pair
+ * @r: ring
+ * @bucket: bucket
+ * @now_ns: now
+ *
+ * An entry that starts places its buckets at once, one that runs goes there
+ * by steps. While views change fast, as when a fleet starts, the two can hold
+ * pairs without a common member, and both be told to go on. Two pairs that
+ * have both stood for a settle time, and are where they are to be, come from
+ * views that have differed for longer than news takes.
+ *
+ * Return: true when the pair is as wanted, and has been for a settle time.
+ */
+bool ring_steady(const struct ring *r, uint32_t bucket, uint64_t now_ns)
+{
+	const struct bucket *b = &r->bucket[bucket];
+
+	return r->placed && r->steady_deadline_ns <= now_ns &&
+	       b->change_deadline_ns <= now_ns && same_pair(b->pair, wanted(b));
+}
+
 /**
  * ring_covered() - whether self knows every claim that a caller may repeat
  * @r: ring
--- a/core/ring.h
+++ b/core/ring.h
@@ -37,6 +37,7 @@
 uint32_t ring_bucket(const struct ring *r, const struct flow_key *key);
 struct ring_pair ring_at(const struct ring *r, uint32_t bucket);
 struct ring_pair ring_wanted(const struct ring *r, uint32_t bucket);
+bool ring_steady(const struct ring *r, uint32_t bucket, uint64_t now_ns);
 bool ring_covered(const struct ring *r, uint32_t bucket, uint64_t now_ns);
 void ring_cover(struct ring *r, uint32_t bucket);
 void ring_uncover(struct ring *r, uint64_t now_ns);
--- a/core/ring_impl.h
+++ b/core/ring_impl.h
@@ -31,6 +31,7 @@
 /**
  * struct ring - the buckets, and the set they are placed on
  * @placed: the first placement has been made
+ * @steady_deadline_ns: from then on it has stood for a settle time
  * @vms: live VMs, sorted; @next_vms, @gone: room for the next change
  * @pending: buckets whose pair isn't the wanted one yet
  * @next_ns: earliest time at which one of them may change
@@ -42,6 +43,7 @@
 	uint64_t cover_ns;
 	struct ring_watch watch;
 	bool placed;
+	uint64_t steady_deadline_ns;
 	uint32_t n_vms;
 	uint32_t cap_vms;
 	uint64_t *vms;
--- a/test/member_test.c
+++ b/test/member_test.c
@@ -24,6 +24,11 @@
 	return member_lease_valid(f->node[i].m, f->now_ns);
 }
 
+static bool acts(const struct fleet *f, uint32_t i)
+{
+	return member_majority(f->node[i].m) && lease(f, i);
+}
+
 static void dead_member_is_found(void **state)
 {
 	struct fleet *f = fleet_up(8);
@@ -155,6 +160,33 @@
 	fleet_free(f);
 }
 
+/*
+ * Symptom: both sides of a cut act for a moment.
+ * Events: one member changes sides: it counts for the new side as soon as it
+ * is heard, for the old one until its lease there runs out.
+ * Cause: a majority that counts from the moment it is won.
+ */
+static void majority_just_won_waits(void **state)
+{
+	uint64_t cut_ms;
+	struct fleet *f;
+	uint32_t i;
+
+	(void)state;
+	for (cut_ms = 900; cut_ms < 1300; cut_ms += 20) {
+		f = fleet_up(4);
+		f->node[2].side = f->node[3].side = 1;
+		fleet_run(f, cut_ms * NS_PER_MS);
+		f->node[1].side = 1;
+		for (i = 0; i < 400; i++) {
+			fleet_run(f, 10 * NS_PER_MS);
+			assert_false(acts(f, 0) && acts(f, 2));
+		}
+		assert_true(acts(f, 2));
+		fleet_free(f);
+	}
+}
+
 /*
  * Symptom: after one process was stopped for a while, members that work are
  * declared dead.
@@ -460,6 +492,7 @@
 		cmocka_unit_test(unlisted_that_answers_stays),
 		cmocka_unit_test(paused_member_validates_before_it_acts),
 		cmocka_unit_test(paused_together_do_not_validate_each_other),
+		cmocka_unit_test(majority_just_won_waits),
 		cmocka_unit_test(paused_member_blames_nobody),
 		cmocka_unit_test(death_is_told_after_refutation),
 		cmocka_unit_test(leaving_member_stays_leaving),
--- a/test/ring_test.c
+++ b/test/ring_test.c
@@ -181,6 +181,31 @@
 	ring_free(r);
 }
 
+/*
+ * Symptom: two entries are both told to go on with one request.
+ * Events: an entry has just placed its buckets, or changed a pair, or has a
+ * step to go; another has yet to hear of what it heard.
+ * Cause: claims by a pair that others may not have yet.
+ */
+static void steady_after_a_settle_time_at_rest(void **state)
+{
+	struct ring *r = ring_of(0xff);
+	uint32_t b = bucket_of(r, vm(2), vm(5)), set = 0xff & ~(1U << 5);
+	uint64_t now_ns = START_NS + SETTLE_NS;
+
+	(void)state;
+	assert_false(ring_steady(r, b, now_ns - 1));
+	assert_true(ring_steady(r, b, now_ns));
+	update(r, set, now_ns);
+	assert_false(ring_steady(r, b, now_ns + SETTLE_NS - 1));
+	assert_true(ring_steady(r, b, now_ns + SETTLE_NS));
+	now_ns += SETTLE_NS;
+	update(r, 0xff & ~(1U << 2 | 1U << 5), now_ns);
+	update(r, 0xff & ~(1U << 2), now_ns + 1);
+	assert_false(ring_steady(r, b, now_ns + SETTLE_NS));
+	ring_free(r);
+}
+
 static void spreads_buckets_evenly(void **state)
 {
 	struct ring *r = ring_of(0xff);
@@ -203,6 +228,7 @@
 		cmocka_unit_test(keeps_a_member_when_both_die),
 		cmocka_unit_test(keeps_the_owner_when_two_join),
 		cmocka_unit_test(covers_after_a_whole_repeat_time),
+		cmocka_unit_test(steady_after_a_settle_time_at_rest),
 		cmocka_unit_test(spreads_buckets_evenly),
 	};
 
