--- a/core/entry.c
+++ b/core/entry.c
@@ -22,6 +22,16 @@
 	a->peer = *msg;
 }
 
+/* A newcomer's second is who would own the bucket without it, and did. */
+static void took_over(struct entry *e, uint32_t bucket, struct ring_pair before,
+		      struct ring_pair after)
+{
+	e->owner_since_ns[bucket] = e->now_ns;
+	e->owner_before[bucket] = before.owner;
+	if (before.owner == ADDR_NONE)
+		e->owner_before[bucket] = after.second;
+}
+
 static void pair_changed(void *ctx, uint32_t bucket, struct ring_pair before,
 			 struct ring_pair after)
 {
@@ -29,7 +39,7 @@
 	uint64_t self = e->conf.member.self;
 
 	if (after.owner == self && before.owner != self)
-		e->owner_since_ns[bucket] = e->now_ns;
+		took_over(e, bucket, before, after);
 	if (before.owner == ADDR_NONE)
 		return;
 	feeds_pair_changed(e, bucket, before, after);
@@ -52,8 +62,9 @@
 	e->claims = claims_new(c->claims_max, c->n_buckets, c->cover_ns);
 	e->timers = timers_new(c->requests_max + c->feeds_max);
 	e->owner_since_ns = calloc(c->n_buckets, sizeof(uint64_t));
+	e->owner_before = calloc(c->n_buckets, sizeof(uint64_t));
 	if (!e->members || !e->ring || !e->balancer || !e->pins || !e->claims ||
-	    !e->timers || !e->owner_since_ns)
+	    !e->timers || !e->owner_since_ns || !e->owner_before)
 		return -ENOMEM;
 	if (requests_init(e) < 0 || feeds_init(e) < 0)
 		return -ENOMEM;
@@ -80,7 +91,10 @@
 	e->now_ns = now_ns;
 	e->join_deadline_ns = DEADLINE_NEVER;
 	e->join_latest_ns = DEADLINE_NEVER;
-	e->rng.s = conf->seed | 1;
+	e->sweep_deadline_ns = DEADLINE_NEVER;
+	e->minority_since_ns = DEADLINE_NEVER;
+	/* Seeds of one fleet may be alike; its entries' choices may not. */
+	e->rng.s = hash_u64(conf->seed, conf->member.self) | 1;
 	e->allowance_ns = now_ns;
 	e->allowance_bytes = conf->peer_bytes_per_s;
 	if (parts_init(e) < 0) {
@@ -109,14 +123,35 @@
 	index_free(e->services);
 	free(e->service_list);
 	free(e->owner_since_ns);
+	free(e->owner_before);
 	free(e);
 }
 
-static void begin(struct entry *e, uint64_t now_ns, struct actions *out)
+/*
+ * What a process that was paused finds in its sockets is as old as its view:
+ * repeats of requests that others have answered since, blocks of transfers
+ * that went on without it. Callers repeat what matters; so all of it is
+ * dropped until peers have answered again. Noticed on any event, since a loop
+ * may hand over datagrams before it runs timers.
+ */
+static void watch_pause(struct entry *e)
+{
+	if (e->ticked_ns && e->now_ns > e->ticked_ns + e->conf.member.lease_ns)
+		e->stale = true;
+}
+
+/**
+ * entry_begin() - take the time and the list of actions of a call
+ * @e: entry
+ * @now_ns: time
+ * @out: actions to take
+ */
+void entry_begin(struct entry *e, uint64_t now_ns, struct actions *out)
 {
 	out->n = 0;
 	e->out = out;
 	e->now_ns = now_ns;
+	watch_pause(e);
 }
 
 static uint32_t count_services(const struct config *c)
@@ -138,6 +173,13 @@
 		for (uint32_t k = 0; k < a->n_services; k++) {
 			const struct service_conf *s = &a->services[k];
 
+			/*
+			 * Two accounts may not have one VIP. Should it happen,
+			 * the first by name keeps it on every entry; the other
+			 * must not take its callers.
+			 */
+			if (service_find(e, s->vip))
+				continue;
 			e->service_list[n] = s;
 			index_put(e->services, hash_u64(s->vip, 0), n);
 			n++;
@@ -158,7 +200,7 @@
 {
 	uint32_t n = count_services(c);
 
-	begin(e, now_ns, out);
+	entry_begin(e, now_ns, out);
 	index_free(e->services);
 	free(e->service_list);
 	e->services = index_new(n + 1);
@@ -167,6 +209,7 @@
 	if (e->services && e->service_list)
 		list_services(e, c);
 	balance_config(e->balancer, c, now_ns);
+	moves_config(e);
 	requests_drain(e);
 }
 
@@ -250,7 +293,7 @@
 void entry_roster(struct entry *e, const uint64_t *vms, uint32_t n,
 		  uint64_t now_ns, struct actions *out)
 {
-	begin(e, now_ns, out);
+	entry_begin(e, now_ns, out);
 	member_roster(e->members, vms, n, now_ns);
 	if (!e->roster_known)
 		e->join_latest_ns = now_ns + JOIN_WAIT_NS;
@@ -258,6 +301,26 @@
 	follow_view(e);
 }
 
+/*
+ * Without a majority for as long as it takes to be declared dead, this entry's
+ * buckets may have been claimed for by the other side of a partition. When the
+ * majority comes over, say because VMs of that side are replaced, it may not
+ * answer "never seen" for them.
+ */
+static void watch_majority(struct entry *e)
+{
+	if (!member_majority(e->members)) {
+		if (e->minority_since_ns == DEADLINE_NEVER)
+			e->minority_since_ns = e->now_ns;
+		return;
+	}
+	if (e->minority_since_ns != DEADLINE_NEVER &&
+	    e->now_ns >=
+		    e->minority_since_ns + e->conf.member.suspect_timeout_ns)
+		ring_uncover(e->ring, e->now_ns);
+	e->minority_since_ns = DEADLINE_NEVER;
+}
+
 /*
  * A process that was paused and declared dead was replaced in its pairs. It
  * would answer "never seen" about claims made without it, so it no longer
@@ -270,10 +333,13 @@
 
 	if (!valid && !e->lease_lapsed)
 		e->counters.lease_lapses++;
+	if (valid)
+		e->stale = false;
 	e->lease_lapsed = !valid;
 	if (deaths != e->deaths)
 		ring_uncover(e->ring, e->now_ns);
 	e->deaths = deaths;
+	watch_majority(e);
 }
 
 static void run_timers(struct entry *e)
@@ -309,12 +375,14 @@
  */
 void entry_tick(struct entry *e, uint64_t now_ns, struct actions *out)
 {
-	begin(e, now_ns, out);
+	entry_begin(e, now_ns, out);
+	e->ticked_ns = now_ns;
 	member_tick(e->members, now_ns);
 	entry_watch_lease(e);
 	follow_view(e);
 	claims_expire(e->claims, now_ns);
 	run_timers(e);
+	moves_tick(e);
 	requests_drain(e);
 	streams_tick(e);
 	flow_expire(e->pins, now_ns, FLOW_EXPIRE_BUDGET);
@@ -329,12 +397,13 @@
  */
 void entry_leave(struct entry *e, uint64_t now_ns, struct actions *out)
 {
-	begin(e, now_ns, out);
+	entry_begin(e, now_ns, out);
 	if (e->leaving)
 		return;
 	e->leaving = true;
 	e->leave_deadline_ns = now_ns + e->conf.drain_ns;
 	e->linger_deadline_ns = now_ns + LINGER_NS;
+	streams_leave(e);
 	member_leave(e->members, now_ns);
 	follow_view(e);
 }
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -10,7 +10,10 @@
 
 #define SLOT_NONE UINT32_MAX
 #define HOPS_MAX 2
+/* Of a datagram that its receiver may not forward again. */
+#define LAST_HOP (HOPS_MAX - 1)
 #define FEED_REQUEST_MAX_BYTES 128
+#define RENEWING_MAX 256
 #define DOWN_ID_FAR 16384
 #define DOWN_ID_NEAR 256
 #define ACTIONS_RESERVE 16
@@ -53,6 +56,9 @@
  * @acked: target acknowledged it
  * @running: counted in the balancer
  * @maybe_run: a target may have run it
+ * @orphan: block of a transfer that nobody can go on with
+ * @covered: one of its granters knows the bucket's history
+ * @granted_by: entries that granted its claim
  * @answer: when ended: enum own_answer, or ANSWER_RELAYED
  * @reason: enum refusal
  * @retry_after_s: told to the caller
@@ -86,6 +92,9 @@
 	bool acked;
 	bool running;
 	bool maybe_run;
+	bool orphan;
+	bool covered;
+	uint64_t granted_by[2];
 	uint8_t answer;
 	uint8_t reason;
 	uint32_t retry_after_s;
@@ -95,8 +104,13 @@
 
 #define ANSWER_RELAYED 0xff
 
-/* In the field hops of a PEER_CLAIM for a block: whether it is the last. */
-enum pin_ask { PIN_KEEP, PIN_LAST };
+/**
+ * enum forward_ask - what a forwarded datagram asks, in its field seq
+ * @FORWARD_OWN: act as the owner of its flow
+ * @FORWARD_REPEAT: answer as the claimer of this request; run nothing
+ * @FORWARD_TRANSFER: go on as the entry that began this transfer
+ */
+enum forward_ask { FORWARD_OWN, FORWARD_REPEAT, FORWARD_TRANSFER };
 
 /**
  * enum feed_state - where a feed stands
@@ -123,6 +137,7 @@
  * @copy_deadline_ns: when to send the second copy (again)
  * @hand_deadline_ns: when to ask the new owner (again) to take it over; of a
  *	copy: when to adopt it, or drop it, though its server lives
+ * @renewals: failed since its target last answered
  * @handed_from: entry that waits to hear that we took it over
  * @served_by: of a copy: entry that serves the feed
  * @generation: of the slot, part of the token towards the target
@@ -150,6 +165,7 @@
 	uint64_t copy_deadline_ns;
 	uint64_t hand_deadline_ns;
 	uint64_t unacked_since_ns;
+	uint32_t renewals;
 	uint64_t handed_from;
 	uint64_t served_by;
 	uint32_t generation;
@@ -202,20 +218,30 @@
 	uint32_t n_feeds_held;
 	uint32_t n_feeds_renewing;
 	uint32_t *feed_heads;
+	uint32_t sweep_next;
+	bool sweeping;
+	uint64_t sweep_deadline_ns;
+	uint64_t drained_digest;
 	uint64_t *owner_since_ns;
+	uint64_t *owner_before;
 	struct index *feed_by_identity;
 	struct index *feed_by_down_id;
 
 	struct stream *streams;
+	uint64_t *held_when_leaving;
+	uint8_t *refused_names;
 	uint64_t allowance_bytes;
 	uint64_t allowance_ns;
 	struct id_space *ids;
 	uint64_t view;
 	uint64_t deaths;
+	uint64_t minority_since_ns;
 	bool roster_known;
 	bool joined;
 	bool leaving;
 	bool lease_lapsed;
+	bool stale;
+	uint64_t ticked_ns;
 	uint64_t join_deadline_ns;
 	uint64_t join_latest_ns;
 	uint64_t leave_deadline_ns;
@@ -235,16 +261,18 @@
 			uint8_t type, uint16_t id);
 
 /* entry.c */
+void entry_begin(struct entry *e, uint64_t now_ns, struct actions *out);
 void entry_watch_lease(struct entry *e);
 
 /* route.c */
 const struct service_conf *service_find(const struct entry *e, uint64_t vip);
 bool forward_to(struct entry *e, uint64_t vm, const struct flow_key *key,
 		const uint8_t *data, uint32_t size_bytes, uint8_t hops,
-		uint64_t about);
+		uint8_t ask);
 void own_message(struct entry *e, const struct flow_key *key,
-		 const struct message *msg, uint8_t hops);
+		 const struct message *msg);
 bool vm_serves(const struct entry *e, uint64_t vm);
+bool vm_owns(const struct entry *e, uint64_t vm);
 uint64_t up_token(bool feed, uint32_t slot, uint32_t generation, uint64_t seed);
 
 /* request.c */
@@ -253,7 +281,7 @@
 struct request *request_new(struct entry *e, const struct flow_key *key);
 uint32_t request_slot(const struct entry *e, const struct request *r);
 void request_arrived(struct entry *e, const struct flow_key *key,
-		     const struct message *msg, uint8_t hops);
+		     const struct message *msg);
 void request_submit(struct entry *e, struct request *r);
 void request_send(struct entry *e, struct request *r, uint64_t target);
 void request_refuse(struct entry *e, struct request *r, uint8_t reason,
@@ -285,12 +313,23 @@
 void answer_unknown(struct entry *e, const struct flow_key *key,
 		    const struct message *msg);
 
+/* transfer.c */
+uint64_t transfer_target(struct entry *e, const struct request *r);
+void transfer_pin(struct entry *e, struct request *r);
+void transfer_follow(struct entry *e, struct request *r,
+		     const struct message *answer);
+bool transfer_carried(struct entry *e, const struct flow_key *key,
+		      const struct message *msg);
+bool transfer_elsewhere(struct entry *e, struct request *r);
+bool transfer_runs_nothing(const struct request *r);
+bool transfer_may_move(const struct request *r);
+
 /* answer.c */
 void target_message(struct entry *e, uint64_t target,
 		    const struct message *msg);
 
 /* claiming.c */
-void claim_begin(struct entry *e, struct request *r, uint8_t hops);
+void claim_begin(struct entry *e, struct request *r);
 void claim_repeat(struct entry *e, struct request *r);
 void claim_settle(struct entry *e, struct request *r, uint8_t state);
 void claim_asked(struct entry *e, const struct peer_msg *msg);
@@ -315,6 +354,7 @@
 		 const struct message *msg);
 void feed_renew(struct entry *e, struct feed *f, uint64_t avoid);
 void feed_renew_failed(struct entry *e, struct feed *f, struct request *r);
+void feed_kept(struct entry *e, struct feed *f);
 bool feed_acked_by_caller(struct entry *e, const struct flow_key *key,
 			  uint16_t id);
 bool feed_reset_by_caller(struct entry *e, const struct flow_key *key,
@@ -322,6 +362,13 @@
 void feed_timer(struct entry *e, struct feed *f);
 void feed_timer_set(struct entry *e, struct feed *f);
 
+/* feed_move.c */
+void moves_config(struct entry *e);
+void moves_due(struct entry *e);
+void moves_tick(struct entry *e);
+uint64_t moves_next_ns(const struct entry *e);
+bool target_drains(const struct entry *e, uint64_t vip, uint64_t target);
+
 /* feed_copy.c */
 void feed_copy_send(struct entry *e, struct feed *f);
 void feed_copy_received(struct entry *e, const struct peer_msg *msg);
@@ -339,6 +386,7 @@
 /* stream.c */
 int streams_init(struct entry *e);
 void streams_free(struct entry *e);
+void streams_leave(struct entry *e);
 void streams_pair_changed(struct entry *e, uint32_t bucket,
 			  struct ring_pair before, struct ring_pair after);
 uint32_t stream_lines_pending(const struct entry *e);
--- a/core/feed.c
+++ b/core/feed.c
@@ -7,8 +7,10 @@
 
 /* Longer than a target repeats an update that nobody acknowledges. */
 #define CALLER_GONE_NS (100 * NS_PER_S)
-#define RENEW_NS (3 * NS_PER_S)
+#define RENEW_NS (800 * NS_PER_MS)
 #define RENEW_TRIES_MAX 3
+#define RENEW_LATER_NS (300 * NS_PER_MS)
+#define RENEWALS_MAX 12
 
 /* feeds_init() - room for feeds_max feeds and second copies, all of it now. */
 int feeds_init(struct entry *e)
@@ -267,12 +269,14 @@
 
 	if (moved) {
 		count_connection(e, f, false);
+		cancel_at(e, f, f->target);
 		f->target = target;
 		if (!first)
 			e->counters.feeds_moved++;
 	}
 	count_connection(e, f, true);
 	feed_state_set(e, f, FEED_OPEN);
+	f->renewals = 0;
 	f->heard_ns = e->now_ns;
 	if (first)
 		e->counters.feeds_opened++;
@@ -284,6 +288,20 @@
 	if (ring_at(e->ring, f->bucket).owner != e->conf.member.self)
 		f->hand_deadline_ns = e->now_ns;
 	feed_timer_set(e, f);
+	if (target_drains(e, f->key.vip, target))
+		moves_due(e);
+}
+
+/**
+ * feed_kept() - no other target took a feed off a draining one: it stays
+ * @e: entry
+ * @f: feed; its target still serves it, and the next sweep tries again
+ */
+void feed_kept(struct entry *e, struct feed *f)
+{
+	feed_state_set(e, f, FEED_OPEN);
+	feed_timer_set(e, f);
+	moves_due(e);
 }
 
 /* feed_refused() - the request that was to open a feed did not. */
@@ -457,6 +475,14 @@
 	request_submit(e, r);
 }
 
+/* Targets are busy for now, say because many feeds move at once. */
+static void renew_later(struct entry *e, struct feed *f)
+{
+	feed_state_set(e, f, FEED_OPEN);
+	f->heard_ns = e->now_ns - e->conf.probe_idle_ns + RENEW_LATER_NS;
+	feed_timer_set(e, f);
+}
+
 /**
  * feed_renew_failed() - a target did not take a feed again: try another
  * @e: entry
@@ -468,12 +494,25 @@
 	uint64_t failed = r->target;
 	uint8_t tries = r->tries;
 
+	bool moving = r->avoid != ADDR_NONE && r->avoid == f->target &&
+		      e->now_ns < f->heard_ns + e->conf.probe_idle_ns;
+
+	bool refused = r->reason != REFUSE_NONE;
+
 	f->request = SLOT_NONE;
 	request_drop(e, r);
-	if (tries >= RENEW_TRIES_MAX) {
+	if (moving) {
+		feed_kept(e, f);
+		return;
+	}
+	if (tries >= RENEW_TRIES_MAX || ++f->renewals > RENEWALS_MAX) {
 		feed_lost(e, f);
 		return;
 	}
+	if (refused) {
+		renew_later(e, f);
+		return;
+	}
 	cancel_at(e, f, failed);
 	r = renewal(e, f);
 	if (!r) {
--- a/core/route.c
+++ b/core/route.c
@@ -50,6 +50,14 @@
 	return m && m->state != MEMBER_DEAD;
 }
 
+/* Whether an entry may own buckets: it lives, and is neither new nor leaving. */
+bool vm_owns(const struct entry *e, uint64_t vm)
+{
+	const struct member *m = member_find(e->members, vm);
+
+	return m && (m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT);
+}
+
 /**
  * forward_to() - hand a caller's datagram to another entry
  * @e: entry
@@ -58,8 +66,7 @@
  * @data: datagram
  * @size_bytes: its size
  * @hops: forwards so far
- * @about: the receiver itself when it is asked as the claimer of a repeat,
- *	else ADDR_NONE
+ * @ask: enum forward_ask
  *
  * Two entries that disagree on the owner would hand a datagram to and fro;
  * the hop count ends that, and the caller's repeat finds them agreed.
@@ -68,7 +75,7 @@
  */
 bool forward_to(struct entry *e, uint64_t vm, const struct flow_key *key,
 		const uint8_t *data, uint32_t size_bytes, uint8_t hops,
-		uint64_t about)
+		uint8_t ask)
 {
 	struct peer_msg *m;
 
@@ -79,7 +86,7 @@
 	m = emit_peer(e, vm, PEER_FORWARD);
 	m->hops = (uint8_t)(hops + 1);
 	m->key = *key;
-	m->about = about;
+	m->seq = ask;
 	m->data = data;
 	m->size_bytes = size_bytes;
 	e->counters.forwards++;
@@ -91,14 +98,13 @@
  * @e: entry
  * @key: flow
  * @msg: datagram
- * @hops: forwards so far
  */
 void own_message(struct entry *e, const struct flow_key *key,
-		 const struct message *msg, uint8_t hops)
+		 const struct message *msg)
 {
 	switch (msg->kind) {
 	case MSG_REQUEST:
-		request_arrived(e, key, msg, hops);
+		request_arrived(e, key, msg);
 		break;
 	case MSG_ACK:
 		feed_acked_by_caller(e, key, msg->id);
@@ -144,7 +150,7 @@
 		if (m->state != MEMBER_ALIVE || m->vm == e->conf.member.self)
 			continue;
 		forward_to(e, m->vm, key, msg->data, msg->size_bytes, hops,
-			   ADDR_NONE);
+			   FORWARD_OWN);
 		return;
 	}
 }
@@ -158,6 +164,10 @@
 		e->counters.oversize++;
 		return;
 	}
+	if (e->stale) {
+		e->counters.stale_dropped++;
+		return;
+	}
 	if (!service_find(e, key->vip)) {
 		e->counters.no_service++;
 		return;
@@ -166,16 +176,20 @@
 		return;
 	if (msg->kind == MSG_REQUEST && request_repeated(e, key, msg))
 		return;
+	if (transfer_carried(e, key, msg)) {
+		request_arrived(e, key, msg);
+		return;
+	}
 	if (!e->joined) {
 		route_elsewhere(e, key, msg, hops);
 		return;
 	}
 	pair = ring_at(e->ring, ring_bucket(e->ring, key));
 	if (pair.owner == e->conf.member.self)
-		own_message(e, key, msg, hops);
+		own_message(e, key, msg);
 	else if (pair.owner != ADDR_NONE)
 		forward_to(e, pair.owner, key, msg->data, msg->size_bytes, hops,
-			   ADDR_NONE);
+			   FORWARD_OWN);
 }
 
 /**
@@ -190,9 +204,7 @@
 		  const struct message *msg, uint64_t now_ns,
 		  struct actions *out)
 {
-	out->n = 0;
-	e->out = out;
-	e->now_ns = now_ns;
+	entry_begin(e, now_ns, out);
 	route(e, key, msg, 0);
 }
 
@@ -201,12 +213,17 @@
 {
 	if (!inner)
 		return;
-	if (msg->about != e->conf.member.self) {
+	if (msg->seq == FORWARD_OWN) {
 		route(e, &msg->key, inner, msg->hops);
 		return;
 	}
-	/* Asked as claimer: replay or absorb what is known, run nothing. */
-	if (!request_repeated(e, &msg->key, inner))
+	if (inner->size_bytes > DATAGRAM_MAX_BYTES)
+		return;
+	if (request_repeated(e, &msg->key, inner))
+		return;
+	if (msg->seq == FORWARD_TRANSFER)
+		request_arrived(e, &msg->key, inner);
+	else
 		answer_unknown(e, &msg->key, inner);
 }
 
@@ -222,9 +239,7 @@
 		const struct message *forwarded, uint64_t now_ns,
 		struct actions *out)
 {
-	out->n = 0;
-	e->out = out;
-	e->now_ns = now_ns;
+	entry_begin(e, now_ns, out);
 	member_message(e->members, msg, now_ns);
 	entry_watch_lease(e);
 	switch (msg->kind) {
@@ -246,11 +261,8 @@
 	case PEER_FEED_CLOSE:
 		feed_copy_closed(e, msg);
 		break;
-	case PEER_PIN:
-		if (msg->target == ADDR_NONE)
-			flow_unpin(e->pins, &msg->key);
-		else
-			flow_pin(e->pins, &msg->key, msg->target, now_ns);
+	case PEER_UNPIN:
+		flow_unpin(e->pins, &msg->key);
 		break;
 	case PEER_RECORD:
 		stream_received(e, msg);
@@ -274,9 +286,7 @@
 void entry_target(struct entry *e, uint64_t target, const struct message *msg,
 		  uint64_t now_ns, struct actions *out)
 {
-	out->n = 0;
-	e->out = out;
-	e->now_ns = now_ns;
+	entry_begin(e, now_ns, out);
 	if (msg->size_bytes > DATAGRAM_MAX_BYTES)
 		e->counters.oversize++;
 	else
