A majority won for the first time doesn't wait

A starting entry joined a settle time after lease and suspicion had passed on top of its first majority; matrix_test, whose entries start cold, then met callers before anybody had joined (23 rows failed). Such an entry waits a settle time to join and one to claim anyway.

--- a/core/member_impl.h
+++ b/core/member_impl.h
@@ -85,7 +85,8 @@
  * @n_silent: dead ones that are still probed
  * @n_hot: members with news left to send
  * @n_untold: members yet to be told of their death
- * @majority: now; @had_majority: when it was last looked at
+ * @majority: now; @had_majority: when it was last looked at;
+ *	@won_majority: once since the start
  * @majority_deadline_ns: a majority just won counts from then on
  * @deaths: times it heard that it was declared dead
  * @death_incarnation: highest of its incarnations at which it was
@@ -114,6 +115,7 @@
 	uint32_t n_untold;
 	bool majority;
 	bool had_majority;
+	bool won_majority;
 	uint64_t majority_deadline_ns;
 	bool leaving;
 	uint64_t incarnation;
--- a/core/member_lease.c
+++ b/core/member_lease.c
@@ -92,13 +92,18 @@
  *
  * When a member can be reached from the other side of a cut than before, this
  * side may count it while the old side still does, until that side's lease
- * runs out or it declares the member dead. Both would act.
+ * runs out or it declares the member dead. Both would act. The first majority
+ * of a process doesn't wait here: it joins a settle time later, and claims
+ * after another.
  */
 void member_watch_majority(struct membership *m, uint64_t now_ns)
 {
-	if (m->majority && !m->had_majority)
-		m->majority_deadline_ns =
-			now_ns + m->conf.lease_ns + m->conf.suspect_timeout_ns;
+	if (m->majority && !m->had_majority) {
+		if (m->won_majority)
+			m->majority_deadline_ns = now_ns + m->conf.lease_ns +
+						  m->conf.suspect_timeout_ns;
+		m->won_majority = true;
+	}
 	m->had_majority = m->majority;
 }
 
