--- a/cmd/cb-entry/daemon.c
+++ b/cmd/cb-entry/daemon.c
@@ -94,6 +94,24 @@
 	watch_leaving(d);
 }
 
+/* Time by which the loop is late, beyond the deadline it waited for. */
+static uint64_t late_ns(const struct daemon *d, uint64_t now_ns)
+{
+	uint64_t due_ns = d->armed_ns > d->turn_ns ? d->armed_ns : d->turn_ns;
+
+	return now_ns > due_ns ? now_ns - due_ns : 0;
+}
+
+/* Later than a lease lasts: the process, or its VM, stood still. */
+static void note_pause(const struct daemon *d, uint64_t now_ns)
+{
+	uint64_t late = late_ns(d, now_ns);
+
+	if (late > ms(d->settings.lease_ms))
+		log_line(LOG_WARNING, "pause", NULL, "stood still for %llu ms",
+			 (unsigned long long)(late / NS_PER_MS));
+}
+
 /**
  * daemon_catch_up() - act on deadlines that have passed, before an event
  * @d: daemon
@@ -108,8 +126,10 @@
 {
 	uint64_t now_ns = uv_hrtime();
 
-	if (now_ns >= d->armed_ns)
-		tick(d, now_ns);
+	if (now_ns < d->armed_ns)
+		return now_ns;
+	note_pause(d, now_ns);
+	tick(d, now_ns);
 	return now_ns;
 }
 
@@ -123,8 +143,7 @@
 	struct daemon *d = timer->loop->data;
 
 	act_second(d);
-	/* An address that was still held by another process may be free. */
-	callers_config(d);
+	callers_retry(d);
 }
 
 /* Arm the timer once a turn of the loop, not once a datagram. */
@@ -134,6 +153,7 @@
 	uint64_t now_ns = uv_hrtime();
 	uint64_t wait_ms = 0;
 
+	d->turn_ns = now_ns;
 	d->armed_ns = entry_next_ns(d->entry);
 	if (d->armed_ns > now_ns)
 		wait_ms = (d->armed_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS;
@@ -189,6 +209,7 @@
 
 	d->incarnation = wall_clock_ms();
 	d->armed_ns = UINT64_MAX;
+	d->turn_ns = uv_hrtime();
 	conf = entry_conf_of(d);
 	d->entry = entry_new(&conf, uv_hrtime());
 	if (!d->entry)
--- a/cmd/cb-entry/daemon.h
+++ b/cmd/cb-entry/daemon.h
@@ -71,6 +71,7 @@
  * @actions: what the last call into @entry wants done
  * @config: all client accounts in force
  * @armed_ns: when entry_tick() is due
+ * @turn_ns: when the loop last began to wait
  * @leaving: a planned stop is under way
  * @exit_code: of the process
  * @dropped: by enum drop
@@ -88,6 +89,7 @@
 	struct config config;
 	uint64_t incarnation;
 	uint64_t armed_ns;
+	uint64_t turn_ns;
 	bool leaving;
 	int exit_code;
 	uint64_t dropped[DROP_COUNT];
@@ -124,10 +126,13 @@
 		  uv_udp_recv_cb received);
 bool datagram_send(uv_udp_t *socket, uint64_t to, const uint8_t *buf,
 		   uint32_t size_bytes);
+uint64_t datagram_lost(const uv_udp_t *socket);
 
 /* callers.c */
 int callers_open(struct daemon *d);
+uint64_t callers_lost(const struct daemon *d);
 void callers_config(struct daemon *d);
+void callers_retry(struct daemon *d);
 void callers_send(struct daemon *d, const struct flow_key *key,
 		  const uint8_t *buf, uint32_t size_bytes);
 void callers_close(struct daemon *d);
