--- a/core/member.c
+++ b/core/member.c
@@ -61,6 +61,7 @@
 	m->all[i].state = conf->joining ? MEMBER_LEAVING : MEMBER_ALIVE;
 	m->all[i].incarnation = conf->incarnation;
 	member_recount(m);
+	m->had_majority = m->majority;
 	return m;
 }
 
@@ -178,10 +179,16 @@
 	members_due(m, now_ns);
 	member_round(m, now_ns);
 	member_push_due(m, now_ns);
+	member_watch_majority(m, now_ns);
 	find_next(m);
 }
 
-/* Whom a message is from; false when a newer process has its address. */
+/*
+ * Whom a message is from; false when a newer process has its address. Only
+ * messages of this module say whether their sender leaves or has yet to join:
+ * taking a forwarded datagram for a join would give buckets to a process that
+ * knows nobody. Other messages may carry the incarnation it started with.
+ */
 static bool heard_from(struct membership *m, const struct peer_msg *msg,
 		       uint64_t now_ns)
 {
@@ -191,12 +198,14 @@
 	struct member *e;
 	int32_t i;
 
-	member_learn(m, &g, true, now_ns);
+	if (msg->kind <= PEER_GOSSIP)
+		member_learn(m, &g, true, now_ns);
 	i = member_index(m, msg->from);
 	if (i < 0)
 		return false;
 	e = &m->all[i];
-	if (msg->incarnation < e->incarnation)
+	if (msg->incarnation > e->incarnation ||
+	    e->incarnation - msg->incarnation > REFUTATIONS_MAX)
 		return false;
 	e->heard_ns = now_ns;
 	if (e->state == MEMBER_LEAVING)
@@ -227,6 +236,7 @@
 	for (k = 0; k < msg->n_gossip && k < GOSSIP_MAX; k++)
 		member_learn(m, &msg->gossip[k], !view, now_ns);
 	current = heard_from(m, msg, now_ns);
+	member_watch_majority(m, now_ns);
 	if (msg->kind == PEER_PING)
 		member_on_ping(m, msg);
 	if (!current)
@@ -361,47 +371,3 @@
 {
 	return m->deaths;
 }
-
-static bool validated(const struct membership *m)
-{
-	uint32_t need = m->conf.probes;
-
-	if (need > VALIDATORS_MAX)
-		need = VALIDATORS_MAX;
-	if (need > m->n_live)
-		need = m->n_live;
-	return m->n_validators >= need;
-}
-
-/*
- * Cut off: no answer for as long as it takes the others to declare this entry
- * dead, or fewer answers than not, since this is the smaller side.
- */
-static bool cut_off(const struct membership *m, uint64_t now_ns)
-{
-	uint32_t mask = (1U << m->n_outcomes) - 1;
-	uint32_t answered = __builtin_popcount(m->outcomes & mask);
-
-	if (!m->n_live)
-		return false;
-	if (now_ns >= m->ack_deadline_ns)
-		return true;
-	return m->n_outcomes >= OUTCOMES_MIN && 2 * answered < m->n_outcomes;
-}
-
-/**
- * member_lease_valid() - whether this entry may act on what it believes
- * @m: membership
- * @now_ns: now, from the clock and not from the last tick
- *
- * False after a pause of the lease time, or once it heard itself declared
- * dead, until enough members have answered pings sent since; and while most
- * probes go unanswered.
- *
- * Return: true when it may.
- */
-bool member_lease_valid(const struct membership *m, uint64_t now_ns)
-{
-	return now_ns < m->run_deadline_ns && validated(m) &&
-	       !cut_off(m, now_ns);
-}
--- a/core/member_impl.h
+++ b/core/member_impl.h
@@ -31,7 +31,7 @@
 #define SYNC_AFTER_PERIODS 5
 
 /* Incarnations closer than this are of one process that refuted. */
-#define REFUTATIONS_MAX 1000000
+#define REFUTATIONS_MAX 256
 
 /* Members told a period that they had been dead here. */
 #define DEATHS_TOLD_PER_PERIOD 16
@@ -85,6 +85,9 @@
  * @n_silent: dead ones that are still probed
  * @n_hot: members with news left to send
  * @n_untold: members yet to be told of their death
+ * @majority: now; @had_majority: when it was last looked at;
+ *	@won_majority: once since the start
+ * @majority_deadline_ns: a majority just won counts from then on
  * @deaths: times it heard that it was declared dead
  * @death_incarnation: highest of its incarnations at which it was
  * @order: members to probe this turn, shuffled; @order_at: next of them
@@ -111,6 +114,9 @@
 	uint32_t n_hot;
 	uint32_t n_untold;
 	bool majority;
+	bool had_majority;
+	bool won_majority;
+	uint64_t majority_deadline_ns;
 	bool leaving;
 	uint64_t incarnation;
 	uint64_t view;
@@ -165,7 +171,12 @@
 			uint64_t now_ns);
 void member_on_ack(struct membership *m, const struct peer_msg *msg,
 		   uint64_t now_ns);
+
+/* core/member_lease.c */
+void member_note_outcome(struct membership *m, bool answered);
 void member_revalidate(struct membership *m);
+void member_acked(struct membership *m, uint64_t vm, const struct probe *p);
+void member_watch_majority(struct membership *m, uint64_t now_ns);
 
 /* core/member.c */
 void member_due(struct membership *m, uint64_t deadline_ns);
