--- a/test/process/run.sh
+++ b/test/process/run.sh
@@ -34,7 +34,7 @@
 	rm -rf "$work"
 	mkdir -p "$work"
 	TMPDIR="$work" KEEP=1 B="$B" NET="$NET" FAULT="$1" \
-		SECONDS_LOAD=10 RATE=120 WORK_MS=160 \
+		SECONDS_LOAD="${SECONDS_LOAD:-10}" RATE=120 WORK_MS=160 \
 		CBLOAD_ARGS="-v --mix 1:7:2" \
 		scripts/demo >"$work/out" 2>&1
 	code=$?
