--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -215,6 +215,7 @@
 
 	struct feed *feeds;
 	uint32_t free_feed;
+	uint32_t feed_slots_used; /* none beyond was ever taken */
 	uint32_t n_feeds_held;
 	uint32_t n_feeds_renewing;
 	uint32_t *feed_heads;
--- a/core/feed.c
+++ b/core/feed.c
@@ -125,6 +125,8 @@
 		return NULL;
 	f = &e->feeds[slot];
 	e->free_feed = f->next;
+	if (slot >= e->feed_slots_used)
+		e->feed_slots_used = slot + 1;
 	generation = f->generation + 1;
 	memset(f, 0, sizeof(*f));
 	f->generation = generation;
--- a/core/feed_move.c
+++ b/core/feed_move.c
@@ -5,7 +5,11 @@
  */
 #include "entry_state.h"
 
-#define SWEEP_BUDGET 1024
+/*
+ * All of 2^18 slots in 0.7 s: a change that comes while a sweep is under way
+ * waits for its end, and the draining target may have gone by then.
+ */
+#define SWEEP_BUDGET 8192
 #define SWEEP_PACE_NS (20 * NS_PER_MS)
 #define SWEEP_AGAIN_NS (2 * NS_PER_S)
 
@@ -65,7 +69,7 @@
 	if (e->sweeping || e->now_ns < e->sweep_deadline_ns)
 		return;
 	e->sweep_deadline_ns = DEADLINE_NEVER;
-	e->sweeping = true;
+	e->sweeping = e->feed_slots_used > 0;
 	e->sweep_next = 0;
 }
 
@@ -87,7 +91,7 @@
 			return;
 		if (to_move(e, f))
 			feed_renew(e, f, f->target);
-		e->sweeping = ++e->sweep_next < e->conf.feeds_max;
+		e->sweeping = ++e->sweep_next < e->feed_slots_used;
 	}
 }
 
