--- a/bench/slopes-entry/change.c
+++ b/bench/slopes-entry/change.c
@@ -8,13 +8,30 @@
 #define SIZES 3
 #define REPEATS 5
 #define TICKS 200
+#define WHOLE_SERVICES 6
+#define WHOLE_TARGET_EACH 4
 #define DEAL_TARGETS 15
 #define DEAL_SLOTS 2
 
-/* Puts the configuration in force again, one account of it being new. */
-static double change_us(uint32_t accounts, uint32_t services, uint32_t targets)
+/* As a data centre of the full size: 23,000 services, a target in each 4th. */
+static struct config whole(uint32_t accounts)
+{
+	struct config c = pump_config(accounts, WHOLE_SERVICES, 1);
+
+	for (uint32_t i = 0; i < accounts * WHOLE_SERVICES; i++)
+		if (i % WHOLE_TARGET_EACH)
+			c.accounts[i / WHOLE_SERVICES]
+				.services[i % WHOLE_SERVICES]
+				.n_targets = 0;
+	return c;
+}
+
+/*
+ * Puts the configuration in force again, one account of it being new; takes
+ * the configuration over.
+ */
+static double change_us(struct config c)
 {
-	struct config c = pump_config(accounts, services, targets);
 	struct actions *out = calloc(1, sizeof(*out));
 	struct entry_conf conf = pump_conf();
 	struct entry *e = entry_new(&conf, NS_PER_S);
@@ -142,17 +159,21 @@
 	static const uint32_t targets[SIZES] = { 60, 180, 540 };
 	static const uint32_t services[SIZES] = { 100, 400, 1000 };
 	static const uint32_t accounts[SIZES] = { 1000, 2000, 4000 };
+	static const uint32_t wholes[SIZES] = { 960, 1920, 3834 };
 	static const uint32_t sizes[SIZES] = { 100, 300, 1000 };
 
 	for (uint32_t i = 0; i < SIZES; i++)
 		report("us_config_targets", targets[i] * 10,
-		       change_us(1, 10, targets[i]), "us");
+		       change_us(pump_config(1, 10, targets[i])), "us");
 	for (uint32_t i = 0; i < SIZES; i++)
 		report("us_config_services", services[i] * 20,
-		       change_us(20, services[i], 0), "us");
+		       change_us(pump_config(20, services[i], 0)), "us");
 	for (uint32_t i = 0; i < SIZES; i++)
 		report("us_config_accounts", accounts[i],
-		       change_us(accounts[i], 1, 0), "us");
+		       change_us(pump_config(accounts[i], 1, 0)), "us");
+	for (uint32_t i = 0; i < SIZES; i++)
+		report("us_config_whole_accounts", wholes[i],
+		       change_us(whole(wholes[i])), "us");
 	for (uint32_t i = 0; i < SIZES; i++)
 		report("us_tick_targets", targets[i] * 10,
 		       tick_us(10, targets[i]), "us");
--- a/bench/slopes-entry/fleet.c
+++ b/bench/slopes-entry/fleet.c
@@ -117,6 +117,24 @@
 	report("bytes_leave_most_entries", p->n, (double)most_sent(p), "bytes");
 }
 
+/* The same VM comes back, with nothing. */
+static void join(struct pump *p, uint32_t node)
+{
+	uint64_t began_ns = p->now_ns;
+
+	pump_reset(p);
+	pump_start(p, node);
+	do
+		pump_run(p, STEP_NS);
+	while (not_ready(p) && p->now_ns < began_ns + 2 * AFTER_NS);
+	report("ms_join_entries", p->n,
+	       (double)(p->now_ns - began_ns) / NS_PER_MS, "ms");
+	report("bytes_join_most_entries", p->n, (double)most_sent(p), "bytes");
+	report("us_join_most_entries", p->n, (double)most_spent(p) / 1000,
+	       "us");
+	report("not_ready_after_join_entries", p->n, not_ready(p), "entries");
+}
+
 static void leaves_by_claims(void)
 {
 	static const uint8_t kinds[] = { PEER_RECORD, PEER_HANDOVER };
@@ -152,6 +170,8 @@
 
 		idle(p);
 		leaves_by_fleet(p);
+		pump_run(p, COVER_NS);
+		join(p, 0);
 		pump_run(p, AFTER_NS);
 		deaths(p, 1, "us_death_3s_most_entries",
 		       "bytes_death_3s_most_entries");
--- a/bench/slopes-entry/pump.c
+++ b/bench/slopes-entry/pump.c
@@ -263,26 +263,26 @@
 	}
 }
 
-static void start_all(struct pump *p, const struct entry_conf *conf)
+/* Starts an entry, at its address's first time or again. */
+void pump_start(struct pump *p, uint32_t node)
 {
+	struct pump_node *n = &p->nodes[node];
 	uint64_t *vms = calloc(p->n, sizeof(*vms));
-	struct entry_conf mine = *conf;
+	struct entry_conf mine = p->conf;
 
-	for (uint32_t i = 0; i < p->n; i++) {
-		vms[i] = p->nodes[i].vm = VM(i);
-		mine.member.self = VM(i);
-		mine.seed = conf->seed + i;
-		p->nodes[i].e = entry_new(&mine, p->now_ns);
-	}
-	for (uint32_t i = 0; i < p->n; i++) {
-		struct pump_node *n = &p->nodes[i];
-
-		entry_config(n->e, &p->config, p->now_ns, p->out);
-		perform(p, n);
-		entry_roster(n->e, vms, p->n, p->now_ns, p->out);
-		perform(p, n);
-		see_to_next(p, n);
-	}
+	for (uint32_t i = 0; i < p->n; i++)
+		vms[i] = VM(i);
+	n->vm = VM(node);
+	n->leaving = false;
+	mine.member.self = n->vm;
+	mine.member.incarnation += p->now_ns / NS_PER_MS;
+	mine.seed += p->now_ns + node;
+	n->e = entry_new(&mine, p->now_ns);
+	entry_config(n->e, &p->config, p->now_ns, p->out);
+	perform(p, n);
+	entry_roster(n->e, vms, p->n, p->now_ns, p->out);
+	perform(p, n);
+	see_to_next(p, n);
 	free(vms);
 }
 
@@ -298,7 +298,9 @@
 	p->nodes = calloc(n, sizeof(*p->nodes));
 	g_queue_init(&p->packets);
 	p->config = pump_config(1, 1, targets);
-	start_all(p, conf);
+	p->conf = *conf;
+	for (uint32_t i = 0; i < n; i++)
+		pump_start(p, i);
 	pump_run(p, BOOT_NS);
 	pump_reset(p);
 	return p;
--- a/bench/slopes-entry/pump.h
+++ b/bench/slopes-entry/pump.h
@@ -50,6 +50,7 @@
  * @nodes: entries
  * @n: how many
  * @now_ns: time
+ * @conf: settings of each entry, but for its address
  * @config: configuration in force
  * @out: actions of the last call
  * @packets: datagrams under way
@@ -64,6 +65,7 @@
 	struct pump_node *nodes;
 	uint32_t n;
 	uint64_t now_ns;
+	struct entry_conf conf;
 	struct config config;
 	struct actions *out;
 	GQueue packets;
@@ -96,6 +98,7 @@
 void pump_update(struct pump *p, const struct pump_feed *feed);
 uint32_t pump_node_of(const struct pump *p, uint64_t vm);
 void pump_kill(struct pump *p, uint32_t node);
+void pump_start(struct pump *p, uint32_t node);
 void pump_leave(struct pump *p, uint32_t node);
 void pump_reset(struct pump *p);
 uint64_t pump_bytes(const struct pump *p);
