--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -2,6 +2,7 @@
 #ifndef CB_ENTRY_STATE_H
 #define CB_ENTRY_STATE_H
 
+#include "account_stats.h"
 #include "claims.h"
 #include "entry.h"
 #include "flow.h"
@@ -197,6 +198,7 @@
 	struct membership *members;
 	struct ring *ring;
 	struct balancer *balancer;
+	struct account_stats *stats;
 	struct flow_table *pins;
 	struct claims *claims;
 	struct timers *timers;
@@ -390,6 +392,7 @@
 int streams_init(struct entry *e);
 void streams_free(struct entry *e);
 void streams_leave(struct entry *e);
+bool history_known(const struct entry *e, uint32_t bucket);
 void streams_pair_changed(struct entry *e, uint32_t bucket,
 			  struct ring_pair before, struct ring_pair after);
 uint32_t stream_lines_pending(const struct entry *e);
--- a/core/reader.c
+++ b/core/reader.c
@@ -284,6 +284,23 @@
 			r->port.gone(r->port.ctx, key, revision);
 }
 
+static int by_key_downwards(const void *a, const void *b)
+{
+	const struct wanted *x = a, *y = b;
+
+	return strcmp(y->key, x->key);
+}
+
+/*
+ * The queue is read from its end, so this reads by name. Of two accounts that
+ * ask for one VIP the first to be read gets it: in the platform's order it
+ * could be another one at each reader.
+ */
+static void sort_queue(struct reader *r)
+{
+	qsort(r->queue, r->n_queue, sizeof(*r->queue), by_key_downwards);
+}
+
 static void answered_list(struct reader *r, const struct reader_answer *a,
 			  uint64_t now_ns)
 {
@@ -302,6 +319,7 @@
 		note_listed(r, key);
 		want(r, key, revision);
 	}
+	sort_queue(r);
 	r->after = r->platform_revision;
 	r->relist_deadline_ns = now_ns + RELIST_PERIOD_NS;
 	find_gone(r, r->platform_revision);
@@ -396,6 +414,7 @@
 		if (!strncmp(key, TEMPLATE_PREFIX, strlen(TEMPLATE_PREFIX)))
 			r->relist_deadline_ns = now_ns;
 	}
+	sort_queue(r);
 	if (r->platform_revision < r->after)
 		r->counters.platform_behind++;
 	else
@@ -444,6 +463,17 @@
 		proceed(r, now_ns);
 }
 
+/**
+ * reader_relist() - compare the whole list again once the call under way ends,
+ *	so that documents that were refused are tried again
+ * @r: reader
+ * @now_ns: time
+ */
+void reader_relist(struct reader *r, uint64_t now_ns)
+{
+	r->relist_deadline_ns = now_ns;
+}
+
 uint64_t reader_next_ns(const struct reader *r)
 {
 	return r->next_deadline_ns;
