--- a/bench/bench-packet/main.c
+++ b/bench/bench-packet/main.c
@@ -201,6 +201,7 @@
 		m.claims[i] = (struct claim){ .request = 0xfeedfacecafe0000 + i,
 					      .bucket = 9000,
 					      .claimer = vm,
+					      .boot = 1796234231031ULL,
 					      .target = target,
 					      .state = CLAIM_OPEN };
 	return m;
