cbctl check and cb-watch refuse doubled VIPs by one piece of code

publication_fleet() compared rendered accounts and could name no line; cb-watch had its own check of VIPs. Both now use adapters/vips.c, which also refuses a VIP that is another account's target and a target at another's VIP, with document, line and key. The test of publication_fleet() goes on with vips_check and has the case of a target at a VIP and the line of each mistake in addition. Seen to fail: without the check of targets '0 != 0x1', without that of VIPs that are targets '0 != 0x1' (a_vip_belongs_to_one_service_of_the_fleet). cbctl check of the three examples: no mistake.

--- a/adapters/publication.h
+++ b/adapters/publication.h
@@ -60,15 +60,6 @@
 			 const struct account_conf *next,
 			 struct mistakes *mistakes);
 
-/**
- * publication_fleet() - check all accounts together
- * @list: accounts
- * @n: how many
- * @mistakes: a VIP of two services, or a target at a VIP, is added
- */
-void publication_fleet(const struct account_conf *const *list, uint32_t n,
-		       struct mistakes *mistakes);
-
 /**
  * enum change_kind - how an account, service or target differs
  * @CHANGE_ADDED: only the new one has it
--- a/cmd/cbctl/check.c
+++ b/cmd/cbctl/check.c
@@ -2,6 +2,7 @@
 #include "cbctl.h"
 
 #include "settings.h"
+#include "vips.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -35,14 +36,29 @@
 	g_strfreev(lines);
 }
 
+/* As cb-watch does it when the accounts come in force by name. */
+static void endpoints_check(struct documents *d, const struct account_set *set,
+			    struct mistakes *m)
+{
+	struct vips *v = vips_new();
+
+	for (guint i = 0; i < set->accounts->len; i++) {
+		const struct account_conf *a =
+			g_ptr_array_index(set->accounts, i);
+
+		vips_check(v, a->name, documents_find(d, "account", a->name),
+			   documents_templates(d), m);
+		vips_put(v, a->name, a);
+	}
+	vips_free(v);
+}
+
 static void check(struct documents *d, struct mistakes *m)
 {
 	struct account_set set;
 
 	account_set_load(d, &set, m);
-	publication_fleet(
-		(const struct account_conf *const *)set.accounts->pdata,
-		set.accounts->len, m);
+	endpoints_check(d, &set, m);
 	for (guint i = 0; i < d->list->len; i++) {
 		const struct document *doc = g_ptr_array_index(d->list, i);
 
--- a/test/publication_test.c
+++ b/test/publication_test.c
@@ -7,6 +7,7 @@
 
 #include "publication.h"
 #include "settings.h"
+#include "vips.h"
 
 #include <glib.h>
 #include <string.h>
@@ -327,14 +328,19 @@
 
 static void fleet_mistakes(const char *other, uint32_t n_errors)
 {
+	struct template_source source = { (void *)(uintptr_t)TEMPLATE, find };
 	struct mistakes m = { 0 };
 	struct account_conf *a = good("generation = 1\n" FIRST);
 	struct account_conf *b = good(other);
-	const struct account_conf *const both[] = { a, b };
+	struct vips *v = vips_new();
 
-	publication_fleet(both, 2, &m);
+	vips_put(v, "club", a);
+	vips_check(v, "other", other, source, &m);
 	assert_int_equal(m.n_errors, n_errors);
+	for (uint32_t i = 0; i < m.n; i++)
+		assert_true(m.list[i].line > 0);
 	mistakes_free(&m);
+	vips_free(v);
 	account_free(a);
 	account_free(b);
 }
@@ -356,6 +362,11 @@
 	fleet_mistakes("generation = 1\n[[service]]\nname = \"x\"\n"
 		       "vip = \"127.1.0.1:2\"\n",
 		       0);
+	fleet_mistakes("generation = 1\n[[service]]\nname = \"x\"\n"
+		       "vip = \"127.1.0.1:2\"\n"
+		       "[[service.target]]\naddress = \"127.1.0.1:1\"\n"
+		       "data_centre = \"garda\"\n",
+		       1);
 }
 
 static const char *find_example(void *ctx, const char *name)
