--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,8 @@
 # other test/*.c and test/*.cc are their helpers.
 TESTS_C := $(patsubst test/%.c,$(B)/test/%,$(wildcard test/*_test.c))
 TESTS_CC := $(patsubst test/%.cc,$(B)/test/%,$(wildcard test/*_prop.cc))
+# Shell tests run the daemons themselves; run.sh is their helper.
+TESTS_SH := $(wildcard test/process/*_test.sh)
 TESTHELP := $(patsubst %.c,$(B)/%.o,$(filter-out %_test.c,$(wildcard test/*.c))) \
 	    $(patsubst %.cc,$(B)/%.o,$(filter-out %_prop.cc,$(wildcard test/*.cc)))
 
@@ -70,9 +72,9 @@
 
 # bench-faults runs the decisions on the tests' own bed.
 TESTBED := $(patsubst %.c,$(B)/%.o,$(wildcard test/testbed*.c))
-# slopes-spread measures on the bed of the spread's tests.
+# slopes-spread and slopes-rack measure on the bed of the spread's tests.
 SPREADBED := $(B)/test/spread_net.o
-bed = $(if $(filter %/bench-faults/,$(1)),$(TESTBED)) $(if $(filter %/slopes-spread/,$(1)),$(SPREADBED))
+bed = $(if $(filter %/bench-faults/,$(1)),$(TESTBED)) $(if $(filter %/slopes-spread/ %/slopes-rack/,$(1)),$(SPREADBED))
 
 define PROG
 $(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(call bed,$(1))
@@ -94,7 +96,7 @@
 check:
 	@scripts/need
 	@$(MAKE) --no-print-directory tests
-	@B=$(B) scripts/check $(TESTS_C) $(TESTS_CC)
+	@B=$(B) scripts/check $(TESTS_C) $(TESTS_CC) $(TESTS_SH)
 
 demo:
 	@scripts/need
