One search for the balancer's tables, one timer for the stand-ins

Left as they are: tables of scenes and options (data), callbacks of one signature, and pairs in files under change elsewhere.

--- a/cmd/cbctl/cbctl.h
+++ b/cmd/cbctl/cbctl.h
@@ -91,6 +91,7 @@
 	__attribute__((format(printf, 3, 4)));
 void mistakes_json(GString *to, const struct mistakes *m);
 void print_json(GString *json);
+void finish_json(const struct request *r, GString *json);
 
 enum exit_code check_run(const struct request *r);
 enum exit_code render_run(const struct request *r);
--- a/cmd/cbctl/generations.c
+++ b/cmd/cbctl/generations.c
@@ -191,10 +191,7 @@
 			code = EXIT_PROBLEMS;
 	}
 	json_close(json, ']');
-	if (r->json)
-		print_json(json);
-	else
-		g_string_free(json, TRUE);
+	finish_json(r, json);
 	return code;
 }
 
--- a/cmd/cbctl/json.c
+++ b/cmd/cbctl/json.c
@@ -37,3 +37,15 @@
 	puts(json->str);
 	g_string_free(json, TRUE);
 }
+
+/**
+ * finish_json() - print a line of JSON if it was asked for, and free it
+ * @r: command line
+ * @json: JSON
+ */
+void finish_json(const struct request *r, GString *json)
+{
+	if (r->json)
+		puts(json->str);
+	g_string_free(json, TRUE);
+}
--- a/cmd/cbctl/status.c
+++ b/cmd/cbctl/status.c
@@ -61,10 +61,7 @@
 	for (uint32_t i = 0; i < n; i++)
 		code = worse(code, one_peer(r, r->operands[i], load, json));
 	json_close(json, ']');
-	if (r->json)
-		print_json(json);
-	else
-		g_string_free(json, TRUE);
+	finish_json(r, json);
 	return code;
 }
 
--- a/core/lookup.c
+++ b/core/lookup.c
@@ -1,29 +1,56 @@
 /* Searches of the balancer's sorted tables. */
 #include "balance_state.h"
 
+#include <string.h>
+
 /**
- * tables_service() - find a service
- * @t: tables
- * @vip: its address
- *
- * Return: index, or INDEX_NONE.
+ * struct column - keys of a sorted table
+ * @first: key of its first row
+ * @step_bytes: from row to row
  */
-uint32_t tables_service(const struct tables *t, uint64_t vip)
+struct column {
+	const void *first;
+	size_t step_bytes;
+};
+
+static uint64_t key_at(struct column c, uint32_t row)
+{
+	uint64_t key;
+
+	memcpy(&key, (const char *)c.first + row * c.step_bytes, sizeof(key));
+	return key;
+}
+
+/* First row of @n whose key is not below @key. */
+static uint32_t lower_bound(struct column c, uint32_t n, uint64_t key)
 {
 	uint32_t low = 0;
-	uint32_t high = t->n_services;
+	uint32_t high = n;
 
 	while (low < high) {
 		uint32_t mid = low + (high - low) / 2;
 
-		if (t->services[mid].vip < vip)
+		if (key_at(c, mid) < key)
 			low = mid + 1;
 		else
 			high = mid;
 	}
-	if (low < t->n_services && t->services[low].vip == vip)
-		return low;
-	return INDEX_NONE;
+	return low;
+}
+
+/**
+ * tables_service() - find a service
+ * @t: tables
+ * @vip: its address
+ *
+ * Return: index, or INDEX_NONE.
+ */
+uint32_t tables_service(const struct tables *t, uint64_t vip)
+{
+	struct column vips = { &t->services->vip, sizeof(*t->services) };
+	uint32_t i = lower_bound(vips, t->n_services, vip);
+
+	return i < t->n_services && t->services[i].vip == vip ? i : INDEX_NONE;
 }
 
 /**
@@ -35,20 +62,10 @@
  */
 uint32_t tables_target(const struct tables *t, uint64_t addr)
 {
-	uint32_t low = 0;
-	uint32_t high = t->n_targets;
+	struct column addrs = { &t->targets->addr, sizeof(*t->targets) };
+	uint32_t i = lower_bound(addrs, t->n_targets, addr);
 
-	while (low < high) {
-		uint32_t mid = low + (high - low) / 2;
-
-		if (t->targets[mid].addr < addr)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	if (low < t->n_targets && t->targets[low].addr == addr)
-		return low;
-	return INDEX_NONE;
+	return i < t->n_targets && t->targets[i].addr == addr ? i : INDEX_NONE;
 }
 
 /**
--- a/sim/sim-fabric/relay.c
+++ b/sim/sim-fabric/relay.c
@@ -22,15 +22,7 @@
 
 static void arm(struct fabric *f, uint64_t now_ns)
 {
-	uint64_t next_ns = held_next_ns(f->held);
-	uint64_t ms;
-
-	if (next_ns == NEVER_NS)
-		return;
-	ms = next_ns > now_ns ? (next_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS
-			      : 0;
-	uv_update_time(&f->loop);
-	uv_timer_start(&f->timer, on_timer, ms, 0);
+	sim_timer_arm(&f->timer, on_timer, held_next_ns(f->held), now_ns);
 }
 
 /**
--- a/sim/sim-target/work.c
+++ b/sim/sim-target/work.c
@@ -155,14 +155,7 @@
 
 static void arm(struct target *t, uint64_t now_ns)
 {
-	uint64_t next_ns = slots_next_ns(t->slots);
-	uint64_t ms;
-
-	if (next_ns == NEVER_NS)
-		return;
-	ms = next_ns > now_ns ? (next_ns - now_ns + NS_PER_MS - 1) / NS_PER_MS
-			      : 0;
-	uv_timer_start(&t->work_timer, on_work, ms, 0);
+	sim_timer_arm(&t->work_timer, on_work, slots_next_ns(t->slots), now_ns);
 }
 
 /*
--- a/sim/sim.h
+++ b/sim/sim.h
@@ -42,6 +42,8 @@
 uint64_t sim_addr(const struct sockaddr *sa);
 int sim_udp_bind(uv_loop_t *loop, uv_udp_t *udp, uint64_t addr,
 		 const char *program, const char *step);
+void sim_timer_arm(uv_timer_t *timer, uv_timer_cb at, uint64_t deadline_ns,
+		   uint64_t now_ns);
 void sim_loop_close(uv_loop_t *loop);
 
 /**
--- a/sim/sockets.c
+++ b/sim/sockets.c
@@ -75,3 +75,21 @@
 	uv_run(loop, UV_RUN_DEFAULT);
 	uv_loop_close(loop);
 }
+
+/**
+ * sim_timer_arm() - have a timer go off once
+ * @timer: timer
+ * @at: its callback
+ * @deadline_ns: when, UINT64_MAX for not at all
+ * @now_ns: time
+ */
+void sim_timer_arm(uv_timer_t *timer, uv_timer_cb at, uint64_t deadline_ns,
+		   uint64_t now_ns)
+{
+	uint64_t wait_ns = deadline_ns > now_ns ? deadline_ns - now_ns : 0;
+
+	if (deadline_ns == UINT64_MAX)
+		return;
+	uv_update_time(timer->loop);
+	uv_timer_start(timer, at, (wait_ns + NS_PER_MS - 1) / NS_PER_MS, 0);
+}
