--- a/cmd/cb-entry/metrics.c
+++ b/cmd/cb-entry/metrics.c
@@ -78,19 +78,28 @@
 		    d->received.messages);
 }
 
-static void put_drops(const struct daemon *d, GString *to)
+/* The samples of a family have to stand together, below its TYPE. */
+static void put_drop_family(const struct daemon *d, GString *to,
+			    const char *family)
 {
-	const char *family = "";
+	g_string_append_printf(to, "# TYPE %s counter\n", family);
+	for (uint32_t i = 0; i < DROP_COUNT; i++)
+		if (!strcmp(family, drop_names[i].family))
+			g_string_append_printf(
+				to, "%s{reason=\"%s\"} %llu\n", family,
+				drop_names[i].reason,
+				(unsigned long long)d->dropped[i]);
+}
 
+static void put_drops(const struct daemon *d, GString *to)
+{
 	for (uint32_t i = 0; i < DROP_COUNT; i++) {
-		if (strcmp(family, drop_names[i].family))
-			g_string_append_printf(to, "# TYPE %s counter\n",
-					       drop_names[i].family);
-		family = drop_names[i].family;
-		g_string_append_printf(to, "%s{reason=\"%s\"} %llu\n",
-				       drop_names[i].family,
-				       drop_names[i].reason,
-				       (unsigned long long)d->dropped[i]);
+		uint32_t first = 0;
+
+		while (strcmp(drop_names[first].family, drop_names[i].family))
+			first++;
+		if (first == i)
+			put_drop_family(d, to, drop_names[i].family);
 	}
 }
 
