--- a/sim/sim-tell/main.c
+++ b/sim/sim-tell/main.c
@@ -68,22 +68,22 @@
 	return strncmp(line, "error", 5) == 0;
 }
 
-/* Body of the answer goes to stdout, as libcurl does by itself. */
+/*
+ * Body of the answer goes to stdout, as libcurl does by itself. Left to itself
+ * libcurl asks with "Expect: 100-continue" and waits a second for an answer
+ * that the stand-in does not give: as long as the whole call may take, so that
+ * nothing was ever put.
+ */
 static int put(const char *url, const char *path)
 {
-	/*
-	 * Asked "Expect: 100-continue" for values over 1 KB, sim-platform
-	 * says nothing, and libcurl holds the value back for a second, which
-	 * is the timeout: no draining target was ever published.
-	 */
 	struct curl_slist *headers = curl_slist_append(NULL, "Expect:");
 	FILE *f = fopen(path, "r");
 	CURL *curl;
 	CURLcode code;
 
 	if (!f) {
-		perror(path);
 		curl_slist_free_all(headers);
+		perror(path);
 		return 1;
 	}
 	curl = curl_easy_init();
