A refused account comes in force as soon as the other gives its VIP up

On a running demo it took 20 s: reader_relist() was called from within the answer that brought the other's document, with a clock read past that answer's time, so the list was not due yet and a watch came first. It takes no time now.

--- a/cmd/cb-watch/documents.c
+++ b/cmd/cb-watch/documents.c
@@ -320,7 +320,7 @@
 	}
 	note_vips(w, key, content);
 	if (w->vips_refused)
-		reader_relist(w->reader, uv_hrtime());
+		reader_relist(w->reader);
 	w->vips_refused = false;
 }
 
--- a/core/reader.c
+++ b/core/reader.c
@@ -467,11 +467,13 @@
  * reader_relist() - compare the whole list again once the call under way ends,
  *	so that documents that were refused are tried again
  * @r: reader
- * @now_ns: time
+ *
+ * It takes no time: called from within an answer, a clock read there is past
+ * the time that this answer is dealt with, and a watch would come first.
  */
-void reader_relist(struct reader *r, uint64_t now_ns)
+void reader_relist(struct reader *r)
 {
-	r->relist_deadline_ns = now_ns;
+	r->relist_deadline_ns = 0;
 }
 
 uint64_t reader_next_ns(const struct reader *r)
--- a/core/reader.h
+++ b/core/reader.h
@@ -93,7 +93,7 @@
 void reader_answer(struct reader *r, const struct reader_answer *a,
 		   uint64_t now_ns);
 void reader_tick(struct reader *r, uint64_t now_ns);
-void reader_relist(struct reader *r, uint64_t now_ns);
+void reader_relist(struct reader *r);
 uint64_t reader_next_ns(const struct reader *r);
 const struct reader_counters *reader_counters(const struct reader *r);
 
