--- a/core/lookup.c
+++ b/core/lookup.c
@@ -1,23 +1,27 @@
 /* Searches of the balancer's sorted tables. */
 #include "balance_state.h"
 
+#include <stddef.h>
 #include <string.h>
 
 /**
  * struct column - keys of a sorted table
- * @first: key of its first row
- * @step_bytes: from row to row
+ * @rows: table; not read when it has no rows
+ * @row_bytes: size of a row
+ * @offset: of the key in a row
  */
 struct column {
-	const void *first;
-	size_t step_bytes;
+	const void *rows;
+	size_t row_bytes;
+	size_t offset;
 };
 
 static uint64_t key_at(struct column c, uint32_t row)
 {
 	uint64_t key;
 
-	memcpy(&key, (const char *)c.first + row * c.step_bytes, sizeof(key));
+	memcpy(&key, (const char *)c.rows + row * c.row_bytes + c.offset,
+	       sizeof(key));
 	return key;
 }
 
@@ -47,7 +51,8 @@
  */
 uint32_t tables_service(const struct tables *t, uint64_t vip)
 {
-	struct column vips = { &t->services->vip, sizeof(*t->services) };
+	struct column vips = { t->services, sizeof(*t->services),
+			       offsetof(struct service, vip) };
 	uint32_t i = lower_bound(vips, t->n_services, vip);
 
 	return i < t->n_services && t->services[i].vip == vip ? i : INDEX_NONE;
@@ -62,7 +67,8 @@
  */
 uint32_t tables_target(const struct tables *t, uint64_t addr)
 {
-	struct column addrs = { &t->targets->addr, sizeof(*t->targets) };
+	struct column addrs = { t->targets, sizeof(*t->targets),
+				offsetof(struct target, addr) };
 	uint32_t i = lower_bound(addrs, t->n_targets, addr);
 
 	return i < t->n_targets && t->targets[i].addr == addr ? i : INDEX_NONE;
