--- a/core/member_news.c
+++ b/core/member_news.c
@@ -134,18 +134,24 @@
  *
  * One that left and is gone is told of as leaving. Heard of as dead, a newcomer
  * would count it among those whose majority it needs, for as long as the list
- * names it.
+ * names it. The smaller side of a partition says no more than that it suspects:
+ * it did nothing without those it holds for dead, and once the partition heals
+ * they need not doubt what they know.
  */
 void member_add_item(const struct membership *m, struct peer_msg *msg,
 		     uint32_t i)
 {
 	struct gossip *g = &msg->gossip[msg->n_gossip++];
 	const struct member *e = &m->all[i];
-	bool gone = e->state == MEMBER_DEAD && m->trait[i].left;
+	uint8_t state = e->state;
 
+	if (state == MEMBER_DEAD && m->trait[i].left)
+		state = MEMBER_LEAVING;
+	else if (state == MEMBER_DEAD && !m->majority)
+		state = MEMBER_SUSPECT;
 	*g = (struct gossip){ .vm = e->vm,
 			      .incarnation = e->incarnation,
-			      .state = gone ? MEMBER_LEAVING : e->state };
+			      .state = state };
 }
 
 static bool has_item(const struct peer_msg *msg, uint64_t vm)
