Claims wait for a steady pair; a feed its target ends moves; a leave tells all

Cause of feeds cut when a target stops: libcoap ends observations with 4.04, which was passed on; another target is asked first.

--- a/core/claiming.c
+++ b/core/claiming.c
@@ -21,6 +21,16 @@
 	       c->boot == e->conf.member.incarnation;
 }
 
+/*
+ * A pair that has just changed may be one that no other entry shares yet: two
+ * owners with pairs that have no member in common would both be granted. A
+ * settle time later their views differ by one member at most.
+ */
+static bool may_claim(const struct entry *e, const struct request *r)
+{
+	return claim_safe_now(e) && ring_steady(e->ring, r->bucket, e->now_ns);
+}
+
 static struct claim claim_of(const struct entry *e, const struct request *r,
 			     uint8_t state)
 {
@@ -203,7 +213,7 @@
 	}
 	timers_set(e->timers, request_slot(e, r),
 		   next < r->deadline_ns ? next : r->deadline_ns);
-	if (!claim_safe_now(e))
+	if (!may_claim(e, r))
 		return;
 	if (!member_majority(e->members)) {
 		wait_for_majority(e, r);
@@ -356,7 +366,7 @@
 	else
 		return;
 	r->covered |= covered;
-	if (!claim_safe_now(e))
+	if (!may_claim(e, r))
 		return;
 	if (granted_by(e, r, pair.owner) && granted_by(e, r, pair.second))
 		granted(e, r);
--- a/core/feed.c
+++ b/core/feed.c
@@ -332,19 +332,37 @@
 	return f->down_id;
 }
 
+/*
+ * A target that stops ends its feeds with an error. Another may serve them; the
+ * caller hears of it only if none does.
+ */
+static void ended_by_target(struct entry *e, struct feed *f, uint64_t target,
+			    const struct message *msg)
+{
+	if (msg->flags & MSG_CONFIRM)
+		emit_signal_target(e, target, WIRE_ACK, msg->id);
+	if (f->request == SLOT_NONE)
+		feed_renew(e, f, target);
+}
+
 /**
  * feed_update() - pass an update on to the caller
  * @e: entry
  * @f: feed
  * @target: sender
- * @msg: update; one that says no feed ends it
+ * @msg: update; one without the feed's mark says that the target ended it
  */
 void feed_update(struct entry *e, struct feed *f, uint64_t target,
 		 const struct message *msg)
 {
 	struct action *a;
-	uint16_t id = down_id_for(e, f, msg);
+	uint16_t id;
 
+	if (!(msg->flags & MSG_FEED_OPEN)) {
+		ended_by_target(e, f, target, msg);
+		return;
+	}
+	id = down_id_for(e, f, msg);
 	f->heard_ns = e->now_ns;
 	a = emit(e, ACT_TO_CALLER);
 	a->key = f->key;
@@ -357,12 +375,7 @@
 	memcpy(a->token, f->token, f->token_len);
 	a->data = msg->data;
 	a->size_bytes = msg->size_bytes;
-	if (msg->flags & MSG_FEED_OPEN) {
-		feed_timer_set(e, f);
-		return;
-	}
-	/* An answer without the feed's mark: the target ended it. */
-	feed_end(e, f, false);
+	feed_timer_set(e, f);
 }
 
 static struct feed *by_down_id(struct entry *e, const struct flow_key *key,
--- a/core/stream.c
+++ b/core/stream.c
@@ -11,7 +11,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define STREAMS_MAX 32
+/* One to each other entry of the largest data centre: a leave touches all. */
+#define STREAMS_MAX 512
 #define STREAM_RETRY_NS (NS_PER_S / 5)
 #define STREAM_TRIES_MAX 25
 #define REFUSED_MAX 50
