--- a/core/pick.c
+++ b/core/pick.c
@@ -16,6 +16,7 @@
 	uint32_t place;
 	uint64_t load;
 	uint64_t turn;
+	uint64_t used;
 };
 
 static bool is_cold(const struct target *t, uint64_t now_ns)
@@ -187,7 +188,10 @@
 		return true;
 	if (a->load != b->load)
 		return a->load < b->load;
-	return a->turn < b->turn;
+	if (a->turn != b->turn)
+		return a->turn < b->turn;
+	/* Both are due: the one that was passed over for longer. */
+	return a->used < b->used;
 }
 
 static bool passes_slow_start(struct balancer *b, const struct target *t,
@@ -246,6 +250,7 @@
 		}
 		c.load = load_of(s, p, t, w, now_ns);
 		c.turn = turn_of(s, p);
+		c.used = p->turn;
 		if (!passes_slow_start(b, t, now_ns)) {
 			if (is_better(&c, &cold))
 				cold = c;
--- a/test/balance_test.c
+++ b/test/balance_test.c
@@ -125,6 +125,36 @@
 	fixture_close(&f);
 }
 
+/*
+ * Symptom: of three idle targets two take all uploads. Sequence: an upload's
+ * first block is placed, its others are pinned and move the target's turn on as
+ * well; both other targets are then due, and the one listed first is taken.
+ * Cause: how long a target was passed over was cut off, so a tie went by index.
+ */
+static void pinned_blocks_do_not_hide_a_target(void **state)
+{
+	struct fixture f;
+	uint32_t seen[3] = { 0 };
+
+	(void)state;
+	fixture_open(&f, 3, 2, 100);
+	for (uint32_t i = 0; i < 90; i++) {
+		struct ruling r = fixture_submit(&f, 0, 5000);
+		struct work block = fixture_work(&f, 0, 5000);
+
+		seen[fixture_index(r.target)]++;
+		fixture_done(&f, r.target, OUTCOME_OK, 5);
+		block.pinned = r.target;
+		for (uint32_t k = 0; k < 3; k++) {
+			balance_submit(f.b, &block, f.now_ns);
+			fixture_done(&f, r.target, OUTCOME_OK, 5);
+		}
+	}
+	for (uint32_t i = 0; i < 3; i++)
+		assert_in_range(seen[i], 27, 33);
+	fixture_close(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -133,6 +163,7 @@
 		cmocka_unit_test(queue_runs_when_a_slot_frees),
 		cmocka_unit_test(expired_work_comes_out),
 		cmocka_unit_test(first_account_keeps_a_doubled_vip),
+		cmocka_unit_test(pinned_blocks_do_not_hide_a_target),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
