--- a/core/entry.c
+++ b/core/entry.c
@@ -8,7 +8,6 @@
 #define FLOW_EXPIRE_BUDGET 64
 #define LINGER_NS (2 * NS_PER_S)
 #define JOIN_WAIT_NS (3 * NS_PER_S)
-#define VMS_MAX 1024
 
 static void send_member_message(void *ctx, uint64_t vm, struct peer_msg *msg)
 {
@@ -129,19 +128,6 @@
 	free(e);
 }
 
-/*
- * What a process that was paused finds in its sockets is as old as its view:
- * repeats of requests that others have answered since, blocks of transfers
- * that went on without it. Callers repeat what matters; so all of it is
- * dropped until peers have answered again. Noticed on any event, since a loop
- * may hand over datagrams before it runs timers.
- */
-static void watch_pause(struct entry *e)
-{
-	if (e->ticked_ns && e->now_ns > e->ticked_ns + e->conf.member.lease_ns)
-		e->stale = true;
-}
-
 /**
  * entry_begin() - take the time and the list of actions of a call
  * @e: entry
@@ -153,7 +139,7 @@
 	out->n = 0;
 	e->out = out;
 	e->now_ns = now_ns;
-	watch_pause(e);
+	entry_watch_pause(e);
 }
 
 static uint32_t count_services(const struct config *c)
@@ -216,75 +202,6 @@
 	requests_drain(e);
 }
 
-static uint32_t live_vms(const struct entry *e, uint64_t *vms)
-{
-	const struct member *all;
-	uint32_t n_all = member_all(e->members, &all);
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < n_all && n < VMS_MAX; i++) {
-		if (all[i].vm == e->conf.member.self && e->leaving)
-			continue;
-		if (all[i].state == MEMBER_ALIVE ||
-		    all[i].state == MEMBER_SUSPECT)
-			vms[n++] = all[i].vm;
-	}
-	return n;
-}
-
-static void tell_balancer(struct entry *e, const uint64_t *vms, uint32_t n)
-{
-	uint32_t rank = 0;
-
-	for (uint32_t i = 0; i < n; i++)
-		rank += vms[i] < e->conf.member.self;
-	balance_peers(e->balancer, n ? n : 1, rank);
-}
-
-/*
- * Own nothing before the fleet is known: a majority of the list has answered,
- * and news had a settle time to arrive. An entry that finds no majority joins
- * all the same after a while, so that a data centre cut off goes on serving.
- */
-static void watch_join(struct entry *e)
-{
-	bool known = member_majority(e->members) &&
-		     member_lease_valid(e->members, e->now_ns);
-
-	if (e->joined || e->leaving || !e->roster_known)
-		return;
-	if (!known)
-		e->join_deadline_ns = DEADLINE_NEVER;
-	else if (e->join_deadline_ns == DEADLINE_NEVER)
-		e->join_deadline_ns = e->now_ns + e->conf.settle_ns;
-	if (e->now_ns < e->join_deadline_ns && e->now_ns < e->join_latest_ns)
-		return;
-	e->joined = true;
-	e->join_deadline_ns = DEADLINE_NEVER;
-	e->join_latest_ns = DEADLINE_NEVER;
-	member_join(e->members, e->now_ns);
-}
-
-/* Let the ring follow the membership. */
-static void follow_view(struct entry *e)
-{
-	uint64_t view;
-	uint64_t vms[VMS_MAX];
-	uint32_t n;
-
-	watch_join(e);
-	if (!e->joined)
-		return;
-	view = member_view(e->members);
-	if (view == e->view && ring_next_ns(e->ring) > e->now_ns)
-		return;
-	n = live_vms(e, vms);
-	if (view != e->view)
-		tell_balancer(e, vms, n);
-	e->view = view;
-	ring_update(e->ring, vms, n, e->now_ns);
-}
-
 /**
  * entry_roster() - the platform's list of VMs changed
  * @e: entry
@@ -301,48 +218,7 @@
 	if (!e->roster_known)
 		e->join_latest_ns = now_ns + JOIN_WAIT_NS;
 	e->roster_known = true;
-	follow_view(e);
-}
-
-/*
- * Without a majority for as long as it takes to be declared dead, this entry's
- * buckets may have been claimed for by the other side of a partition. When the
- * majority comes over, say because VMs of that side are replaced, it may not
- * answer "never seen" for them.
- */
-static void watch_majority(struct entry *e)
-{
-	if (!member_majority(e->members)) {
-		if (e->minority_since_ns == DEADLINE_NEVER)
-			e->minority_since_ns = e->now_ns;
-		return;
-	}
-	if (e->minority_since_ns != DEADLINE_NEVER &&
-	    e->now_ns >=
-		    e->minority_since_ns + e->conf.member.suspect_timeout_ns)
-		ring_uncover(e->ring, e->now_ns);
-	e->minority_since_ns = DEADLINE_NEVER;
-}
-
-/*
- * A process that was paused and declared dead was replaced in its pairs. It
- * would answer "never seen" about claims made without it, so it no longer
- * counts as one that knows its buckets' history.
- */
-void entry_watch_lease(struct entry *e)
-{
-	bool valid = member_lease_valid(e->members, e->now_ns);
-	uint64_t deaths = member_deaths(e->members);
-
-	if (!valid && !e->lease_lapsed)
-		e->counters.lease_lapses++;
-	if (valid)
-		e->stale = false;
-	e->lease_lapsed = !valid;
-	if (deaths != e->deaths)
-		ring_uncover(e->ring, e->now_ns);
-	e->deaths = deaths;
-	watch_majority(e);
+	entry_follow_view(e);
 }
 
 static void run_timers(struct entry *e)
@@ -382,7 +258,7 @@
 	e->ticked_ns = now_ns;
 	member_tick(e->members, now_ns);
 	entry_watch_lease(e);
-	follow_view(e);
+	entry_follow_view(e);
 	claims_expire(e->claims, now_ns);
 	run_timers(e);
 	moves_tick(e);
@@ -408,7 +284,7 @@
 	e->linger_deadline_ns = now_ns + LINGER_NS;
 	streams_leave(e);
 	member_leave(e->members, now_ns);
-	follow_view(e);
+	entry_follow_view(e);
 }
 
 /**
@@ -451,122 +327,3 @@
 	}
 	return next;
 }
-
-/**
- * entry_ready() - whether it serves all that it owns
- * @e: entry
- * @now_ns: time
- *
- * Return: true with a configuration, a majority, and a known history of each
- * bucket that it holds.
- */
-bool entry_ready(const struct entry *e, uint64_t now_ns)
-{
-	uint64_t self = e->conf.member.self;
-
-	if (!e->n_services || !member_majority(e->members))
-		return false;
-	if (ring_at(e->ring, 0).owner == ADDR_NONE)
-		return false;
-	for (uint32_t i = 0; i < e->conf.n_buckets; i++) {
-		struct ring_pair p = ring_at(e->ring, i);
-
-		if (p.owner != self && p.second != self)
-			continue;
-		if (!ring_covered(e->ring, i, now_ns))
-			return false;
-	}
-	return true;
-}
-
-/* entry_load_report() - a target's own word on its load, polled for. */
-void entry_load_report(struct entry *e, uint64_t target,
-		       const struct load_report *report, uint64_t now_ns)
-{
-	balance_report(e->balancer, target, report, now_ns);
-}
-
-static const struct account_conf *account_of(const struct entry *e,
-					     const struct service_conf *s)
-{
-	for (uint32_t i = 0; e->config && i < e->config->n_accounts; i++) {
-		const struct account_conf *a = &e->config->accounts[i];
-
-		if (s >= a->services && s < a->services + a->n_services)
-			return a;
-	}
-	return NULL;
-}
-
-/**
- * entry_explain() - what this entry would decide for a flow
- * @e: entry
- * @key: flow
- *
- * Return: the decision and what it rests on.
- */
-struct entry_view entry_explain(const struct entry *e,
-				const struct flow_key *key)
-{
-	struct entry_view v = { .view = e->view };
-	uint32_t slot;
-
-	v.bucket = ring_bucket(e->ring, key);
-	v.pair = ring_at(e->ring, v.bucket);
-	v.service = service_find(e, key->vip);
-	v.account = v.service ? account_of(e, v.service) : NULL;
-	v.pinned = flow_lookup(e->pins, key, e->now_ns);
-	slot = e->feed_heads[v.bucket];
-	for (; slot != SLOT_NONE; slot = e->feeds[slot].next) {
-		const struct feed *f = &e->feeds[slot];
-
-		if (f->key.caller != key->caller || f->key.vip != key->vip)
-			continue;
-		if (!v.feeds++)
-			v.feed_target = f->target;
-	}
-	return v;
-}
-
-struct entry_gauges entry_gauges(const struct entry *e)
-{
-	struct entry_gauges g = { .requests_active = e->n_active,
-				  .feeds_held = e->n_feeds_held,
-				  .handover_due = stream_lines_pending(e),
-				  .claims = claims_count(e->claims),
-				  .pins = flow_count(e->pins) };
-
-	return g;
-}
-
-uint32_t entry_members(const struct entry *e, const struct member **out)
-{
-	return member_all(e->members, out);
-}
-
-/**
- * entry_answers() - walk over what callers of each account and class were told
- * @e: entry
- * @cursor: 0 at first, moved on by each call
- * @account: name, good until the next entry_config()
- * @class: enum service_class
- * @stats: counters, good until the next entry_config()
- *
- * Return: false at the end.
- */
-bool entry_answers(const struct entry *e, uint32_t *cursor,
-		   const char **account, uint8_t *class,
-		   const struct answer_stats **stats)
-{
-	return account_stats_each(e->stats, cursor, account, class, stats);
-}
-
-const struct balancer *entry_balancer(const struct entry *e)
-{
-	return e->balancer;
-}
-
-const struct entry_counters *entry_counters(const struct entry *e)
-{
-	return &e->counters;
-}
--- a/core/entry_state.h
+++ b/core/entry_state.h
@@ -265,7 +265,11 @@
 
 /* entry.c */
 void entry_begin(struct entry *e, uint64_t now_ns, struct actions *out);
+
+/* standing.c */
+void entry_watch_pause(struct entry *e);
 void entry_watch_lease(struct entry *e);
+void entry_follow_view(struct entry *e);
 
 /* route.c */
 const struct service_conf *service_find(const struct entry *e, uint64_t vip);
@@ -352,6 +356,7 @@
 struct feed *feed_new(struct entry *e, const struct flow_key *key,
 		      const uint8_t *token, uint8_t token_len);
 void feed_drop(struct entry *e, struct feed *f);
+void feed_cancel_at(struct entry *e, const struct feed *f, uint64_t target);
 void feed_end(struct entry *e, struct feed *f, bool cancel);
 void feed_state_set(struct entry *e, struct feed *f, uint8_t state);
 void feed_opened(struct entry *e, struct feed *f, uint64_t target);
@@ -368,6 +373,10 @@
 void feed_timer(struct entry *e, struct feed *f);
 void feed_timer_set(struct entry *e, struct feed *f);
 
+/* feed_renew.c */
+void feed_ended_by_target(struct entry *e, struct feed *f, uint64_t target,
+			  const struct message *msg);
+
 /* feed_move.c */
 void moves_config(struct entry *e);
 void moves_due(struct entry *e);
--- /dev/null
+++ b/core/entry_view.c
@@ -0,0 +1,121 @@
+/* What operators may ask of an entry. */
+#include "entry_state.h"
+
+/**
+ * entry_ready() - whether it serves all that it owns
+ * @e: entry
+ * @now_ns: time
+ *
+ * Return: true with a configuration, a majority, and a known history of each
+ * bucket that it holds.
+ */
+bool entry_ready(const struct entry *e, uint64_t now_ns)
+{
+	uint64_t self = e->conf.member.self;
+
+	if (!e->n_services || !member_majority(e->members))
+		return false;
+	if (ring_at(e->ring, 0).owner == ADDR_NONE)
+		return false;
+	for (uint32_t i = 0; i < e->conf.n_buckets; i++) {
+		struct ring_pair p = ring_at(e->ring, i);
+
+		if (p.owner != self && p.second != self)
+			continue;
+		if (!ring_covered(e->ring, i, now_ns))
+			return false;
+	}
+	return true;
+}
+
+/* entry_load_report() - a target's own word on its load, polled for. */
+void entry_load_report(struct entry *e, uint64_t target,
+		       const struct load_report *report, uint64_t now_ns)
+{
+	balance_report(e->balancer, target, report, now_ns);
+}
+
+static const struct account_conf *account_of(const struct entry *e,
+					     const struct service_conf *s)
+{
+	for (uint32_t i = 0; e->config && i < e->config->n_accounts; i++) {
+		const struct account_conf *a = &e->config->accounts[i];
+
+		if (s >= a->services && s < a->services + a->n_services)
+			return a;
+	}
+	return NULL;
+}
+
+/**
+ * entry_explain() - what this entry would decide for a flow
+ * @e: entry
+ * @key: flow
+ *
+ * Return: the decision and what it rests on.
+ */
+struct entry_view entry_explain(const struct entry *e,
+				const struct flow_key *key)
+{
+	struct entry_view v = { .view = e->view };
+	uint32_t slot;
+
+	v.bucket = ring_bucket(e->ring, key);
+	v.pair = ring_at(e->ring, v.bucket);
+	v.service = service_find(e, key->vip);
+	v.account = v.service ? account_of(e, v.service) : NULL;
+	v.pinned = flow_lookup(e->pins, key, e->now_ns);
+	slot = e->feed_heads[v.bucket];
+	for (; slot != SLOT_NONE; slot = e->feeds[slot].next) {
+		const struct feed *f = &e->feeds[slot];
+
+		if (f->key.caller != key->caller || f->key.vip != key->vip)
+			continue;
+		if (!v.feeds++)
+			v.feed_target = f->target;
+	}
+	return v;
+}
+
+struct entry_gauges entry_gauges(const struct entry *e)
+{
+	struct entry_gauges g = { .requests_active = e->n_active,
+				  .feeds_held = e->n_feeds_held,
+				  .handover_due = stream_lines_pending(e),
+				  .claims = claims_count(e->claims),
+				  .pins = flow_count(e->pins) };
+
+	return g;
+}
+
+uint32_t entry_members(const struct entry *e, const struct member **out)
+{
+	return member_all(e->members, out);
+}
+
+/**
+ * entry_answers() - walk over what callers of each account and class were told
+ * @e: entry
+ * @cursor: 0 at first, moved on by each call
+ * @account: name, good until the next entry_config()
+ * @class: enum service_class
+ * @stats: counters, good until the next entry_config()
+ *
+ * Return: false at the end.
+ */
+bool entry_answers(const struct entry *e, uint32_t *cursor,
+		   const char **account, uint8_t *class,
+		   const struct answer_stats **stats)
+{
+	return account_stats_each(e->stats, cursor, account, class, stats);
+}
+
+const struct balancer *entry_balancer(const struct entry *e)
+{
+	return e->balancer;
+}
+
+const struct entry_counters *entry_counters(const struct entry *e)
+{
+	return &e->counters;
+}
