--- a/core/account_stats.c
+++ b/core/account_stats.c
@@ -165,13 +165,20 @@
 	return 0;
 }
 
-static uint8_t class_of(const struct service_row *s, uint16_t flags)
+/**
+ * work_class() - class that a request counts as
+ * @flags: enum message_flags of the request
+ * @service_class: enum service_class of its service
+ *
+ * Return: enum service_class; a plain request to a service of feeds is a report.
+ */
+uint8_t work_class(uint16_t flags, uint8_t service_class)
 {
 	if (flags & MSG_FEED_OPEN)
 		return CLASS_FEED;
 	if (flags & MSG_PART)
 		return CLASS_UPLOAD;
-	return s->class == CLASS_FEED ? CLASS_REPORT : s->class;
+	return service_class == CLASS_FEED ? CLASS_REPORT : service_class;
 }
 
 /**
@@ -189,7 +196,7 @@
 
 	if (!s)
 		return NULL;
-	return &a->accounts[s->account].by_class[class_of(s, flags)];
+	return &a->accounts[s->account].by_class[work_class(flags, s->class)];
 }
 
 /**
--- a/core/reader.c
+++ b/core/reader.c
@@ -301,25 +301,46 @@
 	qsort(r->queue, r->n_queue, sizeof(*r->queue), by_key_downwards);
 }
 
-static void answered_list(struct reader *r, const struct reader_answer *a,
-			  uint64_t now_ns)
+static void note_name(struct reader *r, const char *key, uint64_t now_ns)
+{
+	(void)now_ns;
+	note_listed(r, key);
+}
+
+/* Accounts that were refused may render by a template that changed. */
+static void note_template(struct reader *r, const char *key, uint64_t now_ns)
+{
+	if (!strncmp(key, TEMPLATE_PREFIX, strlen(TEMPLATE_PREFIX)))
+		r->relist_deadline_ns = now_ns;
+}
+
+/* Queue the keys of an answer that are newer than known; @note sees each. */
+static void
+want_all(struct reader *r, const struct reader_answer *a, uint64_t now_ns,
+	 void (*note)(struct reader *r, const char *key, uint64_t now_ns))
 {
 	const char *at = a->body;
 	char key[PUBLISHED_KEY_MAX_BYTES];
 	uint64_t revision;
 
-	if (a->status != 200) {
-		back_off(r, now_ns);
-		return;
-	}
 	r->platform_revision = lines_highest(a);
-	r->n_listed = 0;
 	while (lines_next(&at, a->body + a->size_bytes, &revision, key,
 			  &r->counters.answers_malformed)) {
-		note_listed(r, key);
 		want(r, key, revision);
+		note(r, key, now_ns);
 	}
 	sort_queue(r);
+}
+
+static void answered_list(struct reader *r, const struct reader_answer *a,
+			  uint64_t now_ns)
+{
+	if (a->status != 200) {
+		back_off(r, now_ns);
+		return;
+	}
+	r->n_listed = 0;
+	want_all(r, a, now_ns, note_name);
 	r->after = r->platform_revision;
 	r->relist_deadline_ns = now_ns + RELIST_PERIOD_NS;
 	find_gone(r, r->platform_revision);
@@ -398,23 +419,11 @@
 static void answered_watch(struct reader *r, const struct reader_answer *a,
 			   uint64_t now_ns)
 {
-	const char *at = a->body;
-	char key[PUBLISHED_KEY_MAX_BYTES];
-	uint64_t revision;
-
 	if (a->status != 200) {
 		back_off(r, now_ns);
 		return;
 	}
-	r->platform_revision = lines_highest(a);
-	while (lines_next(&at, a->body + a->size_bytes, &revision, key,
-			  &r->counters.answers_malformed)) {
-		want(r, key, revision);
-		/* Accounts that were refused may render by it. */
-		if (!strncmp(key, TEMPLATE_PREFIX, strlen(TEMPLATE_PREFIX)))
-			r->relist_deadline_ns = now_ns;
-	}
-	sort_queue(r);
+	want_all(r, a, now_ns, note_template);
 	if (r->platform_revision < r->after)
 		r->counters.platform_behind++;
 	else
--- a/core/send.c
+++ b/core/send.c
@@ -8,15 +8,6 @@
 #define TRIES_MAX 3
 #define COME_BACK_S 2
 
-static uint8_t class_of(const struct request *r, const struct service_conf *s)
-{
-	if (r->feed != SLOT_NONE)
-		return CLASS_FEED;
-	if (r->flags & MSG_PART)
-		return CLASS_UPLOAD;
-	return s->class == CLASS_FEED ? CLASS_REPORT : s->class;
-}
-
 /**
  * request_submit() - ask the balancer for a target
  * @e: entry
@@ -41,7 +32,7 @@
 		request_refuse(e, r, REFUSE_TRANSFER, COME_BACK_S);
 		return;
 	}
-	w.class = class_of(r, s);
+	w.class = work_class(r->flags, s->class);
 	w.pinned = transfer_target(e, r);
 	ruling = balance_submit(e->balancer, &w, e->now_ns);
 	/*
