--- a/cmd/cb-entry/operator.c
+++ b/cmd/cb-entry/operator.c
@@ -139,16 +139,71 @@
 	return "chosen for each request, by load";
 }
 
+/* Whether @text, ACCOUNT/SERVICE or SERVICE alone, names a service. */
+static bool names(const char *text, const struct account_conf *a,
+		  const struct service_conf *s)
+{
+	size_t n = strlen(a->name);
+
+	if (!strncmp(text, a->name, n) && text[n] == '/')
+		return !strcmp(text + n + 1, s->name);
+	return !strcmp(text, s->name);
+}
+
+/* VIP of the service that @text names; how many are named so. */
+static uint32_t named_vip(const struct config *c, const char *text,
+			  uint64_t *vip)
+{
+	uint32_t found = 0;
+
+	for (uint32_t i = 0; i < c->n_accounts; i++) {
+		const struct account_conf *a = &c->accounts[i];
+
+		for (uint32_t k = 0; k < a->n_services; k++) {
+			if (!names(text, a, &a->services[k]))
+				continue;
+			*vip = a->services[k].vip;
+			found++;
+		}
+	}
+	return found;
+}
+
+static int query_service(struct daemon *d, const char *query, uint64_t *vip,
+			 GString *body)
+{
+	char text[2 * NAME_MAX_BYTES];
+	uint32_t found;
+
+	if (query_addr(query, "vip", vip))
+		return STATUS_OK;
+	if (!http_query(query, "vip", text, sizeof(text))) {
+		g_string_append(body, "want vip=IP:PORT or a service's name\n");
+		return STATUS_BAD_REQUEST;
+	}
+	found = named_vip(&d->config, text, vip);
+	if (found == 1)
+		return STATUS_OK;
+	g_string_append_printf(body, "%s %s\n",
+			       found ? "several accounts have a service"
+				     : "no account has a service",
+			       text);
+	return found ? STATUS_BAD_REQUEST : STATUS_NOT_FOUND;
+}
+
 static int explain(struct daemon *d, const char *query, GString *body)
 {
 	struct flow_key key;
 	struct entry_view v;
+	int status;
 
-	if (!query_addr(query, "caller", &key.caller) ||
-	    !query_addr(query, "vip", &key.vip)) {
-		g_string_append(body, "want ?caller=IP:PORT&vip=IP:PORT\n");
+	if (!query_addr(query, "caller", &key.caller)) {
+		g_string_append(body, "want caller=IP:PORT\n");
 		return STATUS_BAD_REQUEST;
 	}
+	status = query_service(d, query, &key.vip, body);
+	if (status != STATUS_OK)
+		return status;
 	v = entry_explain(d->entry, &key);
 	if (!v.service) {
 		put_addr(body, "no service at vip", key.vip);
--- a/cmd/cbctl/main.c
+++ b/cmd/cbctl/main.c
@@ -46,7 +46,7 @@
 	  TAKES_LIMIT, flows_run },
 	{ "targets", "ADDRESS...", "what entries have at each target", 1, 63,
 	  TAKES_LIMIT, targets_run },
-	{ "explain", "ADDRESS CALLER VIP",
+	{ "explain", "ADDRESS CALLER SERVICE",
 	  "which entry and target a flow has, and why", 3, 3, 0, explain_run },
 	{ "drain-watch", "ADDRESS", "follow an entry until it has left", 1, 1,
 	  TAKES_TIMEOUT, drain_run },
--- a/cmd/cbctl/status.c
+++ b/cmd/cbctl/status.c
@@ -85,11 +85,13 @@
 static enum exit_code explain_load(const struct request *r, const char *peer,
 				   GString *body)
 {
+	char *service = g_uri_escape_string(r->operands[2], "/:", FALSE);
 	char *path = g_strdup_printf("/explain?caller=%s&vip=%s",
-				     r->operands[1], r->operands[2]);
+				     r->operands[1], service);
 	enum exit_code code = ask(peer, path, body);
 
 	g_free(path);
+	g_free(service);
 	return code;
 }
 
@@ -107,10 +109,8 @@
 {
 	uint64_t addr;
 
-	for (uint32_t i = 1; i < r->n_operands; i++) {
-		if (!addr_parse(r->operands[i], &addr))
-			continue;
-		complain("address", r->operands[i], "expected IP:PORT");
+	if (addr_parse(r->operands[1], &addr)) {
+		complain("caller", r->operands[1], "expected IP:PORT");
 		return EXIT_USAGE;
 	}
 	return each_peer(r, 1, explain_load);
