--- a/Makefile
+++ b/Makefile
@@ -12,19 +12,32 @@
 CXX ?= g++
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 WARNXX := -Wall -Wextra -Werror
-PKGS := libuv libzmq glib-2.0 argtable2 libcurl msgpack libxxhash libsodium gsl libcoap-3-notls
+PKGS := libuv libzmq glib-2.0 argtable2 libcurl msgpack libxxhash libsodium gsl libcoap-3-notls jansson
+# cb-packet alone, for machines that have only what it needs.
+ifeq ($(OWN),1)
+PKGS := libuv glib-2.0 argtable2 msgpack libxxhash jansson
+endif
 LIBPKGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-CFLAGS := -std=gnu11 -O2 -g $(WARN) $(SANITIZE) -Icore -Iadapters -Isim $(LIBPKGS)
-CXXFLAGS := -std=gnu++17 -O2 -g $(WARNXX) $(SANITIZE) -Icore -Iadapters -Isim $(LIBPKGS)
+DIRS := -Icore -Icore/packet -Iadapters -Isim -Iplatform
+CFLAGS := -std=gnu11 -O2 -g $(WARN) $(SANITIZE) $(DIRS) $(LIBPKGS)
+CXXFLAGS := -std=gnu++17 -O2 -g $(WARNXX) $(SANITIZE) $(DIRS) $(LIBPKGS)
 LDLIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm -lstdc++
-LDFLAGS := $(SANITIZE)
+# Not what a program doesn't use: loading a library costs time and memory.
+LDFLAGS := $(SANITIZE) -Wl,--as-needed
 
-CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c))
+CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c core/*/*.c))
 ADAPT := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/*.c)) \
 	 $(patsubst %.cc,$(B)/%.o,$(wildcard adapters/*.cc))
+PLATFORM := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
+ifeq ($(OWN),1)
+ADAPT := $(patsubst %,$(B)/adapters/%.o,addr fields hello_codec http http_call \
+	 json_text log mistakes msgpack_bound packet_settings settings \
+	 settings_table toml toml_shape usage)
+endif
 # Stand-ins without their main(), so that tests reach their modules.
 SIMS := $(patsubst %.c,$(B)/%.o,$(filter-out %/main.c,$(wildcard sim/*.c sim/*/*.c)))
-LIBS := $(B)/libcore.a $(B)/libadapters.a
+ARCHIVES := $(B)/libplatform.a $(B)/libadapters.a $(B)/libcore.a
+LIBS := $(B)/libplatform.a $(B)/libcore.a $(B)/libadapters.a
 
 # A program is a directory below cmd/ or sim/ with C files in it.
 PROGDIRS := $(sort $(dir $(wildcard cmd/*/*.c sim/*/*.c bench/*/*.c)))
@@ -58,6 +71,8 @@
 	@rm -f $@; $(AR) rcs $@ $^
 $(B)/libadapters.a: $(ADAPT)
 	@rm -f $@; $(AR) rcs $@ $^
+$(B)/libplatform.a: $(PLATFORM)
+	@rm -f $@; $(AR) rcs $@ $^
 $(B)/libsim.a: $(SIMS)
 	@rm -f $@; $(AR) rcs $@ $^
 
@@ -80,16 +95,16 @@
 $(B)/bin/$(notdir $(patsubst %/,%,$(1))): $(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c)) $(LIBS) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(call bed,$(1))
 	@mkdir -p $$(@D)
 	@echo LD $$@
-	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(call bed,$(1)) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(B)/libadapters.a $(B)/libcore.a $(LDLIBS) -o $$@
+	@$(CC) $(LDFLAGS) $(filter %.o,$(patsubst %.c,$(B)/%.o,$(wildcard $(1)*.c))) $(call bed,$(1)) $(if $(filter sim/%,$(1)),$(B)/libsim.a) $(ARCHIVES) $(LDLIBS) -o $$@
 endef
 $(foreach d,$(PROGDIRS),$(eval $(call PROG,$(d))))
 
 $(B)/test/%_test: $(B)/test/%_test.o $(TESTHELP) $(LIBS) $(B)/libsim.a
 	@echo LD $@
-	@$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libsim.a $(B)/libadapters.a $(B)/libcore.a -lcmocka $(LDLIBS) -o $@
+	@$(CC) $(LDFLAGS) $< $(TESTHELP) $(B)/libsim.a $(ARCHIVES) -lcmocka $(LDLIBS) -o $@
 $(B)/test/%_prop: $(B)/test/%_prop.o $(TESTHELP) $(LIBS)
 	@echo LD $@
-	@$(CXX) $(LDFLAGS) $< $(TESTHELP) $(B)/libadapters.a $(B)/libcore.a -lrapidcheck $(LDLIBS) -o $@
+	@$(CXX) $(LDFLAGS) $< $(TESTHELP) $(ARCHIVES) -lrapidcheck $(LDLIBS) -o $@
 
 tests: $(TESTS_C) $(TESTS_CC) all
 
@@ -114,7 +129,7 @@
 fuzz:
 	@scripts/fuzz
 
-SOURCES := $(wildcard core/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
+SOURCES := $(wildcard core/*.[ch] core/*/*.[ch] platform/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
 	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] fuzz/*.[ch] \
 	   test/*.[ch] test/*.cc)
 fmt:
@@ -124,7 +139,7 @@
 lint:
 	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 		--enable=warning,portability,performance -j 8 \
-		--suppress=missingIncludeSystem -Icore -Iadapters -Isim \
+		--suppress=missingIncludeSystem $(DIRS) \
 		$(filter-out %.cc %.h,$(SOURCES))
 	scripts/check-docs
 
--- /dev/null
+++ b/adapters/hello_codec.c
@@ -0,0 +1,340 @@
+#include "hello_codec.h"
+
+#include "msgpack_bound.h"
+
+#include <errno.h>
+#include <msgpack.h>
+#include <string.h>
+
+#define HELLO_VERSION 1
+#define HELLO_FIELDS 11
+#define HELLO_LEAVING 1
+#define HELLO_REPLY 2
+#define HELLO_LOADS 4
+#define RELAY_VERSION 1
+#define RELAY_FIELDS 5
+#define RELAY_ITEM_FIELDS 5
+
+static void put_numbers(msgpack_packer *p, uint32_t n, const uint64_t *v)
+{
+	msgpack_pack_array(p, n);
+	for (uint32_t i = 0; i < n; i++)
+		msgpack_pack_uint64(p, v[i]);
+}
+
+static void put_lists(msgpack_packer *p, const struct hello *h)
+{
+	msgpack_pack_array(p, h->n_peers);
+	for (uint32_t i = 0; i < h->n_peers; i++)
+		put_numbers(p, 3,
+			    (uint64_t[]){ h->peers[i].addr, h->peers[i].zone,
+					  h->peers[i].age_ms });
+	msgpack_pack_array(p, h->n_loads);
+	for (uint32_t i = 0; i < h->n_loads; i++)
+		put_numbers(p, 3,
+			    (uint64_t[]){ h->loads[i].cookie, h->loads[i].feeds,
+					  h->loads[i].short_centi });
+	put_numbers(p, h->n_dead, h->dead);
+}
+
+/**
+ * hello_encode() - encode a heartbeat
+ * @h: heartbeat
+ * @out: filled
+ *
+ * Return: size in bytes; 0 when it does not fit.
+ */
+uint32_t hello_encode(const struct hello *h, uint8_t out[HELLO_MAX_BYTES])
+{
+	msgpack_sbuffer buf;
+	msgpack_packer p;
+	uint32_t size_bytes = 0;
+
+	msgpack_sbuffer_init(&buf);
+	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
+	msgpack_pack_array(&p, HELLO_FIELDS);
+	msgpack_pack_uint64(&p, HELLO_VERSION);
+	msgpack_pack_uint64(&p, h->from);
+	msgpack_pack_uint64(&p, h->zone);
+	msgpack_pack_uint64(&p, h->boot);
+	msgpack_pack_uint64(&p, (h->leaving ? HELLO_LEAVING : 0) |
+					(h->reply ? HELLO_REPLY : 0) |
+					(h->has_loads ? HELLO_LOADS : 0));
+	msgpack_pack_uint64(&p, h->newest);
+	msgpack_pack_uint64(&p, h->contact_age_ms);
+	msgpack_pack_uint64(&p, h->trouble_age_ms);
+	put_lists(&p, h);
+	if (buf.size <= HELLO_MAX_BYTES) {
+		size_bytes = (uint32_t)buf.size;
+		memcpy(out, buf.data, size_bytes);
+	}
+	msgpack_sbuffer_destroy(&buf);
+	return size_bytes;
+}
+
+static bool number(const msgpack_object *o, uint64_t max, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+		return false;
+	*out = o->via.u64;
+	return true;
+}
+
+static bool numbers(const msgpack_object *o, uint32_t n, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != n)
+		return false;
+	for (uint32_t i = 0; i < n; i++)
+		if (!number(&o->via.array.ptr[i], UINT64_MAX, &out[i]))
+			return false;
+	return true;
+}
+
+static bool list(const msgpack_object *o, uint32_t max)
+{
+	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size <= max;
+}
+
+static bool get_peers(const msgpack_object *o, struct hello *h)
+{
+	uint64_t v[3];
+
+	if (!list(o, HELLO_PEERS_MAX))
+		return false;
+	for (; h->n_peers < o->via.array.size; h->n_peers++) {
+		if (!numbers(&o->via.array.ptr[h->n_peers], 3, v))
+			return false;
+		h->peers[h->n_peers] = (struct hello_peer){
+			v[0], (uint32_t)v[1], (uint32_t)v[2]
+		};
+	}
+	return true;
+}
+
+static bool get_loads(const msgpack_object *o, struct hello *h)
+{
+	uint64_t v[3];
+
+	if (!list(o, HELLO_LOADS_MAX))
+		return false;
+	for (; h->n_loads < o->via.array.size; h->n_loads++) {
+		if (!numbers(&o->via.array.ptr[h->n_loads], 3, v))
+			return false;
+		h->loads[h->n_loads] =
+			(struct hello_load){ (uint32_t)v[0], (uint32_t)v[1],
+					     (uint32_t)v[2] };
+	}
+	return true;
+}
+
+static bool get_dead(const msgpack_object *o, struct hello *h)
+{
+	if (!list(o, HELLO_DEAD_MAX))
+		return false;
+	h->n_dead = o->via.array.size;
+	return numbers(o, h->n_dead, h->dead);
+}
+
+static bool get_hello(const msgpack_object *o, struct hello *h)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	uint64_t version, zone, flags, contact, trouble;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size != HELLO_FIELDS ||
+	    !number(&f[0], UINT64_MAX, &version) || version != HELLO_VERSION ||
+	    !number(&f[1], UINT64_MAX, &h->from) ||
+	    !number(&f[2], UINT32_MAX, &zone) ||
+	    !number(&f[3], UINT64_MAX, &h->boot) ||
+	    !number(&f[4], UINT32_MAX, &flags) ||
+	    !number(&f[5], UINT64_MAX, &h->newest) ||
+	    !number(&f[6], UINT32_MAX, &contact) ||
+	    !number(&f[7], UINT32_MAX, &trouble))
+		return false;
+	h->zone = (uint32_t)zone;
+	h->leaving = flags & HELLO_LEAVING;
+	h->reply = flags & HELLO_REPLY;
+	h->has_loads = flags & HELLO_LOADS;
+	h->contact_age_ms = (uint32_t)contact;
+	h->trouble_age_ms = (uint32_t)trouble;
+	return get_peers(&f[8], h) && get_loads(&f[9], h) &&
+	       get_dead(&f[10], h);
+}
+
+/**
+ * hello_decode() - decode a heartbeat
+ * @data: datagram
+ * @size_bytes: its size
+ * @out: filled
+ *
+ * Return: 0, or -EPROTO.
+ */
+int hello_decode(const uint8_t *data, uint32_t size_bytes, struct hello *out)
+{
+	msgpack_unpacked u;
+	size_t at = 0;
+	int err = -EPROTO;
+
+	*out = (struct hello){ 0 };
+	if (msgpack_bound(data, size_bytes))
+		return -EPROTO;
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, (const char *)data, size_bytes, &at) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    get_hello(&u.data, out))
+		err = 0;
+	msgpack_unpacked_destroy(&u);
+	return err;
+}
+
+static int to_string(void *data, const char *buf, size_t size_bytes)
+{
+	g_string_append_len(data, buf, (gssize)size_bytes);
+	return 0;
+}
+
+static void put_document(msgpack_packer *p, const struct document *d)
+{
+	msgpack_pack_array(p, RELAY_ITEM_FIELDS);
+	msgpack_pack_str_with_body(p, d->key, strlen(d->key));
+	msgpack_pack_uint64(p, d->revision);
+	msgpack_pack_uint64(p, d->created);
+	msgpack_pack_uint64(p, d->deleted);
+	msgpack_pack_bin_with_body(p, d->value, d->size_bytes);
+}
+
+/**
+ * relay_encode() - encode what a peer that knows everything up to a revision
+ *	lacks
+ * @s: documents
+ * @after: that revision
+ * @out: appended to
+ *
+ * A deleted document keeps its last value: flows of a departed target are told
+ * from forged ones by it, at young processes too.
+ */
+void relay_encode(const struct documents *s, uint64_t after, GString *out)
+{
+	bool whole = after < documents_floor(s);
+	uint32_t n = 0;
+	msgpack_packer p;
+
+	if (whole)
+		after = 0;
+	for (uint32_t i = 0; i < documents_count(s); i++)
+		n += documents_at(s, i)->revision > after;
+	msgpack_packer_init(&p, out, to_string);
+	msgpack_pack_array(&p, RELAY_FIELDS);
+	msgpack_pack_uint64(&p, RELAY_VERSION);
+	msgpack_pack_uint64(&p, documents_through(s));
+	msgpack_pack_uint64(&p, documents_newest(s));
+	msgpack_pack_uint64(&p, whole);
+	msgpack_pack_array(&p, n);
+	for (uint32_t i = 0; i < documents_count(s); i++)
+		if (documents_at(s, i)->revision > after)
+			put_document(&p, documents_at(s, i));
+}
+
+static bool get_document(const msgpack_object *o, struct document *d)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	uint64_t deleted;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size != RELAY_ITEM_FIELDS ||
+	    f[0].type != MSGPACK_OBJECT_STR ||
+	    f[0].via.str.size > DOCUMENT_KEY_MAX_BYTES ||
+	    !number(&f[1], UINT64_MAX, &d->revision) ||
+	    !number(&f[2], UINT64_MAX, &d->created) ||
+	    !number(&f[3], 1, &deleted) || f[4].type != MSGPACK_OBJECT_BIN)
+		return false;
+	memcpy(d->key, f[0].via.str.ptr, f[0].via.str.size);
+	d->deleted = deleted;
+	d->value = (uint8_t *)f[4].via.bin.ptr;
+	d->size_bytes = f[4].via.bin.size;
+	return true;
+}
+
+static bool get_relay(const msgpack_object *o, struct relay_head *head)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	uint64_t version, whole;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size != RELAY_FIELDS ||
+	    !number(&f[0], UINT64_MAX, &version) || version != RELAY_VERSION ||
+	    !number(&f[1], UINT64_MAX, &head->through) ||
+	    !number(&f[2], UINT64_MAX, &head->newest) ||
+	    !number(&f[3], 1, &whole) || !list(&f[4], DOCUMENTS_MAX))
+		return false;
+	head->whole = whole;
+	return true;
+}
+
+/* Calls @take with the decoded message, if it is one. */
+static int with_relay(const uint8_t *data, uint32_t size_bytes,
+		      int (*take)(const msgpack_object *o, void *ctx),
+		      void *ctx)
+{
+	struct relay_head head;
+	msgpack_unpacked u;
+	size_t at = 0;
+	int err = -EPROTO;
+
+	if (msgpack_bound(data, size_bytes))
+		return -EPROTO;
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, (const char *)data, size_bytes, &at) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    get_relay(&u.data, &head))
+		err = take(&u.data, ctx);
+	msgpack_unpacked_destroy(&u);
+	return err;
+}
+
+static int take_head(const msgpack_object *o, void *ctx)
+{
+	return get_relay(o, ctx) ? 0 : -EPROTO;
+}
+
+static int take_documents(const msgpack_object *o, void *ctx)
+{
+	const struct facts_port *to = ctx;
+	const msgpack_object_array *all = &o->via.array.ptr[4].via.array;
+
+	for (uint32_t i = 0; i < all->size; i++) {
+		struct document d = { 0 };
+
+		if (!get_document(&all->ptr[i], &d))
+			return -EPROTO;
+		to->fact(to->ctx, &d);
+	}
+	return 0;
+}
+
+/**
+ * relay_head_decode() - what a peer's documents come with
+ * @data: body
+ * @size_bytes: its size
+ * @head: filled
+ *
+ * Return: 0, or -EPROTO.
+ */
+int relay_head_decode(const uint8_t *data, uint32_t size_bytes,
+		      struct relay_head *head)
+{
+	return with_relay(data, size_bytes, take_head, head);
+}
+
+/**
+ * relay_decode() - a peer's documents
+ * @data: body
+ * @size_bytes: its size
+ * @to: takes them
+ *
+ * Return: 0, or -EPROTO; documents before the mistake were taken.
+ */
+int relay_decode(const uint8_t *data, uint32_t size_bytes, struct facts_port to)
+{
+	return with_relay(data, size_bytes, take_documents, &to);
+}
--- /dev/null
+++ b/cmd/cb-packet/decisions.c
@@ -0,0 +1,107 @@
+/*
+ * One line for each decision that touches a flow, bounded a second: the flow's
+ * four addresses and ports are what both ends and this log have in common.
+ */
+#include "daemon.h"
+
+#include "log.h"
+
+static const char *const health_names[] = { "good", "doubted", "silent",
+					    "dead" };
+
+/* Counted when there is no room: the metrics still have every reason. */
+static bool allowed(struct packet_daemon *d)
+{
+	if (d->log_tokens >= 1) {
+		d->log_tokens -= 1;
+		return true;
+	}
+	d->counters.decisions_not_logged++;
+	return false;
+}
+
+static void line(struct packet_daemon *d, const char *step,
+		 const struct flow_key *flow, const char *reason,
+		 const struct target *t)
+{
+	const struct route_table *table = directory_table(d->directory);
+	char caller[32], vip[32], to[32];
+
+	log_line(LOG_INFO, step, addr_text(flow->caller, caller, sizeof(caller)),
+		 "vip %s %s target %llx at %s health %s configuration %llu "
+		 "revision %llu",
+		 addr_text(flow->vip, vip, sizeof(vip)), reason,
+		 t ? (unsigned long long)t->news.id : 0ULL,
+		 t ? addr_text(t->news.addr, to, sizeof(to)) : "none",
+		 t ? health_names[t->health] : "none",
+		 table ? (unsigned long long)table->version : 0ULL,
+		 (unsigned long long)documents_through(d->documents));
+}
+
+/**
+ * decisions_packet() - log what became of a packet
+ * @d: process
+ * @k: packet
+ * @v: verdict
+ *
+ * Packets of settled flows are only counted.
+ */
+void decisions_packet(struct packet_daemon *d, const struct packet *k,
+		      const struct path_verdict *v)
+{
+	static const char *const steps[] = { "flow.drop", "flow.open",
+					     "flow.reset" };
+
+	if (v->reason == PATH_pinned || !allowed(d))
+		return;
+	line(d, steps[v->action], &k->flow, path_reason_names[v->reason],
+	     v->target);
+}
+
+/**
+ * decisions_health() - log a change of a target's health
+ * @d: process
+ * @t: target
+ * @before: its health before
+ */
+void decisions_health(struct packet_daemon *d, const struct target *t,
+		      uint8_t before)
+{
+	uint64_t now_ns = uv_hrtime();
+	char addr[32];
+
+	if (t->health <= HEALTH_DOUBTED && before <= HEALTH_DOUBTED &&
+	    !allowed(d))
+		return;
+	log_line(LOG_INFO, "target.health",
+		 addr_text(t->news.addr, addr, sizeof(addr)),
+		 "target %llx %s, was %s, last sign of life %lld ms ago, "
+		 "%u flows",
+		 (unsigned long long)t->news.id, health_names[t->health],
+		 health_names[before],
+		 t->alive_ns ? (long long)((now_ns - t->alive_ns) / NS_PER_MS)
+			     : -1LL,
+		 t->flows);
+}
+
+/**
+ * decisions_reset() - log the end of a flow whose target is gone
+ * @d: process
+ * @f: flow
+ */
+void decisions_reset(struct packet_daemon *d, const struct flow_seen *f)
+{
+	if (allowed(d))
+		line(d, "flow.reset", &f->key, "swept", f->target);
+}
+
+/**
+ * decisions_again() - log that a SYN goes to another target
+ * @d: process
+ * @f: flow
+ */
+void decisions_again(struct packet_daemon *d, const struct flow_seen *f)
+{
+	if (allowed(d))
+		line(d, "flow.open", &f->key, "placed_again", f->target);
+}
--- /dev/null
+++ b/cmd/cb-packet/operators.c
@@ -0,0 +1,155 @@
+/* HTTP: readiness for the platform, documents for peers, the rest for people. */
+#include "daemon.h"
+
+#include "hello_codec.h"
+#include "json_text.h"
+#include "usage.h"
+
+#include <string.h>
+
+#define OK 200
+#define NOT_FOUND 404
+#define UNAVAILABLE 503
+
+static int answer_ready(void *ctx, struct http_request *req,
+			const char *method, const char *path,
+			const char *query, const GString *in, GString *body)
+{
+	struct packet_daemon *d = ctx;
+
+	(void)req;
+	(void)method;
+	(void)query;
+	(void)in;
+	(void)body;
+	if (strcmp(path, d->platform->ready_path))
+		return NOT_FOUND;
+	return d->ready ? OK : UNAVAILABLE;
+}
+
+static void counter(GString *out, const char *name, uint64_t value)
+{
+	g_string_append_printf(out,
+			       "cb_packet_%s_total %" G_GUINT64_FORMAT "\n",
+			       name, value);
+}
+
+static void gauge(GString *out, const char *name, double value)
+{
+	g_string_append_printf(out, "cb_packet_%s %g\n", name, value);
+}
+
+static void write_metrics(struct packet_daemon *d, GString *out)
+{
+	const uint64_t *reasons = path_counts(d->path);
+	uint64_t now_ns = uv_hrtime();
+	struct usage use;
+
+#define X(name) counter(out, #name, d->counters.name);
+	PACKET_COUNTERS(X)
+#undef X
+	for (uint32_t i = 0; i < PATH_REASON_COUNT; i++)
+		g_string_append_printf(
+			out,
+			"cb_packet_verdicts_total{reason=\"%s\"} "
+			"%" G_GUINT64_FORMAT "\n",
+			path_reason_names[i], reasons[i]);
+	gauge(out, "flows", path_flows(d->path));
+	gauge(out, "targets", directory_slots(d->directory));
+	gauge(out, "peers", fleet_live(d->fleet, now_ns));
+	gauge(out, "revision", (double)documents_through(d->documents));
+	gauge(out, "feed_load", path_feed_load(d->path));
+	if (!usage_read(&use)) {
+		gauge(out, "resident_bytes", (double)use.resident_bytes);
+		gauge(out, "cpu_seconds", (double)use.cpu_us / 1e6);
+	}
+}
+
+static void write_target(const struct packet_daemon *d, const struct target *t,
+			 GString *out)
+{
+	char addr[32];
+
+	g_string_append_printf(
+		out,
+		"target %llx addr %s service %s stage %u health %u flows %u "
+		"feeds %u busy %u short %.2f peers_feeds %.0f peers_short "
+		"%.2f\n",
+		(unsigned long long)t->news.id,
+		addr_text(t->news.addr, addr, sizeof(addr)),
+		directory_name_text(d->directory, t->news.service), t->stage,
+		t->health, t->flows, t->feeds, t->busy, t->short_mean,
+		t->peers_feeds, t->peers_short);
+}
+
+static void write_status(struct packet_daemon *d, GString *out)
+{
+	const struct route_table *table = directory_table(d->directory);
+	char addr[32];
+
+	g_string_append_printf(out,
+			       "ready %u configuration %llu revision %llu\n",
+			       d->ready,
+			       table ? (unsigned long long)table->version : 0,
+			       (unsigned long long)documents_through(
+				       d->documents));
+	for (uint32_t i = 0; i < fleet_count(d->fleet); i++) {
+		const struct fleet_peer *p = fleet_at(d->fleet, i);
+
+		g_string_append_printf(out, "peer %s newest %llu leaving %u\n",
+				       addr_text(p->addr, addr, sizeof(addr)),
+				       (unsigned long long)p->newest,
+				       p->leaving);
+	}
+	for (uint32_t i = 0; i < directory_slots(d->directory); i++)
+		write_target(d, directory_slot(d->directory, i), out);
+}
+
+static int answer(void *ctx, struct http_request *req, const char *method,
+		  const char *path, const char *query, const GString *in,
+		  GString *body)
+{
+	struct packet_daemon *d = ctx;
+	char after[32] = "0";
+
+	(void)req;
+	(void)method;
+	(void)in;
+	if (!strcmp(path, "/documents")) {
+		http_query(query ? query : "", "after", after, sizeof(after));
+		relay_encode(d->documents, g_ascii_strtoull(after, NULL, 10),
+			     body);
+	} else if (!strcmp(path, "/metrics")) {
+		write_metrics(d, body);
+	} else if (!strcmp(path, "/status")) {
+		write_status(d, body);
+	} else {
+		return NOT_FOUND;
+	}
+	return OK;
+}
+
+/**
+ * operators_open() - serve HTTP
+ * @d: process
+ *
+ * Return: 0 or a negative error.
+ */
+int operators_open(struct packet_daemon *d)
+{
+	struct http_handler all = { d, answer };
+	struct http_handler ready = { d, answer_ready };
+	int err = http_open(d->loop, d->settings.http, all, &d->http);
+
+	if (err)
+		return err;
+	return http_open(d->loop, d->settings.ready, ready, &d->ready_http);
+}
+
+void operators_close(struct packet_daemon *d)
+{
+	if (d->http)
+		http_close(d->http);
+	if (d->ready_http)
+		http_close(d->ready_http);
+}
--- /dev/null
+++ b/cmd/cb-packet/probes.c
@@ -0,0 +1,132 @@
+/*
+ * Connection attempts to targets that left a packet unanswered. Nothing is
+ * asked: the handshake alone tells a live process from an ended one, and takes
+ * no slot of the target.
+ */
+#include "daemon.h"
+
+#include <netinet/in.h>
+#include <stdlib.h>
+
+/* Ten round trips between data centres and to spare; two silent ones in a row
+ * condemn, which then takes 300 ms, less than a client's deadline. */
+#define PROBE_TIMEOUT_NS (150 * NS_PER_MS)
+
+static void on_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+static void give_back(struct packet_daemon *d, struct probe *p)
+{
+	for (uint32_t i = 0; i < PROBES_MAX; i++)
+		if (d->probes[i] == p)
+			d->probes[i] = NULL;
+	p->judged = true;
+	uv_close((uv_handle_t *)&p->tcp, on_closed);
+}
+
+static void judge(struct probe *p, enum probe_outcome outcome)
+{
+	struct packet_daemon *d = p->daemon;
+	uint64_t id = p->id;
+
+	if (p->judged)
+		return;
+	d->counters.probes_refused += outcome == PROBE_REFUSED;
+	d->counters.probes_silent += outcome == PROBE_SILENT;
+	give_back(d, p);
+	path_probed(d->path, id, outcome, uv_hrtime());
+	clients_flush(d);
+}
+
+static enum probe_outcome outcome_of(int status)
+{
+	switch (status) {
+	case 0:
+		return PROBE_OPEN;
+	case UV_ECONNREFUSED:
+	case UV_ECONNRESET:
+		return PROBE_REFUSED;
+	case UV_ETIMEDOUT:
+	case UV_EHOSTUNREACH:
+	case UV_ENETUNREACH:
+		return PROBE_SILENT;
+	default:
+		return PROBE_VOID; /* a shortage of this VM's own */
+	}
+}
+
+static void on_connect(uv_connect_t *connect, int status)
+{
+	struct probe *p = connect->data;
+
+	if (status != UV_ECANCELED)
+		judge(p, outcome_of(status));
+}
+
+static uint32_t free_place(const struct packet_daemon *d)
+{
+	uint32_t i = 0;
+
+	while (i < PROBES_MAX && d->probes[i])
+		i++;
+	return i;
+}
+
+/**
+ * probes_start() - try to connect to a target
+ * @d: process
+ * @t: target
+ */
+void probes_start(struct packet_daemon *d, const struct target *t)
+{
+	uint32_t place = free_place(d);
+	struct probe *p = place < PROBES_MAX ? calloc(1, sizeof(*p)) : NULL;
+	struct sockaddr_in to = {
+		.sin_family = AF_INET,
+		.sin_port = htons(ADDR_PORT(t->news.addr)),
+		.sin_addr.s_addr = htonl(ADDR_IP(t->news.addr)),
+	};
+	int err;
+
+	if (!p) {
+		path_probed(d->path, t->news.id, PROBE_VOID, uv_hrtime());
+		return;
+	}
+	d->counters.probes++;
+	d->probes[place] = p;
+	p->daemon = d;
+	p->id = t->news.id;
+	p->deadline_ns = uv_hrtime() + PROBE_TIMEOUT_NS;
+	uv_tcp_init(d->loop, &p->tcp);
+	p->tcp.data = p;
+	p->connect.data = p;
+	err = uv_tcp_connect(&p->connect, &p->tcp, (struct sockaddr *)&to,
+			     on_connect);
+	if (err)
+		judge(p, outcome_of(err));
+}
+
+/**
+ * probes_tick() - give up those that take too long
+ * @d: process
+ * @now_ns: time
+ */
+void probes_tick(struct packet_daemon *d, uint64_t now_ns)
+{
+	for (uint32_t i = 0; i < PROBES_MAX; i++)
+		if (d->probes[i] && now_ns >= d->probes[i]->deadline_ns)
+			judge(d->probes[i], PROBE_SILENT);
+}
+
+/**
+ * probes_close() - give up all
+ * @d: process
+ */
+void probes_close(struct packet_daemon *d)
+{
+	for (uint32_t i = 0; i < PROBES_MAX; i++)
+		if (d->probes[i])
+			give_back(d, d->probes[i]);
+}
--- /dev/null
+++ b/core/packet/directory.h
@@ -0,0 +1,54 @@
+/*
+ * Targets known to this entry, by cookie and by service, and the routes in
+ * force. Both only move forward.
+ */
+#ifndef CB_DIRECTORY_H
+#define CB_DIRECTORY_H
+
+#include "route_table.h"
+#include "target.h"
+
+/* Targets known at once, departed ones counted: two years' size is 130,000
+ * targets in 24 data centres, and 60 s of replacements. */
+#define DIRECTORY_TARGETS_MAX 16384
+#define DIRECTORY_SERVICES_MAX 4096
+#define DIRECTORY_NAME_NONE UINT32_MAX
+
+struct directory;
+
+/**
+ * struct directory_conf - settings of a directory
+ * @flow_lifetime_ns: an open flow lives no longer
+ * @return_ns: entries that lapsed while the platform was away are back within
+ *	this time of its return
+ */
+struct directory_conf {
+	uint64_t flow_lifetime_ns;
+	uint64_t return_ns;
+};
+
+struct directory *directory_new(const struct directory_conf *conf);
+void directory_free(struct directory *d);
+
+uint32_t directory_name(struct directory *d, const char *name);
+const char *directory_name_text(const struct directory *d, uint32_t name);
+
+int directory_routes(struct directory *d, struct route_table *take,
+		     uint64_t now_ns);
+const struct route_table *directory_table(const struct directory *d);
+struct target *directory_target(struct directory *d,
+				const struct target_news *news,
+				uint64_t now_ns);
+struct target *directory_absent(struct directory *d, uint64_t id,
+				uint64_t now_ns, uint64_t trouble_ns);
+void directory_tick(struct directory *d, uint64_t now_ns, uint64_t trouble_ns);
+
+struct target *directory_by_cookie(const struct directory *d, uint32_t cookie);
+struct target *directory_by_id(const struct directory *d, uint64_t id);
+struct target *directory_slot(const struct directory *d, uint32_t slot);
+uint32_t directory_slots(const struct directory *d);
+uint32_t directory_of_service(const struct directory *d, uint32_t service,
+			      struct target *const **out);
+uint32_t target_cookie(uint64_t id);
+
+#endif
--- /dev/null
+++ b/core/packet/documents.h
@@ -0,0 +1,64 @@
+/*
+ * What the platform publishes, as it stands there, by key. Facts from the
+ * platform and from peers join by revision: a newer one wins whatever way and
+ * in whatever order it came, so nothing ever moves back.
+ */
+#ifndef CB_DOCUMENTS_H
+#define CB_DOCUMENTS_H
+
+#include "types.h"
+
+#define DOCUMENT_KEY_MAX_BYTES 200
+#define DOCUMENTS_MAX 32768
+
+/**
+ * struct document - one key
+ * @key: key
+ * @revision: revision of its last change
+ * @created: revision of its creation
+ * @deleted: it is gone; its last value is kept for late flows
+ * @forget_ns: when a deleted one is forgotten
+ * @seen: mark of the listing that named it last
+ * @value: value, owned
+ * @size_bytes: size of @value
+ */
+struct document {
+	char key[DOCUMENT_KEY_MAX_BYTES + 1];
+	uint64_t revision;
+	uint64_t created;
+	bool deleted;
+	uint64_t forget_ns;
+	uint32_t seen;
+	uint8_t *value;
+	uint32_t size_bytes;
+};
+
+/**
+ * struct documents_port - who is told of changes
+ * @ctx: passed back
+ * @changed: @d is new, changed or deleted
+ */
+struct documents_port {
+	void *ctx;
+	void (*changed)(void *ctx, const struct document *d);
+};
+
+struct documents;
+
+struct documents *documents_new(struct documents_port port, uint64_t keep_ns);
+void documents_free(struct documents *s);
+int documents_put(struct documents *s, const struct document *news,
+		  uint64_t now_ns);
+void documents_list_begin(struct documents *s);
+void documents_list_end(struct documents *s, uint64_t revision,
+			uint64_t now_ns);
+void documents_covered(struct documents *s, uint64_t revision);
+void documents_knows(struct documents *s, uint64_t newest);
+void documents_tick(struct documents *s, uint64_t now_ns);
+uint64_t documents_through(const struct documents *s);
+uint64_t documents_newest(const struct documents *s);
+uint64_t documents_floor(const struct documents *s);
+const struct document *documents_at(const struct documents *s, uint32_t i);
+uint32_t documents_count(const struct documents *s);
+
+#endif
--- /dev/null
+++ b/core/packet/fleet.c
@@ -0,0 +1,403 @@
+#include "fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A VM not heard of for three heartbeats and a little is not counted on. */
+#define LIVE_NS (700 * NS_PER_MS)
+/* Until then somebody looks for it now and then: a partition may heal. */
+#define FORGET_NS (60 * NS_PER_S)
+/* Who heard of it longer ago does not pass it on: the dead would go round. */
+#define GOSSIP_MAX_MS 1500
+/* Heartbeats a round: neighbours of the data centre, and of any. */
+#define NEAR_MAX 8
+#define FAR_MAX 2
+/* A seed is tried once in so many rounds though others are known: a VM that
+ * only knows its own side of a partition would never see it heal. */
+#define SEED_ROUNDS 5
+#define RANK_SEED 0x72616e6bULL
+/* Trouble of the platform is told for this long. */
+#define TROUBLE_TOLD_NS (10 * NS_PER_S)
+
+struct fleet {
+	struct fleet_conf conf;
+	struct rng rng;
+	struct fleet_peer *peers;
+	uint32_t n;
+	uint64_t next_ns;
+	uint32_t round;
+	uint64_t contact_ns;
+	uint64_t trouble_ns;
+};
+
+/**
+ * fleet_new() - a fleet of one
+ * @conf: settings
+ * @rng: random source
+ *
+ * Return: fleet, or NULL without memory.
+ */
+struct fleet *fleet_new(const struct fleet_conf *conf, struct rng rng)
+{
+	struct fleet *f = calloc(1, sizeof(*f));
+
+	if (!f)
+		return NULL;
+	f->conf = *conf;
+	f->rng = rng;
+	f->peers = calloc(FLEET_MAX, sizeof(*f->peers));
+	if (f->peers)
+		return f;
+	free(f);
+	return NULL;
+}
+
+void fleet_free(struct fleet *f)
+{
+	if (!f)
+		return;
+	free(f->peers);
+	free(f);
+}
+
+/**
+ * fleet_seeds() - take a changed list of seeds
+ * @f: fleet
+ * @seeds: addresses
+ * @n: how many
+ */
+void fleet_seeds(struct fleet *f, const uint64_t *seeds, uint32_t n)
+{
+	uint32_t most = sizeof(f->conf.seeds) / sizeof(f->conf.seeds[0]);
+
+	f->conf.n_seeds = n < most ? n : most;
+	memcpy(f->conf.seeds, seeds, f->conf.n_seeds * sizeof(*seeds));
+}
+
+static struct fleet_peer *find(const struct fleet *f, uint64_t addr)
+{
+	for (uint32_t i = 0; i < f->n; i++)
+		if (f->peers[i].addr == addr)
+			return &f->peers[i];
+	return NULL;
+}
+
+static struct fleet_peer *add(struct fleet *f, uint64_t addr, uint32_t zone)
+{
+	struct fleet_peer *p = find(f, addr);
+
+	if (p || addr == f->conf.self || f->n == FLEET_MAX)
+		return p;
+	p = &f->peers[f->n++];
+	*p = (struct fleet_peer){ .addr = addr, .zone = zone };
+	return p;
+}
+
+static bool live(const struct fleet_peer *p, uint64_t now_ns)
+{
+	return p->heard_ns && p->heard_ns + LIVE_NS > now_ns;
+}
+
+static uint64_t ago(uint64_t now_ns, uint64_t age_ms)
+{
+	uint64_t age_ns = age_ms * NS_PER_MS;
+
+	return age_ns < now_ns ? now_ns - age_ns : 1;
+}
+
+static void hear_of(struct fleet *f, const struct hello_peer *h,
+		    uint64_t now_ns)
+{
+	uint64_t heard_ns = ago(now_ns, h->age_ms);
+	struct fleet_peer *p = add(f, h->addr, h->zone);
+
+	if (p && heard_ns > p->heard_ns)
+		p->heard_ns = heard_ns;
+}
+
+/**
+ * fleet_hear() - take a peer's heartbeat
+ * @f: fleet
+ * @h: heartbeat
+ * @now_ns: time
+ *
+ * Return: whether it knows something newer than it did before.
+ */
+bool fleet_hear(struct fleet *f, const struct hello *h, uint64_t now_ns)
+{
+	struct fleet_peer *p = add(f, h->from, h->zone);
+	uint64_t trouble_ns;
+	bool newer;
+
+	if (!p)
+		return false;
+	newer = h->newest > p->newest;
+	p->zone = h->zone;
+	p->boot = h->boot;
+	p->heard_ns = p->direct_ns = now_ns;
+	p->leaving = h->leaving;
+	p->newest = h->newest;
+	p->contact_ns = ago(now_ns, h->contact_age_ms);
+	if (h->has_loads) {
+		p->n_loads = h->n_loads;
+		memcpy(p->loads, h->loads, h->n_loads * sizeof(*h->loads));
+	}
+	for (uint32_t i = 0; i < h->n_peers; i++)
+		if (h->peers[i].age_ms <= GOSSIP_MAX_MS)
+			hear_of(f, &h->peers[i], now_ns);
+	trouble_ns = ago(now_ns, h->trouble_age_ms);
+	if (h->trouble_age_ms != UINT32_MAX && trouble_ns > f->trouble_ns)
+		f->trouble_ns = trouble_ns;
+	return newer;
+}
+
+static uint32_t put(uint64_t *to, uint32_t n, uint32_t to_max, uint64_t addr)
+{
+	for (uint32_t i = 0; i < n; i++)
+		if (to[i] == addr)
+			return n;
+	if (n < to_max)
+		to[n++] = addr;
+	return n;
+}
+
+/* Up to @most live VMs of this data centre or of others, from a random one. */
+static uint32_t some(struct fleet *f, bool near, uint32_t most, uint64_t now_ns,
+		     uint64_t *to, uint32_t n, uint32_t to_max)
+{
+	uint32_t from = f->n ? (uint32_t)(rng_next(&f->rng) % f->n) : 0;
+	uint32_t taken = 0;
+
+	for (uint32_t i = 0; i < f->n && taken < most; i++) {
+		const struct fleet_peer *p = &f->peers[(from + i) % f->n];
+
+		if ((p->zone == f->conf.zone) != near || !live(p, now_ns))
+			continue;
+		n = put(to, n, to_max, p->addr);
+		taken++;
+	}
+	return n;
+}
+
+/**
+ * fleet_neighbours() - whom to tell urgent news
+ * @f: fleet
+ * @now_ns: time
+ * @to: filled with addresses
+ * @to_max: room in @to
+ *
+ * Return: how many.
+ */
+uint32_t fleet_neighbours(struct fleet *f, uint64_t now_ns, uint64_t *to,
+			  uint32_t to_max)
+{
+	uint32_t n = some(f, true, NEAR_MAX, now_ns, to, 0, to_max);
+
+	return some(f, false, FAR_MAX, now_ns, to, n, to_max);
+}
+
+/* Somebody not heard of lately, and a seed: partitions heal through these. */
+static uint32_t lost(struct fleet *f, uint64_t now_ns, uint64_t *to, uint32_t n,
+		     uint32_t to_max)
+{
+	const struct fleet_peer *p =
+		f->n ? &f->peers[rng_next(&f->rng) % f->n] : NULL;
+	uint64_t seed;
+
+	if (p && !live(p, now_ns))
+		n = put(to, n, to_max, p->addr);
+	if (!f->conf.n_seeds)
+		return n;
+	seed = f->conf.seeds[rng_next(&f->rng) % f->conf.n_seeds];
+	if (seed != f->conf.self)
+		n = put(to, n, to_max, seed);
+	return n;
+}
+
+static void drop_old(struct fleet *f, uint64_t now_ns)
+{
+	for (uint32_t i = f->n; i-- > 0;)
+		if (f->peers[i].heard_ns + FORGET_NS < now_ns)
+			f->peers[i] = f->peers[--f->n];
+}
+
+/**
+ * fleet_due() - whom a heartbeat is due to
+ * @f: fleet
+ * @now_ns: time
+ * @to: filled with addresses
+ * @to_max: room in @to
+ *
+ * Return: how many; 0 when none is due yet.
+ */
+uint32_t fleet_due(struct fleet *f, uint64_t now_ns, uint64_t *to,
+		   uint32_t to_max)
+{
+	uint32_t n;
+
+	if (now_ns < f->next_ns)
+		return 0;
+	f->next_ns = now_ns + f->conf.period_ns;
+	drop_old(f, now_ns);
+	n = fleet_neighbours(f, now_ns, to, to_max);
+	if (!n || f->round++ % SEED_ROUNDS == 0)
+		n = lost(f, now_ns, to, n, to_max);
+	return n;
+}
+
+static uint32_t age_ms(uint64_t now_ns, uint64_t then_ns)
+{
+	uint64_t ms = now_ns > then_ns ? (now_ns - then_ns) / NS_PER_MS : 0;
+
+	return ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX - 1;
+}
+
+/**
+ * fleet_fill() - fill what the fleet knows into a heartbeat
+ * @f: fleet
+ * @h: heartbeat
+ * @now_ns: time
+ */
+void fleet_fill(struct fleet *f, struct hello *h, uint64_t now_ns)
+{
+	uint32_t from = f->n ? (uint32_t)(rng_next(&f->rng) % f->n) : 0;
+
+	h->from = f->conf.self;
+	h->zone = f->conf.zone;
+	h->boot = f->conf.boot;
+	h->contact_age_ms = age_ms(now_ns, f->contact_ns);
+	h->trouble_age_ms = UINT32_MAX;
+	if (f->trouble_ns && f->trouble_ns + TROUBLE_TOLD_NS > now_ns)
+		h->trouble_age_ms = age_ms(now_ns, f->trouble_ns);
+	for (uint32_t i = 0; i < f->n && h->n_peers < HELLO_PEERS_MAX; i++) {
+		const struct fleet_peer *p = &f->peers[(from + i) % f->n];
+
+		if (!live(p, now_ns))
+			continue;
+		h->peers[h->n_peers++] = (struct hello_peer){
+			p->addr, p->zone, age_ms(now_ns, p->heard_ns)
+		};
+	}
+	h->reply = fleet_live(f, now_ns) < 2;
+}
+
+/**
+ * fleet_contact() - the platform answered this VM
+ * @f: fleet
+ * @now_ns: time
+ */
+void fleet_contact(struct fleet *f, uint64_t now_ns)
+{
+	f->contact_ns = now_ns;
+}
+
+/**
+ * fleet_trouble() - this VM found the platform in trouble
+ * @f: fleet
+ * @now_ns: time
+ */
+void fleet_trouble(struct fleet *f, uint64_t now_ns)
+{
+	f->trouble_ns = now_ns;
+}
+
+uint64_t fleet_trouble_ns(const struct fleet *f)
+{
+	return f->trouble_ns;
+}
+
+uint64_t fleet_contact_ns(const struct fleet *f)
+{
+	return f->contact_ns;
+}
+
+/**
+ * fleet_others_contact_ns() - when a live VM of this data centre was last
+ *	answered by the platform
+ * @f: fleet
+ * @now_ns: time
+ *
+ * Return: time, 0 for never.
+ */
+uint64_t fleet_others_contact_ns(const struct fleet *f, uint64_t now_ns)
+{
+	uint64_t best_ns = 0;
+
+	for (uint32_t i = 0; i < f->n; i++) {
+		const struct fleet_peer *p = &f->peers[i];
+
+		if (p->zone == f->conf.zone && live(p, now_ns) && !p->leaving &&
+		    p->contact_ns > best_ns)
+			best_ns = p->contact_ns;
+	}
+	return best_ns;
+}
+
+/**
+ * fleet_rank() - this VM's place among the live ones of its data centre
+ * @f: fleet
+ * @now_ns: time
+ *
+ * Return: 0 when it should read the platform.
+ */
+uint32_t fleet_rank(const struct fleet *f, uint64_t now_ns)
+{
+	uint64_t mine = hash_u64(f->conf.self, RANK_SEED);
+	uint32_t rank = 0;
+
+	for (uint32_t i = 0; i < f->n; i++) {
+		const struct fleet_peer *p = &f->peers[i];
+
+		if (p->zone == f->conf.zone && p->direct_ns &&
+		    live(p, now_ns) && !p->leaving &&
+		    hash_u64(p->addr, RANK_SEED) < mine)
+			rank++;
+	}
+	return rank;
+}
+
+/**
+ * fleet_ahead() - a peer to fetch from
+ * @f: fleet
+ * @newest: newest revision known here
+ * @now_ns: time
+ *
+ * Return: a live peer that knows a newer one, of this data centre if there is
+ * one; or NULL.
+ */
+const struct fleet_peer *fleet_ahead(struct fleet *f, uint64_t newest,
+				     uint64_t now_ns)
+{
+	uint32_t from = f->n ? (uint32_t)(rng_next(&f->rng) % f->n) : 0;
+	const struct fleet_peer *far = NULL;
+
+	for (uint32_t i = 0; i < f->n; i++) {
+		const struct fleet_peer *p = &f->peers[(from + i) % f->n];
+
+		if (!live(p, now_ns) || p->newest <= newest)
+			continue;
+		if (p->zone == f->conf.zone)
+			return p;
+		far = p;
+	}
+	return far;
+}
+
+uint32_t fleet_live(const struct fleet *f, uint64_t now_ns)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < f->n; i++)
+		n += live(&f->peers[i], now_ns);
+	return n;
+}
+
+uint32_t fleet_count(const struct fleet *f)
+{
+	return f->n;
+}
+
+const struct fleet_peer *fleet_at(const struct fleet *f, uint32_t i)
+{
+	return i < f->n ? &f->peers[i] : NULL;
+}
--- /dev/null
+++ b/core/packet/flow_cache.h
@@ -0,0 +1,81 @@
+/*
+ * Flows seen here of late: what a packet means (a copy, a new request, a
+ * repeat) can only be told beside the one before it. Soft state: a flow that
+ * is not in it is served all the same, since its packets carry the cookie.
+ */
+#ifndef CB_FLOW_CACHE_H
+#define CB_FLOW_CACHE_H
+
+#include "packet.h"
+#include "target.h"
+
+/* A SYN carries no data: a head of some 32 bytes. */
+#define SYN_MAX_BYTES 48
+
+/**
+ * enum flow_stage - how far a flow is
+ * @FLOW_OPENING: its SYN was forwarded
+ * @FLOW_OPEN: the client answered a target
+ * @FLOW_CLOSED: FIN or RST was seen
+ */
+enum flow_stage { FLOW_OPENING, FLOW_OPEN, FLOW_CLOSED };
+
+/**
+ * struct flow_seen - one flow
+ * @key: client and VIP
+ * @target: where its packets go
+ * @stage: enum flow_stage
+ * @kind: enum route_kind
+ * @busy: a request is in progress
+ * @seen_ns: last packet
+ * @opened_ns: first SYN
+ * @request_ns: start of the request in progress
+ * @due_ns: a sign of life is expected by then; 0 for none
+ * @seq: highest sequence number sent
+ * @ack: highest acknowledgement sent
+ * @syn: its SYN, to be sent again while @stage is FLOW_OPENING
+ * @syn_bytes: size of @syn; 0 when it was too long to keep
+ * @newer: next flow of the list by @seen_ns
+ * @older: previous one
+ */
+struct flow_seen {
+	struct flow_key key;
+	struct target *target;
+	uint8_t stage;
+	uint8_t kind;
+	bool busy;
+	uint64_t seen_ns;
+	uint64_t opened_ns;
+	uint64_t request_ns;
+	uint64_t due_ns;
+	uint32_t seq;
+	uint32_t ack;
+	uint8_t syn[SYN_MAX_BYTES];
+	uint8_t syn_bytes;
+	uint32_t newer;
+	uint32_t older;
+};
+
+struct flow_cache;
+
+struct flow_cache *flow_cache_new(uint32_t flows_max);
+void flow_cache_free(struct flow_cache *c);
+struct flow_seen *flow_cache_get(struct flow_cache *c,
+				 const struct flow_key *key);
+struct flow_seen *flow_cache_add(struct flow_cache *c,
+				 const struct flow_key *key,
+				 struct target *target, uint8_t kind,
+				 uint8_t stage, uint64_t now_ns);
+void flow_cache_touch(struct flow_cache *c, struct flow_seen *f,
+		      uint64_t now_ns);
+void flow_cache_move(struct flow_seen *f, struct target *to);
+void flow_cache_busy(struct flow_seen *f, bool busy);
+void flow_cache_close(struct flow_seen *f);
+void flow_cache_remove(struct flow_cache *c, struct flow_seen *f);
+void flow_cache_expire(struct flow_cache *c, uint64_t seen_before_ns);
+uint32_t flow_cache_count(const struct flow_cache *c);
+struct flow_seen *flow_cache_newest(struct flow_cache *c);
+struct flow_seen *flow_cache_older(struct flow_cache *c,
+				   const struct flow_seen *f);
+
+#endif
--- /dev/null
+++ b/core/packet/loads.h
@@ -0,0 +1,11 @@
+/* What the entries of a data centre tell each other of their targets' load. */
+#ifndef CB_LOADS_H
+#define CB_LOADS_H
+
+#include "directory.h"
+#include "fleet.h"
+
+void loads_fill(const struct directory *d, struct hello *h);
+void loads_sum(struct directory *d, const struct fleet *f, uint64_t now_ns);
+
+#endif
--- /dev/null
+++ b/core/packet/path.h
@@ -0,0 +1,117 @@
+/*
+ * What becomes of each packet of an opaque flow: forwarded to the target that
+ * its cookie names, or that a new flow is given; reset; dropped.
+ */
+#ifndef CB_PATH_H
+#define CB_PATH_H
+
+#include "directory.h"
+#include "flow_cache.h"
+
+/**
+ * enum path_action - what to do with a packet
+ * @PATH_DROP: nothing; the sender repeats it or gives up
+ * @PATH_FORWARD: hand it to the target
+ * @PATH_RESET: tell the client that its flow has ended
+ */
+enum path_action { PATH_DROP, PATH_FORWARD, PATH_RESET };
+
+/* Why; each is counted, and logged but for the first four. */
+#define PATH_REASONS(X)     \
+	X(placed)           \
+	X(placed_copy)      \
+	X(placed_again)     \
+	X(pinned)           \
+	X(client_reset)     \
+	X(no_routes_yet)    \
+	X(no_route)         \
+	X(route_dropped)    \
+	X(no_target)        \
+	X(no_cookie)        \
+	X(unknown_cookie)   \
+	X(foreign_cookie)   \
+	X(target_dead)      \
+	X(target_silent)    \
+	X(swept)
+
+enum path_reason {
+#define X(name) PATH_##name,
+	PATH_REASONS(X)
+#undef X
+		PATH_REASON_COUNT
+};
+
+/**
+ * struct path_verdict - what to do with a packet, and why
+ * @action: enum path_action
+ * @reason: enum path_reason
+ * @target: where to forward, or which target it is about; may be NULL
+ * @ack: sequence number that a reset has to carry
+ */
+struct path_verdict {
+	uint8_t action;
+	uint8_t reason;
+	const struct target *target;
+	uint32_t ack;
+};
+
+/**
+ * struct path_port - what the module needs from outside
+ * @ctx: passed back
+ * @probe: find out whether something listens at @t's address; the outcome
+ *	goes to path_probed()
+ * @again: hand a flow's SYN to its target, which is another one now
+ * @reset: end a flow that no packet asked about
+ * @dead: a target was found dead here: tell the peers
+ * @health: a target's health changed from @before
+ */
+struct path_port {
+	void *ctx;
+	void (*probe)(void *ctx, const struct target *t);
+	void (*again)(void *ctx, const struct flow_seen *f);
+	void (*reset)(void *ctx, const struct flow_seen *f);
+	void (*dead)(void *ctx, const struct target *t);
+	void (*health)(void *ctx, const struct target *t, uint8_t before);
+};
+
+/**
+ * struct path_conf - settings
+ * @zone: number of this VM's data centre's name
+ * @flows_max: flows followed at once
+ * @flow_lifetime_ns: an open flow lives no longer
+ * @start_ns: when this process began to know routes
+ */
+struct path_conf {
+	uint32_t zone;
+	uint32_t flows_max;
+	uint64_t flow_lifetime_ns;
+	uint64_t start_ns;
+};
+
+/**
+ * enum probe_outcome - what a connection attempt showed
+ * @PROBE_OPEN: accepted
+ * @PROBE_REFUSED: nobody listens: the process has ended
+ * @PROBE_SILENT: no answer in time
+ * @PROBE_VOID: this process was held up meanwhile: says nothing
+ */
+enum probe_outcome { PROBE_OPEN, PROBE_REFUSED, PROBE_SILENT, PROBE_VOID };
+
+struct path;
+
+struct path *path_new(const struct path_conf *conf, struct directory *d,
+		      struct path_port port, struct rng rng);
+void path_free(struct path *p);
+void path_packet(struct path *p, const struct packet *packet, bool fresh,
+		 uint64_t now_ns, struct path_verdict *out);
+void path_probed(struct path *p, uint64_t id, enum probe_outcome outcome,
+		 uint64_t now_ns);
+void path_told_dead(struct path *p, uint64_t id);
+void path_held_up(struct path *p, uint64_t now_ns);
+void path_tick(struct path *p, uint64_t now_ns);
+const uint64_t *path_counts(const struct path *p);
+uint32_t path_flows(const struct path *p);
+float path_feed_load(const struct path *p);
+extern const char *const path_reason_names[PATH_REASON_COUNT];
+
+#endif
--- /dev/null
+++ b/core/packet/place.h
@@ -0,0 +1,29 @@
+/* Which target of a service a new flow gets. */
+#ifndef CB_PLACE_H
+#define CB_PLACE_H
+
+#include "directory.h"
+
+/**
+ * struct place_query - a new flow
+ * @service: service it goes to
+ * @zone: data centre of this VM
+ * @kind: enum route_kind
+ * @avoid: target that did not answer the flow's earlier SYN, or NULL
+ * @feed_load: slots that one open feed takes on average
+ * @now_ns: time
+ */
+struct place_query {
+	uint32_t service;
+	uint32_t zone;
+	uint8_t kind;
+	const struct target *avoid;
+	float feed_load;
+	uint64_t now_ns;
+};
+
+struct target *place_target(const struct directory *d,
+			    const struct place_query *q, struct rng *rng);
+bool place_serving(const struct target *t, uint64_t now_ns);
+
+#endif
--- /dev/null
+++ b/core/packet/source.h
@@ -0,0 +1,63 @@
+/*
+ * When this VM reads the platform, and what: everything once, then changes as
+ * they come. In each data centre one VM reads while it is answered; the others
+ * stand in by rank when it is not.
+ */
+#ifndef CB_SOURCE_H
+#define CB_SOURCE_H
+
+#include "types.h"
+
+enum source_step { SOURCE_WAIT, SOURCE_LIST, SOURCE_WATCH };
+
+/**
+ * enum source_outcome - how a call ended
+ * @SOURCE_OK: answered and taken
+ * @SOURCE_FAILED: no answer, refused, or not understood
+ * @SOURCE_BEHIND: the history asked for is gone: list again
+ */
+enum source_outcome { SOURCE_OK, SOURCE_FAILED, SOURCE_BEHIND };
+
+/**
+ * struct source_view - what the decision goes by
+ * @now_ns: time
+ * @rank: place among the live VMs of the data centre
+ * @through: revision up to which everything is known here, 0 for nothing
+ * @others_ns: when the platform last answered another VM of the data centre
+ */
+struct source_view {
+	uint64_t now_ns;
+	uint32_t rank;
+	uint64_t through;
+	uint64_t others_ns;
+};
+
+/**
+ * struct source - state
+ * @start_ns: when this process began
+ * @next_ns: no call before this
+ * @calling: a call is under way
+ * @listing: pages are being read
+ * @relist: the next call has to list
+ * @failures: calls in a row that failed
+ */
+struct source {
+	uint64_t start_ns;
+	uint64_t next_ns;
+	bool calling;
+	bool listing;
+	bool relist;
+	uint32_t failures;
+};
+
+/* Longest wait of a watch. It bounds how long a watch that went silent hides
+ * a change, which has to be in force everywhere in 3 s. */
+#define SOURCE_WATCH_MS 2000
+
+enum source_step source_next(const struct source *s,
+			     const struct source_view *v);
+void source_begin(struct source *s, enum source_step step);
+void source_end(struct source *s, enum source_outcome outcome, bool more,
+		bool changed, uint64_t now_ns);
+
+#endif
--- /dev/null
+++ b/core/packet/target.h
@@ -0,0 +1,98 @@
+/* One target of an opaque-packet service, and what this entry knows of it. */
+#ifndef CB_TARGET_H
+#define CB_TARGET_H
+
+#include "types.h"
+
+/**
+ * enum target_stage - what was published of a target
+ * @TARGET_SERVING: takes new flows
+ * @TARGET_LEAVING: keeps its flows, takes no new ones
+ * @TARGET_ABSENT: its entry is gone from the platform
+ */
+enum target_stage { TARGET_SERVING, TARGET_LEAVING, TARGET_ABSENT };
+
+/**
+ * enum target_health - what packets and probes say of a target
+ * @HEALTH_GOOD: nothing speaks against it
+ * @HEALTH_DOUBTED: a packet went unanswered, a probe is out
+ * @HEALTH_SILENT: probes go unanswered: paused, cut off or without power
+ * @HEALTH_DEAD: its process has ended; an id never comes back
+ */
+enum target_health { HEALTH_GOOD, HEALTH_DOUBTED, HEALTH_SILENT, HEALTH_DEAD };
+
+/**
+ * struct target_news - what the platform's entry of a target says
+ * @id: number of its incarnation, new at each start
+ * @addr: address and port
+ * @service: number of its service's name
+ * @zone: number of its data centre's name
+ * @slots: requests it runs at once
+ * @leaving: takes no new flows
+ * @cold_ns: how much longer it stays slow after its start
+ * @created: revision of the entry's creation, the same at every reader
+ */
+struct target_news {
+	uint64_t id;
+	uint64_t addr;
+	uint32_t service;
+	uint32_t zone;
+	uint16_t slots;
+	bool leaving;
+	uint64_t cold_ns;
+	uint64_t created;
+};
+
+/**
+ * struct target - one target
+ * @news: what was published last
+ * @cookie: routing cookie of its flows
+ * @stage: enum target_stage
+ * @absent_ns: when its entry vanished; valid when @stage is TARGET_ABSENT
+ * @presumed_until_ns: until then a vanished entry counts as lapsed, not gone
+ * @forget_ns: when an absent one is forgotten
+ * @cold_until_ns: slow until then
+ * @health: enum target_health
+ * @alive_ns: last sign of life
+ * @probe_ns: earliest time of the next probe
+ * @probing: a probe is out
+ * @misses: probes in a row without an answer
+ * @held: flows of the cache that point here, closed ones too
+ * @flows: of them, open or opening
+ * @feeds: of these, feeds
+ * @busy: flows with a request in progress
+ * @busy_short: of these, no feeds
+ * @short_mean: @busy_short, averaged over LOAD_WINDOW_NS
+ * @mean_ns: when @short_mean was brought up to date
+ * @peers_feeds: sum of the peers' @feeds
+ * @peers_short: sum of the peers' @short_mean
+ * @twin: next target with this cookie, oldest first
+ * @slot: its index in the directory
+ */
+struct target {
+	struct target_news news;
+	uint32_t cookie;
+	uint8_t stage;
+	uint64_t absent_ns;
+	uint64_t presumed_until_ns;
+	uint64_t forget_ns;
+	uint64_t cold_until_ns;
+	uint8_t health;
+	uint64_t alive_ns;
+	uint64_t probe_ns;
+	bool probing;
+	uint8_t misses;
+	uint32_t held;
+	uint32_t flows;
+	uint32_t feeds;
+	uint32_t busy;
+	uint32_t busy_short;
+	float short_mean;
+	uint64_t mean_ns;
+	float peers_feeds;
+	float peers_short;
+	struct target *twin;
+	uint32_t slot;
+};
+
+#endif
