--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -200,6 +200,7 @@
 	int err = http_caller_open(d->loop, platform, &d->platform_caller);
 
 	d->source.start_ns = d->start_ns;
+	d->source.spread = (uint8_t)(d->boot >> 8);
 	return err ? err : http_caller_open(d->loop, peer, &d->peer_caller);
 }
 
--- a/core/packet/fleet.c
+++ b/core/packet/fleet.c
@@ -15,6 +15,8 @@
 /* A seed is tried once in so many rounds though others are known: a VM that
  * only knows its own side of a partition would never see it heal. */
 #define SEED_ROUNDS 5
+/* Until anybody answered: a VM is of no use before it knows the fleet. */
+#define ALONE_PERIOD_NS (20 * NS_PER_MS)
 #define RANK_SEED 0x72616e6bULL
 /* Trouble of the platform is told for this long. */
 #define TROUBLE_TOLD_NS (10 * NS_PER_S)
@@ -237,9 +239,9 @@
 
 	if (now_ns < f->next_ns)
 		return 0;
-	f->next_ns = now_ns + f->conf.period_ns;
 	drop_old(f, now_ns);
 	n = fleet_neighbours(f, now_ns, to, to_max);
+	f->next_ns = now_ns + (n ? f->conf.period_ns : ALONE_PERIOD_NS);
 	if (!n || f->round++ % SEED_ROUNDS == 0)
 		n = lost(f, now_ns, to, n, to_max);
 	return n;
--- a/core/packet/source.h
+++ b/core/packet/source.h
@@ -35,6 +35,7 @@
 /**
  * struct source - state
  * @start_ns: when this process began
+ * @spread: 0 to 255, this process's place among those that start with it
  * @next_ns: no call before this
  * @calling: a call is under way
  * @listing: pages are being read
@@ -43,6 +44,7 @@
  */
 struct source {
 	uint64_t start_ns;
+	uint8_t spread;
 	uint64_t next_ns;
 	bool calling;
 	bool listing;
