Read the platform at once at start; ranks stand in one by one; probes give up after 60 ms

Cause: of an outage of all entries 60 ms were ours; a failing reader made all others of its data centre call at the same moment; a dead target took 300 ms to be told from a slow one, of a deadline of 500 ms at Tshwane.

--- a/cmd/cb-packet/probes.c
+++ b/cmd/cb-packet/probes.c
@@ -9,8 +9,9 @@
 #include <stdlib.h>
 
 /* Ten round trips between data centres and to spare; two silent ones in a row
- * condemn, which then takes 300 ms, less than a client's deadline. */
-#define PROBE_TIMEOUT_NS (150 * NS_PER_MS)
+ * condemn, which then takes 120 ms: with the 60 ms to the first doubt a client
+ * with a deadline of 500 ms can still be served elsewhere. */
+#define PROBE_TIMEOUT_NS (60 * NS_PER_MS)
 
 static void on_closed(uv_handle_t *handle)
 {
--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -50,8 +50,7 @@
 static void note_contact(struct packet_daemon *d, bool ok, int status, int err,
 			 uint64_t now_ns)
 {
-	bool was_ok = fleet_contact_ns(d->fleet) != 0 ||
-		      d->source.failures == 0;
+	bool was_ok = d->source.failures == 0;
 
 	if (ok) {
 		if (d->source.failures)
@@ -62,8 +61,7 @@
 		return;
 	}
 	d->counters.platform_calls_failed++;
-	fleet_contact(d->fleet, 0);
-	fleet_trouble(d->fleet, now_ns);
+	fleet_trouble(d->fleet, now_ns - SOURCE_CONTACT_NS, now_ns);
 	if (was_ok)
 		log_line(LOG_WARNING, "platform", NULL, "lost: %s, status %d",
 			 err ? uv_strerror(err) : "answered", status);
@@ -200,7 +198,6 @@
 	int err = http_caller_open(d->loop, platform, &d->platform_caller);
 
 	d->source.start_ns = d->start_ns;
-	d->source.spread = (uint8_t)(d->boot >> 8);
 	return err ? err : http_caller_open(d->loop, peer, &d->peer_caller);
 }
 
--- a/core/packet/fleet.c
+++ b/core/packet/fleet.c
@@ -296,11 +296,15 @@
 /**
  * fleet_trouble() - this VM found the platform in trouble
  * @f: fleet
+ * @contact_ns: no later contact is claimed from now on, so that the next VM
+ *	in rank tries soon
  * @now_ns: time
  */
-void fleet_trouble(struct fleet *f, uint64_t now_ns)
+void fleet_trouble(struct fleet *f, uint64_t contact_ns, uint64_t now_ns)
 {
 	f->trouble_ns = now_ns;
+	if (f->contact_ns > contact_ns)
+		f->contact_ns = contact_ns;
 }
 
 uint64_t fleet_trouble_ns(const struct fleet *f)
--- a/core/packet/fleet.h
+++ b/core/packet/fleet.h
@@ -131,7 +131,7 @@
 			  uint32_t to_max);
 void fleet_fill(struct fleet *f, struct hello *h, uint64_t now_ns);
 void fleet_contact(struct fleet *f, uint64_t now_ns);
-void fleet_trouble(struct fleet *f, uint64_t now_ns);
+void fleet_trouble(struct fleet *f, uint64_t contact_ns, uint64_t now_ns);
 uint64_t fleet_trouble_ns(const struct fleet *f);
 uint64_t fleet_contact_ns(const struct fleet *f);
 uint64_t fleet_others_contact_ns(const struct fleet *f, uint64_t now_ns);
--- a/core/packet/source.c
+++ b/core/packet/source.c
@@ -1,19 +1,13 @@
 #include "source.h"
 
-/*
- * A new process asks its peers first; they answer within milliseconds. When all
- * restart together nobody can, and each further wait is a wait of all clients.
- * The spread lets the first answers reach those who have not asked yet.
- */
-#define PEERS_FIRST_NS (30 * NS_PER_MS)
-#define PEERS_SPREAD_NS (40 * NS_PER_MS)
+/* A new process reads as soon as its first heartbeats are out: when all restart
+ * together no peer has anything, and each further wait is one of all clients. */
+#define PEERS_FIRST_NS (5 * NS_PER_MS)
 /* Ranks stand in one after the other, not all at once. */
 #define RANK_STEP_NS (300 * NS_PER_MS)
-/* A reader that waits in a watch is answered at least this often. */
-#define CONTACT_NS ((SOURCE_WATCH_MS + 400) * NS_PER_MS)
 /* Changes that come in a row are read in one call. */
 #define BATCH_NS (100 * NS_PER_MS)
-#define RETRY_FIRST_NS (150 * NS_PER_MS)
+#define RETRY_FIRST_NS (100 * NS_PER_MS)
 #define RETRY_DOUBLINGS 3
 
 static bool wanted(const struct source *s, const struct source_view *v)
@@ -23,11 +17,10 @@
 	if (s->listing)
 		return true;
 	if (!v->through)
-		return v->now_ns >= s->start_ns + PEERS_FIRST_NS +
-					    s->spread * PEERS_SPREAD_NS / 256;
+		return v->now_ns >= s->start_ns + PEERS_FIRST_NS;
 	if (!v->rank)
 		return true;
-	return v->now_ns > v->others_ns + CONTACT_NS + patience_ns;
+	return v->now_ns > v->others_ns + SOURCE_CONTACT_NS + patience_ns;
 }
 
 /**
--- a/core/packet/source.h
+++ b/core/packet/source.h
@@ -35,7 +35,6 @@
 /**
  * struct source - state
  * @start_ns: when this process began
- * @spread: 0 to 255, this process's place among those that start with it
  * @next_ns: no call before this
  * @calling: a call is under way
  * @listing: pages are being read
@@ -44,7 +43,6 @@
  */
 struct source {
 	uint64_t start_ns;
-	uint8_t spread;
 	uint64_t next_ns;
 	bool calling;
 	bool listing;
@@ -55,6 +53,8 @@
 /* Longest wait of a watch. It bounds how long a watch that went silent hides
  * a change, which has to be in force everywhere in 3 s. */
 #define SOURCE_WATCH_MS 2000
+/* A reader that waits in a watch is answered at least this often. */
+#define SOURCE_CONTACT_NS ((SOURCE_WATCH_MS + 400) * NS_PER_MS)
 
 enum source_step source_next(const struct source *s,
 			     const struct source_view *v);
