--- a/adapters/hello_codec.h
+++ b/adapters/hello_codec.h
@@ -3,7 +3,7 @@
 #define CB_HELLO_CODEC_H
 
 #include "documents.h"
-#include "fleet.h"
+#include "peer_set.h"
 #include "platform_port.h"
 
 #include <glib.h>
--- a/cmd/cb-packet/daemon.c
+++ b/cmd/cb-packet/daemon.c
@@ -85,7 +85,8 @@
 bool daemon_fresh(const struct packet_daemon *d, uint64_t now_ns)
 {
 	return documents_through(d->documents) &&
-	       !fleet_ahead(d->fleet, documents_newest(d->documents), now_ns);
+	       !peer_set_ahead(d->peer_set, documents_newest(d->documents),
+			       now_ns);
 }
 
 static void judge_ready(struct packet_daemon *d, uint64_t now_ns)
@@ -108,7 +109,8 @@
 							->version
 					      : 0),
 		 (unsigned long long)documents_through(d->documents),
-		 directory_slots(d->directory), fleet_live(d->fleet, now_ns));
+		 directory_slots(d->directory),
+		 peer_set_live(d->peer_set, now_ns));
 }
 
 static void stop_when_quiet(struct packet_daemon *d, uint64_t now_ns)
@@ -132,7 +134,7 @@
 {
 	struct packet_daemon *d = timer->data;
 	uint64_t now_ns = daemon_turn(d);
-	uint64_t trouble_ns = fleet_trouble_ns(d->fleet);
+	uint64_t trouble_ns = peer_set_trouble_ns(d->peer_set);
 
 	probes_tick(d, now_ns);
 	path_tick(d->path, now_ns);
@@ -187,7 +189,7 @@
 			 "refused, the settings in force stay");
 		mistakes_print(&m, stderr);
 	} else {
-		fleet_seeds(d->fleet, addrs, seeds(&next, addrs));
+		peer_set_seeds(d->peer_set, addrs, seeds(&next, addrs));
 		d->settings.decisions_per_s = next.decisions_per_s;
 		log_open("cb-packet", &next.log);
 		log_line(LOG_INFO, "reload", d->settings_path,
@@ -230,7 +232,7 @@
 	struct documents_port changed = { d, view_changed };
 	struct path_port port = { d,	      probe_target, send_again,
 				  reset_flow, tell_dead,    health_changed };
-	struct fleet_conf fleet = {
+	struct peer_set_conf peers = {
 		.self = d->settings.peer,
 		.boot = d->boot,
 		.period_ns = HEARTBEAT_NS,
@@ -248,12 +250,12 @@
 		return -ENOMEM;
 	path.zone = directory_name(d->directory, d->settings.data_centre);
 	for (const char *c = d->settings.data_centre; *c; c++)
-		fleet.zone = (uint32_t)hash_u64((uint8_t)*c, fleet.zone);
-	fleet.n_seeds = seeds(&d->settings, fleet.seeds);
+		peers.zone = (uint32_t)hash_u64((uint8_t)*c, peers.zone);
+	peers.n_seeds = seeds(&d->settings, peers.seeds);
 	d->path = path_new(&path, d->directory, port, rng);
 	rng.s = rng_next(&rng) | 1;
-	d->fleet = fleet_new(&fleet, rng);
-	return d->path && d->fleet ? 0 : -ENOMEM;
+	d->peer_set = peer_set_new(&peers, rng);
+	return d->path && d->peer_set ? 0 : -ENOMEM;
 }
 
 static void watch_signal(struct packet_daemon *d, uv_signal_t *s, int number,
@@ -327,7 +329,7 @@
 	clients_close(d);
 	uv_run(d->loop, UV_RUN_DEFAULT);
 	path_free(d->path);
-	fleet_free(d->fleet);
+	peer_set_free(d->peer_set);
 	documents_free(d->documents);
 	directory_free(d->directory);
 }
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -5,7 +5,7 @@
 #ifndef CB_PACKET_DAEMON_H
 #define CB_PACKET_DAEMON_H
 
-#include "fleet.h"
+#include "peer_set.h"
 #include "http.h"
 #include "http_call.h"
 #include "packet_settings.h"
@@ -87,7 +87,7 @@
 	struct directory *directory;
 	struct documents *documents;
 	struct path *path;
-	struct fleet *fleet;
+	struct peer_set *peer_set;
 	uint64_t boot;
 	uint64_t turn_ns;
 	uint64_t boot_gap_ns;
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -55,7 +55,7 @@
 			path_reason_names[i], reasons[i]);
 	gauge(out, "flows", path_flows(d->path));
 	gauge(out, "targets", directory_slots(d->directory));
-	gauge(out, "peers", fleet_live(d->fleet, now_ns));
+	gauge(out, "peers", peer_set_live(d->peer_set, now_ns));
 	gauge(out, "revision", (double)documents_through(d->documents));
 	gauge(out, "feed_load", path_feed_load(d->path));
 	if (!usage_read(&use)) {
@@ -90,8 +90,8 @@
 		out, "ready %u configuration %llu revision %llu\n", d->ready,
 		table ? (unsigned long long)table->version : 0,
 		(unsigned long long)documents_through(d->documents));
-	for (uint32_t i = 0; i < fleet_count(d->fleet); i++) {
-		const struct fleet_peer *p = fleet_at(d->fleet, i);
+	for (uint32_t i = 0; i < peer_set_count(d->peer_set); i++) {
+		const struct peer_vm *p = peer_set_at(d->peer_set, i);
 
 		g_string_append_printf(out, "peer %s newest %llu leaving %u\n",
 				       addr_text(p->addr, addr, sizeof(addr)),
--- a/cmd/cb-packet/peers.c
+++ b/cmd/cb-packet/peers.c
@@ -32,7 +32,7 @@
 	struct hello h = { 0 };
 	uint32_t size_bytes;
 
-	fleet_fill(d->fleet, &h, now_ns);
+	peer_set_fill(d->peer_set, &h, now_ns);
 	h.leaving = d->stop_ns;
 	h.newest = documents_newest(d->documents);
 	if (dead)
@@ -53,7 +53,7 @@
 {
 	uint64_t now_ns = uv_hrtime();
 	uint64_t to[ROUND_MAX];
-	uint32_t n = fleet_neighbours(d->fleet, now_ns, to, ROUND_MAX);
+	uint32_t n = peer_set_neighbours(d->peer_set, now_ns, to, ROUND_MAX);
 
 	send_hello(d, to, n, dead, now_ns);
 }
@@ -66,12 +66,12 @@
 void peers_tick(struct packet_daemon *d, uint64_t now_ns)
 {
 	uint64_t to[ROUND_MAX];
-	uint32_t n = fleet_due(d->fleet, now_ns, to, ROUND_MAX);
+	uint32_t n = peer_set_due(d->peer_set, now_ns, to, ROUND_MAX);
 
 	if (!n)
 		return;
 	send_hello(d, to, n, NULL, now_ns);
-	loads_sum(d->directory, d->fleet, now_ns);
+	loads_sum(d->directory, d->peer_set, now_ns);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
@@ -97,7 +97,7 @@
 	}
 	now_ns = daemon_turn(d);
 	d->counters.hellos_received++;
-	fleet_hear(d->fleet, &h, now_ns);
+	peer_set_hear(d->peer_set, &h, now_ns);
 	for (uint32_t i = 0; i < h.n_dead; i++)
 		path_told_dead(d->path, h.dead[i]);
 	clients_flush(d);
--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -57,11 +57,11 @@
 			log_line(LOG_INFO, "platform", NULL,
 				 "answers again after %u failures",
 				 d->source.failures);
-		fleet_contact(d->fleet, now_ns);
+		peer_set_contact(d->peer_set, now_ns);
 		return;
 	}
 	d->counters.platform_calls_failed++;
-	fleet_trouble(d->fleet, now_ns - SOURCE_CONTACT_NS, now_ns);
+	peer_set_trouble(d->peer_set, now_ns - SOURCE_CONTACT_NS, now_ns);
 	if (was_ok)
 		log_line(LOG_WARNING, "platform", NULL, "lost: %s, status %d",
 			 err ? uv_strerror(err) : "answered", status);
@@ -143,12 +143,12 @@
 
 static void fetch(struct packet_daemon *d, uint64_t now_ns)
 {
-	const struct fleet_peer *p;
+	const struct peer_vm *p;
 	char path[PATH_MAX_BYTES];
 
 	if (http_calling(d->peer_caller))
 		return;
-	p = fleet_ahead(d->fleet, documents_newest(d->documents), now_ns);
+	p = peer_set_ahead(d->peer_set, documents_newest(d->documents), now_ns);
 	if (!p)
 		return;
 	d->counters.peer_calls++;
@@ -170,9 +170,9 @@
 {
 	struct source_view v = {
 		.now_ns = now_ns,
-		.rank = fleet_rank(d->fleet, now_ns),
+		.rank = peer_set_rank(d->peer_set, now_ns),
 		.through = documents_through(d->documents),
-		.others_ns = fleet_others_contact_ns(d->fleet, now_ns),
+		.others_ns = peer_set_others_contact_ns(d->peer_set, now_ns),
 	};
 	enum source_step step;
 
--- a/cmd/cb-packet/view.c
+++ b/cmd/cb-packet/view.c
@@ -35,7 +35,7 @@
 		t = directory_target(d->directory, news, now_ns);
 	if (doc->deleted)
 		t = directory_absent(d->directory, news->id, now_ns,
-				     fleet_trouble_ns(d->fleet));
+				     peer_set_trouble_ns(d->peer_set));
 	if (!t) {
 		if (!doc->deleted)
 			log_line(LOG_ERROR, "target", doc->key,
--- a/core/packet/loads.c
+++ b/core/packet/loads.c
@@ -30,10 +30,10 @@
 /**
  * loads_sum() - sum what the peers told
  * @d: directory
- * @f: fleet
+ * @f: set
  * @now_ns: time
  */
-void loads_sum(struct directory *d, const struct fleet *f, uint64_t now_ns)
+void loads_sum(struct directory *d, const struct peer_set *f, uint64_t now_ns)
 {
 	uint32_t n = directory_slots(d);
 
@@ -43,8 +43,8 @@
 		t->peers_feeds = 0;
 		t->peers_short = 0;
 	}
-	for (uint32_t i = 0; i < fleet_count(f); i++) {
-		const struct fleet_peer *p = fleet_at(f, i);
+	for (uint32_t i = 0; i < peer_set_count(f); i++) {
+		const struct peer_vm *p = peer_set_at(f, i);
 
 		if (p->direct_ns + LOADS_VALID_NS < now_ns)
 			continue;
--- a/core/packet/loads.h
+++ b/core/packet/loads.h
@@ -3,9 +3,9 @@
 #define CB_LOADS_H
 
 #include "directory.h"
-#include "fleet.h"
+#include "peer_set.h"
 
 void loads_fill(const struct directory *d, struct hello *h);
-void loads_sum(struct directory *d, const struct fleet *f, uint64_t now_ns);
+void loads_sum(struct directory *d, const struct peer_set *f, uint64_t now_ns);
 
 #endif
--- a/core/packet/fleet.c
+++ b/core/packet/peer_set.c
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "peer_set.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -21,10 +21,10 @@
 /* Trouble of the platform is told for this long. */
 #define TROUBLE_TOLD_NS (10 * NS_PER_S)
 
-struct fleet {
-	struct fleet_conf conf;
+struct peer_set {
+	struct peer_set_conf conf;
 	struct rng rng;
-	struct fleet_peer *peers;
+	struct peer_vm *peers;
 	uint32_t n;
 	uint64_t next_ns;
 	uint32_t round;
@@ -33,28 +33,28 @@
 };
 
 /**
- * fleet_new() - a fleet of one
+ * peer_set_new() - nobody known yet
  * @conf: settings
  * @rng: random source
  *
- * Return: fleet, or NULL without memory.
+ * Return: set, or NULL without memory.
  */
-struct fleet *fleet_new(const struct fleet_conf *conf, struct rng rng)
+struct peer_set *peer_set_new(const struct peer_set_conf *conf, struct rng rng)
 {
-	struct fleet *f = calloc(1, sizeof(*f));
+	struct peer_set *f = calloc(1, sizeof(*f));
 
 	if (!f)
 		return NULL;
 	f->conf = *conf;
 	f->rng = rng;
-	f->peers = calloc(FLEET_MAX, sizeof(*f->peers));
+	f->peers = calloc(PEERS_MAX, sizeof(*f->peers));
 	if (f->peers)
 		return f;
 	free(f);
 	return NULL;
 }
 
-void fleet_free(struct fleet *f)
+void peer_set_free(struct peer_set *f)
 {
 	if (!f)
 		return;
@@ -63,12 +63,12 @@
 }
 
 /**
- * fleet_seeds() - take a changed list of seeds
- * @f: fleet
+ * peer_set_seeds() - take a changed list of seeds
+ * @f: set
  * @seeds: addresses
  * @n: how many
  */
-void fleet_seeds(struct fleet *f, const uint64_t *seeds, uint32_t n)
+void peer_set_seeds(struct peer_set *f, const uint64_t *seeds, uint32_t n)
 {
 	uint32_t most = sizeof(f->conf.seeds) / sizeof(f->conf.seeds[0]);
 
@@ -76,7 +76,7 @@
 	memcpy(f->conf.seeds, seeds, f->conf.n_seeds * sizeof(*seeds));
 }
 
-static struct fleet_peer *find(const struct fleet *f, uint64_t addr)
+static struct peer_vm *find(const struct peer_set *f, uint64_t addr)
 {
 	for (uint32_t i = 0; i < f->n; i++)
 		if (f->peers[i].addr == addr)
@@ -84,18 +84,18 @@
 	return NULL;
 }
 
-static struct fleet_peer *add(struct fleet *f, uint64_t addr, uint32_t zone)
+static struct peer_vm *add(struct peer_set *f, uint64_t addr, uint32_t zone)
 {
-	struct fleet_peer *p = find(f, addr);
+	struct peer_vm *p = find(f, addr);
 
-	if (p || addr == f->conf.self || f->n == FLEET_MAX)
+	if (p || addr == f->conf.self || f->n == PEERS_MAX)
 		return p;
 	p = &f->peers[f->n++];
-	*p = (struct fleet_peer){ .addr = addr, .zone = zone };
+	*p = (struct peer_vm){ .addr = addr, .zone = zone };
 	return p;
 }
 
-static bool live(const struct fleet_peer *p, uint64_t now_ns)
+static bool live(const struct peer_vm *p, uint64_t now_ns)
 {
 	return p->heard_ns && p->heard_ns + LIVE_NS > now_ns;
 }
@@ -107,27 +107,27 @@
 	return age_ns < now_ns ? now_ns - age_ns : 1;
 }
 
-static void hear_of(struct fleet *f, const struct hello_peer *h,
+static void hear_of(struct peer_set *f, const struct hello_peer *h,
 		    uint64_t now_ns)
 {
 	uint64_t heard_ns = ago(now_ns, h->age_ms);
-	struct fleet_peer *p = add(f, h->addr, h->zone);
+	struct peer_vm *p = add(f, h->addr, h->zone);
 
 	if (p && heard_ns > p->heard_ns)
 		p->heard_ns = heard_ns;
 }
 
 /**
- * fleet_hear() - take a peer's heartbeat
- * @f: fleet
+ * peer_set_hear() - take a peer's heartbeat
+ * @f: set
  * @h: heartbeat
  * @now_ns: time
  *
  * Return: whether it knows something newer than it did before.
  */
-bool fleet_hear(struct fleet *f, const struct hello *h, uint64_t now_ns)
+bool peer_set_hear(struct peer_set *f, const struct hello *h, uint64_t now_ns)
 {
-	struct fleet_peer *p = add(f, h->from, h->zone);
+	struct peer_vm *p = add(f, h->from, h->zone);
 	uint64_t trouble_ns;
 	bool newer;
 
@@ -164,14 +164,14 @@
 }
 
 /* Up to @most live VMs of this data centre or of others, from a random one. */
-static uint32_t some(struct fleet *f, bool near, uint32_t most, uint64_t now_ns,
-		     uint64_t *to, uint32_t n, uint32_t to_max)
+static uint32_t some(struct peer_set *f, bool near, uint32_t most,
+		     uint64_t now_ns, uint64_t *to, uint32_t n, uint32_t to_max)
 {
 	uint32_t from = f->n ? (uint32_t)(rng_next(&f->rng) % f->n) : 0;
 	uint32_t taken = 0;
 
 	for (uint32_t i = 0; i < f->n && taken < most; i++) {
-		const struct fleet_peer *p = &f->peers[(from + i) % f->n];
+		const struct peer_vm *p = &f->peers[(from + i) % f->n];
 
 		if ((p->zone == f->conf.zone) != near || !live(p, now_ns))
 			continue;
@@ -182,16 +182,16 @@
 }
 
 /**
- * fleet_neighbours() - whom to tell urgent news
- * @f: fleet
+ * peer_set_neighbours() - whom to tell urgent news
+ * @f: set
  * @now_ns: time
  * @to: filled with addresses
  * @to_max: room in @to
  *
  * Return: how many.
  */
-uint32_t fleet_neighbours(struct fleet *f, uint64_t now_ns, uint64_t *to,
-			  uint32_t to_max)
+uint32_t peer_set_neighbours(struct peer_set *f, uint64_t now_ns, uint64_t *to,
+			     uint32_t to_max)
 {
 	uint32_t n = some(f, true, NEAR_MAX, now_ns, to, 0, to_max);
 
@@ -199,10 +199,10 @@
 }
 
 /* Somebody not heard of lately, and a seed: partitions heal through these. */
-static uint32_t lost(struct fleet *f, uint64_t now_ns, uint64_t *to, uint32_t n,
-		     uint32_t to_max)
+static uint32_t lost(struct peer_set *f, uint64_t now_ns, uint64_t *to,
+		     uint32_t n, uint32_t to_max)
 {
-	const struct fleet_peer *p =
+	const struct peer_vm *p =
 		f->n ? &f->peers[rng_next(&f->rng) % f->n] : NULL;
 	uint64_t seed;
 
@@ -216,7 +216,7 @@
 	return n;
 }
 
-static void drop_old(struct fleet *f, uint64_t now_ns)
+static void drop_old(struct peer_set *f, uint64_t now_ns)
 {
 	for (uint32_t i = f->n; i-- > 0;)
 		if (f->peers[i].heard_ns + FORGET_NS < now_ns)
@@ -224,23 +224,23 @@
 }
 
 /**
- * fleet_due() - whom a heartbeat is due to
- * @f: fleet
+ * peer_set_due() - whom a heartbeat is due to
+ * @f: set
  * @now_ns: time
  * @to: filled with addresses
  * @to_max: room in @to
  *
  * Return: how many; 0 when none is due yet.
  */
-uint32_t fleet_due(struct fleet *f, uint64_t now_ns, uint64_t *to,
-		   uint32_t to_max)
+uint32_t peer_set_due(struct peer_set *f, uint64_t now_ns, uint64_t *to,
+		      uint32_t to_max)
 {
 	uint32_t n;
 
 	if (now_ns < f->next_ns)
 		return 0;
 	drop_old(f, now_ns);
-	n = fleet_neighbours(f, now_ns, to, to_max);
+	n = peer_set_neighbours(f, now_ns, to, to_max);
 	f->next_ns = now_ns + (n ? f->conf.period_ns : ALONE_PERIOD_NS);
 	if (!n || f->round++ % SEED_ROUNDS == 0)
 		n = lost(f, now_ns, to, n, to_max);
@@ -255,12 +255,12 @@
 }
 
 /**
- * fleet_fill() - fill what the fleet knows into a heartbeat
- * @f: fleet
+ * peer_set_fill() - fill what is known of the others into a heartbeat
+ * @f: set
  * @h: heartbeat
  * @now_ns: time
  */
-void fleet_fill(struct fleet *f, struct hello *h, uint64_t now_ns)
+void peer_set_fill(struct peer_set *f, struct hello *h, uint64_t now_ns)
 {
 	uint32_t from = f->n ? (uint32_t)(rng_next(&f->rng) % f->n) : 0;
 
@@ -272,7 +272,7 @@
 	if (f->trouble_ns && f->trouble_ns + TROUBLE_TOLD_NS > now_ns)
 		h->trouble_age_ms = age_ms(now_ns, f->trouble_ns);
 	for (uint32_t i = 0; i < f->n && h->n_peers < HELLO_PEERS_MAX; i++) {
-		const struct fleet_peer *p = &f->peers[(from + i) % f->n];
+		const struct peer_vm *p = &f->peers[(from + i) % f->n];
 
 		if (!live(p, now_ns))
 			continue;
@@ -280,57 +280,57 @@
 			(struct hello_peer){ p->addr, p->zone,
 					     age_ms(now_ns, p->heard_ns) };
 	}
-	h->reply = fleet_live(f, now_ns) < 2;
+	h->reply = peer_set_live(f, now_ns) < 2;
 }
 
 /**
- * fleet_contact() - the platform answered this VM
- * @f: fleet
+ * peer_set_contact() - the platform answered this VM
+ * @f: set
  * @now_ns: time
  */
-void fleet_contact(struct fleet *f, uint64_t now_ns)
+void peer_set_contact(struct peer_set *f, uint64_t now_ns)
 {
 	f->contact_ns = now_ns;
 }
 
 /**
- * fleet_trouble() - this VM found the platform in trouble
- * @f: fleet
+ * peer_set_trouble() - this VM found the platform in trouble
+ * @f: set
  * @contact_ns: no later contact is claimed from now on, so that the next VM
  *	in rank tries soon
  * @now_ns: time
  */
-void fleet_trouble(struct fleet *f, uint64_t contact_ns, uint64_t now_ns)
+void peer_set_trouble(struct peer_set *f, uint64_t contact_ns, uint64_t now_ns)
 {
 	f->trouble_ns = now_ns;
 	if (f->contact_ns > contact_ns)
 		f->contact_ns = contact_ns;
 }
 
-uint64_t fleet_trouble_ns(const struct fleet *f)
+uint64_t peer_set_trouble_ns(const struct peer_set *f)
 {
 	return f->trouble_ns;
 }
 
-uint64_t fleet_contact_ns(const struct fleet *f)
+uint64_t peer_set_contact_ns(const struct peer_set *f)
 {
 	return f->contact_ns;
 }
 
 /**
- * fleet_others_contact_ns() - when a live VM of this data centre was last
+ * peer_set_others_contact_ns() - when a live VM of this data centre was last
  *	answered by the platform
- * @f: fleet
+ * @f: set
  * @now_ns: time
  *
  * Return: time, 0 for never.
  */
-uint64_t fleet_others_contact_ns(const struct fleet *f, uint64_t now_ns)
+uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns)
 {
 	uint64_t best_ns = 0;
 
 	for (uint32_t i = 0; i < f->n; i++) {
-		const struct fleet_peer *p = &f->peers[i];
+		const struct peer_vm *p = &f->peers[i];
 
 		if (p->zone == f->conf.zone && live(p, now_ns) && !p->leaving &&
 		    p->contact_ns > best_ns)
@@ -340,19 +340,19 @@
 }
 
 /**
- * fleet_rank() - this VM's place among the live ones of its data centre
- * @f: fleet
+ * peer_set_rank() - this VM's place among the live ones of its data centre
+ * @f: set
  * @now_ns: time
  *
  * Return: 0 when it should read the platform.
  */
-uint32_t fleet_rank(const struct fleet *f, uint64_t now_ns)
+uint32_t peer_set_rank(const struct peer_set *f, uint64_t now_ns)
 {
 	uint64_t mine = hash_u64(f->conf.self, RANK_SEED);
 	uint32_t rank = 0;
 
 	for (uint32_t i = 0; i < f->n; i++) {
-		const struct fleet_peer *p = &f->peers[i];
+		const struct peer_vm *p = &f->peers[i];
 
 		if (p->zone == f->conf.zone && p->direct_ns &&
 		    live(p, now_ns) && !p->leaving &&
@@ -363,22 +363,22 @@
 }
 
 /**
- * fleet_ahead() - a peer to fetch from
- * @f: fleet
+ * peer_set_ahead() - a peer to fetch from
+ * @f: set
  * @newest: newest revision known here
  * @now_ns: time
  *
  * Return: a live peer that knows a newer one, of this data centre if there is
  * one; or NULL.
  */
-const struct fleet_peer *fleet_ahead(struct fleet *f, uint64_t newest,
+const struct peer_vm *peer_set_ahead(struct peer_set *f, uint64_t newest,
 				     uint64_t now_ns)
 {
 	uint32_t from = f->n ? (uint32_t)(rng_next(&f->rng) % f->n) : 0;
-	const struct fleet_peer *far = NULL;
+	const struct peer_vm *far = NULL;
 
 	for (uint32_t i = 0; i < f->n; i++) {
-		const struct fleet_peer *p = &f->peers[(from + i) % f->n];
+		const struct peer_vm *p = &f->peers[(from + i) % f->n];
 
 		if (!live(p, now_ns) || p->newest <= newest)
 			continue;
@@ -389,7 +389,7 @@
 	return far;
 }
 
-uint32_t fleet_live(const struct fleet *f, uint64_t now_ns)
+uint32_t peer_set_live(const struct peer_set *f, uint64_t now_ns)
 {
 	uint32_t n = 0;
 
@@ -398,12 +398,12 @@
 	return n;
 }
 
-uint32_t fleet_count(const struct fleet *f)
+uint32_t peer_set_count(const struct peer_set *f)
 {
 	return f->n;
 }
 
-const struct fleet_peer *fleet_at(const struct fleet *f, uint32_t i)
+const struct peer_vm *peer_set_at(const struct peer_set *f, uint32_t i)
 {
 	return i < f->n ? &f->peers[i] : NULL;
 }
--- a/core/packet/fleet.h
+++ b/core/packet/peer_set.h
@@ -3,13 +3,13 @@
  * other, and which of them read the platform. Nobody is elected: each VM ranks
  * the live ones by a hash; two that differ only read once more than needed.
  */
-#ifndef CB_FLEET_H
-#define CB_FLEET_H
+#ifndef CB_PEER_SET_H
+#define CB_PEER_SET_H
 
 #include "types.h"
 
 /* The VMs of one data centre and of those it exchanges news with. */
-#define FLEET_MAX 512
+#define PEERS_MAX 512
 #define HELLO_PEERS_MAX 8
 #define HELLO_LOADS_MAX 96
 #define HELLO_DEAD_MAX 16
@@ -76,7 +76,7 @@
 };
 
 /**
- * struct fleet_peer - one other VM
+ * struct peer_vm - one other VM
  * @addr: its address for peers
  * @zone: hash of its data centre's name
  * @boot: its process, 0 before it was heard itself
@@ -88,7 +88,7 @@
  * @n_loads: loads it told
  * @loads: those
  */
-struct fleet_peer {
+struct peer_vm {
 	uint64_t addr;
 	uint32_t zone;
 	uint64_t boot;
@@ -102,7 +102,7 @@
 };
 
 /**
- * struct fleet_conf - settings
+ * struct peer_set_conf - settings
  * @self: this VM's address for peers
  * @zone: hash of its data centre's name
  * @boot: number of this process
@@ -110,7 +110,7 @@
  * @n_seeds: addresses to begin with
  * @seeds: those; this VM may be among them
  */
-struct fleet_conf {
+struct peer_set_conf {
 	uint64_t self;
 	uint32_t zone;
 	uint64_t boot;
@@ -119,27 +119,27 @@
 	uint64_t seeds[8];
 };
 
-struct fleet;
+struct peer_set;
 
-struct fleet *fleet_new(const struct fleet_conf *conf, struct rng rng);
-void fleet_free(struct fleet *f);
-void fleet_seeds(struct fleet *f, const uint64_t *seeds, uint32_t n);
-bool fleet_hear(struct fleet *f, const struct hello *h, uint64_t now_ns);
-uint32_t fleet_due(struct fleet *f, uint64_t now_ns, uint64_t *to,
-		   uint32_t to_max);
-uint32_t fleet_neighbours(struct fleet *f, uint64_t now_ns, uint64_t *to,
-			  uint32_t to_max);
-void fleet_fill(struct fleet *f, struct hello *h, uint64_t now_ns);
-void fleet_contact(struct fleet *f, uint64_t now_ns);
-void fleet_trouble(struct fleet *f, uint64_t contact_ns, uint64_t now_ns);
-uint64_t fleet_trouble_ns(const struct fleet *f);
-uint64_t fleet_contact_ns(const struct fleet *f);
-uint64_t fleet_others_contact_ns(const struct fleet *f, uint64_t now_ns);
-uint32_t fleet_rank(const struct fleet *f, uint64_t now_ns);
-const struct fleet_peer *fleet_ahead(struct fleet *f, uint64_t newest,
+struct peer_set *peer_set_new(const struct peer_set_conf *conf, struct rng rng);
+void peer_set_free(struct peer_set *f);
+void peer_set_seeds(struct peer_set *f, const uint64_t *seeds, uint32_t n);
+bool peer_set_hear(struct peer_set *f, const struct hello *h, uint64_t now_ns);
+uint32_t peer_set_due(struct peer_set *f, uint64_t now_ns, uint64_t *to,
+		      uint32_t to_max);
+uint32_t peer_set_neighbours(struct peer_set *f, uint64_t now_ns, uint64_t *to,
+			     uint32_t to_max);
+void peer_set_fill(struct peer_set *f, struct hello *h, uint64_t now_ns);
+void peer_set_contact(struct peer_set *f, uint64_t now_ns);
+void peer_set_trouble(struct peer_set *f, uint64_t contact_ns, uint64_t now_ns);
+uint64_t peer_set_trouble_ns(const struct peer_set *f);
+uint64_t peer_set_contact_ns(const struct peer_set *f);
+uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns);
+uint32_t peer_set_rank(const struct peer_set *f, uint64_t now_ns);
+const struct peer_vm *peer_set_ahead(struct peer_set *f, uint64_t newest,
 				     uint64_t now_ns);
-uint32_t fleet_live(const struct fleet *f, uint64_t now_ns);
-uint32_t fleet_count(const struct fleet *f);
-const struct fleet_peer *fleet_at(const struct fleet *f, uint32_t i);
+uint32_t peer_set_live(const struct peer_set *f, uint64_t now_ns);
+uint32_t peer_set_count(const struct peer_set *f);
+const struct peer_vm *peer_set_at(const struct peer_set *f, uint32_t i);
 
 #endif
--- /dev/null
+++ b/test/packet_bed.c
@@ -0,0 +1,187 @@
+#include "packet_bed.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_NS (20 * MS)
+#define SYN_SIZE_BYTES 32
+
+static const uint8_t syn_bytes[SYN_SIZE_BYTES];
+
+static void on_probe(void *ctx, const struct target *t)
+{
+	struct bed *b = ctx;
+
+	b->probes[b->n_probes++ % BED_EVENTS_MAX] =
+		(struct bed_probe){ t->news.id, false };
+}
+
+static void on_again(void *ctx, const struct flow_seen *f)
+{
+	struct bed *b = ctx;
+
+	b->again[b->n_again++ % BED_EVENTS_MAX] = f->target->news.id;
+}
+
+static void on_reset(void *ctx, const struct flow_seen *f)
+{
+	struct bed *b = ctx;
+
+	b->resets[b->n_resets++ % BED_EVENTS_MAX] = f->key.caller;
+}
+
+static void on_dead(void *ctx, const struct target *t)
+{
+	struct bed *b = ctx;
+
+	b->dead[b->n_dead++ % BED_EVENTS_MAX] = t->news.id;
+}
+
+static void on_health(void *ctx, const struct target *t, uint8_t before)
+{
+	(void)ctx;
+	(void)t;
+	(void)before;
+}
+
+void bed_open(struct bed *b)
+{
+	struct directory_conf dir = { 60 * NS_PER_S, 2500 * MS };
+	struct path_port port = { b,	    on_probe, on_again,
+				  on_reset, on_dead,  on_health };
+	struct path_conf conf = {
+		.flows_max = 256,
+		.flow_lifetime_ns = 60 * NS_PER_S,
+	};
+
+	memset(b, 0, sizeof(*b));
+	b->now_ns = 1000 * NS_PER_S;
+	conf.start_ns = b->now_ns;
+	b->directory = directory_new(&dir);
+	conf.zone = directory_name(b->directory, ZONE);
+	b->path = path_new(&conf, b->directory, port, (struct rng){ 7 });
+	directory_routes(b->directory, bed_table(b, 1), b->now_ns);
+}
+
+void bed_close(struct bed *b)
+{
+	path_free(b->path);
+	directory_free(b->directory);
+}
+
+static void route(struct bed *b, struct route *r, uint64_t vip, uint8_t kind,
+		  const char *service)
+{
+	r->vip = vip;
+	r->kind = kind;
+	r->n_shares = 1;
+	r->shares[0] = (struct route_share){
+		directory_name(b->directory, service), 1
+	};
+}
+
+/* Three routes: feeds and reports of one service, uploads of another. */
+struct route_table *bed_table(struct bed *b, uint64_t version)
+{
+	struct route_table *t = calloc(1, sizeof(*t));
+
+	t->version = version;
+	t->n_routes = 3;
+	t->routes = calloc(t->n_routes, sizeof(*t->routes));
+	route(b, &t->routes[0], VIP, ROUTE_FEED, SERVICE);
+	route(b, &t->routes[1], REPORT_VIP, ROUTE_REPORT, SERVICE);
+	route(b, &t->routes[2], OTHER_VIP, ROUTE_UPLOAD, OTHER_SERVICE);
+	return t;
+}
+
+struct target *bed_target(struct bed *b, uint64_t id, const char *service,
+			  const char *zone)
+{
+	struct target_news news = {
+		.id = id,
+		.addr = ADDR(0x0a000000 + id, 8000),
+		.service = directory_name(b->directory, service),
+		.zone = directory_name(b->directory, zone),
+		.slots = 3,
+		.created = id,
+	};
+
+	return directory_target(b->directory, &news, b->now_ns);
+}
+
+struct path_verdict bed_syn(struct bed *b, uint64_t caller, uint64_t vip,
+			    uint32_t copies)
+{
+	struct packet k = {
+		.flow = { caller, vip },
+		.ack = copies,
+		.flags = PACKET_SYN,
+		.bytes = syn_bytes,
+		.n_bytes = SYN_SIZE_BYTES,
+	};
+	struct path_verdict v;
+
+	path_packet(b->path, &k, true, b->now_ns, &v);
+	return v;
+}
+
+struct path_verdict bed_data(struct bed *b, uint64_t caller, uint64_t vip,
+			     uint32_t cookie, uint32_t seq, uint32_t ack,
+			     uint16_t size_bytes)
+{
+	struct packet k = {
+		.flow = { caller, vip },
+		.cookie = cookie,
+		.seq = seq,
+		.ack = ack,
+		.size_bytes = size_bytes,
+		.flags = PACKET_ACK,
+	};
+	struct path_verdict v;
+
+	path_packet(b->path, &k, true, b->now_ns, &v);
+	return v;
+}
+
+/* A SYN and the client's answer to the target's. */
+struct path_verdict bed_open_flow(struct bed *b, uint64_t caller, uint64_t vip)
+{
+	struct path_verdict v = bed_syn(b, caller, vip, 0);
+
+	if (v.action == PATH_FORWARD)
+		bed_data(b, caller, vip, v.target->cookie, 1, 1, 0);
+	return v;
+}
+
+/* Time goes on in ticks, as in the daemon. */
+void bed_pass(struct bed *b, uint64_t ns)
+{
+	uint64_t end_ns = b->now_ns + ns;
+
+	while (b->now_ns < end_ns) {
+		b->now_ns += TICK_NS;
+		path_tick(b->path, b->now_ns);
+	}
+}
+
+/* The outcome of every probe that is out to a target. */
+void bed_answer(struct bed *b, uint64_t id, enum probe_outcome outcome)
+{
+	uint32_t n = b->n_probes;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (b->probes[i].done || b->probes[i].id != id)
+			continue;
+		b->probes[i].done = true;
+		path_probed(b->path, id, outcome, b->now_ns);
+	}
+}
+
+uint32_t bed_open_probes(const struct bed *b)
+{
+	uint32_t open = 0;
+
+	for (uint32_t i = 0; i < b->n_probes; i++)
+		open += !b->probes[i].done;
+	return open;
+}
--- /dev/null
+++ b/test/packet_bed.h
@@ -0,0 +1,56 @@
+/*
+ * A fake of all that surrounds the decisions on packets: what they ask for is
+ * recorded, time is what the test says.
+ */
+#ifndef CB_TEST_PACKET_BED_H
+#define CB_TEST_PACKET_BED_H
+
+#include "path.h"
+
+#define MS NS_PER_MS
+#define ZONE "garda"
+#define OTHER_ZONE "como"
+#define SERVICE "forecast"
+#define OTHER_SERVICE "readings"
+#define VIP ADDR(0xc6120001, 443)
+#define REPORT_VIP ADDR(0xc6120001, 8080)
+#define OTHER_VIP ADDR(0xc6120002, 443)
+#define NO_VIP ADDR(0xc6120009, 9)
+#define BED_EVENTS_MAX 64
+
+struct bed_probe {
+	uint64_t id;
+	bool done;
+};
+
+struct bed {
+	struct directory *directory;
+	struct path *path;
+	uint64_t now_ns;
+	struct bed_probe probes[BED_EVENTS_MAX];
+	uint32_t n_probes;
+	uint64_t again[BED_EVENTS_MAX];
+	uint32_t n_again;
+	uint64_t resets[BED_EVENTS_MAX];
+	uint32_t n_resets;
+	uint64_t dead[BED_EVENTS_MAX];
+	uint32_t n_dead;
+};
+
+void bed_open(struct bed *b);
+void bed_close(struct bed *b);
+struct route_table *bed_table(struct bed *b, uint64_t version);
+struct target *bed_target(struct bed *b, uint64_t id, const char *service,
+			  const char *zone);
+struct path_verdict bed_syn(struct bed *b, uint64_t caller, uint64_t vip,
+			    uint32_t copies);
+struct path_verdict bed_data(struct bed *b, uint64_t caller, uint64_t vip,
+			     uint32_t cookie, uint32_t seq, uint32_t ack,
+			     uint16_t size_bytes);
+struct path_verdict bed_open_flow(struct bed *b, uint64_t caller,
+				  uint64_t vip);
+void bed_pass(struct bed *b, uint64_t ns);
+void bed_answer(struct bed *b, uint64_t id, enum probe_outcome outcome);
+uint32_t bed_open_probes(const struct bed *b);
+
+#endif
