A peer's word between two pages of a listing hides no deletion; faster retries of a process that knows nothing

Found by reading: a fact from a peer counted as seen in the listing under way, and a peer's whole state began a second listing inside the first. A target that left in that moment would have been given flows for ever.

--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -4,6 +4,7 @@
 #include "hello_codec.h"
 #include "log.h"
 
+#include <errno.h>
 #include <string.h>
 
 /* The platform answers in milliseconds; slow ones up to some hundreds. */
@@ -13,22 +14,35 @@
 #define HTTP_OK 200
 #define HTTP_GONE 410
 
-static void take_fact(void *ctx, const struct document *doc)
+static void take(struct packet_daemon *d, const struct document *doc,
+		 enum document_origin origin)
 {
-	struct packet_daemon *d = ctx;
+	if (documents_put(d->documents, doc, origin, uv_hrtime()) == -ENOMEM)
+		log_line(LOG_ERROR, "document", doc->key,
+			 "revision %llu lost: no room",
+			 (unsigned long long)doc->revision);
+}
+
+static void take_listed(void *ctx, const struct document *doc)
+{
+	take(ctx, doc, DOCUMENT_LISTED);
+}
 
-	documents_put(d->documents, doc, uv_hrtime());
+static void take_changed(void *ctx, const struct document *doc)
+{
+	take(ctx, doc, DOCUMENT_CHANGED);
 }
 
 static int take_answer(struct packet_daemon *d, const struct http_reply *r,
 		       struct answer_head *head)
 {
-	struct facts_port to = { d, take_fact };
+	struct facts_port changed = { d, take_changed };
+	struct facts_port listed = { d, take_listed };
 	uint64_t now_ns = uv_hrtime();
 	int err;
 
 	if (d->step == SOURCE_WATCH) {
-		err = d->platform->read_changes(r->body, r->size_bytes, to,
+		err = d->platform->read_changes(r->body, r->size_bytes, changed,
 						head);
 		if (!err)
 			documents_covered(d->documents, head->revision);
@@ -36,7 +50,7 @@
 	}
 	if (!d->list_revision)
 		documents_list_begin(d->documents);
-	err = d->platform->read_list(r->body, r->size_bytes, to, head);
+	err = d->platform->read_list(r->body, r->size_bytes, listed, head);
 	if (err)
 		return err;
 	if (!d->list_revision)
@@ -67,6 +81,16 @@
 			 err ? uv_strerror(err) : "answered", status);
 }
 
+static struct source_view view(const struct packet_daemon *d, uint64_t now_ns)
+{
+	return (struct source_view){
+		.now_ns = now_ns,
+		.rank = peer_set_rank(d->peer_set, now_ns),
+		.through = documents_through(d->documents),
+		.others_ns = peer_set_others_contact_ns(d->peer_set, now_ns),
+	};
+}
+
 static void on_platform(void *ctx, const struct http_reply *r)
 {
 	struct packet_daemon *d = ctx;
@@ -74,14 +98,16 @@
 	uint64_t newest = documents_newest(d->documents);
 	enum source_outcome outcome = SOURCE_FAILED;
 	struct answer_head head = { 0 };
+	struct source_view v;
 
 	if (!r->err && r->status == HTTP_OK && !take_answer(d, r, &head))
 		outcome = SOURCE_OK;
 	else if (!r->err && r->status == HTTP_GONE)
 		outcome = SOURCE_BEHIND;
 	note_contact(d, outcome != SOURCE_FAILED, r->status, r->err, now_ns);
+	v = view(d, now_ns);
 	source_end(&d->source, outcome, head.more,
-		   documents_newest(d->documents) > newest, now_ns);
+		   documents_newest(d->documents) > newest, &v);
 	if (!d->source.listing)
 		d->list_revision = 0;
 	if (documents_newest(d->documents) > newest || outcome != SOURCE_OK)
@@ -114,7 +140,7 @@
 static void on_peer(void *ctx, const struct http_reply *r)
 {
 	struct packet_daemon *d = ctx;
-	struct facts_port to = { d, take_fact };
+	struct facts_port to = { d, take_changed };
 	struct relay_head head;
 	uint64_t now_ns = daemon_turn(d);
 	const uint8_t *body = (const uint8_t *)r->body;
@@ -129,8 +155,13 @@
 			 r->err ? uv_strerror(r->err) : "answered", r->status);
 		return;
 	}
-	if (head.whole)
+	/* Two listings at a time would each miss what the other names. */
+	if (head.whole && d->source.listing)
+		return;
+	if (head.whole) {
 		documents_list_begin(d->documents);
+		to.fact = take_listed;
+	}
 	if (relay_decode(body, (uint32_t)r->size_bytes, to)) {
 		d->counters.peer_calls_failed++;
 		return;
@@ -168,12 +199,7 @@
  */
 void reading_tick(struct packet_daemon *d, uint64_t now_ns)
 {
-	struct source_view v = {
-		.now_ns = now_ns,
-		.rank = peer_set_rank(d->peer_set, now_ns),
-		.through = documents_through(d->documents),
-		.others_ns = peer_set_others_contact_ns(d->peer_set, now_ns),
-	};
+	struct source_view v = view(d, now_ns);
 	enum source_step step;
 
 	fetch(d, now_ns);
--- a/core/packet/documents.c
+++ b/core/packet/documents.c
@@ -122,21 +122,22 @@
  * documents_put() - take a fact
  * @s: store
  * @news: the document; its value is copied
+ * @origin: how it came
  * @now_ns: time
  *
  * Return: 0 when it was taken; -EALREADY when as new a one is known;
  * -ENOMEM, also when there are too many.
  */
 int documents_put(struct documents *s, const struct document *news,
-		  uint64_t now_ns)
+		  enum document_origin origin, uint64_t now_ns)
 {
 	struct document *d = find(s, news->key);
 	int err;
 
-	if (d && news->revision <= d->revision) {
+	if (d && origin == DOCUMENT_LISTED)
 		d->seen = s->listing;
+	if (d && news->revision <= d->revision)
 		return -EALREADY;
-	}
 	if (!d)
 		d = add(s, news->key);
 	if (!d)
@@ -149,7 +150,8 @@
 		d->created = news->created;
 	d->deleted = news->deleted;
 	d->forget_ns = now_ns + s->keep_ns;
-	d->seen = s->listing;
+	if (origin == DOCUMENT_LISTED)
+		d->seen = s->listing;
 	if (d->revision > s->newest)
 		s->newest = d->revision;
 	s->port.changed(s->port.ctx, d);
--- a/core/packet/documents.h
+++ b/core/packet/documents.h
@@ -33,6 +33,14 @@
 	uint32_t size_bytes;
 };
 
+/**
+ * enum document_origin - how a fact came
+ * @DOCUMENT_CHANGED: as a change, or from a peer
+ * @DOCUMENT_LISTED: in the listing under way; what a listing lacks is gone, so
+ *	nothing else may count as listed
+ */
+enum document_origin { DOCUMENT_CHANGED, DOCUMENT_LISTED };
+
 /**
  * struct documents_port - who is told of changes
  * @ctx: passed back
@@ -48,7 +56,7 @@
 struct documents *documents_new(struct documents_port port, uint64_t keep_ns);
 void documents_free(struct documents *s);
 int documents_put(struct documents *s, const struct document *news,
-		  uint64_t now_ns);
+		  enum document_origin origin, uint64_t now_ns);
 void documents_list_begin(struct documents *s);
 void documents_list_end(struct documents *s, uint64_t revision,
 			uint64_t now_ns);
--- a/core/packet/source.c
+++ b/core/packet/source.c
@@ -9,6 +9,8 @@
 #define BATCH_NS (100 * NS_PER_MS)
 #define RETRY_FIRST_NS (100 * NS_PER_MS)
 #define RETRY_DOUBLINGS 3
+/* A process that knows nothing yet serves nobody, so it asks more often. */
+#define RETRY_DOUBLINGS_FIRST 1
 
 static bool wanted(const struct source *s, const struct source_view *v)
 {
@@ -57,12 +59,14 @@
  * @outcome: how
  * @more: a listing goes on
  * @changed: a watch brought changes
- * @now_ns: time
+ * @v: what the decision goes by
  */
 void source_end(struct source *s, enum source_outcome outcome, bool more,
-		bool changed, uint64_t now_ns)
+		bool changed, const struct source_view *v)
 {
-	uint32_t doublings = s->failures;
+	uint32_t most = v->through ? RETRY_DOUBLINGS : RETRY_DOUBLINGS_FIRST;
+	uint32_t doublings = s->failures < most ? s->failures : most;
+	uint64_t now_ns = v->now_ns;
 
 	s->calling = false;
 	if (outcome == SOURCE_OK) {
@@ -78,7 +82,5 @@
 		return;
 	}
 	s->failures++;
-	if (doublings > RETRY_DOUBLINGS)
-		doublings = RETRY_DOUBLINGS;
 	s->next_ns = now_ns + (RETRY_FIRST_NS << doublings);
 }
--- a/core/packet/source.h
+++ b/core/packet/source.h
@@ -60,6 +60,6 @@
 			     const struct source_view *v);
 void source_begin(struct source *s, enum source_step step);
 void source_end(struct source *s, enum source_outcome outcome, bool more,
-		bool changed, uint64_t now_ns);
+		bool changed, const struct source_view *v);
 
 #endif
