--- /dev/null
+++ b/test/packet_peers_test.c
@@ -0,0 +1,272 @@
+/* Peers found from seeds, ranks of readers, heartbeats and relays on the wire. */
+#include "hello_codec.h"
+#include "loads.h"
+#include "packet_bed.h"
+#include "peer_set.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define VMS 9
+#define ZONES 3
+#define HEARTBEAT_NS (200 * MS)
+#define ROOM 16
+
+static uint64_t address(uint32_t i)
+{
+	return ADDR(0x0a000001 + i, 7720);
+}
+
+struct net {
+	struct peer_set *vm[VMS];
+	bool cut[VMS];
+	uint64_t now_ns;
+};
+
+static void net_open(struct net *n)
+{
+	memset(n, 0, sizeof(*n));
+	n->now_ns = 100 * NS_PER_S;
+	for (uint32_t i = 0; i < VMS; i++) {
+		struct peer_set_conf conf = {
+			.self = address(i),
+			.zone = i % ZONES,
+			.boot = i + 1,
+			.period_ns = HEARTBEAT_NS,
+			.n_seeds = 2,
+			.seeds = { address(0), address(1) },
+		};
+
+		n->vm[i] = peer_set_new(&conf, (struct rng){ i + 1 });
+	}
+}
+
+static void net_close(struct net *n)
+{
+	for (uint32_t i = 0; i < VMS; i++)
+		peer_set_free(n->vm[i]);
+}
+
+static void deliver(struct net *n, uint32_t from, uint64_t to,
+		    const struct hello *h)
+{
+	uint8_t data[HELLO_MAX_BYTES];
+	uint32_t size_bytes = hello_encode(h, data);
+	struct hello got;
+	uint32_t i = (uint32_t)(ADDR_IP(to) - ADDR_IP(address(0)));
+
+	assert_int_not_equal(size_bytes, 0);
+	assert_int_equal(hello_decode(data, size_bytes, &got), 0);
+	if (i >= VMS || n->cut[from] != n->cut[i])
+		return;
+	peer_set_hear(n->vm[i], &got, n->now_ns);
+}
+
+static void net_pass(struct net *n, uint64_t ns)
+{
+	uint64_t end_ns = n->now_ns + ns;
+	uint64_t to[ROOM];
+
+	for (; n->now_ns < end_ns; n->now_ns += 20 * MS) {
+		for (uint32_t i = 0; i < VMS; i++) {
+			uint32_t k =
+				peer_set_due(n->vm[i], n->now_ns, to, ROOM);
+			struct hello h = { 0 };
+
+			peer_set_fill(n->vm[i], &h, n->now_ns);
+			for (uint32_t j = 0; j < k; j++)
+				deliver(n, i, to[j], &h);
+		}
+	}
+}
+
+static void test_all_find_each_other(void **state)
+{
+	struct net n;
+
+	(void)state;
+	net_open(&n);
+	net_pass(&n, 3 * NS_PER_S);
+	for (uint32_t i = 0; i < VMS; i++)
+		assert_int_equal(peer_set_live(n.vm[i], n.now_ns), VMS - 1);
+	net_close(&n);
+}
+
+static void test_one_reader_a_data_centre(void **state)
+{
+	uint32_t readers[ZONES] = { 0 };
+	struct net n;
+
+	(void)state;
+	net_open(&n);
+	net_pass(&n, 3 * NS_PER_S);
+	for (uint32_t i = 0; i < VMS; i++)
+		readers[i % ZONES] += peer_set_rank(n.vm[i], n.now_ns) == 0;
+	for (uint32_t z = 0; z < ZONES; z++)
+		assert_int_equal(readers[z], 1);
+	net_close(&n);
+}
+
+/*
+ * Symptom: after a partition the two sides know nothing of each other for good.
+ * Sequence: some VMs, seeds among them, are cut off for longer than they are
+ * counted as live. Cause: nobody tried those that were not heard of.
+ */
+static void test_partition_heals(void **state)
+{
+	struct net n;
+
+	(void)state;
+	net_open(&n);
+	net_pass(&n, 2 * NS_PER_S);
+	n.cut[0] = n.cut[3] = n.cut[6] = true;
+	net_pass(&n, 10 * NS_PER_S);
+	assert_int_equal(peer_set_live(n.vm[0], n.now_ns), 2);
+	assert_int_equal(peer_set_live(n.vm[1], n.now_ns), 5);
+	memset(n.cut, 0, sizeof(n.cut));
+	net_pass(&n, 4 * NS_PER_S);
+	for (uint32_t i = 0; i < VMS; i++)
+		assert_int_equal(peer_set_live(n.vm[i], n.now_ns), VMS - 1);
+	net_close(&n);
+}
+
+static void test_trouble_of_the_platform_is_told(void **state)
+{
+	struct net n;
+
+	(void)state;
+	net_open(&n);
+	net_pass(&n, 2 * NS_PER_S);
+	assert_int_equal(peer_set_trouble_ns(n.vm[8]), 0);
+	peer_set_trouble(n.vm[0], n.now_ns, n.now_ns);
+	net_pass(&n, 2 * NS_PER_S);
+	for (uint32_t i = 0; i < VMS; i++)
+		assert_int_not_equal(peer_set_trouble_ns(n.vm[i]), 0);
+	net_close(&n);
+}
+
+static void test_peer_ahead_is_found(void **state)
+{
+	struct net n;
+	struct hello h = { .from = address(4), .zone = 1, .newest = 50 };
+
+	(void)state;
+	net_open(&n);
+	peer_set_hear(n.vm[0], &h, n.now_ns);
+	assert_int_equal(peer_set_ahead(n.vm[0], 49, n.now_ns)->addr,
+			 address(4));
+	assert_null(peer_set_ahead(n.vm[0], 50, n.now_ns));
+	/* Not one that fell silent. */
+	assert_null(peer_set_ahead(n.vm[0], 49, n.now_ns + NS_PER_S));
+	net_close(&n);
+}
+
+static void test_loads_of_peers_are_summed(void **state)
+{
+	struct bed b;
+	struct target *t;
+	struct net n;
+	struct hello h = { 0 };
+
+	(void)state;
+	bed_open(&b);
+	net_open(&n);
+	t = bed_target(&b, 1, SERVICE, ZONE);
+	t->feeds = 4;
+	t->short_mean = 1.5f;
+	loads_fill(b.directory, &h);
+	for (uint32_t i = 1; i <= 3; i++) {
+		h.from = address(i);
+		peer_set_hear(n.vm[0], &h, n.now_ns);
+	}
+	loads_sum(b.directory, n.vm[0], n.now_ns);
+	assert_int_equal((int)t->peers_feeds, 12);
+	assert_int_equal((int)(t->peers_short * 10), 45);
+	loads_sum(b.directory, n.vm[0], n.now_ns + 3 * NS_PER_S);
+	assert_int_equal((int)t->peers_feeds, 0);
+	net_close(&n);
+	bed_close(&b);
+}
+
+static void test_cut_and_foreign_datagrams_are_refused(void **state)
+{
+	uint8_t data[HELLO_MAX_BYTES];
+	struct hello h = { .from = address(1), .n_dead = 1, .dead = { 7 } };
+	struct hello got;
+	uint32_t n = hello_encode(&h, data);
+
+	(void)state;
+	for (uint32_t i = 0; i < n; i++)
+		assert_int_not_equal(hello_decode(data, i, &got), 0);
+	assert_int_equal(hello_decode(data, n, &got), 0);
+	assert_int_equal(got.dead[0], 7);
+	memset(data, 0xdd, sizeof(data)); /* an array of 4 billion */
+	assert_int_not_equal(hello_decode(data, sizeof(data), &got), 0);
+}
+
+static void ignore(void *ctx, const struct document *d)
+{
+	(void)ctx;
+	(void)d;
+}
+
+static void collect(void *ctx, const struct document *d)
+{
+	documents_put(ctx, d, DOCUMENT_CHANGED, NS_PER_S);
+}
+
+static void test_relay_brings_what_is_missing(void **state)
+{
+	struct documents_port nobody = { NULL, ignore };
+	struct documents *from = documents_new(nobody, NS_PER_S);
+	struct documents *to = documents_new(nobody, NS_PER_S);
+	struct document d = { .key = "a", .revision = 3, .created = 3 };
+	GString *body = g_string_new(NULL);
+	struct relay_head head;
+
+	(void)state;
+	d.value = (uint8_t *)"one";
+	d.size_bytes = 3;
+	documents_put(from, &d, DOCUMENT_CHANGED, 1);
+	strcpy(d.key, "b");
+	d.revision = 5;
+	documents_put(from, &d, DOCUMENT_CHANGED, 1);
+	documents_covered(from, 6);
+	relay_encode(from, 3, body);
+	assert_int_equal(relay_head_decode((uint8_t *)body->str,
+					   (uint32_t)body->len, &head),
+			 0);
+	assert_int_equal(head.through, 6);
+	assert_int_equal(head.newest, 5);
+	assert_false(head.whole);
+	assert_int_equal(relay_decode((uint8_t *)body->str, (uint32_t)body->len,
+				      (struct facts_port){ to, collect }),
+			 0);
+	assert_int_equal(documents_count(to), 1);
+	assert_string_equal(documents_at(to, 0)->key, "b");
+	for (uint32_t i = 0; i < body->len; i++)
+		assert_int_not_equal(
+			relay_head_decode((uint8_t *)body->str, i, &head), 0);
+	g_string_free(body, TRUE);
+	documents_free(from);
+	documents_free(to);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_all_find_each_other),
+		cmocka_unit_test(test_one_reader_a_data_centre),
+		cmocka_unit_test(test_partition_heals),
+		cmocka_unit_test(test_trouble_of_the_platform_is_told),
+		cmocka_unit_test(test_peer_ahead_is_found),
+		cmocka_unit_test(test_loads_of_peers_are_summed),
+		cmocka_unit_test(test_cut_and_foreign_datagrams_are_refused),
+		cmocka_unit_test(test_relay_brings_what_is_missing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/packet_source_test.c
@@ -0,0 +1,152 @@
+/* Which VM reads the platform, and when. */
+#include "source.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#define MS NS_PER_MS
+#define START_NS (100 * NS_PER_S)
+
+static struct source_view view(uint64_t now_ns, uint32_t rank, uint64_t through,
+			       uint64_t others_ns)
+{
+	return (struct source_view){ now_ns, rank, through, others_ns };
+}
+
+static void test_new_process_lists_at_once(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS, 3, 0, 0);
+
+	(void)state;
+	assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+	v.now_ns += 10 * MS;
+	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+}
+
+static void test_pages_until_the_last(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 0, 0);
+
+	(void)state;
+	source_begin(&s, SOURCE_LIST);
+	assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+	source_end(&s, SOURCE_OK, true, false, &v);
+	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+	source_begin(&s, SOURCE_LIST);
+	v.through = 9;
+	source_end(&s, SOURCE_OK, false, false, &v);
+	assert_int_equal(source_next(&s, &v), SOURCE_WATCH);
+}
+
+static void test_one_reads_while_it_is_answered(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 1, 9, 0);
+
+	(void)state;
+	v.others_ns = v.now_ns - NS_PER_S;
+	assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+	v.rank = 0;
+	assert_int_equal(source_next(&s, &v), SOURCE_WATCH);
+}
+
+/*
+ * Symptom: a change isn't in force in a data centre for long. Sequence: its
+ * reader is paused or turned away by the platform. Cause: nobody stood in.
+ */
+static void test_next_in_rank_stands_in(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + 10 * NS_PER_S, 1, 9, 0);
+
+	(void)state;
+	v.others_ns = v.now_ns - SOURCE_CONTACT_NS - 350 * MS;
+	assert_int_equal(source_next(&s, &v), SOURCE_WATCH);
+	v.rank = 2;
+	assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+	v.now_ns += 300 * MS;
+	assert_int_equal(source_next(&s, &v), SOURCE_WATCH);
+}
+
+static void test_lost_history_lists_again(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 9, 0);
+
+	(void)state;
+	source_begin(&s, SOURCE_WATCH);
+	source_end(&s, SOURCE_BEHIND, false, false, &v);
+	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+}
+
+static void test_failed_page_begins_the_listing_again(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 9, 0);
+
+	(void)state;
+	source_begin(&s, SOURCE_LIST);
+	source_end(&s, SOURCE_OK, true, false, &v);
+	source_begin(&s, SOURCE_LIST);
+	source_end(&s, SOURCE_FAILED, false, false, &v);
+	assert_false(s.listing);
+	v.now_ns = s.next_ns;
+	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+}
+
+static void test_failures_are_retried_ever_later(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 9, 0);
+	uint64_t pause_ns = 0;
+
+	(void)state;
+	for (uint32_t i = 0; i < 8; i++) {
+		source_begin(&s, SOURCE_WATCH);
+		source_end(&s, SOURCE_FAILED, false, false, &v);
+		assert_true(s.next_ns - v.now_ns >= pause_ns);
+		pause_ns = s.next_ns - v.now_ns;
+		assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+		v.now_ns = s.next_ns;
+	}
+	assert_true(pause_ns <= NS_PER_S);
+}
+
+/*
+ * Symptom: after all VMs lost power, clients wait on after the platform is
+ * back. Sequence: the platform is down as well, for longer. Cause: processes
+ * that knew nothing backed off like those that only miss news.
+ */
+static void test_who_knows_nothing_asks_often(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 0, 0);
+
+	(void)state;
+	for (uint32_t i = 0; i < 8; i++) {
+		source_begin(&s, SOURCE_LIST);
+		source_end(&s, SOURCE_FAILED, false, false, &v);
+		assert_true(s.next_ns - v.now_ns <= 200 * MS);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_new_process_lists_at_once),
+		cmocka_unit_test(test_pages_until_the_last),
+		cmocka_unit_test(test_one_reads_while_it_is_answered),
+		cmocka_unit_test(test_next_in_rank_stands_in),
+		cmocka_unit_test(test_lost_history_lists_again),
+		cmocka_unit_test(test_failed_page_begins_the_listing_again),
+		cmocka_unit_test(test_failures_are_retried_ever_later),
+		cmocka_unit_test(test_who_knows_nothing_asks_often),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/users_platform_test.c
@@ -0,0 +1,310 @@
+/* The users' platform: packets, the store's answers, what is published. */
+#include "users_platform.h"
+
+#include <errno.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+/* The example of the platform's page. */
+static const uint8_t example[32] = {
+	0x08, 0x00, 0x44, 0x33, 0x22, 0x11, 0x00, 0x00, 0x00, 0x00, 0x00,
+	0x00, 0xd5, 0xc3, 0xb2, 0xa1, 0xbb, 0x01, 0x01, 0x00, 0x12, 0xc6,
+	0x41, 0x9c, 0x07, 0x00, 0x40, 0x64, 0x00, 0x00, 0x00, 0x00,
+};
+static const uint8_t example_reset[32] = {
+	0x20, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+	0x00, 0x00, 0x00, 0x00, 0x00, 0x41, 0x9c, 0x07, 0x00, 0x40, 0x64,
+	0xbb, 0x01, 0x01, 0x00, 0x12, 0xc6, 0x00, 0x00, 0x00, 0x00,
+};
+
+#define CLIENT ADDR(0x64400007, 40001)
+#define VIP ADDR(0xc6120001, 443)
+
+static void test_reads_a_packet(void **state)
+{
+	struct packet k;
+
+	(void)state;
+	assert_int_equal(users_read_packet(example, sizeof(example), &k), 0);
+	assert_int_equal(k.flow.caller, CLIENT);
+	assert_int_equal(k.flow.vip, VIP);
+	assert_int_equal(k.flags, PACKET_SYN);
+	assert_int_equal(k.seq, 0x11223344);
+	assert_int_equal(k.cookie, 0);
+}
+
+static void test_refuses_what_is_no_packet(void **state)
+{
+	uint8_t data[1300] = { 0 };
+	struct packet k;
+
+	(void)state;
+	for (uint32_t i = 0; i < sizeof(example); i++)
+		assert_int_equal(users_read_packet(example, i, &k), -EPROTO);
+	assert_int_equal(users_read_packet(data, sizeof(data), &k), -EPROTO);
+	memcpy(data, example, sizeof(example));
+	data[10] = 5; /* says more than there is */
+	assert_int_equal(users_read_packet(data, 32, &k), -EPROTO);
+	assert_int_equal(users_read_packet(data, 37, &k), 0);
+}
+
+static void test_only_the_echo_is_written(void **state)
+{
+	uint8_t data[32];
+	struct packet k;
+
+	(void)state;
+	memcpy(data, example, sizeof(data));
+	users_pin(data, 0xdeadbeef);
+	assert_memory_equal(data, example, 28);
+	assert_int_equal(users_read_packet(data, sizeof(data), &k), 0);
+	assert_int_equal(k.cookie, 0xdeadbeef);
+}
+
+static void test_envelope_names_the_target(void **state)
+{
+	static const uint8_t expected[8] = {
+		0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2
+	};
+	struct target t = { .news.id = 0x7f3a91c2 };
+	uint8_t out[ENVELOPE_MAX_BYTES];
+
+	(void)state;
+	assert_int_equal(users_envelope(&t, out), 8);
+	assert_memory_equal(out, expected, 8);
+}
+
+static void test_reset(void **state)
+{
+	struct flow_key flow = { CLIENT, VIP };
+	uint8_t out[RESET_MAX_BYTES];
+
+	(void)state;
+	assert_int_equal(users_write_reset(&flow, 0, out), 32);
+	assert_memory_equal(out, example_reset, 32);
+	users_write_reset(&flow, 0x01020304, out);
+	assert_int_equal(out[2], 4);
+	assert_int_equal(out[5], 1);
+}
+
+struct seen {
+	uint32_t n;
+	struct document last;
+	char value[64];
+};
+
+static void see(void *ctx, const struct document *d)
+{
+	struct seen *s = ctx;
+
+	s->n++;
+	s->last = *d;
+	if (d->value)
+		memcpy(s->value, d->value, d->size_bytes);
+}
+
+static int list(const char *body, struct seen *s, struct answer_head *head)
+{
+	memset(s, 0, sizeof(*s));
+	return users_read_list(body, strlen(body),
+			       (struct facts_port){ s, see }, head);
+}
+
+static void test_reads_a_listing(void **state)
+{
+	struct answer_head head;
+	struct seen s;
+
+	(void)state;
+	assert_int_equal(list("{\"items\":[{\"key\":\"my/leader\",\"value\":"
+			      "\"bm9kZS0x\",\"revision\":412,"
+			      "\"create-revision\":400,\"lease\":77120}],"
+			      "\"more-pages\":true,\"store-revision\":530}",
+			      &s, &head),
+			 0);
+	assert_int_equal(s.n, 1);
+	assert_int_equal(s.last.revision, 412);
+	assert_int_equal(s.last.created, 400);
+	assert_string_equal(s.value, "node-1");
+	assert_int_equal(head.revision, 530);
+	assert_true(head.more);
+	assert_string_equal(head.last_key, "my/leader");
+}
+
+static void test_reads_changes(void **state)
+{
+	static const char body[] =
+		"{\"events\":[{\"key\":\"my/old\",\"revision\":413,"
+		"\"deleted\":true}],\"store-revision\":413}";
+	struct answer_head head;
+	struct seen s = { 0 };
+
+	(void)state;
+	assert_int_equal(users_read_changes(body, strlen(body),
+					    (struct facts_port){ &s, see },
+					    &head),
+			 0);
+	assert_true(s.last.deleted);
+	assert_int_equal(s.last.revision, 413);
+}
+
+static void test_refuses_what_is_no_answer(void **state)
+{
+	static const char *const bodies[] = {
+		"",
+		"{",
+		"[]",
+		"{\"items\":7,\"store-revision\":5}",
+		"{\"items\":[]}",
+		"{\"items\":[{}],\"store-revision\":5}",
+		"{\"items\":[{\"key\":\"a\",\"revision\":1}],"
+		"\"store-revision\":5}",
+		"{\"items\":[],\"more-pages\":true,\"store-revision\":5}",
+	};
+	struct answer_head head;
+	struct seen s;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++)
+		assert_int_equal(list(bodies[i], &s, &head), -EPROTO);
+}
+
+static int read(const char *key, const char *value, struct directory *names,
+		struct document_news *out)
+{
+	struct document d = { .revision = 9, .created = 4 };
+	const char *problem = NULL;
+	int err;
+
+	strcpy(d.key, key);
+	d.deleted = !value;
+	d.value = (uint8_t *)value;
+	d.size_bytes = value ? (uint32_t)strlen(value) : 0;
+	err = users_read_document(&d, names, out, &problem);
+	if (err)
+		assert_non_null(problem);
+	return err;
+}
+
+static struct directory *names_open(void)
+{
+	struct directory_conf conf = { NS_PER_S, NS_PER_S };
+
+	return directory_new(&conf);
+}
+
+static void test_reads_a_target(void **state)
+{
+	struct directory *names = names_open();
+	struct document_news n;
+
+	(void)state;
+	assert_int_equal(
+		read("servers/i-7f3a91c2",
+		     "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\","
+		     "\"zone\":\"z\",\"slots\":3,\"state\":\"draining\","
+		     "\"cold-remaining-ms\":1500}",
+		     names, &n),
+		0);
+	assert_int_equal(n.kind, DOCUMENT_TARGET);
+	assert_int_equal(n.target.id, 0x7f3a91c2);
+	assert_int_equal(n.target.addr, ADDR(0x0a800009, 8080));
+	assert_int_equal(n.target.slots, 3);
+	assert_true(n.target.leaving);
+	assert_int_equal(n.target.cold_ns, 1500 * NS_PER_MS);
+	assert_int_equal(n.target.created, 4);
+	assert_int_equal(read("servers/i-7f3a91c2", NULL, names, &n), 0);
+	assert_int_equal(n.target.id, 0x7f3a91c2);
+	directory_free(names);
+}
+
+#define ROUTE                                                              \
+	"{\"host\":\"198.18.0.1\",\"prefix\":\"/443/\",\"kind\":\"safe\"," \
+	"\"timeout-ms\":2500,\"priority\":2,\"service\":\"s\"}"
+
+static void test_reads_a_configuration(void **state)
+{
+	struct directory *names = names_open();
+	struct document_news n;
+
+	(void)state;
+	assert_int_equal(read("op/config",
+			      "{\"version\":7,\"routes\":[" ROUTE
+			      "],\"limits\":{\"idle-timeout-ms\":15000}}",
+			      names, &n),
+			 0);
+	assert_int_equal(n.kind, DOCUMENT_ROUTES);
+	assert_int_equal(n.routes->version, 7);
+	assert_int_equal(n.routes->n_routes, 1);
+	assert_int_equal(n.routes->routes[0].vip, VIP);
+	assert_int_equal(n.routes->routes[0].kind, ROUTE_FEED);
+	assert_int_equal(n.routes->idle_timeout_ns, 15 * NS_PER_S);
+	route_table_free(n.routes);
+	directory_free(names);
+}
+
+/* A bad one is refused whole: half a configuration would drop routes. */
+static void test_refuses_bad_documents_whole(void **state)
+{
+	static const char *const bad[][2] = {
+		{ "op/config", "" },
+		{ "op/config", "{}" },
+		{ "op/config", "{\"version\":7}" },
+		{ "op/config", "{\"version\":7,\"routes\":[" ROUTE ",{}]}" },
+		{ "op/config", "{\"version\":0,\"routes\":[" ROUTE "]}" },
+		{ "servers/i-xyz", "{}" },
+		{ "servers/i-12", "{}" },
+		{ "servers/i-12", "{\"service\":\"s\",\"address\":\"1.2.3\"}" },
+		{ "servers/i-12",
+		  "{\"service\":\"s\",\"address\":\"1.2.3.456:1\"}" },
+		{ "servers/i-12",
+		  "{\"service\":\"s\",\"address\":\"1.2.3.4:99999\"}" },
+		{ "servers/i-12", "{\"address\":\"1.2.3.4:80\"}" },
+	};
+	struct directory *names = names_open();
+	struct document_news n;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_int_equal(read(bad[i][0], bad[i][1], names, &n),
+				 -EPROTO);
+	assert_int_equal(read("other/key", "x", names, &n), 0);
+	assert_int_equal(n.kind, DOCUMENT_OTHER);
+	directory_free(names);
+}
+
+static void test_paths(void **state)
+{
+	char path[PATH_MAX_BYTES];
+
+	(void)state;
+	users_list_path(NULL, path);
+	assert_string_equal(path, "/kv-range?prefix=");
+	users_list_path("a b", path);
+	assert_string_equal(path, "/kv-range?prefix=&after=a%20b");
+	users_watch_path(5, 2000, path);
+	assert_string_equal(path, "/kv-watch?prefix=&after=5&wait-ms=2000");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_reads_a_packet),
+		cmocka_unit_test(test_refuses_what_is_no_packet),
+		cmocka_unit_test(test_only_the_echo_is_written),
+		cmocka_unit_test(test_envelope_names_the_target),
+		cmocka_unit_test(test_reset),
+		cmocka_unit_test(test_reads_a_listing),
+		cmocka_unit_test(test_reads_changes),
+		cmocka_unit_test(test_refuses_what_is_no_answer),
+		cmocka_unit_test(test_reads_a_target),
+		cmocka_unit_test(test_reads_a_configuration),
+		cmocka_unit_test(test_refuses_bad_documents_whole),
+		cmocka_unit_test(test_paths),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
