--- a/adapters/log.c
+++ b/adapters/log.c
@@ -5,9 +5,11 @@
 
 #include <errno.h>
 #include <glib.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define LINE_BYTES 1024
 #define FIELDS_MAX 5
@@ -26,6 +28,7 @@
 
 static enum log_level level_max = LOG_INFO;
 static enum log_format line_format = LOG_TEXT;
+static uint64_t lost_lines;
 static char program_name[NAME_MAX_BYTES];
 
 static int level_find(const char *name)
@@ -103,6 +106,29 @@
 	g_string_append_c(to, '\n');
 }
 
+/*
+ * Never waits: a reader of the log that stopped would stop the process. What
+ * doesn't fit into its pipe is counted.
+ */
+static void write_line(const GString *line)
+{
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	if (poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line->str, line->len) < 0)
+		lost_lines++;
+}
+
+/**
+ * log_lost() - lines that could not be written
+ *
+ * Return: their number since the process began.
+ */
+uint64_t log_lost(void)
+{
+	return lost_lines;
+}
+
 static GLogWriterOutput writer(GLogLevelFlags flags, const GLogField *fields,
 			       gsize n, gpointer unused)
 {
@@ -121,7 +147,7 @@
 		json_line(line, when, levels[level].name, fields, n);
 	else
 		text_line(line, when, levels[level].name, fields, n);
-	fwrite(line->str, 1, line->len, stderr);
+	write_line(line);
 	g_string_free(line, TRUE);
 	g_free(when);
 	g_date_time_unref(now);
@@ -129,7 +155,7 @@
 }
 
 /**
- * log_open() - set level and format for the process; lines go to stderr
+ * log_open() - set level and format for the process; lines go to standard output
  * @program: name on each line
  * @s: settings; call again to change level or format
  *
--- a/adapters/log.h
+++ b/adapters/log.h
@@ -7,6 +7,7 @@
 enum log_level { LOG_ERROR, LOG_WARNING, LOG_INFO, LOG_DEBUG };
 
 int log_open(const char *program, const struct log_settings *s);
+uint64_t log_lost(void);
 void log_line(enum log_level level, const char *step, const char *peer,
 	      const char *format, ...) __attribute__((format(printf, 4, 5)));
 
--- a/cmd/cb-packet/clients.c
+++ b/cmd/cb-packet/clients.c
@@ -115,7 +115,7 @@
 }
 
 static void decide(struct packet_daemon *d, uint8_t *data, uint32_t size_bytes,
-		   bool fresh, uint64_t now_ns)
+		   uint64_t now_ns)
 {
 	struct packet k;
 	struct path_verdict v;
@@ -124,7 +124,7 @@
 		d->counters.datagrams_malformed++;
 		return;
 	}
-	path_packet(d->path, &k, fresh, now_ns, &v);
+	node_packet(d->node, &k, now_ns, &v);
 	decisions_packet(d, &k, &v);
 	if (v.action == PATH_RESET) {
 		clients_reset(d, &k.flow, v.ack);
@@ -152,18 +152,15 @@
 	struct mmsghdr messages[BATCH];
 	struct iovec parts[BATCH];
 	uint64_t now_ns = daemon_turn(d);
-	bool fresh = daemon_fresh(d, now_ns);
 	int n = BATCH;
 
 	(void)status;
 	(void)events;
-	d->client_ns = now_ns;
 	for (int turn = 0; turn < BATCHES_A_TURN && n == BATCH; turn++) {
 		n = receive(d, messages, parts);
 		for (int i = 0; i < n; i++) {
 			d->counters.datagrams++;
-			decide(d, d->rooms[i], messages[i].msg_len, fresh,
-			       now_ns);
+			decide(d, d->rooms[i], messages[i].msg_len, now_ns);
 		}
 		clients_flush(d);
 	}
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -5,13 +5,10 @@
 #ifndef CB_PACKET_DAEMON_H
 #define CB_PACKET_DAEMON_H
 
-#include "peer_set.h"
 #include "http.h"
 #include "http_call.h"
+#include "node.h"
 #include "packet_settings.h"
-#include "path.h"
-#include "platform_port.h"
-#include "source.h"
 
 #include <uv.h>
 
@@ -20,26 +17,19 @@
 #define PROBES_MAX 64
 
 /* Counters that no module of the core keeps; docs/OPERATIONS.md names each. */
-#define PACKET_COUNTERS(X)       \
-	X(datagrams)             \
-	X(datagrams_malformed)   \
-	X(datagrams_stale)       \
-	X(datagrams_sent)        \
-	X(datagrams_unsent)      \
-	X(resets)                \
-	X(hellos_sent)           \
-	X(hellos_received)       \
-	X(hellos_malformed)      \
-	X(probes)                \
-	X(probes_refused)        \
-	X(probes_silent)         \
-	X(platform_calls)        \
-	X(platform_calls_failed) \
-	X(platform_lists)        \
-	X(peer_calls)            \
-	X(peer_calls_failed)     \
-	X(documents_refused)     \
-	X(held_up)               \
+#define PACKET_COUNTERS(X)     \
+	X(datagrams)           \
+	X(datagrams_malformed) \
+	X(datagrams_stale)     \
+	X(datagrams_sent)      \
+	X(datagrams_unsent)    \
+	X(resets)              \
+	X(hellos_sent)         \
+	X(hellos_received)     \
+	X(hellos_malformed)    \
+	X(probes)              \
+	X(probes_refused)      \
+	X(probes_silent)       \
 	X(decisions_not_logged)
 
 struct packet_counters {
@@ -70,12 +60,10 @@
 
 /**
  * struct packet_daemon - the process
+ * @boot: number of this process
  * @turn_ns: last time that the loop ran
  * @boot_gap_ns: CLOCK_BOOTTIME beyond the steady clock; grows when the machine
  *	was suspended
- * @stop_ns: when a planned stop began, 0 for none
- * @client_ns: last datagram of a client
- * @peer_call_from: peer that is being fetched from
  * @log_tokens: lines about single flows that may be logged now
  */
 struct packet_daemon {
@@ -84,18 +72,11 @@
 	const struct packet_platform *platform;
 	uv_loop_t *loop;
 	struct packet_counters counters;
-	struct directory *directory;
-	struct documents *documents;
-	struct path *path;
-	struct peer_set *peer_set;
+	struct node *node;
 	uint64_t boot;
 	uint64_t turn_ns;
 	uint64_t boot_gap_ns;
-	uint64_t stop_ns;
-	uint64_t client_ns;
-	uint64_t start_ns;
 	double log_tokens;
-	bool ready;
 	int exit_code;
 
 	uv_timer_t tick;
@@ -112,11 +93,6 @@
 	uint8_t peer_room[DATAGRAM_ROOM_BYTES];
 
 	struct http_caller *platform_caller;
-	struct source source;
-	uint64_t list_revision;
-	char list_after[DOCUMENT_KEY_MAX_BYTES + 1];
-	enum source_step step;
-	uint64_t call_ns;
 	struct http_caller *peer_caller;
 	uint64_t peer_call_from;
 
@@ -130,7 +106,6 @@
 int daemon_open(struct packet_daemon *d);
 void daemon_close(struct packet_daemon *d);
 uint64_t daemon_turn(struct packet_daemon *d);
-bool daemon_fresh(const struct packet_daemon *d, uint64_t now_ns);
 
 /* clients.c: datagrams of clients, to targets, resets. */
 int clients_open(struct packet_daemon *d);
@@ -144,19 +119,18 @@
 /* peers.c: heartbeats. */
 int peers_open(struct packet_daemon *d);
 void peers_close(struct packet_daemon *d);
-void peers_tick(struct packet_daemon *d, uint64_t now_ns);
-void peers_urgent(struct packet_daemon *d, const struct target *dead);
+void peers_send(void *ctx, const uint64_t *to, uint32_t n,
+		const struct hello *h);
 
 /* reading.c: the platform and the peers' documents. */
 int reading_open(struct packet_daemon *d);
 void reading_close(struct packet_daemon *d);
-void reading_tick(struct packet_daemon *d, uint64_t now_ns);
-
-/* view.c: documents into the directory. */
-void view_changed(void *ctx, const struct document *doc);
+void reading_list(void *ctx, const char *after_key);
+void reading_watch(void *ctx, uint64_t after);
+void reading_fetch(void *ctx, uint64_t peer, uint64_t after);
 
 /* probes.c: connection attempts to targets. */
-void probes_start(struct packet_daemon *d, const struct target *t);
+void probes_start(void *ctx, const struct target *t);
 void probes_tick(struct packet_daemon *d, uint64_t now_ns);
 void probes_close(struct packet_daemon *d);
 
@@ -167,8 +141,7 @@
 /* decisions.c: log lines about flows and targets. */
 void decisions_packet(struct packet_daemon *d, const struct packet *k,
 		      const struct path_verdict *v);
-void decisions_health(struct packet_daemon *d, const struct target *t,
-		      uint8_t before);
+void decisions_health(void *ctx, const struct target *t, uint8_t before);
 void decisions_reset(struct packet_daemon *d, const struct flow_seen *f);
 void decisions_again(struct packet_daemon *d, const struct flow_seen *f);
 
--- a/cmd/cb-packet/decisions.c
+++ b/cmd/cb-packet/decisions.c
@@ -24,7 +24,7 @@
 		 const struct flow_key *flow, const char *reason,
 		 const struct target *t)
 {
-	const struct route_table *table = directory_table(d->directory);
+	const struct route_table *table = directory_table(d->node->directory);
 	char caller[32], vip[32], to[32];
 
 	log_line(LOG_INFO, step,
@@ -36,7 +36,7 @@
 		 t ? addr_text(t->news.addr, to, sizeof(to)) : "none",
 		 t ? health_names[t->health] : "none",
 		 table ? (unsigned long long)table->version : 0ULL,
-		 (unsigned long long)documents_through(d->documents));
+		 (unsigned long long)documents_through(d->node->documents));
 }
 
 /**
@@ -61,13 +61,13 @@
 
 /**
  * decisions_health() - log a change of a target's health
- * @d: process
+ * @ctx: process
  * @t: target
  * @before: its health before
  */
-void decisions_health(struct packet_daemon *d, const struct target *t,
-		      uint8_t before)
+void decisions_health(void *ctx, const struct target *t, uint8_t before)
 {
+	struct packet_daemon *d = ctx;
 	uint64_t now_ns = uv_hrtime();
 	char addr[32];
 
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -2,7 +2,7 @@
 #include "daemon.h"
 
 #include "hello_codec.h"
-#include "json_text.h"
+#include "log.h"
 #include "usage.h"
 
 #include <string.h>
@@ -24,7 +24,7 @@
 	(void)body;
 	if (strcmp(path, d->platform->ready_path))
 		return NOT_FOUND;
-	return d->ready ? OK : UNAVAILABLE;
+	return d->node->ready ? OK : UNAVAILABLE;
 }
 
 static void counter(GString *out, const char *name, uint64_t value)
@@ -40,12 +40,15 @@
 
 static void write_metrics(struct packet_daemon *d, GString *out)
 {
-	const uint64_t *reasons = path_counts(d->path);
+	const uint64_t *reasons = path_counts(d->node->path);
 	uint64_t now_ns = uv_hrtime();
 	struct usage use;
 
 #define X(name) counter(out, #name, d->counters.name);
 	PACKET_COUNTERS(X)
+#undef X
+#define X(name) counter(out, #name, d->node->counters.name);
+	NODE_COUNTERS(X)
 #undef X
 	for (uint32_t i = 0; i < PATH_REASON_COUNT; i++)
 		g_string_append_printf(
@@ -53,11 +56,12 @@
 			"cb_packet_verdicts_total{reason=\"%s\"} "
 			"%" G_GUINT64_FORMAT "\n",
 			path_reason_names[i], reasons[i]);
-	gauge(out, "flows", path_flows(d->path));
-	gauge(out, "targets", directory_slots(d->directory));
-	gauge(out, "peers", peer_set_live(d->peer_set, now_ns));
-	gauge(out, "revision", (double)documents_through(d->documents));
-	gauge(out, "feed_load", path_feed_load(d->path));
+	counter(out, "log_lines_lost", log_lost());
+	gauge(out, "flows", path_flows(d->node->path));
+	gauge(out, "targets", directory_slots(d->node->directory));
+	gauge(out, "peers", peer_set_live(d->node->peers, now_ns));
+	gauge(out, "revision", (double)documents_through(d->node->documents));
+	gauge(out, "feed_load", path_feed_load(d->node->path));
 	if (!usage_read(&use)) {
 		gauge(out, "resident_bytes", (double)use.resident_bytes);
 		gauge(out, "cpu_seconds", (double)use.cpu_us / 1e6);
@@ -76,30 +80,30 @@
 		"%.2f\n",
 		(unsigned long long)t->news.id,
 		addr_text(t->news.addr, addr, sizeof(addr)),
-		directory_name_text(d->directory, t->news.service), t->stage,
-		t->health, t->flows, t->feeds, t->busy, t->short_mean,
+		directory_name_text(d->node->directory, t->news.service),
+		t->stage, t->health, t->flows, t->feeds, t->busy, t->short_mean,
 		t->peers_feeds, t->peers_short);
 }
 
 static void write_status(struct packet_daemon *d, GString *out)
 {
-	const struct route_table *table = directory_table(d->directory);
+	const struct route_table *table = directory_table(d->node->directory);
 	char addr[32];
 
 	g_string_append_printf(
-		out, "ready %u configuration %llu revision %llu\n", d->ready,
-		table ? (unsigned long long)table->version : 0,
-		(unsigned long long)documents_through(d->documents));
-	for (uint32_t i = 0; i < peer_set_count(d->peer_set); i++) {
-		const struct peer_vm *p = peer_set_at(d->peer_set, i);
+		out, "ready %u configuration %llu revision %llu\n",
+		d->node->ready, table ? (unsigned long long)table->version : 0,
+		(unsigned long long)documents_through(d->node->documents));
+	for (uint32_t i = 0; i < peer_set_count(d->node->peers); i++) {
+		const struct peer_vm *p = peer_set_at(d->node->peers, i);
 
 		g_string_append_printf(out, "peer %s newest %llu leaving %u\n",
 				       addr_text(p->addr, addr, sizeof(addr)),
 				       (unsigned long long)p->newest,
 				       p->leaving);
 	}
-	for (uint32_t i = 0; i < directory_slots(d->directory); i++)
-		write_target(d, directory_slot(d->directory, i), out);
+	for (uint32_t i = 0; i < directory_slots(d->node->directory); i++)
+		write_target(d, directory_slot(d->node->directory, i), out);
 }
 
 static int answer(void *ctx, struct http_request *req, const char *method,
@@ -114,8 +118,8 @@
 	(void)in;
 	if (!strcmp(path, "/documents")) {
 		http_query(query ? query : "", "after", after, sizeof(after));
-		relay_encode(d->documents, g_ascii_strtoull(after, NULL, 10),
-			     body);
+		relay_encode(d->node->documents,
+			     g_ascii_strtoull(after, NULL, 10), body);
 	} else if (!strcmp(path, "/metrics")) {
 		write_metrics(d, body);
 	} else if (!strcmp(path, "/status")) {
--- a/cmd/cb-packet/peers.c
+++ b/cmd/cb-packet/peers.c
@@ -2,14 +2,10 @@
 #include "daemon.h"
 
 #include "hello_codec.h"
-#include "loads.h"
-#include "log.h"
 
 #include <netinet/in.h>
 #include <string.h>
 
-#define ROUND_MAX 16
-
 static void send_to(struct packet_daemon *d, uint64_t addr, const uint8_t *data,
 		    uint32_t size_bytes)
 {
@@ -25,55 +21,24 @@
 		d->counters.hellos_sent++;
 }
 
-static void send_hello(struct packet_daemon *d, const uint64_t *to, uint32_t n,
-		       const struct target *dead, uint64_t now_ns)
+/**
+ * peers_send() - send a heartbeat
+ * @ctx: process
+ * @to: addresses
+ * @n: how many
+ * @h: heartbeat
+ */
+void peers_send(void *ctx, const uint64_t *to, uint32_t n,
+		const struct hello *h)
 {
+	struct packet_daemon *d = ctx;
 	uint8_t data[HELLO_MAX_BYTES];
-	struct hello h = { 0 };
-	uint32_t size_bytes;
+	uint32_t size_bytes = hello_encode(h, data);
 
-	peer_set_fill(d->peer_set, &h, now_ns);
-	h.leaving = d->stop_ns;
-	h.newest = documents_newest(d->documents);
-	if (dead)
-		h.dead[h.n_dead++] = dead->news.id;
-	else
-		loads_fill(d->directory, &h);
-	size_bytes = hello_encode(&h, data);
 	for (uint32_t i = 0; size_bytes && i < n; i++)
 		send_to(d, to[i], data, size_bytes);
 }
 
-/**
- * peers_urgent() - tell the neighbours now what they should know at once
- * @d: process
- * @dead: target that was found dead, or NULL
- */
-void peers_urgent(struct packet_daemon *d, const struct target *dead)
-{
-	uint64_t now_ns = uv_hrtime();
-	uint64_t to[ROUND_MAX];
-	uint32_t n = peer_set_neighbours(d->peer_set, now_ns, to, ROUND_MAX);
-
-	send_hello(d, to, n, dead, now_ns);
-}
-
-/**
- * peers_tick() - send the heartbeats that are due
- * @d: process
- * @now_ns: time
- */
-void peers_tick(struct packet_daemon *d, uint64_t now_ns)
-{
-	uint64_t to[ROUND_MAX];
-	uint32_t n = peer_set_due(d->peer_set, now_ns, to, ROUND_MAX);
-
-	if (!n)
-		return;
-	send_hello(d, to, n, NULL, now_ns);
-	loads_sum(d->directory, d->peer_set, now_ns);
-}
-
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
 	struct packet_daemon *d = handle->data;
@@ -86,7 +51,6 @@
 		     const struct sockaddr *from, unsigned int flags)
 {
 	struct packet_daemon *d = udp->data;
-	uint64_t now_ns;
 	struct hello h;
 
 	if (n <= 0 || !from || flags & UV_UDP_PARTIAL)
@@ -95,15 +59,9 @@
 		d->counters.hellos_malformed++;
 		return;
 	}
-	now_ns = daemon_turn(d);
 	d->counters.hellos_received++;
-	peer_set_hear(d->peer_set, &h, now_ns);
-	for (uint32_t i = 0; i < h.n_dead; i++)
-		path_told_dead(d->path, h.dead[i]);
+	node_hello(d->node, &h, daemon_turn(d));
 	clients_flush(d);
-	if (h.reply)
-		send_hello(d, &h.from, 1, NULL, now_ns);
-	reading_tick(d, now_ns);
 }
 
 /**
--- a/cmd/cb-packet/probes.c
+++ b/cmd/cb-packet/probes.c
@@ -37,7 +37,7 @@
 	d->counters.probes_refused += outcome == PROBE_REFUSED;
 	d->counters.probes_silent += outcome == PROBE_SILENT;
 	give_back(d, p);
-	path_probed(d->path, id, outcome, uv_hrtime());
+	node_probed(d->node, id, outcome, uv_hrtime());
 	clients_flush(d);
 }
 
@@ -77,11 +77,12 @@
 
 /**
  * probes_start() - try to connect to a target
- * @d: process
+ * @ctx: process
  * @t: target
  */
-void probes_start(struct packet_daemon *d, const struct target *t)
+void probes_start(void *ctx, const struct target *t)
 {
+	struct packet_daemon *d = ctx;
 	uint32_t place = free_place(d);
 	struct probe *p = place < PROBES_MAX ? calloc(1, sizeof(*p)) : NULL;
 	struct sockaddr_in to = {
@@ -92,7 +93,7 @@
 	int err;
 
 	if (!p) {
-		path_probed(d->path, t->news.id, PROBE_VOID, uv_hrtime());
+		node_probed(d->node, t->news.id, PROBE_VOID, uv_hrtime());
 		return;
 	}
 	d->counters.probes++;
--- /dev/null
+++ b/core/packet/node.c
@@ -0,0 +1,580 @@
+#include "node.h"
+
+#include "loads.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Three of them are missed before a peer is counted out, in 0.7 s: a change
+ * has 3 s to be in force everywhere. */
+#define HEARTBEAT_NS (200 * NS_PER_MS)
+/* The process did not run for this long: answers may lie unread. */
+#define LATE_NS (120 * NS_PER_MS)
+/* Clients have sent again, or given up, what waited for this long. */
+#define PAUSED_NS NS_PER_S
+/* Entries are back within 2 s of the platform's return; then they are gone. */
+#define RETURN_NS (2500 * NS_PER_MS)
+/* A router that misses two answers, half a second apart, sends nothing more. */
+#define STOP_LEAST_NS (1600 * NS_PER_MS)
+#define STOP_QUIET_NS (600 * NS_PER_MS)
+#define ROUND_MAX 16
+
+static const char *const stage_names[] = { "serving", "leaving", "absent" };
+
+static uint64_t version(const struct node *n)
+{
+	const struct route_table *t = directory_table(n->directory);
+
+	return t ? t->version : 0;
+}
+
+static void send_hello(struct node *n, const uint64_t *to, uint32_t count,
+		       const struct target *dead)
+{
+	struct hello h = { 0 };
+
+	if (!count)
+		return;
+	peer_set_fill(n->peers, &h, n->now_ns);
+	h.leaving = n->stop_ns;
+	h.newest = documents_newest(n->documents);
+	if (dead)
+		h.dead[h.n_dead++] = dead->news.id;
+	else
+		loads_fill(n->directory, &h);
+	n->port.hello(n->port.ctx, to, count, &h);
+}
+
+/* Tell the neighbours now what can't wait for the next heartbeat. */
+static void tell(struct node *n, const struct target *dead)
+{
+	uint64_t to[ROUND_MAX];
+	uint32_t count =
+		peer_set_neighbours(n->peers, n->now_ns, to, ROUND_MAX);
+
+	send_hello(n, to, count, dead);
+}
+
+static void probe(void *ctx, const struct target *t)
+{
+	struct node *n = ctx;
+
+	n->port.probe(n->port.ctx, t);
+}
+
+static void again(void *ctx, const struct flow_seen *f)
+{
+	struct node *n = ctx;
+
+	n->port.again(n->port.ctx, f);
+}
+
+static void reset(void *ctx, const struct flow_seen *f)
+{
+	struct node *n = ctx;
+
+	n->port.reset(n->port.ctx, f);
+}
+
+static void dead(void *ctx, const struct target *t)
+{
+	tell(ctx, t);
+}
+
+static void health(void *ctx, const struct target *t, uint8_t before)
+{
+	struct node *n = ctx;
+
+	n->port.health(n->port.ctx, t, before);
+}
+
+static void take_routes(struct node *n, const struct document *doc,
+			struct route_table *take)
+{
+	unsigned long long taken = take->version;
+	uint32_t routes = take->n_routes;
+	int err = directory_routes(n->directory, take, n->now_ns);
+
+	if (err)
+		n->port.log(n->port.ctx,
+			    err == -EALREADY ? NODE_INFO : NODE_ERROR, "routes",
+			    NULL, "version %llu not taken, %llu is in force%s",
+			    taken, (unsigned long long)version(n),
+			    err == -ENOMEM ? ": out of memory" : "");
+	else
+		n->port.log(n->port.ctx, NODE_INFO, "routes", NULL,
+			    "version %llu in force, revision %llu, %u routes",
+			    taken, (unsigned long long)doc->revision, routes);
+}
+
+static void take_target(struct node *n, const struct document *doc,
+			const struct target_news *news)
+{
+	struct target *t = directory_by_id(n->directory, news->id);
+	uint8_t before = t ? t->stage : UINT8_MAX;
+
+	/* A deletion seen first still says whose flows may come. */
+	if (!doc->deleted || (!t && news->addr))
+		t = directory_target(n->directory, news, n->now_ns);
+	if (doc->deleted)
+		t = directory_absent(n->directory, news->id, n->now_ns,
+				     peer_set_trouble_ns(n->peers));
+	if (!t && !doc->deleted)
+		n->port.log(n->port.ctx, NODE_ERROR, "target", doc->key,
+			    "no room for another target");
+	if (!t || t->stage == before)
+		return;
+	n->port.log(n->port.ctx, NODE_INFO, "target", doc->key,
+		    "%s, service %s, revision %llu%s", stage_names[t->stage],
+		    directory_name_text(n->directory, t->news.service),
+		    (unsigned long long)doc->revision,
+		    t->presumed_until_ns > n->now_ns ? ", presumed to live"
+						     : "");
+}
+
+static void document_changed(void *ctx, const struct document *doc)
+{
+	struct node *n = ctx;
+	struct document_news news;
+	const char *problem = "";
+
+	if (n->port.decode(doc, n->directory, &news, &problem)) {
+		n->counters.documents_refused++;
+		n->port.log(n->port.ctx, NODE_ERROR, "document", doc->key,
+			    "revision %llu refused: %s",
+			    (unsigned long long)doc->revision, problem);
+		return;
+	}
+	if (news.kind == DOCUMENT_ROUTES && news.routes)
+		take_routes(n, doc, news.routes);
+	else if (news.kind == DOCUMENT_TARGET)
+		take_target(n, doc, &news.target);
+}
+
+static int make(struct node *n)
+{
+	const struct node_conf *conf = &n->conf;
+	struct directory_conf dir = { conf->flow_lifetime_ns, RETURN_NS };
+	struct documents_port changed = { n, document_changed };
+	struct path_port port = { n, probe, again, reset, dead, health };
+	struct path_conf path = {
+		.flows_max = conf->flows_max,
+		.flow_lifetime_ns = conf->flow_lifetime_ns,
+		.start_ns = n->now_ns,
+	};
+	struct peer_set_conf peers = {
+		.self = conf->self,
+		.boot = conf->boot,
+		.period_ns = HEARTBEAT_NS,
+		.n_seeds = conf->n_seeds,
+	};
+	struct rng rng = { hash_u64(conf->self, conf->boot) | 1 };
+
+	memcpy(peers.seeds, conf->seeds, sizeof(conf->seeds));
+	for (const char *c = conf->data_centre; *c; c++)
+		peers.zone = (uint32_t)hash_u64((uint8_t)*c, peers.zone);
+	n->directory = directory_new(&dir);
+	n->documents = documents_new(changed, conf->flow_lifetime_ns);
+	n->peers = peer_set_new(&peers, rng);
+	if (!n->directory || !n->documents || !n->peers)
+		return -ENOMEM;
+	path.zone = directory_name(n->directory, conf->data_centre);
+	rng.s = rng_next(&rng) | 1;
+	n->path = path_new(&path, n->directory, port, rng);
+	return n->path ? 0 : -ENOMEM;
+}
+
+/**
+ * node_new() - an entry that knows nothing yet
+ * @conf: settings
+ * @port: what it needs from outside
+ * @now_ns: time
+ *
+ * Return: entry, or NULL without memory.
+ */
+struct node *node_new(const struct node_conf *conf, struct node_port port,
+		      uint64_t now_ns)
+{
+	struct node *n = calloc(1, sizeof(*n));
+
+	if (!n)
+		return NULL;
+	n->conf = *conf;
+	n->port = port;
+	n->now_ns = now_ns;
+	n->source.start_ns = now_ns;
+	if (!make(n))
+		return n;
+	node_free(n);
+	return NULL;
+}
+
+void node_free(struct node *n)
+{
+	if (!n)
+		return;
+	path_free(n->path);
+	peer_set_free(n->peers);
+	documents_free(n->documents);
+	directory_free(n->directory);
+	free(n);
+}
+
+/**
+ * node_fresh() - whether no peer is known to know more
+ * @n: entry
+ * @now_ns: time
+ *
+ * Return: whether what is missing here may be taken as absent.
+ */
+bool node_fresh(struct node *n, uint64_t now_ns)
+{
+	return documents_through(n->documents) &&
+	       !peer_set_ahead(n->peers, documents_newest(n->documents),
+			       now_ns);
+}
+
+/**
+ * node_packet() - decide on a packet of a client
+ * @n: entry
+ * @k: packet
+ * @now_ns: time
+ * @out: filled
+ */
+void node_packet(struct node *n, const struct packet *k, uint64_t now_ns,
+		 struct path_verdict *out)
+{
+	n->now_ns = now_ns;
+	n->client_ns = now_ns;
+	path_packet(n->path, k, node_fresh(n, now_ns), now_ns, out);
+}
+
+static void judge_ready(struct node *n)
+{
+	bool ready = n->ready;
+
+	/* Once ready it stays so: a peer that is ahead is no reason to leave. */
+	if (version(n) && (ready || node_fresh(n, n->now_ns)))
+		ready = true;
+	if (n->stop_ns)
+		ready = false;
+	if (ready == n->ready)
+		return;
+	n->ready = ready;
+	n->port.log(n->port.ctx, NODE_INFO, "ready", NULL,
+		    "%s, configuration %llu, revision %llu, %u targets, "
+		    "%u peers",
+		    ready ? "yes" : "no", (unsigned long long)version(n),
+		    (unsigned long long)documents_through(n->documents),
+		    directory_slots(n->directory),
+		    peer_set_live(n->peers, n->now_ns));
+}
+
+static struct source_view view(const struct node *n)
+{
+	return (struct source_view){
+		.now_ns = n->now_ns,
+		.rank = peer_set_rank(n->peers, n->now_ns),
+		.through = documents_through(n->documents),
+		.others_ns = peer_set_others_contact_ns(n->peers, n->now_ns),
+	};
+}
+
+static void fetch(struct node *n)
+{
+	const struct peer_vm *p;
+
+	if (n->fetching)
+		return;
+	p = peer_set_ahead(n->peers, documents_newest(n->documents), n->now_ns);
+	if (!p)
+		return;
+	n->fetching = true;
+	n->counters.peer_calls++;
+	n->port.fetch(n->port.ctx, p->addr, documents_through(n->documents));
+}
+
+/* Start the calls that are due. */
+static void call(struct node *n)
+{
+	struct source_view v = view(n);
+	enum source_step step;
+
+	fetch(n);
+	if (n->stop_ns)
+		return;
+	step = source_next(&n->source, &v);
+	if (step == SOURCE_WAIT)
+		return;
+	n->step = step;
+	n->counters.platform_calls++;
+	n->counters.platform_lists += step == SOURCE_LIST;
+	source_begin(&n->source, step);
+	if (step == SOURCE_LIST)
+		n->port.list(n->port.ctx,
+			     n->list_revision ? n->list_after : NULL);
+	else
+		n->port.watch(n->port.ctx, documents_through(n->documents));
+}
+
+/**
+ * node_tick() - what time brings; every 20 ms
+ * @n: entry
+ * @now_ns: time
+ */
+void node_tick(struct node *n, uint64_t now_ns)
+{
+	uint64_t to[ROUND_MAX];
+	uint32_t count;
+
+	n->now_ns = now_ns;
+	path_tick(n->path, now_ns);
+	count = peer_set_due(n->peers, now_ns, to, ROUND_MAX);
+	if (count) {
+		send_hello(n, to, count, NULL);
+		loads_sum(n->directory, n->peers, now_ns);
+	}
+	call(n);
+	documents_tick(n->documents, now_ns);
+	directory_tick(n->directory, now_ns, peer_set_trouble_ns(n->peers));
+	judge_ready(n);
+}
+
+static void take(struct node *n, const struct document *d,
+		 enum document_origin origin)
+{
+	if (documents_put(n->documents, d, origin, n->now_ns) == -ENOMEM)
+		n->port.log(n->port.ctx, NODE_ERROR, "document", d->key,
+			    "revision %llu lost: no room",
+			    (unsigned long long)d->revision);
+}
+
+/**
+ * node_listed() - a document of a listing or of a peer's whole state
+ * @ctx: entry
+ * @d: document
+ */
+void node_listed(void *ctx, const struct document *d)
+{
+	take(ctx, d, DOCUMENT_LISTED);
+}
+
+/**
+ * node_changed() - a document that changed, or that a peer sent
+ * @ctx: entry
+ * @d: document
+ */
+void node_changed(void *ctx, const struct document *d)
+{
+	take(ctx, d, DOCUMENT_CHANGED);
+}
+
+/**
+ * node_answering() - the platform's answer is about to be taken, by
+ *	node_listed() or node_changed()
+ * @n: entry
+ * @now_ns: time
+ */
+void node_answering(struct node *n, uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	if (n->step == SOURCE_LIST && !n->list_revision)
+		documents_list_begin(n->documents);
+}
+
+static void take_head(struct node *n, const struct answer_head *head)
+{
+	if (n->step == SOURCE_WATCH) {
+		documents_covered(n->documents, head->revision);
+		return;
+	}
+	if (!n->list_revision)
+		n->list_revision = head->revision;
+	memcpy(n->list_after, head->last_key, sizeof(n->list_after));
+	if (!head->more)
+		documents_list_end(n->documents, n->list_revision, n->now_ns);
+}
+
+static void note_contact(struct node *n, bool ok)
+{
+	uint32_t failures = n->source.failures;
+
+	if (ok) {
+		peer_set_contact(n->peers, n->now_ns);
+		if (failures)
+			n->port.log(n->port.ctx, NODE_INFO, "platform", NULL,
+				    "answers again after %u failures",
+				    failures);
+		return;
+	}
+	n->counters.platform_calls_failed++;
+	peer_set_trouble(n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns);
+}
+
+/**
+ * node_answer() - a call to the platform ended
+ * @n: entry
+ * @outcome: how
+ * @head: what the answer said, when it was SOURCE_OK
+ * @now_ns: time
+ */
+void node_answer(struct node *n, enum source_outcome outcome,
+		 const struct answer_head *head, uint64_t now_ns)
+{
+	struct source_view v;
+	bool changed;
+
+	n->now_ns = now_ns;
+	if (outcome == SOURCE_OK)
+		take_head(n, head);
+	note_contact(n, outcome != SOURCE_FAILED);
+	changed = documents_newest(n->documents) > n->told;
+	v = view(n);
+	source_end(&n->source, outcome, outcome == SOURCE_OK && head->more,
+		   changed, &v);
+	if (!n->source.listing)
+		n->list_revision = 0;
+	if (changed || outcome == SOURCE_FAILED)
+		tell(n, NULL);
+	n->told = documents_newest(n->documents);
+	call(n);
+	judge_ready(n);
+}
+
+/**
+ * node_fetching() - a peer's documents are about to be taken, by node_listed()
+ *	when they are its whole state, else by node_changed()
+ * @n: entry
+ * @head: what they come with
+ * @now_ns: time
+ *
+ * Two listings at a time would each miss what the other names.
+ *
+ * Return: whether to take them.
+ */
+bool node_fetching(struct node *n, const struct relay_head *head,
+		   uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	if (!head->whole)
+		return true;
+	if (n->source.listing)
+		return false;
+	documents_list_begin(n->documents);
+	return true;
+}
+
+/**
+ * node_fetched() - a call to a peer ended
+ * @n: entry
+ * @head: what its documents came with, all taken; NULL when there were none
+ * @now_ns: time
+ */
+void node_fetched(struct node *n, const struct relay_head *head,
+		  uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	n->fetching = false;
+	if (!head) {
+		n->counters.peer_calls_failed++;
+		return;
+	}
+	if (head->whole)
+		documents_list_end(n->documents, head->through, now_ns);
+	documents_covered(n->documents, head->through);
+	documents_knows(n->documents, head->newest);
+	judge_ready(n);
+}
+
+/**
+ * node_hello() - a heartbeat came
+ * @n: entry
+ * @h: heartbeat
+ * @now_ns: time
+ */
+void node_hello(struct node *n, const struct hello *h, uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	peer_set_hear(n->peers, h, now_ns);
+	for (uint32_t i = 0; i < h->n_dead; i++)
+		path_told_dead(n->path, h->dead[i]);
+	if (h->reply)
+		send_hello(n, &h->from, 1, NULL);
+	call(n);
+}
+
+/**
+ * node_probed() - a connection attempt ended
+ * @n: entry
+ * @id: target
+ * @outcome: what it showed
+ * @now_ns: time
+ */
+void node_probed(struct node *n, uint64_t id, enum probe_outcome outcome,
+		 uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	path_probed(n->path, id, outcome, now_ns);
+}
+
+/**
+ * node_late() - this process did not run for a while
+ * @n: entry
+ * @gap_ns: how long
+ * @now_ns: time
+ *
+ * After a pause the sockets hold what clients sent long ago: flows would be
+ * opened for nobody, on a view of the others that may have gone on.
+ *
+ * Return: whether packets that wait are to be dropped unread.
+ */
+bool node_late(struct node *n, uint64_t gap_ns, uint64_t now_ns)
+{
+	if (gap_ns <= LATE_NS)
+		return false;
+	n->now_ns = now_ns;
+	n->counters.held_up++;
+	path_held_up(n->path, now_ns);
+	if (gap_ns < PAUSED_NS)
+		return false;
+	n->counters.paused++;
+	n->port.log(n->port.ctx, NODE_WARNING, "paused", NULL,
+		    "did not run for %llu ms, what waited is dropped",
+		    (unsigned long long)(gap_ns / NS_PER_MS));
+	return true;
+}
+
+/**
+ * node_stop() - a planned stop begins: not ready, forwarding goes on
+ * @n: entry
+ * @now_ns: time
+ */
+void node_stop(struct node *n, uint64_t now_ns)
+{
+	if (n->stop_ns)
+		return;
+	n->now_ns = now_ns;
+	n->stop_ns = now_ns;
+	judge_ready(n);
+	tell(n, NULL);
+}
+
+/**
+ * node_stopped() - whether a planned stop may end the process
+ * @n: entry
+ * @now_ns: time
+ *
+ * Return: whether the router has moved on, or time is up.
+ */
+bool node_stopped(const struct node *n, uint64_t now_ns)
+{
+	uint64_t since_ns = now_ns - n->stop_ns;
+
+	if (!n->stop_ns)
+		return false;
+	if (since_ns >= n->conf.stop_ns)
+		return true;
+	return since_ns >= STOP_LEAST_NS &&
+	       n->client_ns + STOP_QUIET_NS <= now_ns;
+}
--- /dev/null
+++ b/core/packet/node.h
@@ -0,0 +1,161 @@
+/*
+ * One entry for opaque flows, whole, without its sockets: what is published,
+ * the peers, the decisions on packets, readiness, the planned stop. The daemon
+ * and the emulator run this same code, each behind struct node_port.
+ */
+#ifndef CB_NODE_H
+#define CB_NODE_H
+
+#include "documents.h"
+#include "path.h"
+#include "peer_set.h"
+#include "platform_port.h"
+#include "source.h"
+
+#define NODE_SEEDS_MAX 3
+
+enum node_log { NODE_INFO, NODE_WARNING, NODE_ERROR };
+
+/**
+ * struct node_conf - settings of an entry
+ * @self: its address for peers
+ * @data_centre: name of its data centre
+ * @boot: number of this process
+ * @flows_max: flows followed at once
+ * @flow_lifetime_ns: an open flow lives no longer
+ * @stop_ns: longest time between a planned stop and the end
+ * @n_seeds: peers to begin with
+ * @seeds: their addresses
+ */
+struct node_conf {
+	uint64_t self;
+	char data_centre[NAME_MAX_BYTES];
+	uint64_t boot;
+	uint32_t flows_max;
+	uint64_t flow_lifetime_ns;
+	uint64_t stop_ns;
+	uint32_t n_seeds;
+	uint64_t seeds[NODE_SEEDS_MAX];
+};
+
+/**
+ * struct node_port - what an entry needs from outside
+ * @ctx: passed back
+ * @list: ask the platform for a page; node_answer() ends it
+ * @watch: ask the platform for changes; node_answer() ends it
+ * @fetch: ask a peer for documents; node_fetched() ends it
+ * @hello: send a heartbeat
+ * @probe: connect to a target; node_probed() ends it
+ * @again: hand a flow's SYN to its target
+ * @reset: end a flow
+ * @health: a target's health changed
+ * @decode: decode a document, as struct packet_platform does
+ * @log: a line of the log, as printf()
+ */
+struct node_port {
+	void *ctx;
+	void (*list)(void *ctx, const char *after_key);
+	void (*watch)(void *ctx, uint64_t after);
+	void (*fetch)(void *ctx, uint64_t peer, uint64_t after);
+	void (*hello)(void *ctx, const uint64_t *to, uint32_t n,
+		      const struct hello *h);
+	void (*probe)(void *ctx, const struct target *t);
+	void (*again)(void *ctx, const struct flow_seen *f);
+	void (*reset)(void *ctx, const struct flow_seen *f);
+	void (*health)(void *ctx, const struct target *t, uint8_t before);
+	int (*decode)(const struct document *d, struct directory *names,
+		      struct document_news *out, const char **problem);
+	void (*log)(void *ctx, enum node_log level, const char *step,
+		    const char *peer, const char *format, ...)
+		__attribute__((format(printf, 5, 6)));
+};
+
+/* Counters of an entry; docs/OPERATIONS.md names each. */
+#define NODE_COUNTERS(X)         \
+	X(platform_calls)        \
+	X(platform_calls_failed) \
+	X(platform_lists)        \
+	X(peer_calls)            \
+	X(peer_calls_failed)     \
+	X(documents_refused)     \
+	X(held_up)               \
+	X(paused)
+
+struct node_counters {
+#define X(name) uint64_t name;
+	NODE_COUNTERS(X)
+#undef X
+};
+
+/**
+ * struct relay_head - what a peer's documents come with
+ * @through: revision up to which the peer knows everything
+ * @newest: newest revision it knows
+ * @whole: everything it knows: what is missing was deleted
+ */
+struct relay_head {
+	uint64_t through;
+	uint64_t newest;
+	bool whole;
+};
+
+/**
+ * struct node - an entry; the parts may be read, changes go through functions
+ * @directory: targets and routes
+ * @documents: what is published
+ * @path: decisions on packets
+ * @peers: the other entries
+ * @source: calls to the platform
+ * @step: the call under way
+ * @list_revision: revision of the listing's first page, 0 before it
+ * @list_after: last key of the page before
+ * @told: newest revision that the neighbours were told of at once
+ * @fetching: a peer is being asked
+ * @ready: whether the platform may send packets here
+ * @stop_ns: when a planned stop began, 0 for none
+ * @client_ns: last packet of a client
+ */
+struct node {
+	struct node_conf conf;
+	struct node_port port;
+	struct directory *directory;
+	struct documents *documents;
+	struct path *path;
+	struct peer_set *peers;
+	struct source source;
+	enum source_step step;
+	uint64_t list_revision;
+	char list_after[DOCUMENT_KEY_MAX_BYTES + 1];
+	uint64_t told;
+	bool fetching;
+	uint64_t now_ns;
+	bool ready;
+	uint64_t stop_ns;
+	uint64_t client_ns;
+	struct node_counters counters;
+};
+
+struct node *node_new(const struct node_conf *conf, struct node_port port,
+		      uint64_t now_ns);
+void node_free(struct node *n);
+void node_packet(struct node *n, const struct packet *k, uint64_t now_ns,
+		 struct path_verdict *out);
+bool node_fresh(struct node *n, uint64_t now_ns);
+void node_tick(struct node *n, uint64_t now_ns);
+void node_listed(void *ctx, const struct document *d);
+void node_changed(void *ctx, const struct document *d);
+void node_answering(struct node *n, uint64_t now_ns);
+void node_answer(struct node *n, enum source_outcome outcome,
+		 const struct answer_head *head, uint64_t now_ns);
+bool node_fetching(struct node *n, const struct relay_head *head,
+		   uint64_t now_ns);
+void node_fetched(struct node *n, const struct relay_head *head,
+		  uint64_t now_ns);
+void node_hello(struct node *n, const struct hello *h, uint64_t now_ns);
+void node_probed(struct node *n, uint64_t id, enum probe_outcome outcome,
+		 uint64_t now_ns);
+bool node_late(struct node *n, uint64_t gap_ns, uint64_t now_ns);
+void node_stop(struct node *n, uint64_t now_ns);
+bool node_stopped(const struct node *n, uint64_t now_ns);
+
+#endif
