A data centre cut off before lapsed entries return goes on presuming

Cause: the platform was down at 31 s, entries lapsed; it came back at 33.3 s; centurion-hall was cut off at 33.5 s, before its targets' entries were renewed. 2.5 s later its entries took them for gone and refused every flow. Ruled out: the roll of entries at the same time (no unready VM got packets). Change: a presumption ends only with an answer of the platform after the time for the return. Test: test_cut_off_before_the_return_keeps_presuming, seen to fail before.

--- a/core/packet/directory.c
+++ b/core/packet/directory.c
@@ -295,8 +295,8 @@
  * @trouble_ns: when the platform was last seen in trouble; 0 for never
  *
  * While the platform is away the entries of live targets run out. They are
- * presumed to live until it has been back for long enough to renew them;
- * taking them as gone would leave a service without targets.
+ * presumed to live until it has answered after it was back for long enough to
+ * renew them; taking them as gone would leave a service without targets.
  *
  * Return: the target, or NULL.
  */
@@ -309,9 +309,9 @@
 		return t;
 	t->absent_ns = now_ns;
 	t->forget_ns = now_ns + d->conf.flow_lifetime_ns;
-	t->presumed_until_ns = 0;
-	if (trouble_ns && t->stage == TARGET_SERVING)
-		t->presumed_until_ns = trouble_ns + d->conf.return_ns;
+	t->presumed = trouble_ns && t->stage == TARGET_SERVING &&
+		      trouble_ns + d->conf.return_ns > now_ns;
+	t->presumed_until_ns = trouble_ns + d->conf.return_ns;
 	t->stage = TARGET_ABSENT;
 	return t;
 }
@@ -339,25 +339,41 @@
 	free(t);
 }
 
+/*
+ * Time alone ends no presumption: who is cut off from the platform in the
+ * meantime can't see the entries that came back.
+ */
+static void presume(const struct directory *d, struct target *t,
+		    const struct directory_clock *c)
+{
+	uint64_t until_ns = c->trouble_ns + d->conf.return_ns;
+
+	if (!t->presumed)
+		return;
+	if (until_ns > t->presumed_until_ns)
+		t->presumed_until_ns = until_ns;
+	if (c->now_ns >= t->presumed_until_ns &&
+	    c->contact_ns >= t->presumed_until_ns)
+		t->presumed = false;
+	t->forget_ns = c->now_ns + d->conf.flow_lifetime_ns;
+}
+
 /**
- * directory_tick() - forget departed targets, prolong presumptions
+ * directory_tick() - forget departed targets, end presumptions
  * @d: directory
- * @now_ns: time
- * @trouble_ns: when the platform was last seen in trouble; 0 for never
+ * @c: what they go by
  *
  * A target that flows of the cache point at is kept.
  */
-void directory_tick(struct directory *d, uint64_t now_ns, uint64_t trouble_ns)
+void directory_tick(struct directory *d, const struct directory_clock *c)
 {
 	for (uint32_t i = d->n_slots; i-- > 0;) {
 		struct target *t = d->slots[i];
 
 		if (t->stage != TARGET_ABSENT)
 			continue;
-		if (t->presumed_until_ns > now_ns &&
-		    trouble_ns + d->conf.return_ns > t->presumed_until_ns)
-			t->presumed_until_ns = trouble_ns + d->conf.return_ns;
-		if (now_ns >= t->forget_ns && !t->held && !t->probing)
+		presume(d, t, c);
+		if (c->now_ns >= t->forget_ns && !t->held && !t->probing)
 			forget(d, t);
 	}
 }
--- a/core/packet/directory.h
+++ b/core/packet/directory.h
@@ -41,7 +41,19 @@
 				uint64_t now_ns);
 struct target *directory_absent(struct directory *d, uint64_t id,
 				uint64_t now_ns, uint64_t trouble_ns);
-void directory_tick(struct directory *d, uint64_t now_ns, uint64_t trouble_ns);
+/**
+ * struct directory_clock - what the end of a presumption goes by
+ * @now_ns: time
+ * @trouble_ns: when the platform was last seen in trouble; 0 for never
+ * @contact_ns: when the platform last answered, here or at a live peer
+ */
+struct directory_clock {
+	uint64_t now_ns;
+	uint64_t trouble_ns;
+	uint64_t contact_ns;
+};
+
+void directory_tick(struct directory *d, const struct directory_clock *c);
 
 struct target *directory_by_cookie(const struct directory *d, uint32_t cookie);
 struct target *directory_by_id(const struct directory *d, uint64_t id);
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -129,8 +129,7 @@
 		    "%s, service %s, revision %llu%s", stage_names[t->stage],
 		    directory_name_text(n->directory, t->news.service),
 		    (unsigned long long)doc->revision,
-		    t->presumed_until_ns > n->now_ns ? ", presumed to live"
-						     : "");
+		    t->presumed ? ", presumed to live" : "");
 }
 
 static void document_changed(void *ctx, const struct document *doc)
@@ -326,6 +325,7 @@
 void node_tick(struct node *n, uint64_t now_ns)
 {
 	uint64_t to[ROUND_MAX];
+	struct directory_clock clock;
 	uint32_t count;
 
 	n->now_ns = now_ns;
@@ -337,7 +337,12 @@
 	}
 	call(n);
 	documents_tick(n->documents, now_ns);
-	directory_tick(n->directory, now_ns, peer_set_trouble_ns(n->peers));
+	clock = (struct directory_clock){
+		now_ns,
+		peer_set_trouble_ns(n->peers),
+		peer_set_last_contact_ns(n->peers, now_ns),
+	};
+	directory_tick(n->directory, &clock);
 	judge_ready(n);
 }
 
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -317,6 +317,21 @@
 	return f->contact_ns;
 }
 
+static uint64_t contact_ns(const struct peer_set *f, bool near, uint64_t now_ns)
+{
+	uint64_t best_ns = 0;
+
+	for (uint32_t i = 0; i < f->n; i++) {
+		const struct peer_vm *p = &f->peers[i];
+
+		if ((near && p->zone != f->conf.zone) || !live(p, now_ns) ||
+		    p->leaving || p->contact_ns <= best_ns)
+			continue;
+		best_ns = p->contact_ns;
+	}
+	return best_ns;
+}
+
 /**
  * peer_set_others_contact_ns() - when a live VM of this data centre was last
  *	answered by the platform
@@ -327,16 +342,22 @@
  */
 uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns)
 {
-	uint64_t best_ns = 0;
+	return contact_ns(f, true, now_ns);
+}
 
-	for (uint32_t i = 0; i < f->n; i++) {
-		const struct peer_vm *p = &f->peers[i];
+/**
+ * peer_set_last_contact_ns() - when this VM or any live one was last answered
+ *	by the platform
+ * @f: set
+ * @now_ns: time
+ *
+ * Return: time, 0 for never.
+ */
+uint64_t peer_set_last_contact_ns(const struct peer_set *f, uint64_t now_ns)
+{
+	uint64_t others_ns = contact_ns(f, false, now_ns);
 
-		if (p->zone == f->conf.zone && live(p, now_ns) && !p->leaving &&
-		    p->contact_ns > best_ns)
-			best_ns = p->contact_ns;
-	}
-	return best_ns;
+	return others_ns > f->contact_ns ? others_ns : f->contact_ns;
 }
 
 /**
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -135,6 +135,7 @@
 uint64_t peer_set_trouble_ns(const struct peer_set *f);
 uint64_t peer_set_contact_ns(const struct peer_set *f);
 uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns);
+uint64_t peer_set_last_contact_ns(const struct peer_set *f, uint64_t now_ns);
 uint32_t peer_set_rank(const struct peer_set *f, uint64_t now_ns);
 const struct peer_vm *peer_set_ahead(struct peer_set *f, uint64_t newest,
 				     uint64_t now_ns);
--- a/core/packet/place.c
+++ b/core/packet/place.c
@@ -22,17 +22,15 @@
 /**
  * place_serving() - whether a target may be given new flows at all
  * @t: target
- * @now_ns: time
  *
  * Return: whether it is published as serving, or presumed to be.
  */
-bool place_serving(const struct target *t, uint64_t now_ns)
+bool place_serving(const struct target *t)
 {
 	if (t->health == HEALTH_DEAD)
 		return false;
-	if (t->stage == TARGET_ABSENT)
-		return now_ns < t->presumed_until_ns;
-	return t->stage == TARGET_SERVING;
+	return t->stage == TARGET_SERVING ||
+	       (t->stage == TARGET_ABSENT && t->presumed);
 }
 
 /*
@@ -96,9 +94,9 @@
 	return best;
 }
 
-static bool eligible(const struct target *t, const struct place_query *q)
+static bool eligible(const struct target *t)
 {
-	return place_serving(t, q->now_ns) && t->health != HEALTH_SILENT;
+	return place_serving(t) && t->health != HEALTH_SILENT;
 }
 
 /**
@@ -118,12 +116,12 @@
 	uint32_t best = UINT32_MAX;
 
 	for (uint32_t i = 0; i < n; i++)
-		if (eligible(all[i], q) && rank(all[i], q) < best)
+		if (eligible(all[i]) && rank(all[i], q) < best)
 			best = rank(all[i], q);
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
 
-		if (!eligible(t, q) || rank(t, q) != best || !reachable(d, t))
+		if (!eligible(t) || rank(t, q) != best || !reachable(d, t))
 			continue;
 		draw(t->news.zone == q->zone ? &near : &far, t, rng);
 	}
--- a/core/packet/target.h
+++ b/core/packet/target.h
@@ -49,7 +49,9 @@
  * @cookie: routing cookie of its flows
  * @stage: enum target_stage
  * @absent_ns: when its entry vanished; valid when @stage is TARGET_ABSENT
- * @presumed_until_ns: until then a vanished entry counts as lapsed, not gone
+ * @presumed: its entry vanished while the platform was in trouble: it counts
+ *	as lapsed, not as gone
+ * @presumed_until_ns: an answer of the platform after this ends that
  * @forget_ns: when an absent one is forgotten
  * @cold_until_ns: slow until then
  * @health: enum target_health
@@ -75,6 +77,7 @@
 	uint32_t cookie;
 	uint8_t stage;
 	uint64_t absent_ns;
+	bool presumed;
 	uint64_t presumed_until_ns;
 	uint64_t forget_ns;
 	uint64_t cold_until_ns;
--- a/test/packet_path_test.c
+++ b/test/packet_path_test.c
@@ -327,7 +327,37 @@
 	directory_absent(b.directory, 1, b.now_ns, b.now_ns);
 	assert_int_equal(bed_syn(&b, CALLER, VIP, 0).action, PATH_FORWARD);
 	b.now_ns += 2600 * MS;
-	directory_tick(b.directory, b.now_ns, b.now_ns - 2600 * MS);
+	directory_tick(b.directory,
+		       &(struct directory_clock){
+			       b.now_ns, b.now_ns - 2600 * MS, b.now_ns });
+	assert_int_equal(bed_syn(&b, CALLER + 1, VIP, 0).action, PATH_RESET);
+	bed_close(&b);
+}
+
+/*
+ * Symptom: all requests of a data centre that is cut off are refused though its
+ * targets live. Sequence: the platform is away and entries lapse; it comes
+ * back; before the entries are renewed the data centre is cut off from it.
+ * Cause: the time for their return ran out unseen, and they counted as gone.
+ */
+static void test_cut_off_before_the_return_keeps_presuming(void **state)
+{
+	struct bed b;
+	uint64_t back_ns;
+
+	(void)state;
+	bed_open(&b);
+	bed_target(&b, 1, SERVICE, ZONE);
+	back_ns = b.now_ns;
+	directory_absent(b.directory, 1, b.now_ns, back_ns);
+	b.now_ns += 10 * NS_PER_S;
+	directory_tick(b.directory,
+		       &(struct directory_clock){ b.now_ns, back_ns,
+						  back_ns + 100 * MS });
+	assert_int_equal(bed_syn(&b, CALLER, VIP, 0).action, PATH_FORWARD);
+	/* Answered again, and the entry is still missing. */
+	directory_tick(b.directory, &(struct directory_clock){
+					    b.now_ns, back_ns, b.now_ns });
 	assert_int_equal(bed_syn(&b, CALLER + 1, VIP, 0).action, PATH_RESET);
 	bed_close(&b);
 }
@@ -422,6 +452,8 @@
 		cmocka_unit_test(test_own_pause_doubts_nobody),
 		cmocka_unit_test(test_leaving_target_keeps_flows_and_gets_none),
 		cmocka_unit_test(test_lapsed_entries_are_presumed_to_live),
+		cmocka_unit_test(
+			test_cut_off_before_the_return_keeps_presuming),
 		cmocka_unit_test(
 			test_deletion_on_a_calm_platform_counts_at_once),
 		cmocka_unit_test(
