--- /dev/null
+++ b/sim/sim-packets/entries.c
@@ -0,0 +1,357 @@
+/* Entries: the real decisions, behind ports that lead into the emulator. */
+#include "world_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_NS (20 * NS_PER_MS)
+#define READY_NS (500 * NS_PER_MS)
+#define PROBE_TIMEOUT_NS (60 * NS_PER_MS)
+#define PEER_TIMEOUT_NS (800 * NS_PER_MS)
+#define MISSES 2
+#define PEER_IP 0x0a000001
+
+static uint64_t entry_addr(uint32_t i)
+{
+	return ADDR(PEER_IP + i, 7720);
+}
+
+static uint32_t entry_at(uint64_t addr)
+{
+	return ADDR_IP(addr) - PEER_IP;
+}
+
+static bool runs(const struct sim_entry *e)
+{
+	return e->up && !e->frozen;
+}
+
+static void on_tick(struct world *w, const struct event *e)
+{
+	struct sim_entry *s = &w->entries[e->a];
+
+	if (!s->up || s->boot != e->b)
+		return;
+	world_at(w, TICK_NS, on_tick, e->a, e->b, 0);
+	if (s->frozen)
+		return;
+	node_late(s->node, w->now_ns - s->ran_ns, w->now_ns);
+	s->ran_ns = w->now_ns;
+	node_tick(s->node, w->now_ns);
+	if (node_stopped(s->node, w->now_ns))
+		world_kill_entry(w, (uint32_t)e->a, 300 * NS_PER_MS);
+}
+
+static uint32_t letter_with(struct world *w, const struct hello *h)
+{
+	uint32_t i = 0;
+
+	while (w->letters[i].used)
+		if (++i == LETTERS_MAX)
+			abort(); /* a mistake of the emulator */
+	w->letters[i] = (struct letter){ *h, true };
+	return i;
+}
+
+static void on_hello(struct world *w, const struct event *e)
+{
+	struct sim_entry *s = &w->entries[e->a];
+	struct letter *l = &w->letters[e->b];
+
+	l->used = false;
+	if (runs(s))
+		node_hello(s->node, &l->hello, w->now_ns);
+}
+
+static void send_hello(void *ctx, const uint64_t *to, uint32_t n,
+		       const struct hello *h)
+{
+	struct port_ctx *c = ctx;
+
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t at = entry_at(to[i]);
+		uint32_t zone;
+
+		if (at >= c->w->n_entries)
+			continue;
+		zone = c->w->entries[at].zone;
+		if (!world_cut(c->w, c->e->zone, zone))
+			world_at(c->w, world_way_ns(c->e->zone, zone), on_hello,
+				 at, letter_with(c->w, h), 0);
+	}
+}
+
+static void on_fetched(struct world *w, const struct event *e)
+{
+	struct sim_entry *s = &w->entries[e->a];
+	struct sim_entry *peer = &w->entries[e->b];
+	struct relay_head head;
+	uint64_t after = e->c;
+
+	if (!runs(s))
+		return;
+	if (!runs(peer) || world_cut(w, s->zone, peer->zone)) {
+		node_fetched(s->node, NULL, w->now_ns);
+		return;
+	}
+	head.through = documents_through(peer->node->documents);
+	head.newest = documents_newest(peer->node->documents);
+	head.whole = after < documents_floor(peer->node->documents);
+	if (!node_fetching(s->node, &head, w->now_ns)) {
+		node_fetched(s->node, NULL, w->now_ns);
+		return;
+	}
+	for (uint32_t i = 0; i < documents_count(peer->node->documents); i++) {
+		const struct document *d =
+			documents_at(peer->node->documents, i);
+
+		if (head.whole)
+			node_listed(s->node, d);
+		else if (d->revision > after)
+			node_changed(s->node, d);
+	}
+	node_fetched(s->node, &head, w->now_ns);
+}
+
+static void fetch(void *ctx, uint64_t peer, uint64_t after)
+{
+	struct port_ctx *c = ctx;
+	uint32_t at = entry_at(peer);
+	bool there = runs(&c->w->entries[at]) &&
+		     !world_cut(c->w, c->e->zone, c->w->entries[at].zone);
+
+	world_at(c->w, there ? 2 * FAR_NS : PEER_TIMEOUT_NS, on_fetched,
+		 (uint32_t)(c->e - c->w->entries), at, after);
+}
+
+static void on_probed(struct world *w, const struct event *e)
+{
+	struct sim_entry *s = &w->entries[e->a];
+
+	if (runs(s))
+		node_probed(s->node, e->b, (enum probe_outcome)e->c, w->now_ns);
+}
+
+static void probe(void *ctx, const struct target *t)
+{
+	struct port_ctx *c = ctx;
+	uint32_t at = targets_at(c->w, t->news.addr);
+	const struct sim_target *s = &c->w->targets[at];
+	enum probe_outcome outcome = PROBE_OPEN;
+	uint64_t way_ns = 2 * world_way_ns(c->e->zone, s->zone);
+
+	c->w->report.probes++;
+	if (s->dark || world_cut(c->w, c->e->zone, s->zone)) {
+		outcome = PROBE_SILENT;
+		way_ns = PROBE_TIMEOUT_NS;
+	} else if (!s->alive) {
+		outcome = PROBE_REFUSED;
+	}
+	world_at(c->w, way_ns, on_probed, (uint32_t)(c->e - c->w->entries),
+		 t->news.id, outcome);
+}
+
+static uint32_t client_of(const struct world *w, const struct flow_key *flow)
+{
+	uint32_t i = ADDR_IP(flow->caller) - 1;
+
+	return i < w->n_clients ? i : UINT32_MAX;
+}
+
+static void on_forward(struct world *w, const struct event *e)
+{
+	uint32_t client = (uint32_t)(e->b >> 32);
+	uint32_t entry = (uint32_t)e->b;
+	uint8_t flags = (uint8_t)(e->c >> 32);
+	const struct sim_client *c = &w->clients[client];
+	struct flow_key flow = { ADDR(c->ip, e->c >> 40), route_vip(c->route) };
+
+	targets_packet(w, (uint32_t)e->a, client, entry, flags, (uint16_t)e->c,
+		       &flow, c->number);
+}
+
+/* The intended target alone takes the packet, whoever has its address now. */
+static void forward(struct world *w, struct sim_entry *e,
+		    const struct target *t, uint32_t client, uint16_t port,
+		    uint8_t flags, uint32_t size_bytes)
+{
+	uint32_t at = targets_at(w, t->news.addr);
+	const struct sim_target *s = &w->targets[at];
+
+	if (s->news.id != t->news.id || world_cut(w, e->zone, s->zone))
+		return;
+	world_at(w, world_way_ns(e->zone, s->zone), on_forward, at,
+		 (uint64_t)client << 32 | (uint32_t)(e - w->entries),
+		 (uint64_t)port << 40 | (uint64_t)flags << 32 | size_bytes);
+}
+
+static void again(void *ctx, const struct flow_seen *f)
+{
+	struct port_ctx *c = ctx;
+	uint32_t client = client_of(c->w, &f->key);
+
+	if (client != UINT32_MAX)
+		forward(c->w, c->e, f->target, client, ADDR_PORT(f->key.caller),
+			PACKET_SYN, 0);
+}
+
+static void on_reset(struct world *w, const struct event *e)
+{
+	struct flow_key flow = { e->a, e->b };
+
+	clients_reset(w, &flow, (uint32_t)e->c);
+}
+
+static void reset(struct world *w, struct sim_entry *e,
+		  const struct flow_key *flow)
+{
+	world_at(w, CLIENT_NS, on_reset, flow->caller, flow->vip,
+		 (uint32_t)(e - w->entries));
+}
+
+static void reset_flow(void *ctx, const struct flow_seen *f)
+{
+	struct port_ctx *c = ctx;
+
+	reset(c->w, c->e, &f->key);
+}
+
+static void no_health(void *ctx, const struct target *t, uint8_t was)
+{
+	(void)ctx;
+	(void)t;
+	(void)was;
+}
+
+static void no_log(void *ctx, enum node_log level, const char *step,
+		   const char *peer, const char *format, ...)
+{
+	(void)ctx;
+	(void)level;
+	(void)step;
+	(void)peer;
+	(void)format;
+}
+
+/* A process starts on an entry's VM. */
+void entries_start(struct world *w, uint32_t entry)
+{
+	struct sim_entry *e = &w->entries[entry];
+	struct node_conf conf = {
+		.self = entry_addr(entry),
+		.boot = rng_next(&w->rng) >> 1,
+		.flows_max = 4096,
+		.flow_lifetime_ns = 60 * NS_PER_S,
+		.stop_ns = 4500 * NS_PER_MS,
+		.n_seeds = 3,
+		.seeds = { entry_addr(0), entry_addr(1), entry_addr(2) },
+	};
+	struct node_port port = {
+		.ctx = &w->contexts[entry],
+		.list = store_list,
+		.watch = store_watch,
+		.fetch = fetch,
+		.hello = send_hello,
+		.probe = probe,
+		.again = again,
+		.reset = reset_flow,
+		.health = no_health,
+		.decode = store_decode,
+		.log = no_log,
+	};
+
+	snprintf(conf.data_centre, sizeof(conf.data_centre), "zone%u", e->zone);
+	w->contexts[entry] = (struct port_ctx){ w, e };
+	node_free(e->node);
+	e->node = node_new(&conf, port, w->now_ns);
+	e->boot = conf.boot;
+	e->up = true;
+	e->frozen = false;
+	e->watching = false;
+	e->ran_ns = w->now_ns;
+	world_at(w, rng_next(&w->rng) % TICK_NS, on_tick, entry, e->boot, 0);
+}
+
+/* A client's packet arrives at an entry. */
+void entries_packet(struct world *w, uint32_t entry, uint32_t client,
+		    uint8_t flags, uint32_t size_bytes)
+{
+	static const uint8_t head[32];
+	struct sim_entry *e = &w->entries[entry];
+	const struct sim_client *c = &w->clients[client];
+	struct packet k = {
+		.flow = { ADDR(c->ip, c->port), route_vip(c->route) },
+		.cookie = flags & PACKET_SYN ? 0 : c->cookie,
+		.seq = c->seq,
+		.ack = flags & PACKET_SYN ? c->repeats : c->ack,
+		.size_bytes = (uint16_t)size_bytes,
+		.flags = flags,
+		.bytes = head,
+		.n_bytes = sizeof(head),
+	};
+	struct path_verdict v;
+
+	if (!runs(e))
+		return;
+	node_packet(e->node, &k, w->now_ns, &v);
+	if (v.action == PATH_FORWARD)
+		forward(w, e, v.target, client, c->port, flags, size_bytes);
+	else if (v.action == PATH_RESET)
+		reset(w, e, &k.flow);
+}
+
+/* The platform asks every entry whether it is ready. */
+void entries_probe_readiness(struct world *w, const struct event *e)
+{
+	(void)e;
+	world_at(w, READY_NS, entries_probe_readiness, 0, 0, 0);
+	for (uint32_t i = 0; i < w->n_entries; i++) {
+		struct sim_entry *s = &w->entries[i];
+
+		if (runs(s) && s->node->ready)
+			s->missed = 0;
+		else if (s->missed < MISSES)
+			s->missed++;
+	}
+}
+
+/* Steady: only the flows of an entry that comes or goes move. */
+static uint32_t pick(const struct world *w, uint64_t flow, uint32_t zone,
+		     bool all)
+{
+	uint64_t best = 0;
+	uint32_t at = UINT32_MAX;
+
+	for (uint32_t i = 0; i < w->n_entries; i++) {
+		const struct sim_entry *e = &w->entries[i];
+		uint64_t h = hash_u64(flow, i + 1);
+
+		if ((zone != UINT32_MAX && e->zone != zone) ||
+		    (!all && e->missed >= MISSES) || h < best)
+			continue;
+		best = h;
+		at = i;
+	}
+	return at;
+}
+
+/* Entry that the routers hand a client's packets to. */
+uint32_t entries_route(struct world *w, const struct sim_client *c)
+{
+	struct flow_key key = { ADDR(c->ip, c->port), route_vip(c->route) };
+	uint64_t flow = flow_hash(&key);
+	uint32_t in = 0, n = 0;
+
+	for (uint32_t i = 0; i < w->n_entries; i++) {
+		if (w->entries[i].zone != c->zone)
+			continue;
+		n++;
+		in += w->entries[i].missed < MISSES;
+	}
+	if (in)
+		return pick(w, flow, c->zone, in * 2 < n);
+	return pick(w, flow, UINT32_MAX, false) == UINT32_MAX
+		       ? pick(w, flow, c->zone, true)
+		       : pick(w, flow, UINT32_MAX, false);
+}
--- /dev/null
+++ b/sim/sim-packets/fault_table.c
@@ -0,0 +1,229 @@
+/* Every fault by name, for tests and experiments. */
+#include "world_state.h"
+
+#include <string.h>
+
+static uint32_t any_entry(struct world *w)
+{
+	return (uint32_t)(rng_next(&w->rng) % w->n_entries);
+}
+
+static uint32_t any_target(struct world *w)
+{
+	uint32_t i;
+
+	do
+		i = (uint32_t)(rng_next(&w->rng) % w->n_targets);
+	while (!w->targets[i].alive || w->targets[i].service != SERVICE_MAIN);
+	return i;
+}
+
+static void kill_entry(struct world *w)
+{
+	world_kill_entry(w, any_entry(w), NS_PER_S);
+}
+
+static void kill_entries(struct world *w)
+{
+	for (uint32_t i = 0; i < w->n_entries; i++)
+		world_kill_entry(w, i, 500 * NS_PER_MS);
+}
+
+static void kill_entries_store_down(struct world *w)
+{
+	world_store_down(w, 2 * NS_PER_S, false);
+	kill_entries(w);
+}
+
+static void stop_entry(struct world *w)
+{
+	world_stop_entry(w, any_entry(w));
+}
+
+static void on_stop(struct world *w, const struct event *e)
+{
+	world_stop_entry(w, (uint32_t)e->a);
+}
+
+static void roll(struct world *w)
+{
+	for (uint32_t i = 0; i < w->n_entries; i++)
+		world_at(w, i * NS_PER_S, on_stop, i, 0, 0);
+}
+
+static void freeze(struct world *w)
+{
+	world_freeze_entry(w, any_entry(w), 3 * NS_PER_S);
+}
+
+static void freeze_half(struct world *w)
+{
+	for (uint32_t i = 0; i < w->n_entries; i += 2)
+		world_freeze_entry(w, i, 2 * NS_PER_S);
+}
+
+static void cut_zone(struct world *w)
+{
+	world_cut_zone(w, (uint32_t)(rng_next(&w->rng) % w->conf.zones),
+		       5 * NS_PER_S);
+}
+
+static void cut_zone_during_roll(struct world *w)
+{
+	cut_zone(w);
+	roll(w);
+}
+
+static void kill_target(struct world *w)
+{
+	world_kill_target(w, any_target(w), false);
+}
+
+static void darken_targets(struct world *w)
+{
+	for (uint32_t i = 0; i < 3; i++)
+		world_kill_target(w, any_target(w), true);
+}
+
+static void reuse(struct world *w)
+{
+	for (uint32_t i = 0; i < 3; i++)
+		world_reuse_address(w, any_target(w));
+}
+
+static void reuse_store_down(struct world *w)
+{
+	world_store_down(w, 6 * NS_PER_S, false);
+	reuse(w);
+}
+
+static void on_release(struct world *w, const struct event *e)
+{
+	world_release_target(w, (uint32_t)e->a);
+}
+
+static void release(struct world *w)
+{
+	uint32_t n = w->n_targets;
+
+	for (uint32_t i = 0; i < n; i++)
+		world_at(w, i * 400 * NS_PER_MS, on_release, i, 0, 0);
+}
+
+static void release_and_roll(struct world *w)
+{
+	release(w);
+	roll(w);
+}
+
+static void store_down(struct world *w)
+{
+	world_store_down(w, 5 * NS_PER_S, false);
+}
+
+static void store_lapse(struct world *w)
+{
+	world_store_down(w, 4 * NS_PER_S, true);
+}
+
+static void on_cut(struct world *w, const struct event *e)
+{
+	world_cut_zone(w, (uint32_t)e->a, 5 * NS_PER_S);
+}
+
+static void lapse_then_cut(struct world *w)
+{
+	world_store_down(w, 4 * NS_PER_S, true);
+	world_at(w, 4200 * NS_PER_MS, on_cut, 0, 0, 0);
+}
+
+static void store_refuses_half(struct world *w)
+{
+	for (uint32_t i = 0; i < w->n_entries; i += 2)
+		world_store(w, i, STORE_REFUSES, 6 * NS_PER_S);
+	world_add_route(w);
+}
+
+static void store_silent_release(struct world *w)
+{
+	for (uint32_t i = 1; i < w->n_entries; i += 2)
+		world_store(w, i, STORE_SILENT, 6 * NS_PER_S);
+	release(w);
+}
+
+static void on_change(struct world *w, const struct event *e)
+{
+	if (e->a % 2)
+		world_drop_route(w);
+	else
+		world_add_route(w);
+}
+
+static void storm(struct world *w)
+{
+	for (uint32_t i = 0; i < 12; i++)
+		world_at(w, i * 300 * NS_PER_MS, on_change, i, 0, 0);
+}
+
+static void add_route(struct world *w)
+{
+	world_add_route(w);
+}
+
+static void nothing(struct world *w)
+{
+	(void)w;
+}
+
+/* Least parts served: the worst of 20 seeds, less room for another seed, not
+ * for another fault. */
+const struct world_fault world_faults[] = {
+	{ "none", "a calm day", nothing, 0.999 },
+	{ "kill_entry", "a process is killed", kill_entry, 0.995 },
+	{ "kill_entries", "all are killed at once", kill_entries, 0.99 },
+	{ "kill_entries_store_down", "all are killed, the store is down",
+	  kill_entries_store_down, 0.93 },
+	{ "stop_entry", "a planned stop", stop_entry, 0.999 },
+	{ "roll", "every entry is stopped and started", roll, 0.995 },
+	{ "freeze", "an entry stands still for 3 s", freeze, 0.995 },
+	{ "freeze_half", "half of them for 2 s", freeze_half, 0.97 },
+	{ "cut_zone", "a data centre is cut off for 5 s", cut_zone, 0.995 },
+	{ "cut_zone_during_roll", "and every entry is stopped and started",
+	  cut_zone_during_roll, 0.995 },
+	{ "kill_target", "a target's process ends", kill_target, 0.995 },
+	{ "darken_targets", "three targets lose power", darken_targets, 0.995 },
+	{ "reuse", "three die, other services get their addresses", reuse,
+	  0.995 },
+	{ "reuse_store_down", "and the store is down", reuse_store_down,
+	  0.995 },
+	{ "release", "every target is replaced", release, 0.995 },
+	{ "release_and_roll", "and every entry stopped and started",
+	  release_and_roll, 0.995 },
+	{ "store_down", "the store is down for 5 s", store_down, 0.999 },
+	{ "store_lapse", "and all entries of targets run out", store_lapse,
+	  0.999 },
+	{ "lapse_then_cut", "a data centre is cut off before they are back",
+	  lapse_then_cut, 0.995 },
+	{ "store_refuses_half", "every other entry is refused, a route comes",
+	  store_refuses_half, 0.999 },
+	{ "store_silent_release", "every other is not answered, targets go",
+	  store_silent_release, 0.995 },
+	{ "storm", "twelve configurations in 4 s", storm, 0.999 },
+	{ "add_route", "a route is added", add_route, 0.999 },
+};
+
+const uint32_t n_world_faults = sizeof(world_faults) / sizeof(world_faults[0]);
+
+/**
+ * world_fault_find() - a fault by its name
+ * @name: name
+ *
+ * Return: fault, or NULL.
+ */
+const struct world_fault *world_fault_find(const char *name)
+{
+	for (uint32_t i = 0; i < n_world_faults; i++)
+		if (!strcmp(world_faults[i].name, name))
+			return &world_faults[i];
+	return NULL;
+}
--- /dev/null
+++ b/sim/sim-packets/faults.c
@@ -0,0 +1,147 @@
+/* Faults and planned work, but those of targets. */
+#include "world_state.h"
+
+#define RESTART_NS (100 * NS_PER_MS)
+
+static void on_restart(struct world *w, const struct event *e)
+{
+	if (!w->entries[e->a].up)
+		entries_start(w, (uint32_t)e->a);
+	w->entries[e->a].disturbed_ns = w->now_ns;
+}
+
+/**
+ * world_kill_entry() - an entry's process ends and starts again
+ * @w: world
+ * @entry: entry
+ * @down_ns: time in between
+ */
+void world_kill_entry(struct world *w, uint32_t entry, uint64_t down_ns)
+{
+	w->entries[entry].up = false;
+	w->entries[entry].disturbed_ns = w->now_ns;
+	world_at(w, down_ns + RESTART_NS, on_restart, entry, 0, 0);
+}
+
+/**
+ * world_stop_entry() - a planned stop; the process starts again afterwards
+ * @w: world
+ * @entry: entry
+ */
+void world_stop_entry(struct world *w, uint32_t entry)
+{
+	struct sim_entry *e = &w->entries[entry];
+
+	if (e->up && !e->frozen)
+		node_stop(e->node, w->now_ns);
+}
+
+static void on_thaw(struct world *w, const struct event *e)
+{
+	w->entries[e->a].frozen = false;
+	w->entries[e->a].disturbed_ns = w->now_ns;
+}
+
+/**
+ * world_freeze_entry() - an entry stands still
+ * @w: world
+ * @entry: entry
+ * @ns: how long
+ */
+void world_freeze_entry(struct world *w, uint32_t entry, uint64_t ns)
+{
+	w->entries[entry].frozen = true;
+	w->entries[entry].disturbed_ns = w->now_ns;
+	world_at(w, ns, on_thaw, entry, 0, 0);
+}
+
+static void disturb_zone(struct world *w, uint32_t zone, uint64_t until_ns)
+{
+	for (uint32_t i = 0; i < w->n_entries; i++)
+		if (w->entries[i].zone == zone)
+			w->entries[i].disturbed_ns = until_ns;
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		if (w->targets[i].zone == zone)
+			w->targets[i].disturbed_ns = until_ns;
+}
+
+/**
+ * world_cut_zone() - a data centre is cut off from the others and the store
+ * @w: world
+ * @zone: data centre; its clients still reach it
+ * @ns: how long
+ */
+void world_cut_zone(struct world *w, uint32_t zone, uint64_t ns)
+{
+	w->cut_until_ns[zone] = w->now_ns + ns;
+	disturb_zone(w, zone, w->now_ns + ns);
+}
+
+/**
+ * world_store() - the store turns one entry away
+ * @w: world
+ * @entry: entry
+ * @mode: how
+ * @ns: how long
+ */
+void world_store(struct world *w, uint32_t entry, enum store_mode mode,
+		 uint64_t ns)
+{
+	w->entries[entry].store = mode;
+	w->entries[entry].store_until_ns = w->now_ns + ns;
+	w->store_disturbed_ns = w->now_ns + ns;
+}
+
+static void on_lapse(struct world *w, const struct event *e)
+{
+	(void)e;
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		store_delete(w, &w->targets[i]);
+}
+
+static void on_renew(struct world *w, const struct event *e)
+{
+	(void)e;
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		if (w->targets[i].alive)
+			store_target(w, &w->targets[i]);
+}
+
+/**
+ * world_store_down() - the store answers nobody
+ * @w: world
+ * @ns: how long
+ * @lapse: every target's entry runs out meanwhile and is renewed up to 1.5 s
+ *	after its return
+ */
+void world_store_down(struct world *w, uint64_t ns, bool lapse)
+{
+	w->store_down_ns = w->now_ns + ns;
+	w->store_disturbed_ns = w->now_ns + ns;
+	if (!lapse)
+		return;
+	world_at(w, ns - NS_PER_MS, on_lapse, 0, 0, 0);
+	world_at(w, ns + 1500 * NS_PER_MS, on_renew, 0, 0, 0);
+}
+
+/**
+ * world_add_route() - publish a configuration with one route more
+ * @w: world
+ */
+void world_add_route(struct world *w)
+{
+	w->extra_route = true;
+	w->extra_ns = w->now_ns;
+	store_routes(w);
+}
+
+/**
+ * world_drop_route() - publish a configuration without that route
+ * @w: world
+ */
+void world_drop_route(struct world *w)
+{
+	w->extra_route = false;
+	w->extra_ns = w->now_ns;
+	store_routes(w);
+}
--- /dev/null
+++ b/sim/sim-packets/main.c
@@ -0,0 +1,187 @@
+/*
+ * sim-packets: runs a deployment for opaque flows on a fake clock, with faults,
+ * and prints what clients and targets saw.
+ */
+#include "world.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WARM_UP_NS (5 * NS_PER_S)
+
+enum exit_code { EXIT_OK, EXIT_BROKEN, EXIT_USAGE };
+
+/* Arguments; end stands last, as argtable wants it. */
+struct args {
+	struct arg_int *seeds;
+	struct arg_int *first_seed;
+	struct arg_int *seconds;
+	struct arg_int *entries;
+	struct arg_int *targets;
+	struct arg_int *feeds;
+	struct arg_int *reports;
+	struct arg_str *faults;
+	struct arg_lit *json;
+	struct arg_lit *list;
+	struct arg_lit *help;
+	struct arg_end *end;
+};
+
+static struct args args_new(void)
+{
+	return (struct args){
+		.seeds = arg_int0(NULL, "seeds", "N", "runs a fault (1)"),
+		.first_seed = arg_int0(NULL, "first-seed", "N", "(1)"),
+		.seconds = arg_int0(NULL, "seconds", "N",
+				    "time after the fault (12)"),
+		.entries = arg_int0(NULL, "entries", "N",
+				    "in each of 3 data centres (3)"),
+		.targets = arg_int0(NULL, "targets", "N", "in each (5)"),
+		.feeds = arg_int0(NULL, "feeds", "N", "in each (90)"),
+		.reports =
+			arg_int0(NULL, "reports", "N", "a second in each (25)"),
+		.faults = arg_strn(NULL, "fault", "NAME", 0, 64,
+				   "one of --list; all without it"),
+		.json = arg_lit0(NULL, "json", "a line of JSON a run"),
+		.list = arg_lit0(NULL, "list", "name the faults and stop"),
+		.help = arg_lit0(NULL, "help", "print this and stop"),
+		.end = arg_end(8),
+	};
+}
+
+static uint32_t number(const struct arg_int *a, uint32_t usual)
+{
+	return a->count && a->ival[0] > 0 ? (uint32_t)a->ival[0] : usual;
+}
+
+static void print(const struct args *a, const char *fault, uint64_t seed,
+		  const struct world_report *r)
+{
+	const char *form =
+		a->json->count
+			? "{\"fault\":\"%s\",\"seed\":%llu,"
+			  "\"requests\":%llu,\"in_aim\":%llu,"
+			  "\"late\":%llu,\"failed\":%llu,"
+			  "\"broken_rules\":%llu,\"swamped\":%llu,"
+			  "\"probes\":%llu,\"store_calls\":%llu,"
+			  "\"imbalance\":%.3f}\n"
+			: "%-24s %5llu %8llu %7llu %5llu %6llu %6llu %7llu "
+			  "%6llu %6llu %9.2f\n";
+
+	printf(form, fault, (unsigned long long)seed,
+	       (unsigned long long)r->requests, (unsigned long long)r->in_aim,
+	       (unsigned long long)r->late, (unsigned long long)r->failed,
+	       (unsigned long long)world_broken_rules(r),
+	       (unsigned long long)r->swamped, (unsigned long long)r->probes,
+	       (unsigned long long)r->store_calls, r->imbalance);
+}
+
+/* Return: how often a rule was broken. */
+static uint64_t play(const struct args *a, const struct world_fault *f,
+		     uint64_t seed)
+{
+	struct world_conf conf = {
+		.seed = seed,
+		.zones = 3,
+		.entries_a_zone = number(a->entries, 3),
+		.targets_a_zone = number(a->targets, 5),
+		.feeds_a_zone = number(a->feeds, 90),
+		.reports_per_s_a_zone = number(a->reports, 25),
+		.work_ns = 60 * NS_PER_MS,
+		.deadline_ns = 2500 * NS_PER_MS,
+		.aim_ns = 250 * NS_PER_MS,
+	};
+	struct world *w = world_new(&conf);
+	struct world_report r;
+
+	if (!w)
+		return 1;
+	world_run(w, WARM_UP_NS);
+	f->apply(w);
+	world_run(w, number(a->seconds, 12) * NS_PER_S);
+	world_report(w, &r);
+	print(a, f->name, seed, &r);
+	world_free(w);
+	return world_broken_rules(&r);
+}
+
+static uint64_t play_seeds(const struct args *a, const struct world_fault *f)
+{
+	uint64_t broken = 0;
+
+	for (uint32_t i = 0; i < number(a->seeds, 1); i++)
+		broken += play(a, f, number(a->first_seed, 1) + i);
+	return broken;
+}
+
+static int play_named(const struct args *a)
+{
+	uint64_t broken = 0;
+
+	for (int i = 0; i < a->faults->count; i++) {
+		const struct world_fault *f =
+			world_fault_find(a->faults->sval[i]);
+
+		if (!f) {
+			fprintf(stderr,
+				"sim-packets: --fault %s: no such fault, see "
+				"--list\n",
+				a->faults->sval[i]);
+			return EXIT_USAGE;
+		}
+		broken += play_seeds(a, f);
+	}
+	return broken ? EXIT_BROKEN : EXIT_OK;
+}
+
+static int play_all(const struct args *a)
+{
+	uint64_t broken = 0;
+
+	for (uint32_t i = 0; i < n_world_faults; i++)
+		broken += play_seeds(a, &world_faults[i]);
+	return broken ? EXIT_BROKEN : EXIT_OK;
+}
+
+static int with_args(struct args *a, void **table, int argc, char **argv)
+{
+	int errors = arg_parse(argc, argv, table);
+
+	if (a->help->count) {
+		printf("Usage: sim-packets");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-18s %s\n");
+		return EXIT_OK;
+	}
+	if (errors) {
+		arg_print_errors(stderr, a->end, "sim-packets");
+		return EXIT_USAGE;
+	}
+	if (a->list->count) {
+		for (uint32_t i = 0; i < n_world_faults; i++)
+			printf("%-24s %s\n", world_faults[i].name,
+			       world_faults[i].help);
+		return EXIT_OK;
+	}
+	if (!a->json->count)
+		printf("%-24s %5s %8s %7s %5s %6s %6s %7s %6s %6s %9s\n",
+		       "fault", "seed", "requests", "in aim", "late", "failed",
+		       "broken", "swamped", "probes", "calls", "imbalance");
+	return a->faults->count ? play_named(a) : play_all(a);
+}
+
+int main(int argc, char **argv)
+{
+	struct args a = args_new();
+	void *table[] = { a.seeds,   a.first_seed, a.seconds, a.entries,
+			  a.targets, a.feeds,	   a.reports, a.faults,
+			  a.json,    a.list,	   a.help,    a.end };
+	int code = EXIT_USAGE;
+
+	if (!arg_nullcheck(table))
+		code = with_args(&a, table, argc, argv);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/sim/sim-packets/store.c
@@ -0,0 +1,237 @@
+/* The store that publishes: keys with revisions, listings and watches. */
+#include "world_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WATCH_NS (SOURCE_WATCH_MS * NS_PER_MS)
+#define LIST_TIMEOUT_NS (1500 * NS_PER_MS)
+
+/* A target's entry, as its value. */
+struct target_value {
+	struct target_news news;
+	uint32_t service;
+	uint32_t zone;
+};
+
+struct routes_value {
+	uint64_t version;
+	uint32_t extra;
+};
+
+static struct store_key *key_of(struct world *w, const char *name)
+{
+	struct store_key *k;
+
+	for (uint32_t i = 0; i < w->n_keys; i++)
+		if (!strcmp(w->keys[i].d.key, name))
+			return &w->keys[i];
+	if (w->n_keys == STORE_KEYS_MAX)
+		abort(); /* a mistake of the emulator */
+	k = &w->keys[w->n_keys++];
+	snprintf(k->d.key, sizeof(k->d.key), "%s", name);
+	k->d.deleted = true;
+	return k;
+}
+
+static bool reachable(const struct world *w, const struct sim_entry *e)
+{
+	return w->now_ns >= w->store_down_ns &&
+	       w->cut_until_ns[e->zone] <= w->now_ns;
+}
+
+static enum store_mode mode(const struct world *w, const struct sim_entry *e)
+{
+	if (!reachable(w, e))
+		return STORE_SILENT;
+	return e->store_until_ns > w->now_ns ? e->store : STORE_ANSWERS;
+}
+
+/* Hand an entry what came after a revision; its process may be new by now. */
+static void answer(struct world *w, uint32_t entry, uint64_t after,
+		   enum source_outcome outcome)
+{
+	struct sim_entry *e = &w->entries[entry];
+	struct answer_head head = { .revision = w->revision };
+
+	e->watching = false;
+	node_answering(e->node, w->now_ns);
+	for (uint32_t i = 0; outcome == SOURCE_OK && i < w->n_keys; i++) {
+		const struct document *d = &w->keys[i].d;
+
+		if (d->revision <= after || (!after && d->deleted))
+			continue;
+		if (e->node->step == SOURCE_LIST)
+			node_listed(e->node, d);
+		else
+			node_changed(e->node, d);
+	}
+	node_answer(e->node, outcome, &head, w->now_ns);
+}
+
+static bool same_process(const struct world *w, uint32_t entry, uint64_t boot)
+{
+	const struct sim_entry *e = &w->entries[entry];
+
+	return e->up && !e->frozen && e->boot == boot;
+}
+
+static void on_listed(struct world *w, const struct event *e)
+{
+	if (same_process(w, (uint32_t)e->a, e->b))
+		answer(w, (uint32_t)e->a, 0, e->c ? SOURCE_FAILED : SOURCE_OK);
+}
+
+static void on_watch_over(struct world *w, const struct event *e)
+{
+	struct sim_entry *s = &w->entries[e->a];
+
+	if (same_process(w, (uint32_t)e->a, e->b) && s->watching &&
+	    s->watch_after == e->c)
+		answer(w, (uint32_t)e->a, e->c,
+		       mode(w, s) == STORE_ANSWERS ? SOURCE_OK : SOURCE_FAILED);
+}
+
+static void on_watched(struct world *w, const struct event *e)
+{
+	struct sim_entry *s = &w->entries[e->a];
+
+	if (same_process(w, (uint32_t)e->a, e->b) && s->watching &&
+	    mode(w, s) == STORE_ANSWERS)
+		answer(w, (uint32_t)e->a, s->watch_after, SOURCE_OK);
+}
+
+static uint32_t index_of(const struct world *w, const struct sim_entry *e)
+{
+	return (uint32_t)(e - w->entries);
+}
+
+void store_list(void *ctx, const char *after_key)
+{
+	struct port_ctx *c = ctx;
+	enum store_mode m = mode(c->w, c->e);
+
+	(void)after_key;
+	c->w->report.store_calls++;
+	world_at(c->w, m == STORE_SILENT ? LIST_TIMEOUT_NS : STORE_NS,
+		 on_listed, index_of(c->w, c->e), c->e->boot,
+		 m != STORE_ANSWERS);
+}
+
+void store_watch(void *ctx, uint64_t after)
+{
+	struct port_ctx *c = ctx;
+	enum store_mode m = mode(c->w, c->e);
+	uint64_t wait_ns = m == STORE_REFUSES ? STORE_NS : WATCH_NS;
+
+	c->w->report.store_calls++;
+	c->e->watching = true;
+	c->e->watch_after = after;
+	world_at(c->w, wait_ns, on_watch_over, index_of(c->w, c->e), c->e->boot,
+		 after);
+	if (m == STORE_ANSWERS && c->w->revision > after)
+		world_at(c->w, STORE_NS, on_watched, index_of(c->w, c->e),
+			 c->e->boot, 0);
+}
+
+static void changed(struct world *w, struct store_key *k, const void *value,
+		    uint32_t size_bytes)
+{
+	k->d.revision = ++w->revision;
+	if (k->d.deleted)
+		k->d.created = k->d.revision;
+	k->d.deleted = !value;
+	if (value)
+		memcpy(k->value, value, size_bytes);
+	k->d.value = value ? k->value : NULL;
+	k->d.size_bytes = size_bytes;
+	for (uint32_t i = 0; i < w->n_entries; i++)
+		if (w->entries[i].watching)
+			world_at(w, STORE_NS, on_watched, i, w->entries[i].boot,
+				 0);
+}
+
+void store_routes(struct world *w)
+{
+	struct routes_value v = { ++w->version, w->extra_route };
+
+	changed(w, key_of(w, "routes"), &v, sizeof(v));
+}
+
+static void target_key(const struct sim_target *t, char *out, size_t n)
+{
+	snprintf(out, n, "target/%llu", (unsigned long long)t->news.id);
+}
+
+void store_target(struct world *w, const struct sim_target *t)
+{
+	struct target_value v = { t->news, t->service, t->zone };
+	char key[64];
+
+	target_key(t, key, sizeof(key));
+	changed(w, key_of(w, key), &v, sizeof(v));
+}
+
+void store_delete(struct world *w, const struct sim_target *t)
+{
+	struct store_key *k;
+	char key[64];
+
+	target_key(t, key, sizeof(key));
+	k = key_of(w, key);
+	if (!k->d.deleted)
+		changed(w, k, NULL, 0);
+}
+
+static void zone_name(uint32_t zone, char out[8])
+{
+	snprintf(out, 8, "zone%u", zone % ZONES_MAX);
+}
+
+static int decode_routes(const struct routes_value *v, struct directory *names,
+			 struct document_news *out)
+{
+	struct route_table *t = calloc(1, sizeof(*t));
+
+	t->version = v->version;
+	t->n_routes = v->extra ? ROUTES : ROUTES - 1;
+	t->routes = calloc(ROUTES, sizeof(*t->routes));
+	for (uint32_t i = 0; i < t->n_routes; i++) {
+		struct route *r = &t->routes[i];
+
+		r->vip = route_vip(i);
+		r->kind = i == FEED_ROUTE ? ROUTE_FEED : ROUTE_REPORT;
+		r->n_shares = 1;
+		r->shares[0] = (struct route_share){
+			directory_name(names, service_names[SERVICE_MAIN]), 1
+		};
+	}
+	out->kind = DOCUMENT_ROUTES;
+	out->routes = t;
+	return 0;
+}
+
+int store_decode(const struct document *d, struct directory *names,
+		 struct document_news *out, const char **problem)
+{
+	struct target_value v = { 0 };
+	char zone[8];
+
+	*problem = "";
+	*out = (struct document_news){ 0 };
+	if (!strcmp(d->key, "routes"))
+		return decode_routes((const struct routes_value *)d->value,
+				     names, out);
+	out->kind = DOCUMENT_TARGET;
+	out->target.id = strtoull(strchr(d->key, '/') + 1, NULL, 10);
+	if (!d->value)
+		return 0;
+	memcpy(&v, d->value, sizeof(v));
+	zone_name(v.zone, zone);
+	out->target = v.news;
+	out->target.service = directory_name(names, service_names[v.service]);
+	out->target.zone = directory_name(names, zone);
+	out->target.created = d->created;
+	return 0;
+}
--- /dev/null
+++ b/sim/sim-packets/targets.c
@@ -0,0 +1,265 @@
+/* Targets: slots and a short queue, flows of their own, drain and death. */
+#include "world_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TARGET_IP 0x0b000001
+#define DRAIN_NS (4 * NS_PER_S)
+
+uint32_t targets_add(struct world *w, uint32_t service, uint32_t zone,
+		     uint64_t addr)
+{
+	uint32_t i = w->n_targets;
+	struct sim_target *t = &w->targets[i];
+
+	if (i == TARGETS_MAX)
+		abort(); /* a mistake of the emulator */
+	w->n_targets++;
+	*t = (struct sim_target){
+		.service = service,
+		.zone = zone,
+		.alive = true,
+		.news = {
+			.id = ++w->next_id,
+			.addr = addr ? addr : ADDR(TARGET_IP + i, 8000),
+			.slots = SLOTS,
+		},
+	};
+	store_target(w, t);
+	return i;
+}
+
+/* Target that has an address now. */
+uint32_t targets_at(const struct world *w, uint64_t addr)
+{
+	for (uint32_t i = w->n_targets; i-- > 0;)
+		if (w->targets[i].news.addr == addr)
+			return i;
+	abort(); /* a mistake of the emulator */
+}
+
+static struct sim_flow *find(struct sim_target *t, const struct flow_key *flow)
+{
+	for (uint32_t i = 0; i < t->n_flows; i++)
+		if (t->flows[i].key.caller == flow->caller &&
+		    t->flows[i].key.vip == flow->vip)
+			return &t->flows[i];
+	return NULL;
+}
+
+static void hold(struct sim_target *t, const struct flow_key *flow)
+{
+	if (t->n_flows == FLOWS_A_TARGET_MAX) {
+		memmove(t->flows, t->flows + 1,
+			(FLOWS_A_TARGET_MAX - 1) * sizeof(t->flows[0]));
+		t->n_flows--;
+	}
+	t->flows[t->n_flows++] = (struct sim_flow){ *flow, 0 };
+}
+
+static void drop(struct sim_target *t, const struct flow_key *flow)
+{
+	struct sim_flow *f = find(t, flow);
+
+	if (f)
+		*f = t->flows[--t->n_flows];
+}
+
+static void begin(struct world *w, uint32_t target,
+		  const struct sim_request *r);
+
+static void on_answer(struct world *w, const struct event *e)
+{
+	clients_answered(w, (uint32_t)(e->a >> 16), (uint16_t)e->a, e->b, e->c);
+}
+
+static void answer(struct world *w, const struct sim_request *r, bool refused)
+{
+	world_at(w, CLIENT_NS, on_answer,
+		 (uint64_t)r->client << 16 | ADDR_PORT(r->flow.caller),
+		 r->number, refused);
+}
+
+static void on_done(struct world *w, const struct event *e)
+{
+	struct sim_target *t = &w->targets[e->a];
+	struct sim_request done = {
+		.client = (uint32_t)(e->b >> 16),
+		.number = e->c,
+		.flow.caller = ADDR(0, (uint16_t)e->b),
+	};
+	struct sim_request next;
+
+	if (!t->alive)
+		return;
+	t->busy--;
+	answer(w, &done, false);
+	if (!t->n_queue)
+		return;
+	next = t->queue[0];
+	memmove(t->queue, t->queue + 1, --t->n_queue * sizeof(t->queue[0]));
+	begin(w, (uint32_t)e->a, &next);
+}
+
+static void begin(struct world *w, uint32_t target, const struct sim_request *r)
+{
+	struct sim_target *t = &w->targets[target];
+	struct sim_client *c = &w->clients[r->client];
+
+	t->busy++;
+	t->runs++;
+	if (c->number == r->number && c->route == REPORT_ROUTE && ++c->ran > 1)
+		w->report.doubled++;
+	world_at(w, world_work_ns(w), on_done, target,
+		 (uint64_t)r->client << 16 | ADDR_PORT(r->flow.caller),
+		 r->number);
+}
+
+static void request(struct world *w, uint32_t target,
+		    const struct sim_request *r)
+{
+	struct sim_target *t = &w->targets[target];
+
+	if (t->busy < SLOTS) {
+		begin(w, target, r);
+	} else if (t->n_queue < QUEUE_MAX) {
+		t->queue[t->n_queue++] = *r;
+	} else {
+		w->report.swamped++;
+		answer(w, r, true);
+	}
+}
+
+static void on_opened(struct world *w, const struct event *e)
+{
+	clients_opened(w, (uint32_t)(e->a >> 16), (uint16_t)e->a,
+		       (uint32_t)e->b, (uint32_t)e->c);
+}
+
+static void on_cut(struct world *w, const struct event *e)
+{
+	clients_cut(w, (uint32_t)(e->a >> 16), (uint16_t)e->a);
+}
+
+/* A SYN arrived: what it should not have done is counted. */
+static void judge(struct world *w, const struct sim_target *t, uint32_t entry,
+		  uint32_t route)
+{
+	const struct sim_entry *e = &w->entries[entry];
+	bool calm = w->now_ns > e->disturbed_ns + SETTLE_NS &&
+		    w->now_ns > w->store_disturbed_ns + SETTLE_NS;
+
+	if (t->service != SERVICE_MAIN)
+		w->report.misrouted++;
+	if (calm && t->left_ns && w->now_ns > t->left_ns + FORCE_NS)
+		w->report.late_drain++;
+	if (calm && route == PROBE_ROUTE && !w->extra_route && w->extra_ns &&
+	    w->now_ns > w->extra_ns + FORCE_NS)
+		w->report.stale++;
+}
+
+/* A client's packet arrives at a target. */
+void targets_packet(struct world *w, uint32_t target, uint32_t client,
+		    uint32_t entry, uint8_t flags, uint32_t size_bytes,
+		    const struct flow_key *flow, uint64_t number)
+{
+	struct sim_target *t = &w->targets[target];
+	struct sim_request r = { client, number, *flow };
+	struct sim_flow *f = find(t, flow);
+	uint64_t who = (uint64_t)client << 16 | ADDR_PORT(flow->caller);
+
+	if (!t->alive)
+		return;
+	if (flags & PACKET_SYN) {
+		judge(w, t, entry, w->clients[client].route);
+		if (!f)
+			hold(t, flow);
+		world_at(w, CLIENT_NS, on_opened, who, target,
+			 target_cookie(t->news.id));
+	} else if (flags & PACKET_FIN) {
+		drop(t, flow);
+	} else if (!f) {
+		world_at(w, CLIENT_NS, on_cut, who, 0, 0);
+	} else if (size_bytes && f->number != number) {
+		f->number = number;
+		request(w, target, &r);
+	}
+}
+
+/* A target's process ends; @dark: with its machine. */
+void targets_end(struct world *w, uint32_t target, bool dark)
+{
+	struct sim_target *t = &w->targets[target];
+
+	t->alive = false;
+	t->dark = dark;
+	t->n_flows = 0;
+	t->n_queue = 0;
+	t->disturbed_ns = w->now_ns;
+}
+
+static void on_left(struct world *w, const struct event *e)
+{
+	struct sim_target *t = &w->targets[e->a];
+
+	targets_end(w, (uint32_t)e->a, false);
+	store_delete(w, t);
+}
+
+/**
+ * world_release_target() - replace a target: a new one starts, it drains
+ * @w: world
+ * @target: target
+ */
+void world_release_target(struct world *w, uint32_t target)
+{
+	struct sim_target *t = &w->targets[target];
+
+	if (!t->alive || t->left_ns)
+		return;
+	targets_add(w, t->service, t->zone, 0);
+	t->news.leaving = true;
+	t->left_ns = w->now_ns;
+	store_target(w, t);
+	world_at(w, DRAIN_NS, on_left, target, 0, 0);
+}
+
+static void on_lapse(struct world *w, const struct event *e)
+{
+	store_delete(w, &w->targets[e->a]);
+}
+
+/**
+ * world_kill_target() - a target ends without a word
+ * @w: world
+ * @target: target
+ * @dark: its machine goes too, so that connections to it hang
+ */
+void world_kill_target(struct world *w, uint32_t target, bool dark)
+{
+	if (!w->targets[target].alive)
+		return;
+	targets_end(w, target, dark);
+	world_at(w, 3 * NS_PER_S, on_lapse, target, 0, 0);
+}
+
+static void on_reuse(struct world *w, const struct event *e)
+{
+	const struct sim_target *t = &w->targets[e->a];
+
+	targets_add(w, SERVICE_OTHER, t->zone, t->news.addr);
+}
+
+/**
+ * world_reuse_address() - a target dies, its address goes to another service
+ * @w: world
+ * @target: target
+ */
+void world_reuse_address(struct world *w, uint32_t target)
+{
+	if (!w->targets[target].alive)
+		return;
+	world_kill_target(w, target, false);
+	world_at(w, 2 * NS_PER_S, on_reuse, target, 0, 0);
+}
--- /dev/null
+++ b/sim/sim-packets/world.h
@@ -0,0 +1,136 @@
+/*
+ * An emulator of a whole deployment on a fake clock: clients, routers, entries
+ * (the real core/packet/node), targets and the store that publishes. A run is a
+ * function of its seed. Nothing here uses sockets.
+ */
+#ifndef SIM_PACKETS_WORLD_H
+#define SIM_PACKETS_WORLD_H
+
+#include "node.h"
+
+#define ZONES_MAX 4
+#define ENTRIES_MAX 32
+#define TARGETS_MAX 256
+#define CLIENTS_MAX 1024
+#define STORE_KEYS_MAX 512
+
+/* How far apart things are, one way. */
+#define NEAR_NS (200 * 1000ULL)
+#define FAR_NS (1000 * 1000ULL)
+#define CLIENT_NS (1000 * 1000ULL)
+#define STORE_NS (4 * NS_PER_MS)
+/* After a disturbance what it touched may be wrong for this long. */
+#define SETTLE_NS (4 * NS_PER_S)
+/* Longest time until a publication is in force. */
+#define FORCE_NS (3 * NS_PER_S)
+
+/**
+ * struct world_conf - what to emulate
+ * @seed: of all chance
+ * @zones: data centres
+ * @entries_a_zone: entries in each
+ * @targets_a_zone: targets of the feed and report service in each
+ * @feeds_a_zone: clients with an open feed in each
+ * @reports_per_s_a_zone: reports in each
+ * @work_ns: mean time that a target works on a request
+ * @deadline_ns: client's deadline
+ * @aim_ns: target latency
+ */
+struct world_conf {
+	uint64_t seed;
+	uint32_t zones;
+	uint32_t entries_a_zone;
+	uint32_t targets_a_zone;
+	uint32_t feeds_a_zone;
+	uint32_t reports_per_s_a_zone;
+	uint64_t work_ns;
+	uint64_t deadline_ns;
+	uint64_t aim_ns;
+};
+
+/**
+ * enum store_mode - what the store does with an entry's calls
+ * @STORE_ANSWERS: answers them
+ * @STORE_REFUSES: refuses them at once
+ * @STORE_SILENT: does not answer
+ */
+enum store_mode { STORE_ANSWERS, STORE_REFUSES, STORE_SILENT };
+
+/**
+ * struct world_report - what clients and targets saw
+ * @requests: requests asked
+ * @in_aim: answered within the target latency
+ * @late: answered later
+ * @failed: not answered
+ * @misrouted: flows that a target of a service got that no configuration
+ *	allowed
+ * @broken: open flows that an entry reset while their target served
+ * @late_drain: flows that reached a target long after its leave was published
+ * @stale: flows handled as only an older configuration allows
+ * @doubled: non-idempotent requests that ran twice
+ * @swamped: requests that targets refused, since their queues were full
+ * @probes: connection attempts of entries
+ * @store_calls: calls to the store
+ * @imbalance: most requests of a target over the mean of its service
+ */
+struct world_report {
+	uint64_t requests;
+	uint64_t in_aim;
+	uint64_t late;
+	uint64_t failed;
+	uint64_t misrouted;
+	uint64_t broken;
+	uint64_t late_drain;
+	uint64_t stale;
+	uint64_t doubled;
+	uint64_t swamped;
+	uint64_t probes;
+	uint64_t store_calls;
+	double imbalance;
+};
+
+struct world;
+
+struct world *world_new(const struct world_conf *conf);
+void world_free(struct world *w);
+void world_run(struct world *w, uint64_t ns);
+void world_report(const struct world *w, struct world_report *out);
+uint64_t world_broken_rules(const struct world_report *r);
+uint32_t world_entries(const struct world *w);
+uint32_t world_targets(const struct world *w);
+uint32_t world_ready(const struct world *w);
+
+/* Faults and planned work; each takes effect at once. */
+void world_kill_entry(struct world *w, uint32_t entry, uint64_t down_ns);
+void world_stop_entry(struct world *w, uint32_t entry);
+void world_freeze_entry(struct world *w, uint32_t entry, uint64_t ns);
+void world_cut_zone(struct world *w, uint32_t zone, uint64_t ns);
+void world_store(struct world *w, uint32_t entry, enum store_mode mode,
+		 uint64_t ns);
+void world_store_down(struct world *w, uint64_t ns, bool lapse);
+void world_kill_target(struct world *w, uint32_t target, bool dark);
+void world_release_target(struct world *w, uint32_t target);
+void world_reuse_address(struct world *w, uint32_t target);
+void world_add_route(struct world *w);
+void world_drop_route(struct world *w);
+
+/**
+ * struct world_fault - a fault or planned work, by name
+ * @name: name
+ * @help: what happens
+ * @apply: make it happen, now
+ * @served: least part of the requests that is served all the same, over the
+ *	12 s that follow
+ */
+struct world_fault {
+	const char *name;
+	const char *help;
+	void (*apply)(struct world *w);
+	double served;
+};
+
+extern const struct world_fault world_faults[];
+extern const uint32_t n_world_faults;
+const struct world_fault *world_fault_find(const char *name);
+
+#endif
--- /dev/null
+++ b/test/packet_world_test.c
@@ -0,0 +1,141 @@
+/*
+ * Whole deployments on a fake clock, one fault a run: what must never happen
+ * did not, and clients were served.
+ */
+#include "world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <cmocka.h>
+
+#define SEEDS 3
+#define WARM_UP_NS (5 * NS_PER_S)
+#define AFTER_NS (12 * NS_PER_S)
+
+static struct world *deployment(uint64_t seed)
+{
+	struct world_conf conf = {
+		.seed = seed,
+		.zones = 3,
+		.entries_a_zone = 3,
+		.targets_a_zone = 5,
+		.feeds_a_zone = 90,
+		.reports_per_s_a_zone = 25,
+		.work_ns = 60 * NS_PER_MS,
+		.deadline_ns = 2500 * NS_PER_MS,
+		.aim_ns = 250 * NS_PER_MS,
+	};
+	struct world *w = world_new(&conf);
+
+	assert_non_null(w);
+	return w;
+}
+
+static void play(const struct world_fault *f, uint64_t seed)
+{
+	struct world *w = deployment(seed);
+	struct world_report r;
+	double served;
+
+	world_run(w, WARM_UP_NS);
+	f->apply(w);
+	world_run(w, AFTER_NS);
+	world_report(w, &r);
+	served = (double)(r.in_aim + r.late) / (double)r.requests;
+	if (world_broken_rules(&r) || served < f->served)
+		fail_msg("%s, seed %llu: served %.4f of %llu, misrouted %llu, "
+			 "broken %llu, late drain %llu, stale %llu, doubled "
+			 "%llu",
+			 f->name, (unsigned long long)seed, served,
+			 (unsigned long long)r.requests,
+			 (unsigned long long)r.misrouted,
+			 (unsigned long long)r.broken,
+			 (unsigned long long)r.late_drain,
+			 (unsigned long long)r.stale,
+			 (unsigned long long)r.doubled);
+	assert_int_equal(world_ready(w), world_entries(w));
+	world_free(w);
+}
+
+static void test_every_fault(void **state)
+{
+	(void)state;
+	for (uint32_t i = 0; i < n_world_faults; i++)
+		for (uint64_t seed = 1; seed <= SEEDS; seed++)
+			play(&world_faults[i], seed);
+}
+
+/* Two at a time, the second while the first lasts. */
+static void test_pairs_of_faults(void **state)
+{
+	(void)state;
+	for (uint32_t i = 0; i < n_world_faults; i++) {
+		const struct world_fault *second =
+			&world_faults[(i * 7 + 3) % n_world_faults];
+		struct world *w = deployment(100 + i);
+		struct world_report r;
+
+		world_run(w, WARM_UP_NS);
+		world_faults[i].apply(w);
+		world_run(w, 2 * NS_PER_S);
+		second->apply(w);
+		world_run(w, AFTER_NS);
+		world_report(w, &r);
+		if (world_broken_rules(&r))
+			fail_msg("%s then %s: misrouted %llu, broken %llu, "
+				 "late drain %llu, stale %llu, doubled %llu",
+				 world_faults[i].name, second->name,
+				 (unsigned long long)r.misrouted,
+				 (unsigned long long)r.broken,
+				 (unsigned long long)r.late_drain,
+				 (unsigned long long)r.stale,
+				 (unsigned long long)r.doubled);
+		world_free(w);
+	}
+}
+
+static void test_a_run_repeats(void **state)
+{
+	struct world_report one, other;
+
+	(void)state;
+	for (uint32_t i = 0; i < 2; i++) {
+		struct world *w = deployment(5);
+
+		world_run(w, 8 * NS_PER_S);
+		world_report(w, i ? &other : &one);
+		world_free(w);
+	}
+	assert_int_equal(one.requests, other.requests);
+	assert_int_equal(one.in_aim, other.in_aim);
+	assert_int_equal(one.store_calls, other.store_calls);
+}
+
+/* One VM of a data centre reads: 9 entries, a watch of 2 s each of 3. */
+static void test_few_read_the_store(void **state)
+{
+	struct world *w = deployment(6);
+	struct world_report before, after;
+
+	(void)state;
+	world_run(w, WARM_UP_NS);
+	world_report(w, &before);
+	world_run(w, 20 * NS_PER_S);
+	world_report(w, &after);
+	assert_in_range(after.store_calls - before.store_calls, 1, 33);
+	world_free(w);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_every_fault),
+		cmocka_unit_test(test_pairs_of_faults),
+		cmocka_unit_test(test_a_run_repeats),
+		cmocka_unit_test(test_few_read_the_store),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
