--- /dev/null
+++ b/test/packet_node_test.c
@@ -0,0 +1,375 @@
+/* An entry without its sockets: reading, relaying, readiness, pause, stop. */
+#include "node.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define MS NS_PER_MS
+#define PEER ADDR(0x0a000002, 7720)
+#define VIP ADDR(0xc6120001, 443)
+#define CALLER ADDR(0x64400001, 1000)
+
+struct calls {
+	uint32_t lists;
+	uint32_t watches;
+	uint64_t watch_after;
+	uint32_t fetches;
+	uint64_t fetch_from;
+	uint32_t hellos;
+	struct hello last;
+};
+
+struct fixture {
+	struct node *node;
+	struct calls calls;
+	uint64_t now_ns;
+};
+
+static void on_list(void *ctx, const char *after_key)
+{
+	struct fixture *f = ctx;
+
+	(void)after_key;
+	f->calls.lists++;
+}
+
+static void on_watch(void *ctx, uint64_t after)
+{
+	struct fixture *f = ctx;
+
+	f->calls.watches++;
+	f->calls.watch_after = after;
+}
+
+static void on_fetch(void *ctx, uint64_t peer, uint64_t after)
+{
+	struct fixture *f = ctx;
+
+	(void)after;
+	f->calls.fetches++;
+	f->calls.fetch_from = peer;
+}
+
+static void on_hello(void *ctx, const uint64_t *to, uint32_t n,
+		     const struct hello *h)
+{
+	struct fixture *f = ctx;
+
+	(void)to;
+	(void)n;
+	f->calls.hellos++;
+	f->calls.last = *h;
+}
+
+static void on_probe(void *ctx, const struct target *t)
+{
+	(void)ctx;
+	(void)t;
+}
+
+static void on_flow(void *ctx, const struct flow_seen *f)
+{
+	(void)ctx;
+	(void)f;
+}
+
+static void on_health(void *ctx, const struct target *t, uint8_t before)
+{
+	(void)ctx;
+	(void)t;
+	(void)before;
+}
+
+static void on_log(void *ctx, enum node_log level, const char *step,
+		   const char *peer, const char *format, ...)
+{
+	(void)ctx;
+	(void)level;
+	(void)step;
+	(void)peer;
+	(void)format;
+}
+
+/* "routes" holds a version as text, "t/ID" is a target of the one service. */
+static int decode(const struct document *d, struct directory *names,
+		  struct document_news *out, const char **problem)
+{
+	struct route_table *t;
+
+	*problem = "bad";
+	*out = (struct document_news){ 0 };
+	if (d->value && !strcmp((char *)d->value, "bad"))
+		return -1;
+	if (d->key[0] == 't') {
+		out->kind = DOCUMENT_TARGET;
+		out->target.id = strtoull(d->key + 2, NULL, 10);
+		out->target.addr = ADDR(0x0b000000 + out->target.id, 80);
+		out->target.service = directory_name(names, "service");
+		out->target.zone = directory_name(names, "garda");
+		out->target.slots = 1;
+		return 0;
+	}
+	t = calloc(1, sizeof(*t));
+	t->version = strtoull((char *)d->value, NULL, 10);
+	t->n_routes = 1;
+	t->routes = calloc(1, sizeof(*t->routes));
+	t->routes[0].vip = VIP;
+	t->routes[0].n_shares = 1;
+	t->routes[0].shares[0].service = directory_name(names, "service");
+	out->kind = DOCUMENT_ROUTES;
+	out->routes = t;
+	return 0;
+}
+
+static int setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+	struct node_conf conf = {
+		.self = ADDR(0x0a000001, 7720),
+		.data_centre = "garda",
+		.boot = 7,
+		.flows_max = 64,
+		.flow_lifetime_ns = 60 * NS_PER_S,
+		.stop_ns = 4500 * MS,
+		.n_seeds = 1,
+		.seeds = { PEER },
+	};
+	struct node_port port = { f,	     on_list,  on_watch, on_fetch,
+				  on_hello,  on_probe, on_flow,	 on_flow,
+				  on_health, decode,   on_log };
+
+	f->now_ns = 100 * NS_PER_S;
+	f->node = node_new(&conf, port, f->now_ns);
+	*state = f;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	node_free(f->node);
+	free(f);
+	return 0;
+}
+
+static void pass(struct fixture *f, uint64_t ns)
+{
+	uint64_t end_ns = f->now_ns + ns;
+
+	for (; f->now_ns < end_ns; f->now_ns += 20 * MS)
+		node_tick(f->node, f->now_ns);
+}
+
+static struct document doc(const char *key, uint64_t revision,
+			   const char *value)
+{
+	struct document d = { .revision = revision, .created = revision };
+
+	strcpy(d.key, key);
+	d.deleted = !value;
+	d.value = (uint8_t *)value;
+	d.size_bytes = value ? (uint32_t)strlen(value) : 0;
+	return d;
+}
+
+static void fact(struct fixture *f,
+		 void (*take)(void *, const struct document *), const char *key,
+		 uint64_t revision, const char *value)
+{
+	struct document d = doc(key, revision, value);
+
+	take(f->node, &d);
+}
+
+static void listed(struct fixture *f)
+{
+	struct answer_head head = { .revision = 10 };
+
+	pass(f, 40 * MS);
+	assert_int_equal(f->calls.lists, 1);
+	node_answering(f->node, f->now_ns);
+	fact(f, node_listed, "routes", 5, "3");
+	fact(f, node_listed, "t/1", 6, "x");
+	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
+}
+
+static void test_ready_once_it_knows(void **state)
+{
+	struct fixture *f = *state;
+
+	pass(f, 20 * MS);
+	assert_false(f->node->ready);
+	listed(f);
+	assert_true(f->node->ready);
+	pass(f, 20 * MS);
+	assert_int_equal(f->calls.watches, 1);
+	assert_int_equal(f->calls.watch_after, 10);
+}
+
+/*
+ * Symptom: a young entry refuses routes that are in force. Sequence: it starts
+ * while the platform turns it away; a peer told that it knows more. Cause: it
+ * was ready with an older view.
+ */
+static void test_not_ready_before_it_knows_what_peers_do(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .newest = 50, .boot = 1 };
+	struct relay_head head = { 60, 50, false };
+
+	node_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.fetches, 1);
+	assert_int_equal(f->calls.fetch_from, PEER);
+	listed(f);
+	assert_false(f->node->ready);
+	assert_true(node_fetching(f->node, &head, f->now_ns));
+	fact(f, node_changed, "routes", 50, "9");
+	node_fetched(f->node, &head, f->now_ns);
+	assert_true(f->node->ready);
+	assert_int_equal(directory_table(f->node->directory)->version, 9);
+	/* A peer that is ahead later is no reason to leave. */
+	h.newest = 70;
+	node_hello(f->node, &h, f->now_ns);
+	pass(f, 40 * MS);
+	assert_true(f->node->ready);
+}
+
+/*
+ * Symptom: targets vanish from one entry. Sequence: it lists the platform over
+ * two pages; in between a peer sends its whole state. Cause: the second listing
+ * began inside the first, and what only the first had named counted as gone.
+ */
+static void test_no_whole_state_of_a_peer_while_listing(void **state)
+{
+	struct fixture *f = *state;
+	struct answer_head more = { .revision = 10, .more = true };
+	struct relay_head whole = { 8, 8, true };
+
+	strcpy(more.last_key, "t/1");
+	pass(f, 40 * MS);
+	node_answering(f->node, f->now_ns);
+	fact(f, node_listed, "t/1", 6, "x");
+	node_answer(f->node, SOURCE_OK, &more, f->now_ns);
+	assert_false(node_fetching(f->node, &whole, f->now_ns));
+	node_fetched(f->node, NULL, f->now_ns);
+	node_answering(f->node, f->now_ns);
+	fact(f, node_listed, "t/2", 7, "x");
+	more.more = false;
+	node_answer(f->node, SOURCE_OK, &more, f->now_ns);
+	assert_int_equal(directory_by_id(f->node->directory, 1)->stage,
+			 TARGET_SERVING);
+	assert_int_equal(directory_by_id(f->node->directory, 2)->stage,
+			 TARGET_SERVING);
+}
+
+static void test_bad_document_leaves_the_old_one(void **state)
+{
+	struct fixture *f = *state;
+
+	listed(f);
+	fact(f, node_changed, "routes", 12, "bad");
+	assert_int_equal(directory_table(f->node->directory)->version, 3);
+	assert_int_equal(f->node->counters.documents_refused, 1);
+	fact(f, node_changed, "routes", 13, "4");
+	assert_int_equal(directory_table(f->node->directory)->version, 4);
+}
+
+static void test_news_are_told_at_once(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .boot = 1 };
+	struct answer_head head = { .revision = 20 };
+	uint32_t before;
+
+	listed(f);
+	node_hello(f->node, &h, f->now_ns);
+	before = f->calls.hellos;
+	node_answering(f->node, f->now_ns);
+	fact(f, node_changed, "routes", 20, "4");
+	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
+	assert_int_equal(f->calls.hellos, before + 1);
+	assert_int_equal(f->calls.last.newest, 20);
+}
+
+static void send_packet(struct fixture *f)
+{
+	static const uint8_t bytes[32];
+	struct packet k = { .flow = { CALLER, VIP },
+			    .flags = PACKET_SYN,
+			    .bytes = bytes,
+			    .n_bytes = sizeof(bytes) };
+	struct path_verdict v;
+
+	node_packet(f->node, &k, f->now_ns, &v);
+	assert_int_equal(v.action, PATH_FORWARD);
+}
+
+/*
+ * Symptom: a planned stop cuts flows. Sequence: the process is told to stop and
+ * ends while the router still sends it packets. Cause: it did not wait for the
+ * router.
+ */
+static void test_planned_stop_forwards_until_the_router_moved(void **state)
+{
+	struct fixture *f = *state;
+
+	listed(f);
+	node_stop(f->node, f->now_ns);
+	assert_false(f->node->ready);
+	assert_true(f->calls.last.leaving || !f->calls.hellos);
+	for (uint32_t i = 0; i < 20; i++) {
+		pass(f, 100 * MS);
+		send_packet(f);
+		assert_false(f->node->ready);
+		assert_false(node_stopped(f->node, f->now_ns));
+	}
+	pass(f, 700 * MS);
+	assert_true(node_stopped(f->node, f->now_ns));
+}
+
+static void test_planned_stop_has_an_end(void **state)
+{
+	struct fixture *f = *state;
+
+	listed(f);
+	node_stop(f->node, f->now_ns);
+	for (uint32_t i = 0; i < 45; i++) {
+		pass(f, 100 * MS);
+		send_packet(f);
+	}
+	assert_true(node_stopped(f->node, f->now_ns));
+}
+
+static void test_pause_drops_what_waited(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_false(node_late(f->node, 100 * MS, f->now_ns));
+	assert_int_equal(f->node->counters.held_up, 0);
+	assert_false(node_late(f->node, 500 * MS, f->now_ns));
+	assert_int_equal(f->node->counters.held_up, 1);
+	assert_true(node_late(f->node, 2 * NS_PER_S, f->now_ns));
+	assert_int_equal(f->node->counters.paused, 1);
+}
+
+int main(void)
+{
+#define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
+	const struct CMUnitTest tests[] = {
+		TEST(test_ready_once_it_knows),
+		TEST(test_not_ready_before_it_knows_what_peers_do),
+		TEST(test_no_whole_state_of_a_peer_while_listing),
+		TEST(test_bad_document_leaves_the_old_one),
+		TEST(test_news_are_told_at_once),
+		TEST(test_planned_stop_forwards_until_the_router_moved),
+		TEST(test_planned_stop_has_an_end),
+		TEST(test_pause_drops_what_waited),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
