--- a/sim/sim-packets/clients.c
+++ b/sim/sim-packets/clients.c
@@ -20,15 +20,16 @@
 
 	/* A flow that was given up sends nothing more. */
 	if (c->port == (uint16_t)(e->c >> 32))
-		entries_packet(w, (uint32_t)e->b, (uint32_t)e->a,
-			       (uint8_t)(e->c >> 48), (uint32_t)e->c);
+		w->conf.driver.packet(w->conf.driver.ctx, w, (uint32_t)e->b,
+				      (uint32_t)e->a, (uint8_t)(e->c >> 48),
+				      (uint32_t)e->c);
 }
 
 static void send(struct world *w, uint32_t client, uint8_t flags,
 		 uint32_t size_bytes)
 {
 	const struct sim_client *c = &w->clients[client];
-	uint32_t entry = entries_route(w, c);
+	uint32_t entry = router_pick(w, c);
 
 	if (entry != UINT32_MAX)
 		world_at(w, CLIENT_NS, on_arrive, client, entry,
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -6,10 +6,8 @@
 #include <string.h>
 
 #define TICK_NS (20 * NS_PER_MS)
-#define READY_NS (500 * NS_PER_MS)
 #define PROBE_TIMEOUT_NS (60 * NS_PER_MS)
 #define PEER_TIMEOUT_NS (800 * NS_PER_MS)
-#define MISSES 2
 #define PEER_IP 0x0a000001
 
 static uint64_t entry_addr(uint32_t i)
@@ -40,7 +38,7 @@
 	s->ran_ns = w->now_ns;
 	node_tick(s->node, w->now_ns);
 	if (node_stopped(s->node, w->now_ns))
-		world_kill_entry(w, (uint32_t)e->a, 300 * NS_PER_MS);
+		world_entry_ended(w, (uint32_t)e->a);
 }
 
 static uint32_t letter_with(struct world *w, const struct hello *h)
@@ -234,8 +232,7 @@
 	(void)format;
 }
 
-/* A process starts on an entry's VM. */
-void entries_start(struct world *w, uint32_t entry)
+static void start(void *ctx, struct world *w, uint32_t entry)
 {
 	struct sim_entry *e = &w->entries[entry];
 	struct node_conf conf = {
@@ -261,6 +258,7 @@
 		.log = no_log,
 	};
 
+	(void)ctx;
 	snprintf(conf.data_centre, sizeof(conf.data_centre), "zone%u", e->zone);
 	w->contexts[entry] = (struct port_ctx){ w, e };
 	node_free(e->node);
@@ -273,9 +271,8 @@
 	world_at(w, rng_next(&w->rng) % TICK_NS, on_tick, entry, e->boot, 0);
 }
 
-/* A client's packet arrives at an entry. */
-void entries_packet(struct world *w, uint32_t entry, uint32_t client,
-		    uint8_t flags, uint32_t size_bytes)
+static void packet(void *ctx, struct world *w, uint32_t entry, uint32_t client,
+		   uint8_t flags, uint32_t size_bytes)
 {
 	static const uint8_t head[32];
 	struct sim_entry *e = &w->entries[entry];
@@ -292,6 +289,7 @@
 	};
 	struct path_verdict v;
 
+	(void)ctx;
 	if (!runs(e))
 		return;
 	node_packet(e->node, &k, w->now_ns, &v);
@@ -301,57 +299,38 @@
 		reset(w, e, &k.flow);
 }
 
-/* The platform asks every entry whether it is ready. */
-void entries_probe_readiness(struct world *w, const struct event *e)
+static void end(void *ctx, struct world *w, uint32_t entry)
 {
-	(void)e;
-	world_at(w, READY_NS, entries_probe_readiness, 0, 0, 0);
-	for (uint32_t i = 0; i < w->n_entries; i++) {
-		struct sim_entry *s = &w->entries[i];
-
-		if (runs(s) && s->node->ready)
-			s->missed = 0;
-		else if (s->missed < MISSES)
-			s->missed++;
-	}
+	(void)ctx;
+	w->entries[entry].up = false;
 }
 
-/* Steady: only the flows of an entry that comes or goes move. */
-static uint32_t pick(const struct world *w, uint64_t flow, uint32_t zone,
-		     bool all)
+static void stop(void *ctx, struct world *w, uint32_t entry)
 {
-	uint64_t best = 0;
-	uint32_t at = UINT32_MAX;
+	struct sim_entry *e = &w->entries[entry];
 
-	for (uint32_t i = 0; i < w->n_entries; i++) {
-		const struct sim_entry *e = &w->entries[i];
-		uint64_t h = hash_u64(flow, i + 1);
+	(void)ctx;
+	if (runs(e))
+		node_stop(e->node, w->now_ns);
+}
 
-		if ((zone != UINT32_MAX && e->zone != zone) ||
-		    (!all && e->missed >= MISSES) || h < best)
-			continue;
-		best = h;
-		at = i;
-	}
-	return at;
+static void freeze(void *ctx, struct world *w, uint32_t entry, bool frozen)
+{
+	(void)ctx;
+	w->entries[entry].frozen = frozen;
 }
 
-/* Entry that the routers hand a client's packets to. */
-uint32_t entries_route(struct world *w, const struct sim_client *c)
+static bool ready(void *ctx, struct world *w, uint32_t entry)
 {
-	struct flow_key key = { ADDR(c->ip, c->port), route_vip(c->route) };
-	uint64_t flow = flow_hash(&key);
-	uint32_t in = 0, n = 0;
+	const struct sim_entry *e = &w->entries[entry];
 
-	for (uint32_t i = 0; i < w->n_entries; i++) {
-		if (w->entries[i].zone != c->zone)
-			continue;
-		n++;
-		in += w->entries[i].missed < MISSES;
-	}
-	if (in)
-		return pick(w, flow, c->zone, in * 2 < n);
-	return pick(w, flow, UINT32_MAX, false) == UINT32_MAX
-		       ? pick(w, flow, c->zone, true)
-		       : pick(w, flow, UINT32_MAX, false);
+	(void)ctx;
+	return runs(e) && e->node->ready;
+}
+
+/* The emulator's own entries. */
+struct entry_driver entries_emulated(void)
+{
+	return (struct entry_driver){ NULL,   start, end,   stop,
+				      freeze, ready, packet };
 }
--- a/sim/sim-packets/faults.c
+++ b/sim/sim-packets/faults.c
@@ -3,10 +3,20 @@
 
 #define RESTART_NS (100 * NS_PER_MS)
 
+/**
+ * world_start_entry() - start an entry's process
+ * @w: world
+ * @entry: entry
+ */
+void world_start_entry(struct world *w, uint32_t entry)
+{
+	w->conf.driver.start(w->conf.driver.ctx, w, entry);
+}
+
 static void on_restart(struct world *w, const struct event *e)
 {
 	if (!w->entries[e->a].up)
-		entries_start(w, (uint32_t)e->a);
+		world_start_entry(w, (uint32_t)e->a);
 	w->entries[e->a].disturbed_ns = w->now_ns;
 }
 
@@ -18,11 +28,24 @@
  */
 void world_kill_entry(struct world *w, uint32_t entry, uint64_t down_ns)
 {
+	w->conf.driver.kill(w->conf.driver.ctx, w, entry);
 	w->entries[entry].up = false;
 	w->entries[entry].disturbed_ns = w->now_ns;
 	world_at(w, down_ns + RESTART_NS, on_restart, entry, 0, 0);
 }
 
+/**
+ * world_entry_ended() - an entry's process ended by itself
+ * @w: world
+ * @entry: entry
+ */
+void world_entry_ended(struct world *w, uint32_t entry)
+{
+	w->entries[entry].up = false;
+	w->entries[entry].disturbed_ns = w->now_ns;
+	world_at(w, RESTART_NS, on_restart, entry, 0, 0);
+}
+
 /**
  * world_stop_entry() - a planned stop; the process starts again afterwards
  * @w: world
@@ -30,15 +53,12 @@
  */
 void world_stop_entry(struct world *w, uint32_t entry)
 {
-	struct sim_entry *e = &w->entries[entry];
-
-	if (e->up && !e->frozen)
-		node_stop(e->node, w->now_ns);
+	w->conf.driver.stop(w->conf.driver.ctx, w, entry);
 }
 
 static void on_thaw(struct world *w, const struct event *e)
 {
-	w->entries[e->a].frozen = false;
+	w->conf.driver.freeze(w->conf.driver.ctx, w, (uint32_t)e->a, false);
 	w->entries[e->a].disturbed_ns = w->now_ns;
 }
 
@@ -50,7 +70,7 @@
  */
 void world_freeze_entry(struct world *w, uint32_t entry, uint64_t ns)
 {
-	w->entries[entry].frozen = true;
+	w->conf.driver.freeze(w->conf.driver.ctx, w, entry, true);
 	w->entries[entry].disturbed_ns = w->now_ns;
 	world_at(w, ns, on_thaw, entry, 0, 0);
 }
--- /dev/null
+++ b/sim/sim-packets/router.c
@@ -0,0 +1,60 @@
+/* The platform's routers: which entry gets a client's packets. */
+#include "world_state.h"
+
+#define READY_NS (500 * NS_PER_MS)
+#define MISSES 2
+
+/* The platform asks every entry whether it is ready. */
+void router_probe(struct world *w, const struct event *e)
+{
+	(void)e;
+	world_at(w, READY_NS, router_probe, 0, 0, 0);
+	for (uint32_t i = 0; i < w->n_entries; i++) {
+		struct sim_entry *s = &w->entries[i];
+
+		if (w->conf.driver.ready(w->conf.driver.ctx, w, i))
+			s->missed = 0;
+		else if (s->missed < MISSES)
+			s->missed++;
+	}
+}
+
+/* Steady: only the flows of an entry that comes or goes move. */
+static uint32_t pick(const struct world *w, uint64_t flow, uint32_t zone,
+		     bool all)
+{
+	uint64_t best = 0;
+	uint32_t at = UINT32_MAX;
+
+	for (uint32_t i = 0; i < w->n_entries; i++) {
+		const struct sim_entry *e = &w->entries[i];
+		uint64_t h = hash_u64(flow, i + 1);
+
+		if ((zone != UINT32_MAX && e->zone != zone) ||
+		    (!all && e->missed >= MISSES) || h < best)
+			continue;
+		best = h;
+		at = i;
+	}
+	return at;
+}
+
+/* Entry that the routers hand a client's packets to. */
+uint32_t router_pick(struct world *w, const struct sim_client *c)
+{
+	struct flow_key key = { ADDR(c->ip, c->port), route_vip(c->route) };
+	uint64_t flow = flow_hash(&key);
+	uint32_t in = 0, n = 0;
+
+	for (uint32_t i = 0; i < w->n_entries; i++) {
+		if (w->entries[i].zone != c->zone)
+			continue;
+		n++;
+		in += w->entries[i].missed < MISSES;
+	}
+	if (in)
+		return pick(w, flow, c->zone, in * 2 < n);
+	return pick(w, flow, UINT32_MAX, false) == UINT32_MAX
+		       ? pick(w, flow, c->zone, true)
+		       : pick(w, flow, UINT32_MAX, false);
+}
--- a/sim/sim-packets/world.c
+++ b/sim/sim-packets/world.c
@@ -107,9 +107,9 @@
 	for (uint32_t z = 0; z < w->conf.zones; z++)
 		for (uint32_t i = 0; i < w->conf.entries_a_zone; i++) {
 			w->entries[w->n_entries].zone = z;
-			entries_start(w, w->n_entries++);
+			world_start_entry(w, w->n_entries++);
 		}
-	world_at(w, 0, entries_probe_readiness, 0, 0, 0);
+	world_at(w, 0, router_probe, 0, 0, 0);
 }
 
 /**
@@ -130,6 +130,8 @@
 		return NULL;
 	}
 	w->conf = *conf;
+	if (!w->conf.driver.start)
+		w->conf.driver = entries_emulated();
 	w->rng.s = hash_u64(conf->seed, 1) | 1;
 	w->now_ns = 1000 * NS_PER_S;
 	store_routes(w);
@@ -194,11 +196,11 @@
 	return w->n_targets;
 }
 
-uint32_t world_ready(const struct world *w)
+uint32_t world_ready(struct world *w)
 {
 	uint32_t ready = 0;
 
 	for (uint32_t i = 0; i < w->n_entries; i++)
-		ready += w->entries[i].up && w->entries[i].node->ready;
+		ready += w->conf.driver.ready(w->conf.driver.ctx, w, i);
 	return ready;
 }
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -24,6 +24,30 @@
 /* Longest time until a publication is in force. */
 #define FORCE_NS (3 * NS_PER_S)
 
+struct world;
+
+/**
+ * struct entry_driver - what runs the entries: the emulator itself, or real
+ *	processes
+ * @ctx: passed back
+ * @start: start the process of an entry
+ * @kill: end it without a word
+ * @stop: ask it to end
+ * @freeze: stop it from running, or let it run again
+ * @ready: whether it says that it is ready
+ * @packet: hand it a client's packet
+ */
+struct entry_driver {
+	void *ctx;
+	void (*start)(void *ctx, struct world *w, uint32_t entry);
+	void (*kill)(void *ctx, struct world *w, uint32_t entry);
+	void (*stop)(void *ctx, struct world *w, uint32_t entry);
+	void (*freeze)(void *ctx, struct world *w, uint32_t entry, bool frozen);
+	bool (*ready)(void *ctx, struct world *w, uint32_t entry);
+	void (*packet)(void *ctx, struct world *w, uint32_t entry,
+		       uint32_t client, uint8_t flags, uint32_t size_bytes);
+};
+
 /**
  * struct world_conf - what to emulate
  * @seed: of all chance
@@ -35,6 +59,7 @@
  * @work_ns: mean time that a target works on a request
  * @deadline_ns: client's deadline
  * @aim_ns: target latency
+ * @driver: what runs the entries; the emulator when @driver.start is NULL
  */
 struct world_conf {
 	uint64_t seed;
@@ -46,6 +71,7 @@
 	uint64_t work_ns;
 	uint64_t deadline_ns;
 	uint64_t aim_ns;
+	struct entry_driver driver;
 };
 
 /**
@@ -89,8 +115,6 @@
 	double imbalance;
 };
 
-struct world;
-
 struct world *world_new(const struct world_conf *conf);
 void world_free(struct world *w);
 void world_run(struct world *w, uint64_t ns);
@@ -98,9 +122,11 @@
 uint64_t world_broken_rules(const struct world_report *r);
 uint32_t world_entries(const struct world *w);
 uint32_t world_targets(const struct world *w);
-uint32_t world_ready(const struct world *w);
+uint32_t world_ready(struct world *w);
 
 /* Faults and planned work; each takes effect at once. */
+void world_start_entry(struct world *w, uint32_t entry);
+void world_entry_ended(struct world *w, uint32_t entry);
 void world_kill_entry(struct world *w, uint32_t entry, uint64_t down_ns);
 void world_stop_entry(struct world *w, uint32_t entry);
 void world_freeze_entry(struct world *w, uint32_t entry, uint64_t ns);
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -168,11 +168,11 @@
 		 struct document_news *out, const char **problem);
 
 /* entries.c */
-void entries_start(struct world *w, uint32_t entry);
-void entries_packet(struct world *w, uint32_t entry, uint32_t client,
-		    uint8_t flags, uint32_t size_bytes);
-void entries_probe_readiness(struct world *w, const struct event *e);
-uint32_t entries_route(struct world *w, const struct sim_client *c);
+struct entry_driver entries_emulated(void);
+
+/* router.c */
+void router_probe(struct world *w, const struct event *e);
+uint32_t router_pick(struct world *w, const struct sim_client *c);
 
 /* targets.c */
 uint32_t targets_add(struct world *w, uint32_t service, uint32_t zone,
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -329,9 +329,9 @@
 	assert_true(f->calls.last.leaving);
 	for (uint32_t i = 0; i < 20; i++) {
 		pass(f, 100 * MS);
+		assert_false(node_stopped(f->node, f->now_ns));
 		send_packet(f);
 		assert_false(f->node->ready);
-		assert_false(node_stopped(f->node, f->now_ns));
 	}
 	pass(f, 700 * MS);
 	assert_true(node_stopped(f->node, f->now_ns));
