--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -8,11 +8,10 @@
 #define TICK_NS (20 * NS_PER_MS)
 #define PROBE_TIMEOUT_NS (60 * NS_PER_MS)
 #define PEER_TIMEOUT_NS (800 * NS_PER_MS)
-#define PEER_IP 0x0a000001
 
 static uint64_t entry_addr(uint32_t i)
 {
-	return ADDR(PEER_IP + i, 7720);
+	return ADDR(PEER_IP + i, PEER_PORT);
 }
 
 static uint32_t entry_at(uint64_t addr)
@@ -331,6 +330,6 @@
 /* The emulator's own entries. */
 struct entry_driver entries_emulated(void)
 {
-	return (struct entry_driver){ NULL,   start, end,   stop,
-				      freeze, ready, packet };
+	return (struct entry_driver){ NULL,   start, end,    stop,
+				      freeze, ready, packet, NULL };
 }
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -8,18 +8,6 @@
 #define WATCH_NS (SOURCE_WATCH_MS * NS_PER_MS)
 #define LIST_TIMEOUT_NS (1500 * NS_PER_MS)
 
-/* A target's entry, as its value. */
-struct target_value {
-	struct target_news news;
-	uint32_t service;
-	uint32_t zone;
-};
-
-struct routes_value {
-	uint64_t version;
-	uint32_t extra;
-};
-
 static struct store_key *key_of(struct world *w, const char *name)
 {
 	struct store_key *k;
@@ -41,13 +29,21 @@
 	       w->cut_until_ns[e->zone] <= w->now_ns;
 }
 
-static enum store_mode mode(const struct world *w, const struct sim_entry *e)
+/* What the store does with an entry's calls now. */
+enum store_mode store_mode_of(const struct world *w, uint32_t entry)
 {
+	const struct sim_entry *e = &w->entries[entry];
+
 	if (!reachable(w, e))
 		return STORE_SILENT;
 	return e->store_until_ns > w->now_ns ? e->store : STORE_ANSWERS;
 }
 
+static uint32_t index_of(const struct world *w, const struct sim_entry *e)
+{
+	return (uint32_t)(e - w->entries);
+}
+
 /* Hand an entry what came after a revision; its process may be new by now. */
 static void answer(struct world *w, uint32_t entry, uint64_t after,
 		   enum source_outcome outcome)
@@ -90,7 +86,9 @@
 	if (same_process(w, (uint32_t)e->a, e->b) && s->watching &&
 	    s->watch_after == e->c)
 		answer(w, (uint32_t)e->a, e->c,
-		       mode(w, s) == STORE_ANSWERS ? SOURCE_OK : SOURCE_FAILED);
+		       store_mode_of(w, (uint32_t)e->a) == STORE_ANSWERS
+			       ? SOURCE_OK
+			       : SOURCE_FAILED);
 }
 
 static void on_watched(struct world *w, const struct event *e)
@@ -98,19 +96,14 @@
 	struct sim_entry *s = &w->entries[e->a];
 
 	if (same_process(w, (uint32_t)e->a, e->b) && s->watching &&
-	    mode(w, s) == STORE_ANSWERS)
+	    store_mode_of(w, (uint32_t)e->a) == STORE_ANSWERS)
 		answer(w, (uint32_t)e->a, s->watch_after, SOURCE_OK);
 }
 
-static uint32_t index_of(const struct world *w, const struct sim_entry *e)
-{
-	return (uint32_t)(e - w->entries);
-}
-
 void store_list(void *ctx, const char *after_key)
 {
 	struct port_ctx *c = ctx;
-	enum store_mode m = mode(c->w, c->e);
+	enum store_mode m = store_mode_of(c->w, index_of(c->w, c->e));
 
 	(void)after_key;
 	c->w->report.store_calls++;
@@ -122,7 +115,7 @@
 void store_watch(void *ctx, uint64_t after)
 {
 	struct port_ctx *c = ctx;
-	enum store_mode m = mode(c->w, c->e);
+	enum store_mode m = store_mode_of(c->w, index_of(c->w, c->e));
 	uint64_t wait_ns = m == STORE_REFUSES ? STORE_NS : WATCH_NS;
 
 	c->w->report.store_calls++;
--- a/sim/sim-packets/targets.c
+++ b/sim/sim-packets/targets.c
@@ -4,9 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TARGET_IP 0x0b000001
 #define DRAIN_NS (4 * NS_PER_S)
 
+static void tell_driver(struct world *w, uint32_t target)
+{
+	if (w->conf.driver.target)
+		w->conf.driver.target(w->conf.driver.ctx, w, target);
+}
+
 uint32_t targets_add(struct world *w, uint32_t service, uint32_t zone,
 		     uint64_t addr)
 {
@@ -22,11 +27,12 @@
 		.alive = true,
 		.news = {
 			.id = ++w->next_id,
-			.addr = addr ? addr : ADDR(TARGET_IP + i, 8000),
+			.addr = addr ? addr : ADDR(TARGET_IP + i, TARGET_PORT),
 			.slots = SLOTS,
 		},
 	};
 	store_target(w, t);
+	tell_driver(w, i);
 	return i;
 }
 
@@ -197,6 +203,7 @@
 	t->n_flows = 0;
 	t->n_queue = 0;
 	t->disturbed_ns = w->now_ns;
+	tell_driver(w, target);
 }
 
 static void on_left(struct world *w, const struct event *e)
--- a/sim/sim-packets/world.c
+++ b/sim/sim-packets/world.c
@@ -66,6 +66,19 @@
 	w->now_ns = end_ns;
 }
 
+/**
+ * world_next_ns() - time until the next event
+ * @w: world
+ *
+ * Return: nanoseconds.
+ */
+uint64_t world_next_ns(const struct world *w)
+{
+	return w->n_events && w->events[0].at_ns > w->now_ns
+		       ? w->events[0].at_ns - w->now_ns
+		       : 0;
+}
+
 double world_chance(struct world *w)
 {
 	return (double)(rng_next(&w->rng) >> 11) / (double)(1ULL << 53);
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -36,6 +36,7 @@
  * @freeze: stop it from running, or let it run again
  * @ready: whether it says that it is ready
  * @packet: hand it a client's packet
+ * @target: a target started or ended; may be NULL
  */
 struct entry_driver {
 	void *ctx;
@@ -46,6 +47,7 @@
 	bool (*ready)(void *ctx, struct world *w, uint32_t entry);
 	void (*packet)(void *ctx, struct world *w, uint32_t entry,
 		       uint32_t client, uint8_t flags, uint32_t size_bytes);
+	void (*target)(void *ctx, struct world *w, uint32_t target);
 };
 
 /**
@@ -118,6 +120,7 @@
 struct world *world_new(const struct world_conf *conf);
 void world_free(struct world *w);
 void world_run(struct world *w, uint64_t ns);
+uint64_t world_next_ns(const struct world *w);
 void world_report(const struct world *w, struct world_report *out);
 uint64_t world_broken_rules(const struct world_report *r);
 uint32_t world_entries(const struct world *w);
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -12,6 +12,11 @@
 #define FEED_ROUTE 0
 #define REPORT_ROUTE 1
 #define PROBE_ROUTE 2
+/* Loopback addresses, so that real processes can be driven too. */
+#define PEER_IP 0x7f030001
+#define PEER_PORT 7720
+#define TARGET_IP 0x7f020001
+#define TARGET_PORT 8000
 #define NO_TARGET UINT32_MAX
 
 enum sim_service { SERVICE_MAIN, SERVICE_OTHER, SERVICES };
@@ -107,6 +112,18 @@
 	struct sim_entry *e;
 };
 
+/* A target's entry and a configuration, as values of the store. */
+struct target_value {
+	struct target_news news;
+	uint32_t service;
+	uint32_t zone;
+};
+
+struct routes_value {
+	uint64_t version;
+	uint32_t extra;
+};
+
 struct store_key {
 	struct document d;
 	uint8_t value[256];
@@ -162,6 +179,7 @@
 void store_routes(struct world *w);
 void store_target(struct world *w, const struct sim_target *t);
 void store_delete(struct world *w, const struct sim_target *t);
+enum store_mode store_mode_of(const struct world *w, uint32_t entry);
 void store_list(void *ctx, const char *after_key);
 void store_watch(void *ctx, uint64_t after);
 int store_decode(const struct document *d, struct directory *names,
--- /dev/null
+++ b/sim/sim-soak/processes.c
@@ -0,0 +1,207 @@
+/* Real entries: started, stopped, paused, killed by their process ids alone. */
+#include "soak.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define READY_TIMEOUT_MS 400
+/* An answer older than this counts as missed by the router. */
+#define READY_VALID_NS (900 * NS_PER_MS)
+
+static void write_settings(const struct soak *s, uint32_t i, const char *path)
+{
+	uint32_t zone = s->world->entries[i].zone;
+	FILE *f = fopen(path, "w");
+
+	if (!f)
+		return;
+	fprintf(f,
+		"[vm]\ndata_centre = \"zone%u\"\n"
+		"peer = \"127.3.0.%u:%u\"\nhttp = \"127.3.0.%u:%u\"\n"
+		"[clients]\nlisten = \"127.3.0.%u:%u\"\n"
+		"[platform]\naddress = \"127.4.0.%u:%u\"\n"
+		"ready = \"127.3.0.%u:%u\"\n"
+		"[peers]\nseed_0 = \"127.3.0.1:%u\"\n"
+		"seed_1 = \"127.3.0.2:%u\"\nseed_2 = \"127.3.0.3:%u\"\n"
+		"[limits]\nflows = 4096\n",
+		zone, i + 1, PEER_PORT, i + 1, HTTP_PORT, i + 1, CLIENT_PORT,
+		i + 1, STORE_PORT, i + 1, READY_PORT, HTTP_PORT, HTTP_PORT,
+		HTTP_PORT);
+	fclose(f);
+}
+
+static void on_ended(uv_process_t *process, int64_t status, int signal)
+{
+	struct soak_entry *e = process->data;
+	struct soak *s = e->soak;
+
+	e->running = false;
+	e->ready = false;
+	uv_close((uv_handle_t *)process, NULL);
+	soak_advance(s);
+	if (status || (signal && signal != SIGKILL)) {
+		/* An end of its own that nobody asked for breaks the run. */
+		fprintf(stderr, "entry %u ended, status %d, signal %d\n",
+			e->index, (int)status, signal);
+		s->world->report.broken++;
+	}
+	if (s->world->entries[e->index].up)
+		world_entry_ended(s->world, e->index);
+}
+
+static void start(void *ctx, struct world *w, uint32_t entry)
+{
+	struct soak *s = ctx;
+	struct soak_entry *e = &s->entries[entry];
+	uv_stdio_container_t io[3] = { { .flags = UV_IGNORE } };
+	uv_process_options_t options = { 0 };
+	char settings[512], log[512];
+	char *args[] = { (char *)s->program, "--settings", settings, NULL };
+
+	w->entries[entry].up = true;
+	w->entries[entry].frozen = false;
+	if (e->running)
+		return; /* still ending: its end starts it again */
+	snprintf(settings, sizeof(settings), "%s/entry-%u.toml", s->dir, entry);
+	snprintf(log, sizeof(log), "%s/entry-%u.log", s->dir, entry);
+	s->world = w;
+	write_settings(s, entry, settings);
+	io[1].flags = io[2].flags = UV_INHERIT_FD;
+	io[1].data.fd = io[2].data.fd =
+		open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+	options.file = s->program;
+	options.args = args;
+	options.exit_cb = on_ended;
+	options.stdio = io;
+	options.stdio_count = 3;
+	e->process.data = e;
+	if (uv_spawn(&s->loop, &e->process, &options))
+		fprintf(stderr, "%s can't be started\n", s->program);
+	else
+		e->running = true;
+	close(io[1].data.fd);
+}
+
+static void signal_to(struct soak *s, uint32_t entry, int number)
+{
+	if (s->entries[entry].running)
+		uv_process_kill(&s->entries[entry].process, number);
+}
+
+static void end(void *ctx, struct world *w, uint32_t entry)
+{
+	(void)w;
+	signal_to(ctx, entry, SIGKILL);
+}
+
+static void stop(void *ctx, struct world *w, uint32_t entry)
+{
+	(void)w;
+	signal_to(ctx, entry, SIGTERM);
+}
+
+static void freeze(void *ctx, struct world *w, uint32_t entry, bool frozen)
+{
+	w->entries[entry].frozen = frozen;
+	signal_to(ctx, entry, frozen ? SIGSTOP : SIGCONT);
+}
+
+static bool ready(void *ctx, struct world *w, uint32_t entry)
+{
+	const struct soak *s = ctx;
+	const struct soak_entry *e = &s->entries[entry];
+
+	(void)w;
+	return e->running && e->ready &&
+	       uv_hrtime() < e->ready_ns + READY_VALID_NS;
+}
+
+static void packet(void *ctx, struct world *w, uint32_t entry, uint32_t client,
+		   uint8_t flags, uint32_t size_bytes)
+{
+	(void)w;
+	sockets_packet(ctx, entry, client, flags, size_bytes);
+}
+
+static void target(void *ctx, struct world *w, uint32_t i)
+{
+	struct soak *s = ctx;
+
+	s->world = w;
+	sockets_target(s, i);
+}
+
+/**
+ * processes_driver() - real processes as the emulator's entries
+ * @s: run
+ *
+ * Return: driver.
+ */
+struct entry_driver processes_driver(struct soak *s)
+{
+	return (struct entry_driver){ s,      start, end,    stop,
+				      freeze, ready, packet, target };
+}
+
+static void on_ready(void *ctx, const struct http_reply *r)
+{
+	struct soak_entry *e = ctx;
+
+	e->ready = !r->err && r->status == 200;
+	e->ready_ns = uv_hrtime();
+}
+
+/**
+ * processes_open() - be ready to ask the entries
+ * @s: run
+ *
+ * Return: 0 or -ENOMEM.
+ */
+int processes_open(struct soak *s)
+{
+	int err = 0;
+
+	for (uint32_t i = 0; !err && i < s->world->n_entries; i++) {
+		struct soak_entry *e = &s->entries[i];
+		struct http_call_handler handler = { e, on_ready };
+
+		err = http_caller_open(&s->loop, handler, &e->caller);
+	}
+	return err;
+}
+
+/**
+ * processes_ask() - ask every entry whether it is ready
+ * @s: run
+ */
+void processes_ask(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->world->n_entries; i++) {
+		struct soak_entry *e = &s->entries[i];
+
+		if (e->caller && !http_calling(e->caller) &&
+		    http_call(e->caller, ADDR(PEER_IP + i, READY_PORT),
+			      "/readiness", READY_TIMEOUT_MS))
+			e->ready = false;
+	}
+}
+
+/**
+ * processes_end() - kill what this run started
+ * @s: run
+ */
+void processes_end(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->world->n_entries; i++) {
+		s->world->entries[i].up = false;
+		signal_to(s, i, SIGKILL);
+	}
+	for (uint32_t i = 0; i < s->world->n_entries; i++)
+		while (s->entries[i].running)
+			uv_run(&s->loop, UV_RUN_ONCE);
+	for (uint32_t i = 0; i < s->world->n_entries; i++)
+		http_caller_close(s->entries[i].caller);
+}
--- /dev/null
+++ b/sim/sim-soak/publish.c
@@ -0,0 +1,215 @@
+/* The store over HTTP, as the platform's page has it; a front an entry. */
+#include "soak.h"
+
+#include <string.h>
+
+#define OK 200
+#define BUSY 503
+
+static void put_value(GString *out, const char *json)
+{
+	char *text = g_base64_encode((const guchar *)json, strlen(json));
+
+	g_string_append_printf(out, "\"value\":\"%s\",", text);
+	g_free(text);
+}
+
+static void put_route(GString *json, uint32_t i)
+{
+	uint64_t vip = route_vip(i);
+	uint32_t ip = ADDR_IP(vip);
+
+	g_string_append_printf(
+		json,
+		"%s{\"host\":\"%u.%u.%u.%u\",\"prefix\":\"/%u/\","
+		"\"kind\":\"%s\",\"service\":\"%s\"}",
+		i ? "," : "", ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255,
+		ADDR_PORT(vip), i == FEED_ROUTE ? "safe" : "unsafe",
+		service_names[SERVICE_MAIN]);
+}
+
+static void put_routes(GString *out, const struct routes_value *v)
+{
+	GString *json = g_string_new(NULL);
+
+	g_string_printf(json, "{\"version\":%llu,\"routes\":[",
+			(unsigned long long)v->version);
+	for (uint32_t i = 0; i < (v->extra ? ROUTES : ROUTES - 1); i++)
+		put_route(json, i);
+	g_string_append(json, "]}");
+	put_value(out, json->str);
+	g_string_free(json, TRUE);
+}
+
+static void put_target(GString *out, const struct target_value *v)
+{
+	uint32_t ip = ADDR_IP(v->news.addr);
+	char *json = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%u.%u.%u.%u:%u\","
+		"\"zone\":\"zone%u\",\"slots\":%u,\"state\":\"%s\"}",
+		service_names[v->service], ip >> 24, ip >> 16 & 255,
+		ip >> 8 & 255, ip & 255, ADDR_PORT(v->news.addr), v->zone,
+		v->news.slots, v->news.leaving ? "draining" : "ready");
+
+	put_value(out, json);
+	g_free(json);
+}
+
+static void put_key(GString *out, const struct document *d)
+{
+	bool routes = !strcmp(d->key, "routes");
+
+	if (routes)
+		g_string_append(out, "{\"key\":\"op/config\",");
+	else
+		g_string_append_printf(out, "{\"key\":\"servers/i-%llx\",",
+				       (unsigned long long)g_ascii_strtoull(
+					       strchr(d->key, '/') + 1, NULL,
+					       10));
+	if (d->deleted)
+		g_string_append(out, "\"deleted\":true,");
+	else if (routes)
+		put_routes(out, (const struct routes_value *)d->value);
+	else
+		put_target(out, (const struct target_value *)d->value);
+	g_string_append_printf(out,
+			       "\"revision\":%llu,\"create-revision\":%llu}",
+			       (unsigned long long)d->revision,
+			       (unsigned long long)d->created);
+}
+
+static void put_answer(const struct world *w, uint64_t after, const char *list,
+		       GString *out)
+{
+	uint32_t n = 0;
+
+	g_string_printf(out, "{\"%s\":[", list);
+	for (uint32_t i = 0; i < w->n_keys; i++) {
+		const struct document *d = &w->keys[i].d;
+
+		if (d->revision <= after || (!after && d->deleted))
+			continue;
+		if (n++)
+			g_string_append_c(out, ',');
+		put_key(out, d);
+	}
+	g_string_append_printf(out,
+			       "],\"more-pages\":false,"
+			       "\"store-revision\":%llu}",
+			       (unsigned long long)w->revision);
+}
+
+static int wait_for(struct soak_entry *e, struct http_request *req,
+		    uint64_t after, uint64_t wait_ms)
+{
+	for (uint32_t i = 0; i < WAITERS_MAX; i++) {
+		if (e->waiters[i].req)
+			continue;
+		e->waiters[i] =
+			(struct waiter){ req, after,
+					 uv_hrtime() + wait_ms * NS_PER_MS };
+		return HTTP_LATER;
+	}
+	return BUSY;
+}
+
+static int handle(void *ctx, struct http_request *req, const char *method,
+		  const char *path, const char *query, const GString *in,
+		  GString *body)
+{
+	struct soak_entry *e = ctx;
+	struct world *w = e->soak->world;
+	char after[32] = "0", wait_ms[32] = "0";
+	uint64_t from;
+
+	(void)method;
+	(void)in;
+	soak_advance(e->soak);
+	w->report.store_calls++;
+	switch (store_mode_of(w, e->index)) {
+	case STORE_REFUSES:
+		return BUSY;
+	case STORE_SILENT: /* never answered: no waiter holds it */
+		return HTTP_LATER;
+	case STORE_ANSWERS:
+		break;
+	}
+	if (!strcmp(path, "/kv-range")) {
+		put_answer(w, 0, "items", body);
+		return OK;
+	}
+	http_query(query, "after", after, sizeof(after));
+	http_query(query, "wait-ms", wait_ms, sizeof(wait_ms));
+	from = g_ascii_strtoull(after, NULL, 10);
+	if (w->revision <= from)
+		return wait_for(e, req, from,
+				g_ascii_strtoull(wait_ms, NULL, 10));
+	put_answer(w, from, "events", body);
+	return OK;
+}
+
+static void answer_waiter(struct soak_entry *e, struct waiter *i)
+{
+	struct world *w = e->soak->world;
+	GString *body;
+
+	if (store_mode_of(w, e->index) != STORE_ANSWERS)
+		return; /* falls silent; the caller's deadline tells */
+	if (w->revision <= i->after && uv_hrtime() < i->deadline_ns)
+		return;
+	body = g_string_new(NULL);
+	put_answer(w, i->after, "events", body);
+	http_answer(i->req, OK, body);
+	g_string_free(body, TRUE);
+	i->req = NULL;
+}
+
+/**
+ * publish_tick() - answer the watches that are due
+ * @s: run
+ */
+void publish_tick(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->world->n_entries; i++)
+		for (uint32_t j = 0; j < WAITERS_MAX; j++)
+			if (s->entries[i].waiters[j].req)
+				answer_waiter(&s->entries[i],
+					      &s->entries[i].waiters[j]);
+}
+
+/**
+ * publish_open() - the store's front for an entry
+ * @s: run
+ * @entry: entry
+ *
+ * Return: 0 or a negative error.
+ */
+int publish_open(struct soak *s, uint32_t entry)
+{
+	struct soak_entry *e = &s->entries[entry];
+	struct http_handler handler = { e, handle };
+
+	return http_open(&s->loop, ADDR(STORE_IP_0 + entry, STORE_PORT),
+			 handler, &e->store);
+}
+
+/**
+ * publish_close() - reset every connection to an entry's front
+ * @s: run
+ * @entry: entry
+ */
+void publish_close(struct soak *s, uint32_t entry)
+{
+	struct soak_entry *e = &s->entries[entry];
+	GString *nothing = g_string_new(NULL);
+
+	if (!e->store)
+		return;
+	http_close(e->store);
+	e->store = NULL;
+	for (uint32_t i = 0; i < WAITERS_MAX; i++)
+		if (e->waiters[i].req)
+			http_answer(e->waiters[i].req, BUSY, nothing);
+	memset(e->waiters, 0, sizeof(e->waiters));
+	g_string_free(nothing, TRUE);
+}
