--- a/cmd/cb-packet/decisions.c
+++ b/cmd/cb-packet/decisions.c
@@ -20,6 +20,14 @@
 	return false;
 }
 
+/* How old the view is: time since the platform answered anybody heard of. */
+static uint64_t contact_age_ns(const struct packet_daemon *d)
+{
+	uint64_t now_ns = uv_hrtime();
+
+	return now_ns - peer_set_last_contact_ns(d->node->peers, now_ns);
+}
+
 static void line(struct packet_daemon *d, const char *step,
 		 const struct flow_key *flow, const char *reason,
 		 const struct target *t)
@@ -30,13 +38,14 @@
 	log_line(LOG_INFO, step,
 		 addr_text(flow->caller, caller, sizeof(caller)),
 		 "vip %s %s target %llx at %s health %s configuration %llu "
-		 "revision %llu",
+		 "revision %llu contact %llu ms ago",
 		 addr_text(flow->vip, vip, sizeof(vip)), reason,
 		 t ? (unsigned long long)t->news.id : 0ULL,
 		 t ? addr_text(t->news.addr, to, sizeof(to)) : "none",
 		 t ? health_names[t->health] : "none",
 		 table ? (unsigned long long)table->version : 0ULL,
-		 (unsigned long long)documents_through(d->node->documents));
+		 (unsigned long long)documents_through(d->node->documents),
+		 (unsigned long long)(contact_age_ns(d) / NS_PER_MS));
 }
 
 /**
