--- a/sim/sim-soak/processes.c
+++ b/sim/sim-soak/processes.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#define SEEDS 3
 #define READY_TIMEOUT_MS 400
 /* An answer older than this counts as missed by the router. */
 #define READY_VALID_NS (900 * NS_PER_MS)
@@ -20,16 +21,18 @@
 		return;
 	fprintf(f,
 		"[vm]\ndata_centre = \"zone%u\"\n"
-		"peer = \"127.3.0.%u:%u\"\nhttp = \"127.3.0.%u:%u\"\n"
-		"[clients]\nlisten = \"127.3.0.%u:%u\"\n"
-		"[platform]\naddress = \"127.4.0.%u:%u\"\n"
-		"ready = \"127.3.0.%u:%u\"\n"
-		"[peers]\nseed_0 = \"127.3.0.1:%u\"\n"
-		"seed_1 = \"127.3.0.2:%u\"\nseed_2 = \"127.3.0.3:%u\"\n"
-		"[limits]\nflows = 4096\n",
-		zone, i + 1, PEER_PORT, i + 1, HTTP_PORT, i + 1, CLIENT_PORT,
-		i + 1, STORE_PORT, i + 1, READY_PORT, HTTP_PORT, HTTP_PORT,
-		HTTP_PORT);
+		"peer = \"127.3.0.%u:%d\"\nhttp = \"127.3.0.%u:%d\"\n",
+		zone, i + 1, PEER_PORT, i + 1, HTTP_PORT);
+	fprintf(f,
+		"[clients]\nlisten = \"127.3.0.%u:%d\"\n"
+		"[platform]\naddress = \"127.4.0.%u:%d\"\n"
+		"ready = \"127.3.0.%u:%d\"\n",
+		i + 1, CLIENT_PORT, i + 1, STORE_PORT, i + 1, READY_PORT);
+	fprintf(f, "[peers]\n");
+	for (uint32_t seed = 0; seed < SEEDS; seed++)
+		fprintf(f, "seed_%u = \"127.3.0.%u:%d\"\n", seed, seed + 1,
+			HTTP_PORT);
+	fprintf(f, "[limits]\nflows = 4096\n");
 	fclose(f);
 }
 
--- /dev/null
+++ b/test/packet_settings_test.c
@@ -0,0 +1,117 @@
+/* Settings of cb-packet: the example passes, every mistake is told. */
+#include "packet_settings.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define EXAMPLE "examples/settings/cb-packet.toml"
+#define TEMPLATE "platform/settings.template"
+
+static void test_example_passes(void **state)
+{
+	struct packet_settings s;
+	struct mistakes m = { 0 };
+
+	(void)state;
+	assert_int_equal(packet_settings_read(EXAMPLE, &s, &m), 0);
+	assert_string_equal(s.data_centre, "garda");
+	assert_int_equal(s.seeds[1], ADDR(0x7f000102, 8166));
+	assert_int_equal(s.seeds[2], 0);
+	assert_int_equal(s.flow_lifetime_s, 60);
+	assert_int_equal(s.log.format, LOG_JSON);
+	mistakes_free(&m);
+}
+
+static uint32_t mistakes_in(const char *text, int expected)
+{
+	struct packet_settings s;
+	struct mistakes m = { 0 };
+	char *path = NULL;
+	int fd = g_file_open_tmp("cb-packet-XXXXXX", &path, NULL);
+	uint32_t n;
+
+	assert_true(fd >= 0);
+	g_close(fd, NULL);
+	assert_true(g_file_set_contents(path, text, -1, NULL));
+	assert_int_equal(packet_settings_read(path, &s, &m), expected);
+	n = m.n_errors;
+	mistakes_free(&m);
+	g_unlink(path);
+	g_free(path);
+	return n;
+}
+
+static void test_every_mistake_is_told_at_once(void **state)
+{
+	(void)state;
+	assert_int_equal(
+		mistakes_in("[vm]\ndata_centre = 7\npeer = \"127.0.0.1\"\n"
+			    "[limits]\nflows = 5\nunknown = 1\n",
+			    -EINVAL),
+		8);
+	assert_int_equal(mistakes_in("[vm\n", -EINVAL), 1);
+}
+
+static void test_two_listeners_on_one_address_clash(void **state)
+{
+	(void)state;
+	assert_int_equal(
+		mistakes_in("[vm]\ndata_centre = \"g\"\n"
+			    "peer = \"127.0.0.1:1\"\nhttp = \"127.0.0.1:2\"\n"
+			    "[clients]\nlisten = \"127.0.0.1:1\"\n"
+			    "[platform]\naddress = \"127.0.0.2:1\"\n"
+			    "ready = \"127.0.0.1:2\"\n",
+			    -EINVAL),
+		2);
+}
+
+/* Every key that the platform's template fills in is one of ours. */
+static void test_template_names_our_keys(void **state)
+{
+	char *text = NULL;
+	GString *filled = g_string_new(NULL);
+	char **lines;
+
+	(void)state;
+	assert_true(g_file_get_contents(TEMPLATE, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (uint32_t i = 0; lines[i]; i++) {
+		char *open = strstr(lines[i], "{{");
+
+		if (g_str_has_prefix(lines[i], "{{") ||
+		    g_str_has_prefix(lines[i], "seed_"))
+			continue;
+		if (!open)
+			g_string_append_printf(filled, "%s\n", lines[i]);
+		else if (strstr(lines[i], "zone"))
+			g_string_append(filled, "data_centre = \"z\"\n");
+		else if (strstr(lines[i], "lifetime"))
+			g_string_append(filled, "flow_lifetime_s = 60\n");
+		else
+			g_string_append_printf(filled, "%.*s127.0.0.1:%u\"\n",
+					       (int)(open - lines[i]), lines[i],
+					       1000 + i);
+	}
+	assert_int_equal(mistakes_in(filled->str, 0), 0);
+	g_strfreev(lines);
+	g_free(text);
+	g_string_free(filled, TRUE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_example_passes),
+		cmocka_unit_test(test_every_mistake_is_told_at_once),
+		cmocka_unit_test(test_two_listeners_on_one_address_clash),
+		cmocka_unit_test(test_template_names_our_keys),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
