--- a/adapters/http_call.c
+++ b/adapters/http_call.c
@@ -30,6 +30,9 @@
 	http_parser parser;
 	GString *body;
 	GString *request;
+	const char *wanted;
+	bool in_wanted;
+	GString *header;
 	char chunk[CHUNK_BYTES];
 };
 
@@ -56,6 +59,7 @@
 		.status = err ? 0 : (int)c->parser.status_code,
 		.body = c->body->str,
 		.size_bytes = c->body->len,
+		.header = c->header->str,
 	};
 
 	if (!c->calling)
@@ -83,6 +87,26 @@
 	return 0;
 }
 
+static int on_header_field(http_parser *parser, const char *at,
+			   size_t size_bytes)
+{
+	struct http_caller *c = parser->data;
+
+	c->in_wanted = c->wanted && size_bytes == strlen(c->wanted) &&
+		       !g_ascii_strncasecmp(at, c->wanted, size_bytes);
+	return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *at,
+			   size_t size_bytes)
+{
+	struct http_caller *c = parser->data;
+
+	if (c->in_wanted)
+		g_string_append_len(c->header, at, (gssize)size_bytes);
+	return 0;
+}
+
 static int on_complete(http_parser *parser)
 {
 	http_parser_pause(parser, 1);
@@ -90,6 +114,8 @@
 }
 
 static const http_parser_settings parsing = {
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
 	.on_body = on_body,
 	.on_message_complete = on_complete,
 };
@@ -216,6 +242,7 @@
 	c->handler = handler;
 	c->body = g_string_new(NULL);
 	c->request = g_string_new(NULL);
+	c->header = g_string_new(NULL);
 	uv_timer_init(loop, &c->timer);
 	c->timer.data = c;
 	*out = c;
@@ -243,6 +270,7 @@
 	g_string_printf(c->request, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path,
 			addr_text(server, host, sizeof(host)));
 	g_string_truncate(c->body, 0);
+	g_string_truncate(c->header, 0);
 	if (c->connection && (c->server != server || !c->connection->connected))
 		drop_connection(c);
 	c->calling = true;
@@ -260,6 +288,29 @@
 	return err;
 }
 
+/**
+ * http_caller_header() - a header whose value replies are to bring
+ * @c: caller
+ * @name: its name; not copied
+ */
+void http_caller_header(struct http_caller *c, const char *name)
+{
+	c->wanted = name;
+}
+
+/**
+ * http_cancel() - give up the call under way; the handler is not called
+ * @c: caller
+ */
+void http_cancel(struct http_caller *c)
+{
+	if (!c->calling)
+		return;
+	c->calling = false;
+	uv_timer_stop(&c->timer);
+	drop_connection(c);
+}
+
 /**
  * http_calling() - whether a call is under way
  * @c: caller
@@ -282,5 +333,6 @@
 	drop_connection(c);
 	g_string_free(c->body, TRUE);
 	g_string_free(c->request, TRUE);
+	g_string_free(c->header, TRUE);
 	uv_close((uv_handle_t *)&c->timer, on_closed);
 }
--- a/adapters/http_call.h
+++ b/adapters/http_call.h
@@ -16,12 +16,14 @@
  * @status: HTTP status when @err is 0
  * @body: body, ends with a zero byte that @size_bytes doesn't count
  * @size_bytes: its size
+ * @header: value of the header named by http_caller_header(), "" without it
  */
 struct http_reply {
 	int err;
 	int status;
 	const char *body;
 	size_t size_bytes;
+	const char *header;
 };
 
 /**
@@ -40,6 +42,8 @@
 		     struct http_caller **out);
 int http_call(struct http_caller *c, uint64_t server, const char *path,
 	      uint64_t timeout_ms);
+void http_caller_header(struct http_caller *c, const char *name);
+void http_cancel(struct http_caller *c);
 bool http_calling(const struct http_caller *c);
 void http_caller_close(struct http_caller *c);
 
--- a/adapters/platform.h
+++ b/adapters/platform.h
@@ -1,4 +1,4 @@
-/* Calls to the platform's service by libcurl on a libuv loop, one at a time. */
+/* Calls to the platform's service on a libuv loop, one at a time. */
 #ifndef CB_PLATFORM_H
 #define CB_PLATFORM_H
 
@@ -25,7 +25,7 @@
  * @handler: takes answers
  * @out: set to the platform
  *
- * Return: 0 or -ENOMEM.
+ * Return: 0, -EINVAL for another URL, -ENOMEM.
  */
 int platform_open(uv_loop_t *loop, const char *url,
 		  struct platform_handler handler, struct platform **out);
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define OK 200
+#define BAD_REQUEST 400
 #define NOT_FOUND 404
 #define UNAVAILABLE 503
 
@@ -102,10 +103,69 @@
 				       (unsigned long long)p->newest,
 				       p->leaving);
 	}
-	for (uint32_t i = 0; i < directory_slots(d->node->directory); i++)
+}
+
+static void write_targets(const struct packet_daemon *d, const char *query,
+			  GString *out)
+{
+	uint32_t n = directory_slots(d->node->directory);
+	char limit[32] = "";
+
+	if (http_query(query, "limit", limit, sizeof(limit)) &&
+	    g_ascii_strtoull(limit, NULL, 10) < n)
+		n = (uint32_t)g_ascii_strtoull(limit, NULL, 10);
+	for (uint32_t i = 0; i < n; i++)
 		write_target(d, directory_slot(d->node->directory, i), out);
 }
 
+static void write_route(const struct packet_daemon *d, const struct route *r,
+			GString *out)
+{
+	g_string_append_printf(out, "route kind %u timeout_ms %u", r->kind,
+			       r->timeout_ms);
+	for (uint32_t i = 0; i < r->n_shares; i++)
+		g_string_append_printf(
+			out, " service %s weight %u",
+			directory_name_text(d->node->directory,
+					    r->shares[i].service),
+			r->shares[i].weight);
+	g_string_append_c(out, '\n');
+}
+
+/* Where a flow goes, and what speaks for it. */
+static int write_explanation(const struct packet_daemon *d, const char *query,
+			     GString *out)
+{
+	static const char *const stages[] = { "opening", "open", "closed" };
+	char caller[32] = "", vip[32] = "";
+	struct flow_key key;
+	const struct route *r;
+	const struct flow_seen *f;
+
+	if (!http_query(query, "caller", caller, sizeof(caller)) ||
+	    !http_query(query, "vip", vip, sizeof(vip)) ||
+	    addr_parse(caller, &key.caller) || addr_parse(vip, &key.vip)) {
+		g_string_append(out, "expected caller=IP:PORT&vip=IP:PORT\n");
+		return BAD_REQUEST;
+	}
+	r = route_table_find(directory_table(d->node->directory), key.vip);
+	if (r)
+		write_route(d, r, out);
+	else
+		g_string_append(out, "no route: opening packets are reset\n");
+	f = path_flow(d->node->path, &key);
+	if (!f) {
+		g_string_append(out, "flow not seen here of late\n");
+		return OK;
+	}
+	g_string_append_printf(
+		out, "flow %s busy %u seen_ms_ago %llu\n", stages[f->stage],
+		f->busy,
+		(unsigned long long)((uv_hrtime() - f->seen_ns) / NS_PER_MS));
+	write_target(d, f->target, out);
+	return OK;
+}
+
 static int answer(void *ctx, struct http_request *req, const char *method,
 		  const char *path, const char *query, const GString *in,
 		  GString *body)
@@ -117,13 +177,17 @@
 	(void)method;
 	(void)in;
 	if (!strcmp(path, "/documents")) {
-		http_query(query ? query : "", "after", after, sizeof(after));
+		http_query(query, "after", after, sizeof(after));
 		relay_encode(d->node->documents,
 			     g_ascii_strtoull(after, NULL, 10), body);
 	} else if (!strcmp(path, "/metrics")) {
 		write_metrics(d, body);
 	} else if (!strcmp(path, "/status")) {
 		write_status(d, body);
+	} else if (!strcmp(path, "/targets")) {
+		write_targets(d, query, body);
+	} else if (!strcmp(path, "/explain")) {
+		return write_explanation(d, query, body);
 	} else {
 		return NOT_FOUND;
 	}
--- a/core/packet/path.c
+++ b/core/packet/path.c
@@ -527,6 +527,19 @@
 	return flow_cache_count(p->flows);
 }
 
+/**
+ * path_flow() - a flow that is followed here
+ * @p: state
+ * @key: client and VIP
+ *
+ * Return: flow, or NULL.
+ */
+const struct flow_seen *path_flow(const struct path *p,
+				  const struct flow_key *key)
+{
+	return flow_cache_get(p->flows, key);
+}
+
 float path_feed_load(const struct path *p)
 {
 	return p->feed_load;
--- a/core/packet/path.h
+++ b/core/packet/path.h
@@ -111,6 +111,8 @@
 void path_tick(struct path *p, uint64_t now_ns);
 const uint64_t *path_counts(const struct path *p);
 uint32_t path_flows(const struct path *p);
+const struct flow_seen *path_flow(const struct path *p,
+				  const struct flow_key *key);
 float path_feed_load(const struct path *p);
 extern const char *const path_reason_names[PATH_REASON_COUNT];
 
