An address's earlier target counts as ended also when it is learned later

Found by documents_prop: two targets of one address were both given flows when the newer one's entry was read first, as a listing in the order of keys does. Packets to the earlier one's id are met with silence. Test: the property "an address has one target that takes flows", seen to fail.

--- a/core/packet/directory.c
+++ b/core/packet/directory.c
@@ -222,14 +222,21 @@
 		index_put(d->by_cookie, t->cookie, first->slot);
 }
 
-/* An address has one target at a time: who had it before has ended. */
-static void end_earlier(struct directory *d, const struct target *t)
+/*
+ * An address has one target at a time: who had it before has ended. Entries
+ * are learned in any order, so @t may be the earlier one.
+ */
+static void end_earlier(struct directory *d, struct target *t)
 {
 	for (uint32_t i = 0; i < d->n_slots; i++) {
 		struct target *o = d->slots[i];
 
-		if (o != t && o->news.addr == t->news.addr && older(o, t))
+		if (o == t || o->news.addr != t->news.addr)
+			continue;
+		if (older(o, t))
 			o->health = HEALTH_DEAD;
+		else
+			t->health = HEALTH_DEAD;
 	}
 }
 
