--- /dev/null
+++ b/fuzz/users_fuzz.c
@@ -0,0 +1,89 @@
+/*
+ * Hostile bytes at cb-packet's edges: packets, the store's answers, documents,
+ * heartbeats and peers' documents. The first byte chooses.
+ */
+#include "hello_codec.h"
+#include "users_platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void read_value(void *ctx, const struct document *d)
+{
+	struct directory *names = ctx;
+	struct document_news news;
+	const char *problem;
+
+	if (users_read_document(d, names, &news, &problem))
+		return;
+	route_table_free(news.routes);
+}
+
+static void packet(const uint8_t *data, uint32_t size)
+{
+	struct packet k;
+
+	if (!users_read_packet(data, size, &k) &&
+	    k.size_bytes + 32U != k.n_bytes)
+		abort();
+}
+
+static void document(const uint8_t *data, uint32_t size, const char *key,
+		     struct directory *names)
+{
+	struct document d = { .revision = 1 };
+	uint8_t *copy = malloc(size + 1);
+
+	memcpy(copy, data, size);
+	copy[size] = '\0';
+	strcpy(d.key, key);
+	d.value = copy;
+	d.size_bytes = size;
+	read_value(names, &d);
+	free(copy);
+}
+
+static void choose(uint8_t what, const uint8_t *data, uint32_t size,
+		   struct directory *names)
+{
+	struct facts_port to = { names, read_value };
+	struct answer_head head;
+	struct relay_head relay;
+	struct hello hello;
+
+	switch (what % 6) {
+	case 0:
+		packet(data, size);
+		break;
+	case 1:
+		users_read_list((const char *)data, size, to, &head);
+		break;
+	case 2:
+		document(data, size, "op/config", names);
+		break;
+	case 3:
+		document(data, size, "servers/i-12", names);
+		break;
+	case 4:
+		hello_decode(data, size, &hello);
+		break;
+	default:
+		if (!relay_head_decode(data, size, &relay))
+			relay_decode(data, size, to);
+		break;
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct directory_conf conf = { NS_PER_S, NS_PER_S };
+	static struct directory *names;
+
+	if (!names)
+		names = directory_new(&conf);
+	if (size)
+		choose(data[0], data + 1, (uint32_t)size - 1, names);
+	return 0;
+}
