Loads are told within a budget of bytes

After: 12 KB/s for loads; with the few targets of today's sites they still go with every heartbeat. Test: test_heartbeats_stay_within_the_budget, seen to fail with the budget lifted. Slopes of the packet path: bench/slopes-packets.

--- /dev/null
+++ b/bench/slopes-packets/main.c
@@ -0,0 +1,179 @@
+/*
+ * Slopes of cb-packet: processor time of a packet, an opening packet, a tick
+ * and a heartbeat, and memory of a flow, at several sizes. Decisions and codecs
+ * only, no system calls. Prints "NAME SIZE VALUE UNIT".
+ */
+#include "hello_codec.h"
+#include "loads.h"
+#include "path.h"
+#include "place.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#define FLOWS 8192
+#define ROUNDS 200000
+#define TICKS 2000
+#define VIP ADDR(0xc6120001, 443)
+
+static const uint32_t sizes[] = { 5, 50, 500, 5000 };
+
+static void no_target(void *ctx, const struct target *t)
+{
+	(void)ctx;
+	(void)t;
+}
+
+static void no_flow(void *ctx, const struct flow_seen *f)
+{
+	(void)ctx;
+	(void)f;
+}
+
+static void no_health(void *ctx, const struct target *t, uint8_t before)
+{
+	(void)ctx;
+	(void)t;
+	(void)before;
+}
+
+static uint64_t clock_ns(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return (uint64_t)t.tv_sec * NS_PER_S + (uint64_t)t.tv_nsec;
+}
+
+struct fixture {
+	struct directory *directory;
+	struct path *path;
+	uint32_t cookies[FLOWS];
+	uint64_t now_ns;
+};
+
+static void make_routes(struct fixture *f)
+{
+	struct route_table *t = calloc(1, sizeof(*t));
+
+	t->version = 1;
+	t->n_routes = 1;
+	t->routes = calloc(1, sizeof(*t->routes));
+	t->routes[0].vip = VIP;
+	t->routes[0].n_shares = 1;
+	t->routes[0].shares[0] =
+		(struct route_share){ directory_name(f->directory, "s"), 1 };
+	directory_routes(f->directory, t, f->now_ns);
+}
+
+static void make(struct fixture *f, uint32_t targets)
+{
+	struct directory_conf dir = { 60 * NS_PER_S, NS_PER_S };
+	struct path_conf conf = { .flows_max = FLOWS,
+				  .flow_lifetime_ns = 60 * NS_PER_S };
+	struct path_port port = { NULL,	   no_target, no_flow,
+				  no_flow, no_target, no_health };
+
+	f->now_ns = 1000 * NS_PER_S;
+	f->directory = directory_new(&dir);
+	make_routes(f);
+	for (uint32_t i = 1; i <= targets; i++) {
+		struct target_news news = {
+			.id = i,
+			.addr = ADDR(i, 80),
+			.service = directory_name(f->directory, "s"),
+			.slots = 3,
+			.created = i,
+		};
+
+		directory_target(f->directory, &news, f->now_ns);
+	}
+	f->path = path_new(&conf, f->directory, port, (struct rng){ 7 });
+}
+
+static void open_flows(struct fixture *f, const char *name, uint32_t size)
+{
+	static const uint8_t bytes[32];
+	uint64_t start_ns = clock_ns();
+	struct path_verdict v;
+
+	for (uint32_t i = 0; i < FLOWS; i++) {
+		struct packet k = { .flow = { ADDR(i + 1, 1000), VIP },
+				    .flags = PACKET_SYN,
+				    .bytes = bytes,
+				    .n_bytes = sizeof(bytes) };
+
+		path_packet(f->path, &k, true, f->now_ns, &v);
+		f->cookies[i] = v.target->cookie;
+	}
+	printf("%s %u %.1f ns\n", name, size,
+	       (double)(clock_ns() - start_ns) / FLOWS);
+}
+
+static void carry(struct fixture *f, uint32_t size)
+{
+	uint64_t start_ns = clock_ns();
+	struct path_verdict v;
+
+	for (uint32_t i = 0; i < ROUNDS; i++) {
+		uint32_t flow = i % FLOWS;
+		struct packet k = { .flow = { ADDR(flow + 1, 1000), VIP },
+				    .cookie = f->cookies[flow],
+				    .seq = i,
+				    .ack = i,
+				    .size_bytes = 900,
+				    .flags = PACKET_ACK };
+
+		path_packet(f->path, &k, true, f->now_ns, &v);
+	}
+	printf("ns_packet_targets %u %.1f ns\n", size,
+	       (double)(clock_ns() - start_ns) / ROUNDS);
+}
+
+static void tick(struct fixture *f, uint32_t size)
+{
+	uint64_t start_ns = clock_ns();
+
+	for (uint32_t i = 0; i < TICKS; i++)
+		path_tick(f->path, f->now_ns);
+	printf("us_tick_targets %u %.2f us\n", size,
+	       (double)(clock_ns() - start_ns) / TICKS / 1000);
+}
+
+static void heartbeat(struct fixture *f, uint32_t size)
+{
+	uint8_t data[HELLO_MAX_BYTES];
+	struct hello h = { .from = 1 }, got;
+	uint64_t start_ns;
+	uint32_t n;
+
+	loads_fill(f->directory, &h);
+	n = hello_encode(&h, data);
+	start_ns = clock_ns();
+	for (uint32_t i = 0; i < TICKS; i++) {
+		hello_encode(&h, data);
+		hello_decode(data, n, &got);
+	}
+	printf("us_hello_targets %u %.2f us\n", size,
+	       (double)(clock_ns() - start_ns) / TICKS / 1000);
+	printf("bytes_hello_targets %u %u bytes\n", size, n);
+}
+
+int main(void)
+{
+	for (uint32_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+		static struct fixture f; /* large for a stack */
+
+		make(&f, sizes[i]);
+		open_flows(&f, "ns_open_targets", sizes[i]);
+		carry(&f, sizes[i]);
+		tick(&f, sizes[i]);
+		heartbeat(&f, sizes[i]);
+		path_free(f.path);
+		directory_free(f.directory);
+	}
+	printf("bytes_flow 1 %zu bytes\n", sizeof(struct flow_seen) + 32);
+	printf("bytes_target 1 %zu bytes\n", sizeof(struct target));
+	return 0;
+}
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -19,6 +19,14 @@
 #define STOP_LEAST_NS (1600 * NS_PER_MS)
 #define STOP_QUIET_NS (600 * NS_PER_MS)
 #define ROUND_MAX 16
+/*
+ * Of the 21 KB a second that a node may spend on control, loads get this much:
+ * 96 of them are told to ten peers every 0.6 s, a few with every heartbeat.
+ * With every heartbeat they took 39 KB a second (slopes-packets,
+ * bytes_hello_targets at 500).
+ */
+#define LOADS_BYTES_PER_S 12000ULL
+#define LOAD_BYTES 8
 
 static const char *const stage_names[] = { "serving", "leaving", "absent" };
 
@@ -41,8 +49,11 @@
 	h.newest = documents_newest(n->documents);
 	if (dead)
 		h.dead[h.n_dead++] = dead->news.id;
-	else
+	else if (n->now_ns >= n->loads_ns)
 		loads_fill(n->directory, &h);
+	if (h.has_loads)
+		n->loads_ns = n->now_ns + h.n_loads * LOAD_BYTES * count *
+						  NS_PER_S / LOADS_BYTES_PER_S;
 	n->port.hello(n->port.ctx, to, count, &h);
 }
 
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -111,6 +111,7 @@
  * @list_after: last key of the page before
  * @told: newest revision that the neighbours were told of at once
  * @fetching: a peer is being asked
+ * @loads_ns: when loads may be told next
  * @ready: whether the platform may send packets here
  * @stop_ns: when a planned stop began, 0 for none
  * @client_ns: last packet of a client
@@ -129,6 +130,7 @@
 	uint64_t told;
 	bool fetching;
 	uint64_t now_ns;
+	uint64_t loads_ns;
 	bool ready;
 	uint64_t stop_ns;
 	uint64_t client_ns;
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -1,9 +1,10 @@
 /* An entry without its sockets: reading, relaying, readiness, pause, stop. */
-#include "node.h"
+#include "hello_codec.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
@@ -20,6 +21,7 @@
 	uint32_t fetches;
 	uint64_t fetch_from;
 	uint32_t hellos;
+	uint64_t hello_bytes;
 	struct hello last;
 };
 
@@ -58,9 +60,10 @@
 		     const struct hello *h)
 {
 	struct fixture *f = ctx;
+	uint8_t data[HELLO_MAX_BYTES];
 
 	(void)to;
-	(void)n;
+	f->calls.hello_bytes += (uint64_t)n * hello_encode(h, data);
 	f->calls.hellos++;
 	f->calls.last = *h;
 }
@@ -350,6 +353,40 @@
 	assert_true(node_stopped(f->node, f->now_ns));
 }
 
+/*
+ * Symptom: entries spend more on heartbeats than a node may. Sequence: many
+ * targets have flows; ten peers are told of each five times a second. Cause:
+ * loads went with every heartbeat whatever their number.
+ */
+static void test_heartbeats_stay_within_the_budget(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t before;
+
+	listed(f);
+	for (uint32_t i = 0; i < 200; i++) {
+		char key[16];
+
+		snprintf(key, sizeof(key), "t/%u", 100 + i);
+		fact(f, node_changed, key, 100 + i, "x");
+		directory_by_id(f->node->directory, 100 + i)->feeds = 1000;
+	}
+	before = f->calls.hello_bytes;
+	for (uint32_t second = 0; second < 10; second++) {
+		for (uint32_t i = 0; i < 50; i++) {
+			for (uint32_t p = 0; i % 10 == 0 && p < 20; p++) {
+				struct hello h = { .from = PEER + p * 65536,
+						   .zone = f->calls.last.zone,
+						   .boot = 1 };
+
+				node_hello(f->node, &h, f->now_ns);
+			}
+			pass(f, 20 * MS);
+		}
+	}
+	assert_in_range((f->calls.hello_bytes - before) / 10, 1, 21000);
+}
+
 static void test_pause_drops_what_waited(void **state)
 {
 	struct fixture *f = *state;
@@ -373,6 +410,7 @@
 		TEST(test_news_are_told_at_once),
 		TEST(test_planned_stop_forwards_until_the_router_moved),
 		TEST(test_planned_stop_has_an_end),
+		TEST(test_heartbeats_stay_within_the_budget),
 		TEST(test_pause_drops_what_waited),
 	};
 
