--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -231,18 +231,16 @@
 	free(n);
 }
 
-/**
- * node_fresh() - whether no peer is known to know more
- * @n: entry
- * @now_ns: time
- *
- * Return: whether what is missing here may be taken as absent.
+/*
+ * What is missing here may be taken as absent only when no peer is known to
+ * know more. Worked out when something changes, not for each packet: it walks
+ * all peers.
  */
-bool node_fresh(struct node *n, uint64_t now_ns)
+static void judge_fresh(struct node *n)
 {
-	return documents_through(n->documents) &&
-	       !peer_set_ahead(n->peers, documents_newest(n->documents),
-			       now_ns);
+	n->fresh = documents_through(n->documents) &&
+		   !peer_set_ahead(n->peers, documents_newest(n->documents),
+				   n->now_ns);
 }
 
 /**
@@ -257,15 +255,16 @@
 {
 	n->now_ns = now_ns;
 	n->client_ns = now_ns;
-	path_packet(n->path, k, node_fresh(n, now_ns), now_ns, out);
+	path_packet(n->path, k, n->fresh, now_ns, out);
 }
 
 static void judge_ready(struct node *n)
 {
 	bool ready = n->ready;
 
+	judge_fresh(n);
 	/* Once ready it stays so: a peer that is ahead is no reason to leave. */
-	if (version(n) && (ready || node_fresh(n, n->now_ns)))
+	if (version(n) && (ready || n->fresh))
 		ready = true;
 	if (n->stop_ns)
 		ready = false;
@@ -518,6 +517,7 @@
 	if (h->reply)
 		send_hello(n, &h->from, 1, NULL);
 	call(n);
+	judge_ready(n);
 }
 
 /**
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -112,6 +112,7 @@
  * @told: newest revision that the neighbours were told of at once
  * @fetching: a peer is being asked
  * @loads_ns: when loads may be told next
+ * @fresh: no peer is known to know more
  * @ready: whether the platform may send packets here
  * @stop_ns: when a planned stop began, 0 for none
  * @client_ns: last packet of a client
@@ -131,6 +132,7 @@
 	bool fetching;
 	uint64_t now_ns;
 	uint64_t loads_ns;
+	bool fresh;
 	bool ready;
 	uint64_t stop_ns;
 	uint64_t client_ns;
@@ -142,7 +144,6 @@
 void node_free(struct node *n);
 void node_packet(struct node *n, const struct packet *k, uint64_t now_ns,
 		 struct path_verdict *out);
-bool node_fresh(struct node *n, uint64_t now_ns);
 void node_tick(struct node *n, uint64_t now_ns);
 void node_listed(void *ctx, const struct document *d);
 void node_changed(void *ctx, const struct document *d);
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -58,6 +58,8 @@
 {
 	if (!f)
 		return;
+	for (uint32_t i = 0; i < f->n; i++)
+		free(f->peers[i].loads);
 	free(f->peers);
 	free(f);
 }
@@ -117,6 +119,16 @@
 		p->heard_ns = heard_ns;
 }
 
+/* Without memory the peer counts as idle: placement is worse, no more. */
+static void keep_loads(struct peer_vm *p, const struct hello *h)
+{
+	if (!p->loads)
+		p->loads = malloc(HELLO_LOADS_MAX * sizeof(*p->loads));
+	p->n_loads = p->loads ? h->n_loads : 0;
+	if (p->n_loads)
+		memcpy(p->loads, h->loads, p->n_loads * sizeof(*h->loads));
+}
+
 /**
  * peer_set_hear() - take a peer's heartbeat
  * @f: set
@@ -140,10 +152,8 @@
 	p->leaving = h->leaving;
 	p->newest = h->newest;
 	p->contact_ns = ago(now_ns, h->contact_age_ms);
-	if (h->has_loads) {
-		p->n_loads = h->n_loads;
-		memcpy(p->loads, h->loads, h->n_loads * sizeof(*h->loads));
-	}
+	if (h->has_loads)
+		keep_loads(p, h);
 	for (uint32_t i = 0; i < h->n_peers; i++)
 		if (h->peers[i].age_ms <= GOSSIP_MAX_MS)
 			hear_of(f, &h->peers[i], now_ns);
@@ -219,8 +229,10 @@
 static void drop_old(struct peer_set *f, uint64_t now_ns)
 {
 	for (uint32_t i = f->n; i-- > 0;)
-		if (f->peers[i].heard_ns + FORGET_NS < now_ns)
+		if (f->peers[i].heard_ns + FORGET_NS < now_ns) {
+			free(f->peers[i].loads);
 			f->peers[i] = f->peers[--f->n];
+		}
 }
 
 /**
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -86,7 +86,7 @@
  * @newest: newest revision that it knows
  * @contact_ns: when the platform answered it last
  * @n_loads: loads it told
- * @loads: those
+ * @loads: those; apart, since the rest is walked often
  */
 struct peer_vm {
 	uint64_t addr;
@@ -98,7 +98,7 @@
 	uint64_t newest;
 	uint64_t contact_ns;
 	uint32_t n_loads;
-	struct hello_load loads[HELLO_LOADS_MAX];
+	struct hello_load *loads;
 };
 
 /**
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -12,6 +12,7 @@
 #define MS NS_PER_MS
 #define PEER ADDR(0x0a000002, 7720)
 #define VIP ADDR(0xc6120001, 443)
+#define NO_VIP ADDR(0xc6120009, 9)
 #define CALLER ADDR(0x64400001, 1000)
 
 struct calls {
@@ -201,6 +202,20 @@
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 }
 
+/* What becomes of an opening packet. */
+static uint8_t opening(struct fixture *f, uint64_t vip)
+{
+	static const uint8_t bytes[32];
+	struct packet k = { .flow = { CALLER, vip },
+			    .flags = PACKET_SYN,
+			    .bytes = bytes,
+			    .n_bytes = sizeof(bytes) };
+	struct path_verdict v;
+
+	node_packet(f->node, &k, f->now_ns, &v);
+	return v.action;
+}
+
 static void test_ready_once_it_knows(void **state)
 {
 	struct fixture *f = *state;
@@ -238,9 +253,12 @@
 	node_fetched(f->node, &head, f->now_ns);
 	assert_true(f->node->ready);
 	assert_int_equal(directory_table(f->node->directory)->version, 9);
-	/* A peer that is ahead later is no reason to leave. */
+	/* A peer that is ahead later is no reason to leave; but what is missing
+	 * here may be there. */
+	assert_int_equal(opening(f, NO_VIP), PATH_RESET);
 	h.newest = 70;
 	node_hello(f->node, &h, f->now_ns);
+	assert_int_equal(opening(f, NO_VIP), PATH_DROP);
 	pass(f, 40 * MS);
 	assert_true(f->node->ready);
 }
@@ -302,19 +320,6 @@
 	assert_int_equal(f->calls.last.newest, 20);
 }
 
-static void send_packet(struct fixture *f)
-{
-	static const uint8_t bytes[32];
-	struct packet k = { .flow = { CALLER, VIP },
-			    .flags = PACKET_SYN,
-			    .bytes = bytes,
-			    .n_bytes = sizeof(bytes) };
-	struct path_verdict v;
-
-	node_packet(f->node, &k, f->now_ns, &v);
-	assert_int_equal(v.action, PATH_FORWARD);
-}
-
 /*
  * Symptom: a planned stop cuts flows. Sequence: the process is told to stop and
  * ends while the router still sends it packets. Cause: it did not wait for the
@@ -333,7 +338,7 @@
 	for (uint32_t i = 0; i < 20; i++) {
 		pass(f, 100 * MS);
 		assert_false(node_stopped(f->node, f->now_ns));
-		send_packet(f);
+		assert_int_equal(opening(f, VIP), PATH_FORWARD);
 		assert_false(f->node->ready);
 	}
 	pass(f, 700 * MS);
@@ -348,7 +353,7 @@
 	node_stop(f->node, f->now_ns);
 	for (uint32_t i = 0; i < 45; i++) {
 		pass(f, 100 * MS);
-		send_packet(f);
+		assert_int_equal(opening(f, VIP), PATH_FORWARD);
 	}
 	assert_true(node_stopped(f->node, f->now_ns));
 }
