--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -12,6 +12,9 @@
 /* Heartbeats a round: neighbours of the data centre, and of any. */
 #define NEAR_MAX 8
 #define FAR_MAX 2
+/* Peers of other data centres that are kept: enough that some live, few enough
+ * that those of the own one always have room. */
+#define FAR_KEPT 64
 /* A seed is tried once in so many rounds though others are known: a VM that
  * only knows its own side of a partition would never see it heal. */
 #define SEED_ROUNDS 5
@@ -86,12 +89,23 @@
 	return NULL;
 }
 
+static uint32_t count_far(const struct peer_set *f)
+{
+	uint32_t far = 0;
+
+	for (uint32_t i = 0; i < f->n; i++)
+		far += f->peers[i].zone != f->conf.zone;
+	return far;
+}
+
 static struct peer_vm *add(struct peer_set *f, uint64_t addr, uint32_t zone)
 {
 	struct peer_vm *p = find(f, addr);
 
 	if (p || addr == f->conf.self || f->n == PEERS_MAX)
 		return p;
+	if (zone != f->conf.zone && count_far(f) >= FAR_KEPT)
+		return NULL;
 	p = &f->peers[f->n++];
 	*p = (struct peer_vm){ .addr = addr, .zone = zone };
 	return p;
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -9,7 +9,7 @@
 #include "types.h"
 
 /* The VMs of one data centre and of those it exchanges news with. */
-#define PEERS_MAX 512
+#define PEERS_MAX 1024
 #define HELLO_PEERS_MAX 8
 #define HELLO_LOADS_MAX 96
 #define HELLO_DEAD_MAX 16
--- a/test/packet_peers_test.c
+++ b/test/packet_peers_test.c
@@ -164,6 +164,35 @@
 	net_close(&n);
 }
 
+/*
+ * Symptom: in a large fleet an entry does not know its neighbours, reads the
+ * store though another does, and hears of changes late. Sequence: it is told of
+ * thousands of VMs elsewhere first. Cause: they filled its table.
+ */
+static void test_far_peers_leave_room_for_near_ones(void **state)
+{
+	struct net n;
+
+	(void)state;
+	net_open(&n);
+	for (uint32_t i = 0; i < 2000; i++) {
+		struct hello h = { .from = ADDR(0x0c000000 + i, 7720),
+				   .zone = 77,
+				   .boot = 1 };
+
+		peer_set_hear(n.vm[0], &h, n.now_ns);
+	}
+	for (uint32_t i = 0; i < 400; i++) {
+		struct hello h = { .from = ADDR(0x0d000000 + i, 7720),
+				   .zone = 0,
+				   .boot = 1 };
+
+		peer_set_hear(n.vm[0], &h, n.now_ns);
+	}
+	assert_in_range(peer_set_live(n.vm[0], n.now_ns), 401, 464);
+	net_close(&n);
+}
+
 static void test_loads_of_peers_are_summed(void **state)
 {
 	struct bed b;
@@ -263,6 +292,7 @@
 		cmocka_unit_test(test_partition_heals),
 		cmocka_unit_test(test_trouble_of_the_platform_is_told),
 		cmocka_unit_test(test_peer_ahead_is_found),
+		cmocka_unit_test(test_far_peers_leave_room_for_near_ones),
 		cmocka_unit_test(test_loads_of_peers_are_summed),
 		cmocka_unit_test(test_cut_and_foreign_datagrams_are_refused),
 		cmocka_unit_test(test_relay_brings_what_is_missing),
