An entry asks to be ticked for joining and for moving feeds

Symptom: a new entry joined, and feeds left a draining target, up to a round of probes (200 ms) late. With them alone a leaver that never joined span, since nothing that is leaving joins: both are cleared when it leaves. Tests: entry_next_test, three of four seen to fail before, one again without the clearing. matrix_test and promise_prop pass.

--- a/core/entry.c
+++ b/core/entry.c
@@ -280,6 +280,9 @@
 	if (e->leaving)
 		return;
 	e->leaving = true;
+	/* Nothing that is leaving joins: left due, these would spin. */
+	e->join_deadline_ns = DEADLINE_NEVER;
+	e->join_latest_ns = DEADLINE_NEVER;
 	e->leave_deadline_ns = now_ns + e->conf.drain_ns;
 	e->linger_deadline_ns = now_ns + LINGER_NS;
 	streams_leave(e);
@@ -311,14 +314,16 @@
  */
 uint64_t entry_next_ns(const struct entry *e)
 {
-	const uint64_t due[] = {
-		member_next_ns(e->members),
-		ring_next_ns(e->ring),
-		timers_next_ns(e->timers),
-		balance_next_ns(e->balancer),
-		streams_next_ns(e),
-		e->leaving ? e->linger_deadline_ns : DEADLINE_NEVER
-	};
+	const uint64_t due[] = { member_next_ns(e->members),
+				 ring_next_ns(e->ring),
+				 timers_next_ns(e->timers),
+				 balance_next_ns(e->balancer),
+				 streams_next_ns(e),
+				 moves_next_ns(e),
+				 e->join_deadline_ns,
+				 e->join_latest_ns,
+				 e->leaving ? e->linger_deadline_ns
+					    : DEADLINE_NEVER };
 	uint64_t next = DEADLINE_NEVER;
 
 	for (size_t i = 0; i < sizeof(due) / sizeof(due[0]); i++) {
