--- a/adapters/coap_make.c
+++ b/adapters/coap_make.c
@@ -198,7 +198,6 @@
 	[REFUSE_CONNECTIONS] = "targets hold their most feeds",
 	[REFUSE_MEMORY] = "no memory",
 	[REFUSE_SHED] = "targets shed it",
-	[REFUSE_LEAVING] = "leaving",
 	[REFUSE_TRANSFER] = "transfer interrupted, begin again",
 };
 
--- a/adapters/coap_wire.c
+++ b/adapters/coap_wire.c
@@ -64,13 +64,13 @@
 	if (!option_uint(opt, &value))
 		return;
 	if (!s->request)
-		s->m->flags |= MSG_FEED_OPEN;
+		s->m->flags |= MESSAGE_FEED_OPEN;
 	else if (s->code != COAP_REQUEST_GET && s->code != COAP_REQUEST_FETCH)
 		return;
 	else if (value == 0)
-		s->m->flags |= MSG_FEED_OPEN;
+		s->m->flags |= MESSAGE_FEED_OPEN;
 	else if (value == 1)
-		s->m->flags |= MSG_FEED_CLOSE;
+		s->m->flags |= MESSAGE_FEED_CLOSE;
 }
 
 static void scan_block(struct scan *s, const coap_opt_t *opt)
@@ -82,9 +82,9 @@
 	/* Number above the lowest 4 bits, more bit below it, then the size. */
 	if ((value >> 4) == 0 && !(value & BLOCK_MORE_BIT))
 		return;
-	s->m->flags |= MSG_PART;
+	s->m->flags |= MESSAGE_PART;
 	if (value & BLOCK_MORE_BIT)
-		s->m->flags |= MSG_MORE;
+		s->m->flags |= MESSAGE_MORE;
 }
 
 static void scan_block1(struct scan *s, const coap_opt_t *opt)
@@ -92,11 +92,11 @@
 	uint32_t value;
 
 	scan_block(s, opt);
-	if (!s->request || !(s->m->flags & MSG_PART))
+	if (!s->request || !(s->m->flags & MESSAGE_PART))
 		return;
-	s->m->flags |= MSG_BODY;
+	s->m->flags |= MESSAGE_BODY;
 	if (option_uint(opt, &value) && (value >> 4) == 0)
-		s->m->flags |= MSG_START;
+		s->m->flags |= MESSAGE_START;
 }
 
 static void scan_timeout(struct scan *s, const coap_opt_t *opt)
@@ -153,10 +153,10 @@
 
 static int read_empty(coap_pdu_type_t type, struct message *m)
 {
-	static const int8_t kinds[] = { [COAP_MESSAGE_CON] = MSG_PROBE,
+	static const int8_t kinds[] = { [COAP_MESSAGE_CON] = MESSAGE_PROBE,
 					[COAP_MESSAGE_NON] = -1,
-					[COAP_MESSAGE_ACK] = MSG_ACK,
-					[COAP_MESSAGE_RST] = MSG_RESET };
+					[COAP_MESSAGE_ACK] = MESSAGE_ACK,
+					[COAP_MESSAGE_RST] = MESSAGE_RESET };
 
 	if (kinds[type] < 0)
 		return -EPROTO;
@@ -168,9 +168,9 @@
 {
 	if (type != COAP_MESSAGE_CON && type != COAP_MESSAGE_NON)
 		return -EPROTO;
-	m->kind = MSG_REQUEST;
+	m->kind = MESSAGE_REQUEST;
 	if (code < N_METHODS && method_idempotent[code])
-		m->flags |= MSG_IDEMPOTENT;
+		m->flags |= MESSAGE_IDEMPOTENT;
 	return 0;
 }
 
@@ -178,13 +178,13 @@
 {
 	if (type == COAP_MESSAGE_RST)
 		return -EPROTO;
-	m->kind = MSG_ANSWER;
+	m->kind = MESSAGE_ANSWER;
 	if (type == COAP_MESSAGE_ACK)
-		m->flags |= MSG_PIGGYBACK;
+		m->flags |= MESSAGE_PIGGYBACK;
 	if (code == COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE)
-		m->flags |= MSG_SHED;
+		m->flags |= MESSAGE_SHED;
 	else if (CODE_CLASS(code) == CLASS_SERVER_ERROR)
-		m->flags |= MSG_FAILED;
+		m->flags |= MESSAGE_FAILED;
 	return 0;
 }
 
@@ -230,10 +230,10 @@
 	m->token_len = (uint8_t)token.length;
 	memcpy(m->token, token.s, token.length);
 	if (type == COAP_MESSAGE_CON)
-		m->flags |= MSG_CONFIRM;
+		m->flags |= MESSAGE_CONFIRM;
 	m->data = buf;
 	m->size_bytes = size_bytes;
-	s.request = m->kind == MSG_REQUEST;
+	s.request = m->kind == MESSAGE_REQUEST;
 	scan_options(pdu, &s);
 	return 0;
 }
--- a/adapters/coap_wire.h
+++ b/adapters/coap_wire.h
@@ -5,8 +5,6 @@
 #ifndef CB_COAP_WIRE_H
 #define CB_COAP_WIRE_H
 
-#include "sockets.h"
-
 #include "entry.h"
 
 #define OPTION_TIMEOUT 65000
--- a/bench/bench-faults/baseline.c
+++ b/bench/bench-faults/baseline.c
@@ -221,14 +221,14 @@
 	if (!x)
 		return;
 	a = act(b, ACT_SIGNAL_TARGET, key, x->target);
-	a->type = msg->kind == MSG_ACK ? WIRE_ACK : WIRE_RESET;
+	a->type = msg->kind == MESSAGE_ACK ? WIRE_ACK : WIRE_RESET;
 	a->id = msg->id;
 }
 
 static void serve(struct baseline *b, const struct flow_key *key,
 		  const struct message *msg)
 {
-	if (msg->kind == MSG_REQUEST)
+	if (msg->kind == MESSAGE_REQUEST)
 		requested(b, key, msg);
 	else
 		signalled(b, key, msg);
@@ -291,9 +291,9 @@
 		a->id = msg->id;
 		return;
 	}
-	x->type = msg->flags & MSG_PIGGYBACK ? WIRE_ACK
-		  : msg->flags & MSG_CONFIRM ? WIRE_CONFIRM
-					     : WIRE_PLAIN;
+	x->type = msg->flags & MESSAGE_PIGGYBACK ? WIRE_ACK
+		  : msg->flags & MESSAGE_CONFIRM ? WIRE_CONFIRM
+						 : WIRE_PLAIN;
 	if (x->type != WIRE_ACK)
 		x->update_id = msg->id;
 	x->answered = true;
@@ -309,7 +309,7 @@
 	struct baseline *b = as_baseline(e);
 
 	begin(b, now_ns, out);
-	if (msg->kind == MSG_ANSWER)
+	if (msg->kind == MESSAGE_ANSWER)
 		answered(b, target, msg);
 }
 
--- a/bench/slopes-entry/socket.c
+++ b/bench/slopes-entry/socket.c
@@ -1,5 +1,4 @@
 /* What the system takes for one datagram: a send and a receive on loopback. */
-#include "sockets.h"
 
 #include "pump.h"
 
--- a/bench/slopes-entry/traffic.c
+++ b/bench/slopes-entry/traffic.c
@@ -126,9 +126,9 @@
 	bool feed;
 
 	if (coap_wire_read(k->data, k->size_bytes, &m) < 0 ||
-	    m.kind != MSG_REQUEST)
+	    m.kind != MESSAGE_REQUEST)
 		return;
-	feed = m.flags & MSG_FEED_OPEN;
+	feed = m.flags & MESSAGE_FEED_OPEN;
 	if (feed)
 		feed_known(p, k, &m);
 	n = put_answer(buf, WIRE_ACK, m.id, m.token, m.token_len, feed);
--- a/cmd/cb-entry/daemon.h
+++ b/cmd/cb-entry/daemon.h
@@ -5,8 +5,6 @@
 #ifndef CB_DAEMON_H
 #define CB_DAEMON_H
 
-#include "sockets.h"
-
 #include "config.h"
 #include "entry.h"
 #include "http.h"
--- a/cmd/cb-entry/metrics_accounts.c
+++ b/cmd/cb-entry/metrics_accounts.c
@@ -22,7 +22,7 @@
 	[REFUSE_SHARE] = "share",	  [REFUSE_DEADLINE] = "deadline",
 	[REFUSE_NO_TARGET] = "no_target", [REFUSE_CONNECTIONS] = "connections",
 	[REFUSE_MEMORY] = "memory",	  [REFUSE_SHED] = "shed",
-	[REFUSE_LEAVING] = "leaving",	  [REFUSE_TRANSFER] = "transfer",
+	[REFUSE_TRANSFER] = "transfer",
 };
 
 /**
--- a/core/account_stats.c
+++ b/core/account_stats.c
@@ -174,9 +174,9 @@
  */
 uint8_t work_class(uint16_t flags, uint8_t service_class)
 {
-	if (flags & MSG_FEED_OPEN)
+	if (flags & MESSAGE_FEED_OPEN)
 		return CLASS_FEED;
-	if (flags & MSG_PART)
+	if (flags & MESSAGE_PART)
 		return CLASS_UPLOAD;
 	return service_class == CLASS_FEED ? CLASS_REPORT : service_class;
 }
--- a/core/answer.c
+++ b/core/answer.c
@@ -11,7 +11,7 @@
 	 * target would go on sending to an entry that no longer listens, and
 	 * hold the connection.
 	 */
-	if (!(msg->flags & MSG_PIGGYBACK))
+	if (!(msg->flags & MESSAGE_PIGGYBACK))
 		emit_signal_target(e, target, WIRE_RESET, msg->id);
 }
 
@@ -19,7 +19,7 @@
 			const struct message *msg)
 {
 	e->counters.late_answers++;
-	if (msg->flags & MSG_CONFIRM)
+	if (msg->flags & MESSAGE_CONFIRM)
 		emit_signal_target(e, target, WIRE_ACK, msg->id);
 }
 
@@ -36,13 +36,13 @@
 	}
 	r = f->request == SLOT_NONE ? NULL : &e->requests[f->request];
 	if (r && r->state == REQ_SENT && r->target == target &&
-	    (!(msg->flags & MSG_PIGGYBACK) || msg->id == r->up_id)) {
-		if (msg->flags & MSG_CONFIRM)
+	    (!(msg->flags & MESSAGE_PIGGYBACK) || msg->id == r->up_id)) {
+		if (msg->flags & MESSAGE_CONFIRM)
 			emit_signal_target(e, target, WIRE_ACK, msg->id);
 		request_answered(e, r, target, msg);
 		return;
 	}
-	if (msg->flags & MSG_PIGGYBACK)
+	if (msg->flags & MESSAGE_PIGGYBACK)
 		late_answer(e, target, msg);
 	else if (f->target != target)
 		unknown_answer(e, target, msg);
@@ -60,7 +60,7 @@
 		late_answer(e, target, msg);
 		return;
 	}
-	if (msg->flags & MSG_CONFIRM)
+	if (msg->flags & MESSAGE_CONFIRM)
 		emit_signal_target(e, target, WIRE_ACK, msg->id);
 	request_answered(e, r, target, msg);
 }
@@ -118,16 +118,16 @@
 	if (msg->has_load)
 		balance_report(e->balancer, target, &msg->load, e->now_ns);
 	switch (msg->kind) {
-	case MSG_ANSWER:
+	case MESSAGE_ANSWER:
 		answer(e, target, msg);
 		break;
-	case MSG_ACK:
+	case MESSAGE_ACK:
 		acked_by_target(e, target, msg->id);
 		break;
-	case MSG_RESET:
+	case MESSAGE_RESET:
 		reset_by_target(e, target, msg->id);
 		break;
-	case MSG_PROBE:
+	case MESSAGE_PROBE:
 		emit_signal_target(e, target, WIRE_RESET, msg->id);
 		break;
 	default:
--- a/core/balance.h
+++ b/core/balance.h
@@ -17,7 +17,6 @@
  * @REFUSE_CONNECTIONS: every target holds its most feeds
  * @REFUSE_MEMORY: no room for the request
  * @REFUSE_SHED: targets shed it and the retry budget is spent
- * @REFUSE_LEAVING: this entry is leaving
  * @REFUSE_TRANSFER: block of a transfer that another entry began and lost
  */
 enum refusal {
@@ -29,7 +28,6 @@
 	REFUSE_CONNECTIONS,
 	REFUSE_MEMORY,
 	REFUSE_SHED,
-	REFUSE_LEAVING,
 	REFUSE_TRANSFER,
 	REFUSE_COUNT
 };
--- a/core/entry.h
+++ b/core/entry.h
@@ -14,40 +14,46 @@
 
 /**
  * enum message_kind - what a datagram of a request-aware service is
- * @MSG_REQUEST: a request
- * @MSG_ANSWER: an answer, or an update of a feed
- * @MSG_ACK: empty acknowledgement
- * @MSG_RESET: receiver knows nothing of it, or wants no more of it
- * @MSG_PROBE: empty message that asks for a reset as a sign of life
+ * @MESSAGE_REQUEST: a request
+ * @MESSAGE_ANSWER: an answer, or an update of a feed
+ * @MESSAGE_ACK: empty acknowledgement
+ * @MESSAGE_RESET: receiver knows nothing of it, or wants no more of it
+ * @MESSAGE_PROBE: empty message that asks for a reset as a sign of life
  */
-enum message_kind { MSG_REQUEST, MSG_ANSWER, MSG_ACK, MSG_RESET, MSG_PROBE };
+enum message_kind {
+	MESSAGE_REQUEST,
+	MESSAGE_ANSWER,
+	MESSAGE_ACK,
+	MESSAGE_RESET,
+	MESSAGE_PROBE
+};
 
 /**
  * enum message_flags - what else the adapter read from it
- * @MSG_CONFIRM: sender repeats it until it is acknowledged
- * @MSG_PIGGYBACK: an answer that is also the acknowledgement
- * @MSG_IDEMPOTENT: the method may run twice
- * @MSG_FEED_OPEN: opens a feed; on an answer: the feed is open
- * @MSG_FEED_CLOSE: closes a feed
- * @MSG_PART: block of a larger transfer, has to reach the same target
- * @MSG_MORE: not the last block, of a request or of an answer
- * @MSG_BODY: the block is of the request's body, and kept by the target
- * @MSG_START: first of several blocks of a request's body
- * @MSG_SHED: an answer that says: not run, come back later
- * @MSG_FAILED: an answer that says: the target failed
+ * @MESSAGE_CONFIRM: sender repeats it until it is acknowledged
+ * @MESSAGE_PIGGYBACK: an answer that is also the acknowledgement
+ * @MESSAGE_IDEMPOTENT: the method may run twice
+ * @MESSAGE_FEED_OPEN: opens a feed; on an answer: the feed is open
+ * @MESSAGE_FEED_CLOSE: closes a feed
+ * @MESSAGE_PART: block of a larger transfer, has to reach the same target
+ * @MESSAGE_MORE: not the last block, of a request or of an answer
+ * @MESSAGE_BODY: the block is of the request's body, and kept by the target
+ * @MESSAGE_START: first of several blocks of a request's body
+ * @MESSAGE_SHED: an answer that says: not run, come back later
+ * @MESSAGE_FAILED: an answer that says: the target failed
  */
 enum message_flags {
-	MSG_CONFIRM = 1 << 0,
-	MSG_PIGGYBACK = 1 << 1,
-	MSG_IDEMPOTENT = 1 << 2,
-	MSG_FEED_OPEN = 1 << 3,
-	MSG_FEED_CLOSE = 1 << 4,
-	MSG_PART = 1 << 5,
-	MSG_MORE = 1 << 6,
-	MSG_SHED = 1 << 7,
-	MSG_FAILED = 1 << 8,
-	MSG_BODY = 1 << 9,
-	MSG_START = 1 << 10
+	MESSAGE_CONFIRM = 1 << 0,
+	MESSAGE_PIGGYBACK = 1 << 1,
+	MESSAGE_IDEMPOTENT = 1 << 2,
+	MESSAGE_FEED_OPEN = 1 << 3,
+	MESSAGE_FEED_CLOSE = 1 << 4,
+	MESSAGE_PART = 1 << 5,
+	MESSAGE_MORE = 1 << 6,
+	MESSAGE_SHED = 1 << 7,
+	MESSAGE_FAILED = 1 << 8,
+	MESSAGE_BODY = 1 << 9,
+	MESSAGE_START = 1 << 10
 };
 
 /**
--- a/core/feed.c
+++ b/core/feed.c
@@ -309,7 +309,7 @@
 	f->up_id = msg->id;
 	f->up_seen = true;
 	index_put(e->feed_by_down_id, down_id_key(&f->key, f->down_id), slot);
-	if (msg->flags & MSG_CONFIRM && !f->unacked_since_ns)
+	if (msg->flags & MESSAGE_CONFIRM && !f->unacked_since_ns)
 		f->unacked_since_ns = e->now_ns;
 	return f->down_id;
 }
@@ -327,7 +327,7 @@
 	struct action *a;
 	uint16_t id;
 
-	if (!(msg->flags & MSG_FEED_OPEN)) {
+	if (!(msg->flags & MESSAGE_FEED_OPEN)) {
 		feed_ended_by_target(e, f, target, msg);
 		return;
 	}
@@ -336,7 +336,8 @@
 	a = emit(e, ACT_TO_CALLER);
 	a->key = f->key;
 	a->target = target;
-	a->type = msg->flags & MSG_CONFIRM && !(msg->flags & MSG_PIGGYBACK)
+	a->type = msg->flags & MESSAGE_CONFIRM &&
+				  !(msg->flags & MESSAGE_PIGGYBACK)
 			  ? WIRE_CONFIRM
 			  : WIRE_PLAIN;
 	a->id = id;
--- a/core/feed_renew.c
+++ b/core/feed_renew.c
@@ -32,7 +32,7 @@
 void feed_ended_by_target(struct entry *e, struct feed *f, uint64_t target,
 			  const struct message *msg)
 {
-	if (msg->flags & MSG_CONFIRM)
+	if (msg->flags & MESSAGE_CONFIRM)
 		emit_signal_target(e, target, WIRE_ACK, msg->id);
 	if (f->request == SLOT_NONE)
 		feed_renew(e, f, target);
@@ -60,7 +60,7 @@
 	if (!r)
 		return NULL;
 	r->internal = true;
-	r->flags = MSG_IDEMPOTENT | MSG_CONFIRM | MSG_FEED_OPEN;
+	r->flags = MESSAGE_IDEMPOTENT | MESSAGE_CONFIRM | MESSAGE_FEED_OPEN;
 	r->deadline_ns = e->now_ns + RENEW_NS;
 	r->feed = feed_slot(e, f);
 	f->request = request_slot(e, r);
--- a/core/reply.c
+++ b/core/reply.c
@@ -14,7 +14,7 @@
 static void relay(struct entry *e, const struct request *r)
 {
 	struct action *a = emit(e, ACT_TO_CALLER);
-	bool confirm = r->flags & MSG_CONFIRM;
+	bool confirm = r->flags & MESSAGE_CONFIRM;
 
 	a->key = r->key;
 	a->type = confirm ? WIRE_ACK : WIRE_PLAIN;
@@ -44,7 +44,7 @@
 		 const struct request *r)
 {
 	struct action *a = emit(e, ACT_ANSWER_CALLER);
-	bool confirm = r->flags & MSG_CONFIRM;
+	bool confirm = r->flags & MESSAGE_CONFIRM;
 
 	a->key = *key;
 	a->type = confirm ? WIRE_ACK : WIRE_PLAIN;
@@ -77,7 +77,7 @@
 	struct answer_stats *s =
 		account_stats_find(e->stats, key->vip, msg->flags);
 	struct action *a = emit(e, ACT_ANSWER_CALLER);
-	bool confirm = msg->flags & MSG_CONFIRM;
+	bool confirm = msg->flags & MESSAGE_CONFIRM;
 
 	if (s)
 		s->unknown[REFUSE_NONE]++;
--- a/core/request.c
+++ b/core/request.c
@@ -179,7 +179,7 @@
 
 	if (transfer_runs_nothing(r))
 		return true;
-	return r->flags & MSG_IDEMPOTENT || (s && s->post_idempotent);
+	return r->flags & MESSAGE_IDEMPOTENT || (s && s->post_idempotent);
 }
 
 /*
@@ -257,7 +257,7 @@
 
 	r.bucket = ring_bucket(e->ring, key);
 	memcpy(r.token, msg->token, msg->token_len);
-	if (!(msg->flags & MSG_IDEMPOTENT) || !owned_long_enough(e, &r)) {
+	if (!(msg->flags & MESSAGE_IDEMPOTENT) || !owned_long_enough(e, &r)) {
 		answer_unknown(e, key, msg);
 		return;
 	}
@@ -280,12 +280,12 @@
 {
 	struct feed *f = feed_find(e, &r->key, msg->token, msg->token_len);
 
-	if (msg->flags & MSG_FEED_CLOSE) {
+	if (msg->flags & MESSAGE_FEED_CLOSE) {
 		if (f)
 			feed_end(e, f, true);
 		return true;
 	}
-	if (!(msg->flags & MSG_FEED_OPEN))
+	if (!(msg->flags & MESSAGE_FEED_OPEN))
 		return true;
 	if (!f)
 		f = feed_new(e, &r->key, msg->token, msg->token_len);
--- a/core/route.c
+++ b/core/route.c
@@ -103,17 +103,17 @@
 		 const struct message *msg)
 {
 	switch (msg->kind) {
-	case MSG_REQUEST:
+	case MESSAGE_REQUEST:
 		request_arrived(e, key, msg);
 		break;
-	case MSG_ACK:
+	case MESSAGE_ACK:
 		feed_acked_by_caller(e, key, msg->id);
 		break;
-	case MSG_RESET:
+	case MESSAGE_RESET:
 		if (!feed_reset_by_caller(e, key, msg->id))
 			request_reset_by_caller(e, key, msg->id);
 		break;
-	case MSG_PROBE:
+	case MESSAGE_PROBE:
 		emit_signal_caller(e, key, WIRE_RESET, msg->id);
 		break;
 	default:
@@ -129,9 +129,9 @@
 static bool known_here(struct entry *e, const struct flow_key *key,
 		       const struct message *msg)
 {
-	if (msg->kind == MSG_ACK)
+	if (msg->kind == MESSAGE_ACK)
 		return feed_acked_by_caller(e, key, msg->id);
-	if (msg->kind == MSG_RESET)
+	if (msg->kind == MESSAGE_RESET)
 		return feed_reset_by_caller(e, key, msg->id);
 	return false;
 }
@@ -174,7 +174,7 @@
 	}
 	if (known_here(e, key, msg))
 		return;
-	if (msg->kind == MSG_REQUEST && request_repeated(e, key, msg))
+	if (msg->kind == MESSAGE_REQUEST && request_repeated(e, key, msg))
 		return;
 	if (transfer_carried(e, key, msg)) {
 		request_arrived(e, key, msg);
--- a/core/send.c
+++ b/core/send.c
@@ -128,7 +128,7 @@
 	}
 	if (c && !request_idempotent(e, r))
 		c->target = target;
-	if (r->flags & MSG_PART)
+	if (r->flags & MESSAGE_PART)
 		transfer_pin(e, r);
 	r->state = REQ_SENT;
 	r->maybe_run = true;
@@ -157,7 +157,7 @@
 	struct action *a;
 	uint16_t id;
 
-	if (r->flags & MSG_PART || !id_next(e, r->target, &id))
+	if (r->flags & MESSAGE_PART || !id_next(e, r->target, &id))
 		return;
 	a = emit(e, ACT_CANCEL_TARGET);
 	a->key = r->key;
@@ -185,7 +185,7 @@
 	cancel_at_target(e, r);
 	request_finish(e, r, OUTCOME_TIMEOUT);
 	r->avoid = r->target;
-	if (r->flags & MSG_PART)
+	if (r->flags & MESSAGE_PART)
 		flow_unpin(e->pins, &r->key);
 	e->counters.retries++;
 	request_submit(e, r);
@@ -275,7 +275,7 @@
 		request_refuse(e, r, REFUSE_SHED, COME_BACK_S);
 		return;
 	}
-	if (r->flags & MSG_PART)
+	if (r->flags & MESSAGE_PART)
 		flow_unpin(e->pins, &r->key);
 	e->counters.retries++;
 	request_submit(e, r);
@@ -286,7 +286,7 @@
 {
 	struct feed *f = &e->feeds[r->feed];
 
-	if (!(msg->flags & MSG_FEED_OPEN)) {
+	if (!(msg->flags & MESSAGE_FEED_OPEN)) {
 		request_finish(e, r, OUTCOME_ERROR);
 		feed_renew_failed(e, f, r);
 		return;
@@ -307,13 +307,13 @@
 void request_answered(struct entry *e, struct request *r, uint64_t target,
 		      const struct message *msg)
 {
-	bool failed = msg->flags & MSG_FAILED;
+	bool failed = msg->flags & MESSAGE_FAILED;
 
 	if (r->internal) {
 		internal_answered(e, r, target, msg);
 		return;
 	}
-	if (msg->flags & MSG_SHED) {
+	if (msg->flags & MESSAGE_SHED) {
 		shed(e, r);
 		return;
 	}
@@ -326,7 +326,7 @@
 	if (r->feed != SLOT_NONE) {
 		struct feed *f = &e->feeds[r->feed];
 
-		if (msg->flags & MSG_FEED_OPEN)
+		if (msg->flags & MESSAGE_FEED_OPEN)
 			feed_opened(e, f, target);
 		else
 			feed_drop(e, f);
--- a/core/transfer.c
+++ b/core/transfer.c
@@ -11,13 +11,13 @@
 /* transfer_runs_nothing() - whether the target only keeps the block for now. */
 bool transfer_runs_nothing(const struct request *r)
 {
-	return r->flags & MSG_BODY && r->flags & MSG_MORE;
+	return r->flags & MESSAGE_BODY && r->flags & MESSAGE_MORE;
 }
 
 /* transfer_may_move() - whether another target would do as well. */
 bool transfer_may_move(const struct request *r)
 {
-	return !(r->flags & MSG_BODY) || r->flags & MSG_START;
+	return !(r->flags & MESSAGE_BODY) || r->flags & MESSAGE_START;
 }
 
 /**
@@ -29,7 +29,7 @@
  */
 uint64_t transfer_target(struct entry *e, const struct request *r)
 {
-	if (!(r->flags & MSG_PART))
+	if (!(r->flags & MESSAGE_PART))
 		return ADDR_NONE;
 	return flow_lookup(e->pins, &r->key, e->now_ns);
 }
@@ -60,9 +60,9 @@
 {
 	uint16_t both = r->flags | answer->flags;
 
-	if (!(both & MSG_PART))
+	if (!(both & MESSAGE_PART))
 		return;
-	if (both & MSG_MORE)
+	if (both & MESSAGE_MORE)
 		transfer_pin(e, r);
 	else
 		flow_unpin(e->pins, &r->key);
@@ -79,7 +79,7 @@
 bool transfer_carried(struct entry *e, const struct flow_key *key,
 		      const struct message *msg)
 {
-	if (!(msg->flags & MSG_BODY) || msg->flags & MSG_START)
+	if (!(msg->flags & MESSAGE_BODY) || msg->flags & MESSAGE_START)
 		return false;
 	return flow_lookup(e->pins, key, e->now_ns) != ADDR_NONE;
 }
@@ -120,9 +120,9 @@
  */
 bool transfer_elsewhere(struct entry *e, struct request *r)
 {
-	if (!(r->flags & MSG_BODY))
+	if (!(r->flags & MESSAGE_BODY))
 		return false;
-	if (r->flags & MSG_START) {
+	if (r->flags & MESSAGE_START) {
 		begin_anew(e, r);
 		return false;
 	}
--- a/fuzz/coap_fuzz.c
+++ b/fuzz/coap_fuzz.c
@@ -23,7 +23,7 @@
 	coap_wire_rewrite(&a, out, 64);
 	a.timeout_ns = NS_PER_S;
 	n = coap_wire_rewrite(&a, out, sizeof(out));
-	if (coap_wire_read(data, size_bytes, &m) || m.kind != MSG_REQUEST)
+	if (coap_wire_read(data, size_bytes, &m) || m.kind != MESSAGE_REQUEST)
 		return;
 	/* A request that was accepted is still one, with our timeout. */
 	if (n <= 0)
--- a/test/coap_wire_test.c
+++ b/test/coap_wire_test.c
@@ -23,55 +23,58 @@
 	} rows[] = {
 		{ { 0x40, 1, 0, 1 },
 		  4,
-		  MSG_REQUEST,
-		  MSG_CONFIRM | MSG_IDEMPOTENT },
-		{ { 0x50, 2, 0, 1 }, 4, MSG_REQUEST, 0 }, /* POST */
-		{ { 0x50, 3, 0, 1 }, 4, MSG_REQUEST, MSG_IDEMPOTENT },
-		{ { 0x50, 4, 0, 1 }, 4, MSG_REQUEST, MSG_IDEMPOTENT },
-		{ { 0x50, 5, 0, 1 }, 4, MSG_REQUEST, MSG_IDEMPOTENT },
-		{ { 0x50, 6, 0, 1 }, 4, MSG_REQUEST, 0 }, /* PATCH */
-		{ { 0x50, 7, 0, 1 }, 4, MSG_REQUEST, MSG_IDEMPOTENT },
-		{ { 0x50, 8, 0, 1 }, 4, MSG_REQUEST, 0 }, /* unknown */
-		{ { 0x40, 0, 0, 1 }, 4, MSG_PROBE, MSG_CONFIRM },
-		{ { 0x60, 0, 0, 1 }, 4, MSG_ACK, 0 },
-		{ { 0x70, 0, 0, 1 }, 4, MSG_RESET, 0 },
-		{ { 0x60, 0x45, 0, 1 }, 4, MSG_ANSWER, MSG_PIGGYBACK },
-		{ { 0x50, 0x45, 0, 1, 0x61, 9 }, 6, MSG_ANSWER, MSG_FEED_OPEN },
+		  MESSAGE_REQUEST,
+		  MESSAGE_CONFIRM | MESSAGE_IDEMPOTENT },
+		{ { 0x50, 2, 0, 1 }, 4, MESSAGE_REQUEST, 0 }, /* POST */
+		{ { 0x50, 3, 0, 1 }, 4, MESSAGE_REQUEST, MESSAGE_IDEMPOTENT },
+		{ { 0x50, 4, 0, 1 }, 4, MESSAGE_REQUEST, MESSAGE_IDEMPOTENT },
+		{ { 0x50, 5, 0, 1 }, 4, MESSAGE_REQUEST, MESSAGE_IDEMPOTENT },
+		{ { 0x50, 6, 0, 1 }, 4, MESSAGE_REQUEST, 0 }, /* PATCH */
+		{ { 0x50, 7, 0, 1 }, 4, MESSAGE_REQUEST, MESSAGE_IDEMPOTENT },
+		{ { 0x50, 8, 0, 1 }, 4, MESSAGE_REQUEST, 0 }, /* unknown */
+		{ { 0x40, 0, 0, 1 }, 4, MESSAGE_PROBE, MESSAGE_CONFIRM },
+		{ { 0x60, 0, 0, 1 }, 4, MESSAGE_ACK, 0 },
+		{ { 0x70, 0, 0, 1 }, 4, MESSAGE_RESET, 0 },
+		{ { 0x60, 0x45, 0, 1 }, 4, MESSAGE_ANSWER, MESSAGE_PIGGYBACK },
+		{ { 0x50, 0x45, 0, 1, 0x61, 9 },
+		  6,
+		  MESSAGE_ANSWER,
+		  MESSAGE_FEED_OPEN },
 		{ { 0x60, 0xa3, 0, 1 },
 		  4,
-		  MSG_ANSWER, /* 5.03 */
-		  MSG_PIGGYBACK | MSG_SHED },
+		  MESSAGE_ANSWER, /* 5.03 */
+		  MESSAGE_PIGGYBACK | MESSAGE_SHED },
 		{ { 0x40, 0xa0, 0, 1 },
 		  4,
-		  MSG_ANSWER, /* 5.00 */
-		  MSG_CONFIRM | MSG_FAILED },
+		  MESSAGE_ANSWER, /* 5.00 */
+		  MESSAGE_CONFIRM | MESSAGE_FAILED },
 		{ { 0x50, 1, 0, 1, 0x60 },
 		  5,
-		  MSG_REQUEST,
-		  MSG_IDEMPOTENT | MSG_FEED_OPEN },
+		  MESSAGE_REQUEST,
+		  MESSAGE_IDEMPOTENT | MESSAGE_FEED_OPEN },
 		{ { 0x50, 1, 0, 1, 0x61, 1 },
 		  6,
-		  MSG_REQUEST,
-		  MSG_IDEMPOTENT | MSG_FEED_CLOSE },
+		  MESSAGE_REQUEST,
+		  MESSAGE_IDEMPOTENT | MESSAGE_FEED_CLOSE },
 		/* POST, Block1 0/more, 1/more, 2/last, 0/last */
 		{ { 0x50, 2, 0, 1, 0xd1, 14, 0x0a },
 		  7,
-		  MSG_REQUEST,
-		  MSG_PART | MSG_MORE | MSG_BODY | MSG_START },
+		  MESSAGE_REQUEST,
+		  MESSAGE_PART | MESSAGE_MORE | MESSAGE_BODY | MESSAGE_START },
 		{ { 0x50, 2, 0, 1, 0xd1, 14, 0x1a },
 		  7,
-		  MSG_REQUEST,
-		  MSG_PART | MSG_MORE | MSG_BODY },
+		  MESSAGE_REQUEST,
+		  MESSAGE_PART | MESSAGE_MORE | MESSAGE_BODY },
 		{ { 0x50, 2, 0, 1, 0xd1, 14, 0x22 },
 		  7,
-		  MSG_REQUEST,
-		  MSG_PART | MSG_BODY },
-		{ { 0x50, 2, 0, 1, 0xd1, 14, 0x02 }, 7, MSG_REQUEST, 0 },
+		  MESSAGE_REQUEST,
+		  MESSAGE_PART | MESSAGE_BODY },
+		{ { 0x50, 2, 0, 1, 0xd1, 14, 0x02 }, 7, MESSAGE_REQUEST, 0 },
 		/* GET, Block2 3 */
 		{ { 0x50, 1, 0, 1, 0xd1, 10, 0x32 },
 		  7,
-		  MSG_REQUEST,
-		  MSG_IDEMPOTENT | MSG_PART },
+		  MESSAGE_REQUEST,
+		  MESSAGE_IDEMPOTENT | MESSAGE_PART },
 	};
 	struct message m;
 
@@ -136,7 +139,7 @@
 	assert_int_equal(m.id, 0xbeef);
 	assert_int_equal(m.token_len, 4);
 	assert_memory_equal(m.token, a.token, 4);
-	assert_int_equal(m.flags & MSG_FEED_OPEN, MSG_FEED_OPEN);
+	assert_int_equal(m.flags & MESSAGE_FEED_OPEN, MESSAGE_FEED_OPEN);
 }
 
 /*
@@ -198,7 +201,7 @@
 
 	(void)state;
 	assert_int_equal(coap_wire_read(out, (uint32_t)n, &m), 0);
-	assert_int_equal(m.flags, MSG_PIGGYBACK | MSG_SHED);
+	assert_int_equal(m.flags, MESSAGE_PIGGYBACK | MESSAGE_SHED);
 	assert_memory_equal(out + 5, ((uint8_t[]){ 0xd2, 1, 1, 44, 0xff }), 5);
 	assert_memory_equal(out + 10, refused, sizeof(refused) - 1);
 	a.answer = ANSWER_UNKNOWN;
@@ -220,7 +223,7 @@
 
 	(void)state;
 	assert_int_equal(coap_wire_read(out, (uint32_t)n, &m), 0);
-	assert_true(m.flags & MSG_FEED_CLOSE);
+	assert_true(m.flags & MESSAGE_FEED_CLOSE);
 	assert_memory_equal(m.token, a.token, 4);
 	a.data = NULL;
 	assert_int_equal(coap_wire_cancel(&a, out, sizeof(out)), -EPROTO);
@@ -244,9 +247,9 @@
 
 	(void)state;
 	assert_int_equal(coap_wire_read(out, (uint32_t)n, &m), 0);
-	assert_int_equal(m.kind, MSG_REQUEST);
-	assert_true(m.flags & MSG_FEED_CLOSE);
-	assert_true(m.flags & MSG_IDEMPOTENT);
+	assert_int_equal(m.kind, MESSAGE_REQUEST);
+	assert_true(m.flags & MESSAGE_FEED_CLOSE);
+	assert_true(m.flags & MESSAGE_IDEMPOTENT);
 	assert_memory_equal(m.token, a.token, 4);
 }
 
@@ -263,7 +266,7 @@
 
 	(void)state;
 	assert_int_equal(coap_wire_read(out, (uint32_t)n, &m), 0);
-	assert_int_equal(m.flags, MSG_IDEMPOTENT);
+	assert_int_equal(m.flags, MESSAGE_IDEMPOTENT);
 	assert_true(coap_wire_load_text(answer, sizeof(answer), &report));
 	assert_int_equal(report.running, 2);
 	assert_int_equal(report.waiting, 11);
--- a/test/flow_list_test.c
+++ b/test/flow_list_test.c
@@ -74,9 +74,9 @@
 {
 	static const uint8_t data[] = { 0x40, 1, 0, 1 };
 	const struct flow_key key = { ADDR(0x7f460801, 40000 + id), vip };
-	const struct message m = { .kind = MSG_REQUEST,
-				   .flags =
-					   MSG_CONFIRM | MSG_IDEMPOTENT | flags,
+	const struct message m = { .kind = MESSAGE_REQUEST,
+				   .flags = MESSAGE_CONFIRM |
+					    MESSAGE_IDEMPOTENT | flags,
 				   .id = id,
 				   .token_len = 1,
 				   .token = { (uint8_t)id },
@@ -103,7 +103,7 @@
 	(void)state;
 	ask(e, 1, 0);
 	for (uint16_t i = 0; i < OPEN_FEEDS; i++)
-		ask(e, 10 + i, MSG_FEED_OPEN);
+		ask(e, 10 + i, MESSAGE_FEED_OPEN);
 	while (at != UINT64_MAX && calls++ < 100) {
 		uint32_t n = entry_flows(e, &at, rows, 2);
 
--- a/test/testbed_caller.c
+++ b/test/testbed_caller.c
@@ -99,9 +99,9 @@
 static void ask(struct testbed *f, uint32_t i)
 {
 	static const uint16_t flags[OP_CLASSES] = {
-		[OP_FEED] = MSG_IDEMPOTENT | MSG_FEED_OPEN,
-		[OP_GET] = MSG_IDEMPOTENT,
-		[OP_UPLOAD] = MSG_PART | MSG_BODY,
+		[OP_FEED] = MESSAGE_IDEMPOTENT | MESSAGE_FEED_OPEN,
+		[OP_GET] = MESSAGE_IDEMPOTENT,
+		[OP_UPLOAD] = MESSAGE_PART | MESSAGE_BODY,
 	};
 	struct fake_caller *c = &f->callers[i];
 	struct dgram d = { .kind = DGRAM_REQUEST,
@@ -113,9 +113,9 @@
 			   .seq = c->part };
 
 	if (c->class_ == OP_UPLOAD && c->part + 1 < TESTBED_PARTS)
-		d.flags |= MSG_MORE;
+		d.flags |= MESSAGE_MORE;
 	if (c->class_ == OP_UPLOAD && c->part == 0)
-		d.flags |= MSG_START;
+		d.flags |= MESSAGE_START;
 	c->token = rng_next(&f->rng);
 	memcpy(d.token, &c->token, sizeof(d.token));
 	c->sent = d;
@@ -205,7 +205,7 @@
 	struct fake_caller *c = &f->callers[i];
 	struct op *op = op_at(f, c->op);
 
-	if (!(d->flags & MSG_FEED_OPEN)) {
+	if (!(d->flags & MESSAGE_FEED_OPEN)) {
 		end(f, i, OP_CUT, PAUSE_NS);
 		return;
 	}
@@ -228,13 +228,13 @@
 		op_at(f, c->op)->crossed = true;
 		trace_line(f, "c%u got the answer of op %u", i, d->op);
 	}
-	if (d->flags & MSG_SHED) {
+	if (d->flags & MESSAGE_SHED) {
 		end(f, i, OP_REFUSED, pause_ns);
-	} else if (d->flags & MSG_FAILED) {
+	} else if (d->flags & MESSAGE_FAILED) {
 		end(f, i, OP_CUT, pause_ns);
 	} else if (c->class_ == OP_FEED) {
 		updated(f, i, d);
-	} else if (d->flags & MSG_MORE) {
+	} else if (d->flags & MESSAGE_MORE) {
 		c->part++;
 		ask(f, i);
 	} else {
--- a/test/testbed_node.c
+++ b/test/testbed_node.c
@@ -26,10 +26,11 @@
 /* As adapters/coap_wire.h reads a datagram. */
 static struct message message_of(const struct dgram *d)
 {
-	static const uint8_t empties[] = { MSG_PROBE, MSG_PROBE, MSG_ACK,
-					   MSG_RESET };
+	static const uint8_t empties[] = { MESSAGE_PROBE, MESSAGE_PROBE,
+					   MESSAGE_ACK, MESSAGE_RESET };
 	struct message m = {
-		.kind = d->kind == DGRAM_REQUEST ? MSG_REQUEST : MSG_ANSWER,
+		.kind = d->kind == DGRAM_REQUEST ? MESSAGE_REQUEST
+						 : MESSAGE_ANSWER,
 		.flags = d->flags,
 		.id = d->id,
 		.token_len = d->token_len,
@@ -44,9 +45,9 @@
 	if (d->kind == DGRAM_EMPTY)
 		m.kind = empties[d->type];
 	else if (d->type == WIRE_CONFIRM)
-		m.flags |= MSG_CONFIRM;
+		m.flags |= MESSAGE_CONFIRM;
 	else if (d->type == WIRE_ACK)
-		m.flags |= MSG_PIGGYBACK;
+		m.flags |= MESSAGE_PIGGYBACK;
 	return m;
 }
 
@@ -140,7 +141,7 @@
 	struct dgram d = dgram_of(a);
 
 	d.kind = DGRAM_REQUEST;
-	d.flags = MSG_FEED_CLOSE | MSG_IDEMPOTENT;
+	d.flags = MESSAGE_FEED_CLOSE | MESSAGE_IDEMPOTENT;
 	to_target(f, node, a, d);
 }
 
--- a/test/testbed_target.c
+++ b/test/testbed_target.c
@@ -118,7 +118,7 @@
 		return;
 	if (op->class_ == OP_FEED && op->runs > 0 && op->target == i)
 		return;
-	if (d->flags & MSG_PART && d->seq > 0)
+	if (d->flags & MESSAGE_PART && d->seq > 0)
 		return;
 	trace_line(f, "t%u drains and gets op %u", i, d->op);
 	f->verdict.late_work++;
@@ -149,16 +149,16 @@
 	uint32_t have = GPOINTER_TO_UINT(g_hash_table_lookup(t->parts, key));
 
 	if (d->seq > have)
-		return MSG_FAILED;
+		return MESSAGE_FAILED;
 	if (d->seq == have)
 		have++;
 	g_hash_table_insert(t->parts, key, GUINT_TO_POINTER(have));
 	hook_at(f, POINT_PART, d->op, d->seq);
-	if (d->flags & MSG_MORE)
-		return MSG_PART | MSG_MORE;
+	if (d->flags & MESSAGE_MORE)
+		return MESSAGE_PART | MESSAGE_MORE;
 	g_hash_table_remove(t->parts, key);
 	note_run(f, i, d);
-	return MSG_PART;
+	return MESSAGE_PART;
 }
 
 static void run_queue(struct testbed *f, uint32_t i);
@@ -170,7 +170,7 @@
 	uint16_t flags = 0;
 
 	if (t->up && ev->arg == t->generation) {
-		if (j.d.flags & MSG_PART)
+		if (j.d.flags & MESSAGE_PART)
 			flags = take_part(f, ev->node, j.vm, &j.d);
 		t->running--;
 		if (t->mode != MODE_SILENT)
@@ -185,9 +185,9 @@
 {
 	uint64_t ns = POST_NS;
 
-	if (d->flags & MSG_PART)
+	if (d->flags & MESSAGE_PART)
 		ns = PART_NS;
-	else if (d->flags & MSG_IDEMPOTENT)
+	else if (d->flags & MESSAGE_IDEMPOTENT)
 		ns = GET_NS;
 	else if (testbed_random(f, 8) == 0)
 		ns = LONG_POST_NS;
@@ -201,7 +201,7 @@
 	struct event *ev = event_new(job_done, i);
 
 	t->running++;
-	if (!(j.d.flags & MSG_PART))
+	if (!(j.d.flags & MESSAGE_PART))
 		note_run(f, i, &j.d);
 	if (ns > MS(100) && j.d.type == WIRE_CONFIRM) {
 		send_empty(f, i, j.vm, WIRE_ACK, j.d.id);
@@ -228,7 +228,7 @@
 
 static void shed(struct testbed *f, uint32_t i, const struct job *j)
 {
-	answer(f, i, j, MSG_SHED);
+	answer(f, i, j, MESSAGE_SHED);
 }
 
 static void open_feed(struct testbed *f, uint32_t i, const struct job *j)
@@ -250,7 +250,7 @@
 	memcpy(tf->token, j->d.token, sizeof(tf->token));
 	tf->seq = f->now_ns / MS(1);
 	opened.d.seq = tf->seq;
-	answer(f, i, &opened, MSG_FEED_OPEN);
+	answer(f, i, &opened, MESSAGE_FEED_OPEN);
 }
 
 static void feed_gone(struct target_feed *tf)
@@ -315,11 +315,11 @@
 	if (seen_before(f, t, j->vm, j->d.id)) {
 		trace_line(f, "t%u drops a repeat of op %u", i, j->d.op);
 		send_empty(f, i, j->vm, WIRE_ACK, j->d.id);
-	} else if (j->d.flags & MSG_FEED_CLOSE) {
+	} else if (j->d.flags & MESSAGE_FEED_CLOSE) {
 		cancel(f, i, j->vm, &j->d);
 	} else if (t->mode == MODE_SHED || t->n_jobs == JOBS_MAX) {
 		shed(f, i, j);
-	} else if (j->d.flags & MSG_FEED_OPEN) {
+	} else if (j->d.flags & MESSAGE_FEED_OPEN) {
 		note_new_work(f, i, &j->d);
 		open_feed(f, i, j);
 	} else {
@@ -349,7 +349,7 @@
 	struct dgram d = { .kind = DGRAM_ANSWER,
 			   .type = WIRE_PLAIN,
 			   .token_len = TOKEN_MAX_BYTES,
-			   .flags = MSG_FEED_OPEN,
+			   .flags = MESSAGE_FEED_OPEN,
 			   .op = tf->op,
 			   .seq = ++tf->seq,
 			   .id = t->next_id++ };
