--- a/cmd/cb-packet/peers.c
+++ b/cmd/cb-packet/peers.c
@@ -47,6 +47,13 @@
 	*buf = uv_buf_init((char *)d->peer_room, DATAGRAM_ROOM_BYTES);
 }
 
+static uint64_t sender(const struct sockaddr *from)
+{
+	const struct sockaddr_in *in = (const struct sockaddr_in *)from;
+
+	return ADDR(ntohl(in->sin_addr.s_addr), ntohs(in->sin_port));
+}
+
 static void on_hello(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
 		     const struct sockaddr *from, unsigned int flags)
 {
@@ -55,7 +62,9 @@
 
 	if (n <= 0 || !from || flags & UV_UDP_PARTIAL)
 		return;
-	if (hello_decode((uint8_t *)buf->base, (uint32_t)n, &h)) {
+	/* A heartbeat speaks for the VM that sent it, and for no other. */
+	if (hello_decode((uint8_t *)buf->base, (uint32_t)n, &h) ||
+	    h.from != sender(from)) {
 		d->counters.hellos_malformed++;
 		return;
 	}
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -18,8 +18,10 @@
 /* A seed is tried once in so many rounds though others are known: a VM that
  * only knows its own side of a partition would never see it heal. */
 #define SEED_ROUNDS 5
-/* Until anybody answered: a VM is of no use before it knows the fleet. */
+/* Until anybody answered: a VM is of no use before it knows the others. Who
+ * stays alone is cut off, and asks no more often than others do. */
 #define ALONE_PERIOD_NS (20 * NS_PER_MS)
+#define ALONE_HURRY_NS (2 * NS_PER_S)
 #define RANK_SEED 0x72616e6bULL
 /* Trouble of the platform is told for this long. */
 #define TROUBLE_TOLD_NS (10 * NS_PER_S)
@@ -30,6 +32,7 @@
 	struct peer_vm *peers;
 	uint32_t n;
 	uint64_t next_ns;
+	uint64_t alone_ns;
 	uint32_t round;
 	uint64_t contact_ns;
 	uint64_t trouble_ns;
@@ -249,6 +252,18 @@
 		}
 }
 
+static uint64_t period_ns(struct peer_set *f, uint32_t neighbours,
+			  uint64_t now_ns)
+{
+	if (neighbours)
+		f->alone_ns = 0;
+	else if (!f->alone_ns)
+		f->alone_ns = now_ns;
+	if (f->alone_ns && now_ns < f->alone_ns + ALONE_HURRY_NS)
+		return ALONE_PERIOD_NS;
+	return f->conf.period_ns;
+}
+
 /**
  * peer_set_due() - whom a heartbeat is due to
  * @f: set
@@ -267,7 +282,7 @@
 		return 0;
 	drop_old(f, now_ns);
 	n = peer_set_neighbours(f, now_ns, to, to_max);
-	f->next_ns = now_ns + (n ? f->conf.period_ns : ALONE_PERIOD_NS);
+	f->next_ns = now_ns + period_ns(f, n, now_ns);
 	if (!n || f->round++ % SEED_ROUNDS == 0)
 		n = lost(f, now_ns, to, n, to_max);
 	return n;
--- a/test/packet_peers_test.c
+++ b/test/packet_peers_test.c
@@ -164,6 +164,25 @@
 	net_close(&n);
 }
 
+static void test_who_is_alone_hurries_for_a_while_only(void **state)
+{
+	struct net n;
+	uint64_t to[ROOM];
+	uint32_t first = 0, later = 0;
+
+	(void)state;
+	net_open(&n);
+	for (uint32_t i = 0; i < 500; i++, n.now_ns += 20 * MS) {
+		uint32_t due = peer_set_due(n.vm[8], n.now_ns, to, ROOM) > 0;
+
+		first += i < 100 ? due : 0;
+		later += i < 100 ? 0 : due;
+	}
+	assert_in_range(first, 90, 100);
+	assert_in_range(later, 35, 45);
+	net_close(&n);
+}
+
 /*
  * Symptom: in a large fleet an entry does not know its neighbours, reads the
  * store though another does, and hears of changes late. Sequence: it is told of
@@ -292,6 +311,7 @@
 		cmocka_unit_test(test_partition_heals),
 		cmocka_unit_test(test_trouble_of_the_platform_is_told),
 		cmocka_unit_test(test_peer_ahead_is_found),
+		cmocka_unit_test(test_who_is_alone_hurries_for_a_while_only),
 		cmocka_unit_test(test_far_peers_leave_room_for_near_ones),
 		cmocka_unit_test(test_loads_of_peers_are_summed),
 		cmocka_unit_test(test_cut_and_foreign_datagrams_are_refused),
