--- a/cmd/cb-entry/main.c
+++ b/cmd/cb-entry/main.c
@@ -1,57 +1,26 @@
 /* cb-entry: the data path of one VM. */
 #include "daemon.h"
+#include "daemon_args.h"
 #include "log.h"
 
-#include <argtable2.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define VERSION "0.1.0"
 
-enum exit_code { EXIT_OK, EXIT_FAULT, EXIT_USAGE };
-
-/* Arguments; end stands last, as argtable wants it. */
-struct args {
-	struct arg_file *settings;
-	struct arg_lit *check;
-	struct arg_lit *help;
-	struct arg_lit *version;
-	struct arg_end *end;
-};
-
-static struct args args_new(void)
-{
-	return (struct args){
-		.settings =
-			arg_file1(NULL, "settings", "FILE", "settings, TOML"),
-		.check = arg_lit0(NULL, "check",
-				  "read the settings, print mistakes, stop"),
-		.help = arg_lit0(NULL, "help", "print this and stop"),
-		.version = arg_lit0(NULL, "version", "print it and stop"),
-		.end = arg_end(8),
-	};
-}
-
-static void print_help(void **table)
-{
-	printf("Usage: cb-entry");
-	arg_print_syntax(stdout, table, "\n");
-	arg_print_glossary(stdout, table, "  %-18s %s\n");
-}
-
 static int run(struct daemon *d)
 {
 	int err;
 
 	d->loop = uv_default_loop();
 	if (!d->loop)
-		return EXIT_FAULT;
+		return DAEMON_FAULT;
 	d->loop->data = d;
 	err = daemon_open(d);
 	if (err) {
 		log_line(LOG_ERROR, "start", NULL, "%s", uv_strerror(err));
-		d->exit_code = EXIT_FAULT;
+		d->exit_code = DAEMON_FAULT;
 	} else {
 		log_line(LOG_INFO, "start", NULL, "running, incarnation %llu",
 			 (unsigned long long)d->incarnation);
@@ -67,49 +36,29 @@
 	/* Large for a stack: it holds the room for a burst of datagrams. */
 	struct daemon *d = calloc(1, sizeof(*d));
 	struct mistakes m = { 0 };
-	int code = EXIT_USAGE;
+	int code = DAEMON_USAGE;
 	int err;
 
 	if (!d)
-		return EXIT_FAULT;
+		return DAEMON_FAULT;
 	err = entry_settings_read(path, &d->settings, &m);
 	mistakes_print(&m, stderr);
 	mistakes_free(&m);
 	if (!err && check)
-		code = EXIT_OK;
+		code = DAEMON_OK;
 	else if (!err && log_open("cb-entry", &d->settings.log) == 0)
 		code = run(d);
 	free(d);
 	return code;
 }
 
-static int with_args(struct args *a, void **table, int argc, char **argv)
-{
-	int errors = arg_parse(argc, argv, table);
-
-	if (a->help->count) {
-		print_help(table);
-		return EXIT_OK;
-	}
-	if (a->version->count) {
-		puts("cb-entry " VERSION);
-		return EXIT_OK;
-	}
-	if (errors) {
-		arg_print_errors(stderr, a->end, "cb-entry");
-		return EXIT_USAGE;
-	}
-	return with_settings(a->settings->filename[0], a->check->count > 0);
-}
-
 int main(int argc, char **argv)
 {
-	struct args a = args_new();
-	void *table[] = { a.settings, a.check, a.help, a.version, a.end };
-	int code = EXIT_FAULT;
+	static const struct daemon_about about = { "cb-entry", VERSION,
+						   "The data path of one VM.",
+						   with_settings };
 
-	if (!arg_nullcheck(table) && sodium_init() >= 0)
-		code = with_args(&a, table, argc, argv);
-	arg_freetable(table, sizeof(table) / sizeof(table[0]));
-	return code;
+	if (sodium_init() < 0)
+		return DAEMON_FAULT;
+	return daemon_args(&about, argc, argv);
 }
