--- a/sim/sim-packets/targets.c
+++ b/sim/sim-packets/targets.c
@@ -87,6 +87,11 @@
 		 r->number, refused);
 }
 
+static void on_cut(struct world *w, const struct event *e)
+{
+	clients_cut(w, (uint32_t)(e->a >> 16), (uint16_t)e->a);
+}
+
 static void on_done(struct world *w, const struct event *e)
 {
 	struct sim_target *t = &w->targets[e->a];
@@ -101,6 +106,9 @@
 		return;
 	t->busy--;
 	answer(w, &done, false);
+	/* One that drains closes each flow after its next answer. */
+	if (t->left_ns)
+		world_at(w, CLIENT_NS, on_cut, e->b, 0, 0);
 	if (!t->n_queue)
 		return;
 	next = t->queue[0];
@@ -143,11 +151,6 @@
 		       (uint32_t)e->b, (uint32_t)e->c);
 }
 
-static void on_cut(struct world *w, const struct event *e)
-{
-	clients_cut(w, (uint32_t)(e->a >> 16), (uint16_t)e->a);
-}
-
 /* A SYN arrived: what it should not have done is counted. */
 static void judge(struct world *w, const struct sim_target *t, uint32_t entry,
 		  uint32_t route)
