--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 	 $(patsubst %.cc,$(B)/%.o,$(wildcard adapters/*.cc))
 PLATFORM := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 ifeq ($(OWN),1)
-ADAPT := $(patsubst %,$(B)/adapters/%.o,addr daemon_args fields hello_codec http http_call \
+ADAPT := $(patsubst %,$(B)/adapters/%.o,addr daemon_args fields hello_codec histogram_text http \
+	 http_call \
 	 json_text log mistakes msgpack_bound packet_settings settings \
 	 settings_table toml toml_shape usage)
 endif
--- /dev/null
+++ b/adapters/histogram_text.h
@@ -0,0 +1,12 @@
+/* Histograms as metrics are written. */
+#ifndef CB_HISTOGRAM_TEXT_H
+#define CB_HISTOGRAM_TEXT_H
+
+#include "histogram.h"
+
+#include <glib.h>
+
+void histogram_text(GString *to, const char *name, const char *labels,
+		    const struct histogram *h);
+
+#endif
--- a/cmd/cb-entry/metrics_accounts.c
+++ b/cmd/cb-entry/metrics_accounts.c
@@ -1,5 +1,6 @@
 /* Metrics by client account and class, and by target. */
 #include "daemon.h"
+#include "histogram_text.h"
 
 #include <string.h>
 
@@ -69,27 +70,11 @@
 static void put_histogram(GString *to, const struct row *r, const char *name,
 			  const struct histogram *h)
 {
-	char *bucket = g_strconcat(name, "_bucket", NULL);
-	uint64_t below = 0;
-	char bound[32];
-
-	for (uint32_t i = 0; h->count && i < HISTOGRAM_BUCKETS - 1; i++) {
-		below += h->bucket[i];
-		g_snprintf(bound, sizeof(bound), "%llu",
-			   (unsigned long long)histogram_bound(i));
-		if (h->bucket[i])
-			put_label(to, r, bucket, "le", bound, below);
-	}
-	put_label(to, r, bucket, "le", "+Inf", h->count);
-	g_free(bucket);
-	if (h->count)
-		g_string_append_printf(
-			to,
-			"%s_sum{account=\"%s\",class=\"%s\"} %llu\n"
-			"%s_count{account=\"%s\",class=\"%s\"} %llu\n",
-			name, r->account, r->class, (unsigned long long)h->sum,
-			name, r->account, r->class,
-			(unsigned long long)h->count);
+	char *labels = g_strdup_printf("account=\"%s\",class=\"%s\"",
+				       r->account, r->class);
+
+	histogram_text(to, name, labels, h);
+	g_free(labels);
 }
 
 static void put_answered(GString *to, const struct row *r, const char *name)
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -2,6 +2,7 @@
 #include "daemon.h"
 
 #include "hello_codec.h"
+#include "histogram_text.h"
 #include "log.h"
 #include "usage.h"
 
@@ -39,6 +40,24 @@
 	g_string_append_printf(out, "cb_packet_%s %g\n", name, value);
 }
 
+static void write_times(const struct packet_daemon *d, GString *out)
+{
+	static const char *const labels[ROUTE_KINDS] = {
+		[ROUTE_FEED] = "class=\"feed\"",
+		[ROUTE_REPORT] = "class=\"report\"",
+		[ROUTE_UPLOAD] = "class=\"upload\"",
+	};
+
+	for (uint8_t kind = 0; kind < ROUTE_KINDS; kind++) {
+		const struct path_times *t = path_times(d->node->path, kind);
+
+		histogram_text(out, "cb_packet_open_microseconds", labels[kind],
+			       &t->open_us);
+		histogram_text(out, "cb_packet_answer_microseconds",
+			       labels[kind], &t->answer_us);
+	}
+}
+
 static void write_metrics(struct packet_daemon *d, GString *out)
 {
 	const uint64_t *reasons = path_counts(d->node->path);
@@ -58,6 +77,7 @@
 			"%" G_GUINT64_FORMAT "\n",
 			path_reason_names[i], reasons[i]);
 	counter(out, "log_lines_lost", log_lost());
+	write_times(d, out);
 	gauge(out, "flows", path_flows(d->node->path));
 	gauge(out, "targets", directory_slots(d->node->directory));
 	gauge(out, "peers", peer_set_live(d->node->peers, now_ns));
--- a/core/packet/path.c
+++ b/core/packet/path.c
@@ -43,6 +43,7 @@
 	struct flow_cache *flows;
 	uint64_t answer_ns[ROUTE_KINDS];
 	uint64_t counts[PATH_REASON_COUNT];
+	struct path_times times[ROUTE_KINDS];
 	float feed_load;
 	uint64_t held_up_ns;
 	uint64_t witnessed_ns;
@@ -217,8 +218,10 @@
 	uint64_t took_ns = now_ns - f->request_ns;
 	uint64_t *mean_ns = &p->answer_ns[f->kind];
 
-	if (f->busy)
-		*mean_ns += took_ns / ANSWER_WEIGHT - *mean_ns / ANSWER_WEIGHT;
+	if (!f->busy)
+		return;
+	histogram_add(&p->times[f->kind].answer_us, took_ns / NS_PER_US);
+	*mean_ns += took_ns / ANSWER_WEIGHT - *mean_ns / ANSWER_WEIGHT;
 	flow_cache_busy(f, false);
 }
 
@@ -230,6 +233,8 @@
 	bool newer_seq = (int32_t)(k->seq - f->seq) > 0;
 
 	if (f->stage == FLOW_OPENING) {
+		histogram_add(&p->times[f->kind].open_us,
+			      (now_ns - f->opened_ns) / NS_PER_US);
 		f->stage = FLOW_OPEN;
 		f->ack = k->ack;
 		f->seq = k->seq - 1;
@@ -522,6 +527,18 @@
 	return p->counts;
 }
 
+/**
+ * path_times() - how long things took
+ * @p: state
+ * @kind: enum route_kind
+ *
+ * Return: histograms.
+ */
+const struct path_times *path_times(const struct path *p, uint8_t kind)
+{
+	return &p->times[kind];
+}
+
 uint32_t path_flows(const struct path *p)
 {
 	return flow_cache_count(p->flows);
--- a/core/packet/path.h
+++ b/core/packet/path.h
@@ -7,6 +7,7 @@
 
 #include "directory.h"
 #include "flow_cache.h"
+#include "histogram.h"
 
 /**
  * enum path_action - what to do with a packet
@@ -97,6 +98,18 @@
  */
 enum probe_outcome { PROBE_OPEN, PROBE_REFUSED, PROBE_SILENT, PROBE_VOID };
 
+/**
+ * struct path_times - how long things took, by kind of route
+ * @open_us: from a flow's first opening packet to the client's answer to its
+ *	target's
+ * @answer_us: from a request's first packet to the client's word that an
+ *	answer came
+ */
+struct path_times {
+	struct histogram open_us;
+	struct histogram answer_us;
+};
+
 struct path;
 
 struct path *path_new(const struct path_conf *conf, struct directory *d,
@@ -110,6 +123,7 @@
 void path_held_up(struct path *p, uint64_t now_ns);
 void path_tick(struct path *p, uint64_t now_ns);
 const uint64_t *path_counts(const struct path *p);
+const struct path_times *path_times(const struct path *p, uint8_t kind);
 uint32_t path_flows(const struct path *p);
 const struct flow_seen *path_flow(const struct path *p,
 				  const struct flow_key *key);
--- a/core/types.h
+++ b/core/types.h
@@ -15,6 +15,7 @@
 #define ADDR_IP(addr) ((uint32_t)((addr) >> 16))
 #define ADDR_PORT(addr) ((uint16_t)((addr)&0xffff))
 
+#define NS_PER_US 1000ULL
 #define NS_PER_MS 1000000ULL
 #define NS_PER_S 1000000000ULL
 
--- a/test/packet_path_test.c
+++ b/test/packet_path_test.c
@@ -160,6 +160,29 @@
 	bed_close(&b);
 }
 
+static void test_times_are_counted_by_class(void **state)
+{
+	struct bed b;
+	struct path_verdict v;
+	const struct path_times *t;
+
+	(void)state;
+	bed_open(&b);
+	bed_target(&b, 1, SERVICE, ZONE);
+	v = bed_syn(&b, CALLER, REPORT_VIP, 0);
+	b.now_ns += 5 * MS;
+	bed_data(&b, CALLER, REPORT_VIP, v.target->cookie, 1, 1, 900);
+	b.now_ns += 70 * MS;
+	bed_data(&b, CALLER, REPORT_VIP, v.target->cookie, 901, 600, 0);
+	t = path_times(b.path, ROUTE_REPORT);
+	assert_int_equal(t->open_us.count, 1);
+	assert_int_equal(t->open_us.sum, 5000);
+	assert_int_equal(t->answer_us.count, 1);
+	assert_int_equal(t->answer_us.sum, 70000);
+	assert_int_equal(path_times(b.path, ROUTE_FEED)->open_us.count, 0);
+	bed_close(&b);
+}
+
 static void test_copy_of_a_syn_goes_elsewhere(void **state)
 {
 	struct bed b;
@@ -462,6 +485,7 @@
 		cmocka_unit_test(test_dropped_route_resets_its_flows),
 		cmocka_unit_test(test_configuration_never_goes_back),
 		cmocka_unit_test(test_unanswered_syn_goes_elsewhere),
+		cmocka_unit_test(test_times_are_counted_by_class),
 		cmocka_unit_test(test_copy_of_a_syn_goes_elsewhere),
 		cmocka_unit_test(test_refused_probe_ends_the_flows),
 		cmocka_unit_test(test_told_dead_ends_the_flows),
