--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 TESTHELP := $(patsubst %.c,$(B)/%.o,$(filter-out %_test.c,$(wildcard test/*.c))) \
 	    $(patsubst %.cc,$(B)/%.o,$(filter-out %_prop.cc,$(wildcard test/*.cc)))
 
-.PHONY: all check tests demo bench slopes plot soak fuzz lint fmt fmt-check clean install help
+.PHONY: all check tests demo demo-packets soak-packets bench slopes plot soak fuzz lint fmt fmt-check clean install help
 all: $(PROGS)
 
 help:
@@ -63,6 +63,8 @@
 	@echo "make bench      ratios against our own baselines"
 	@echo "make slopes     the slopes behind docs/CAPACITY.md"
 	@echo "make plot       draw the bench's results into docs/"
+	@echo "make demo-packets  cb-packet's path on loopback, with figures"
+	@echo "make soak-packets  cb-packet under random faults, fresh seeds"
 	@echo "make soak       property tests with random seeds"
 	@echo "make fuzz       the codecs under libFuzzer"
 	@echo "make lint fmt   linter, formatter"
@@ -122,6 +124,12 @@
 bench slopes plot: all
 	@B=$(B) scripts/$@
 
+demo-packets: all
+	@B=$(B) SEEDS=1 FIRST_SEED=1 FAULTS=0 scripts/soak-packets
+
+soak-packets: all
+	@B=$(B) scripts/soak-packets
+
 soak: tests
 	@B=$(B) scripts/soak $(TESTS_CC)
 
