--- a/cmd/cb-packet/daemon.c
+++ b/cmd/cb-packet/daemon.c
@@ -7,11 +7,14 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 
 /* Short enough for the 40 ms after which an unanswered SYN goes elsewhere. */
 #define TICK_MS 20
 #define LINE_BYTES 512
+/* The settings may change without a signal; what is taken can wait so long. */
+#define SETTINGS_LOOK_NS (5 * NS_PER_S)
 
 static uint64_t boot_gap_ns(void)
 {
@@ -51,36 +54,6 @@
 	return now_ns;
 }
 
-static void on_tick(uv_timer_t *timer)
-{
-	struct packet_daemon *d = timer->data;
-	uint64_t now_ns = daemon_turn(d);
-
-	probes_tick(d, now_ns);
-	node_tick(d->node, now_ns);
-	clients_flush(d);
-	d->log_tokens += (double)d->settings.decisions_per_s * TICK_MS / 1000;
-	if (d->log_tokens > d->settings.decisions_per_s)
-		d->log_tokens = d->settings.decisions_per_s;
-	if (!node_stopped(d->node, now_ns))
-		return;
-	log_line(LOG_INFO, "stop", NULL,
-		 "after %llu ms, last datagram %llu ms ago",
-		 (unsigned long long)((now_ns - d->node->stop_ns) / NS_PER_MS),
-		 (unsigned long long)((now_ns - d->node->client_ns) /
-				      NS_PER_MS));
-	uv_stop(d->loop);
-}
-
-static void on_stop(uv_signal_t *signal, int number)
-{
-	struct packet_daemon *d = signal->data;
-
-	log_line(LOG_INFO, "stop", NULL,
-		 "signal %d, not ready from now, forwarding goes on", number);
-	node_stop(d->node, daemon_turn(d));
-}
-
 static uint32_t seeds(const struct packet_settings *s,
 		      uint64_t out[PACKET_SEEDS_MAX])
 {
@@ -94,14 +67,24 @@
 	return n;
 }
 
-static void on_reload(uv_signal_t *signal, int number)
+/* Return: when the settings file changed last; 0 when it can't be told. */
+static int64_t settings_changed_ns(const struct packet_daemon *d)
+{
+	struct stat st;
+
+	if (stat(d->settings_path, &st))
+		return 0;
+	return (int64_t)st.st_mtim.tv_sec * (int64_t)NS_PER_S +
+	       st.st_mtim.tv_nsec;
+}
+
+static void reload(struct packet_daemon *d)
 {
-	struct packet_daemon *d = signal->data;
 	struct packet_settings next;
 	struct mistakes m = { 0 };
 	uint64_t addrs[PACKET_SEEDS_MAX];
 
-	(void)number;
+	d->settings_file_ns = settings_changed_ns(d);
 	if (packet_settings_read(d->settings_path, &next, &m)) {
 		log_line(LOG_ERROR, "reload", d->settings_path,
 			 "refused, the settings in force stay");
@@ -116,6 +99,52 @@
 	mistakes_free(&m);
 }
 
+static void on_reload(uv_signal_t *signal, int number)
+{
+	(void)number;
+	reload(signal->data);
+}
+
+static void look_at_settings(struct packet_daemon *d, uint64_t now_ns)
+{
+	if (now_ns < d->settings_look_ns)
+		return;
+	d->settings_look_ns = now_ns + SETTINGS_LOOK_NS;
+	if (settings_changed_ns(d) != d->settings_file_ns)
+		reload(d);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct packet_daemon *d = timer->data;
+	uint64_t now_ns = daemon_turn(d);
+
+	probes_tick(d, now_ns);
+	node_tick(d->node, now_ns);
+	clients_flush(d);
+	look_at_settings(d, now_ns);
+	d->log_tokens += (double)d->settings.decisions_per_s * TICK_MS / 1000;
+	if (d->log_tokens > d->settings.decisions_per_s)
+		d->log_tokens = d->settings.decisions_per_s;
+	if (!node_stopped(d->node, now_ns))
+		return;
+	log_line(LOG_INFO, "stop", NULL,
+		 "after %llu ms, last datagram %llu ms ago",
+		 (unsigned long long)((now_ns - d->node->stop_ns) / NS_PER_MS),
+		 (unsigned long long)((now_ns - d->node->client_ns) /
+				      NS_PER_MS));
+	uv_stop(d->loop);
+}
+
+static void on_stop(uv_signal_t *signal, int number)
+{
+	struct packet_daemon *d = signal->data;
+
+	log_line(LOG_INFO, "stop", NULL,
+		 "signal %d, not ready from now, forwarding goes on", number);
+	node_stop(d->node, daemon_turn(d));
+}
+
 static void send_again(void *ctx, const struct flow_seen *f)
 {
 	decisions_again(ctx, f);
@@ -207,6 +236,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	d->turn_ns = uv_hrtime();
 	d->boot_gap_ns = boot_gap_ns();
+	d->settings_file_ns = settings_changed_ns(d);
 	err = failed("start", make_node(d, d->turn_ns));
 	if (!err)
 		err = failed("clients", clients_open(d));
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -64,6 +64,8 @@
  * @turn_ns: last time that the loop ran
  * @boot_gap_ns: CLOCK_BOOTTIME beyond the steady clock; grows when the machine
  *	was suspended
+ * @settings_file_ns: when the settings file read last was written
+ * @settings_look_ns: when to look at it next
  * @log_tokens: lines about single flows that may be logged now
  */
 struct packet_daemon {
@@ -76,6 +78,8 @@
 	uint64_t boot;
 	uint64_t turn_ns;
 	uint64_t boot_gap_ns;
+	int64_t settings_file_ns;
+	uint64_t settings_look_ns;
 	double log_tokens;
 	int exit_code;
 
