--- a/core/hash.c
+++ b/core/hash.c
@@ -1,5 +1,6 @@
 #include "types.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 /* Part of the protocol between entries: all have to place flows alike. */
@@ -31,6 +32,17 @@
 	return XXH3_64bits_withSeed(&x, sizeof(x), seed);
 }
 
+/**
+ * hash_text() - hash of a name, the same on every entry
+ * @text: text
+ *
+ * Return: 64-bit hash.
+ */
+uint64_t hash_text(const char *text)
+{
+	return XXH3_64bits(text, strlen(text));
+}
+
 /**
  * flow_hash() - place of a flow, the same on every entry
  * @key: caller and VIP
--- a/core/packet/directory.c
+++ b/core/packet/directory.c
@@ -83,16 +83,6 @@
 	free(d);
 }
 
-/* FNV-1a; only names the operator publishes come here. */
-static uint64_t text_hash(const char *s)
-{
-	uint64_t h = 0xcbf29ce484222325ULL;
-
-	for (; *s; s++)
-		h = (h ^ (uint8_t)*s) * 0x100000001b3ULL;
-	return h;
-}
-
 /**
  * directory_name() - number of a service's or data centre's name
  * @d: directory
@@ -103,7 +93,7 @@
  */
 uint32_t directory_name(struct directory *d, const char *name)
 {
-	uint64_t hash = text_hash(name);
+	uint64_t hash = hash_text(name);
 	uint32_t i = index_get(d->by_name, hash);
 
 	if (i != INDEX_NONE)
--- a/core/packet/documents.c
+++ b/core/packet/documents.c
@@ -58,18 +58,9 @@
 	free(s);
 }
 
-static uint64_t key_hash(const char *key)
-{
-	uint64_t h = hash_u64(strlen(key), 0);
-
-	for (; *key; key++)
-		h = hash_u64((uint8_t)*key, h);
-	return h;
-}
-
 static struct document *find(const struct documents *s, const char *key)
 {
-	uint32_t i = index_get(s->by_key, key_hash(key));
+	uint32_t i = index_get(s->by_key, hash_text(key));
 
 	if (i == INDEX_NONE || strcmp(s->all[i]->key, key))
 		return NULL;
@@ -91,7 +82,7 @@
 		s->capacity = capacity;
 	}
 	d = calloc(1, sizeof(*d));
-	if (!d || index_put(s->by_key, key_hash(key), s->n)) {
+	if (!d || index_put(s->by_key, hash_text(key), s->n)) {
 		free(d);
 		return NULL;
 	}
@@ -218,14 +209,14 @@
 {
 	struct document *d = s->all[i];
 
-	index_del(s->by_key, key_hash(d->key), i);
+	index_del(s->by_key, hash_text(d->key), i);
 	if (d->revision > s->floor)
 		s->floor = d->revision;
 	s->n--;
 	if (i != s->n) {
 		struct document *last = s->all[s->n];
 
-		index_put(s->by_key, key_hash(last->key), i);
+		index_put(s->by_key, hash_text(last->key), i);
 		s->all[i] = last;
 	}
 	document_free(d);
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -182,8 +182,7 @@
 	struct rng rng = { hash_u64(conf->self, conf->boot) | 1 };
 
 	memcpy(peers.seeds, conf->seeds, sizeof(conf->seeds));
-	for (const char *c = conf->data_centre; *c; c++)
-		peers.zone = (uint32_t)hash_u64((uint8_t)*c, peers.zone);
+	peers.zone = (uint32_t)hash_text(conf->data_centre);
 	n->directory = directory_new(&dir);
 	n->documents = documents_new(changed, conf->flow_lifetime_ns);
 	n->peers = peer_set_new(&peers, rng);
