--- a/test/process/reload_test.sh
+++ b/test/process/reload_test.sh
@@ -2,6 +2,9 @@
 # cb-packet takes changed settings with SIGHUP and without, and goes on with
 # the old ones when the file is bad. Waits on its log, not on a clock.
 set -eu
+# Its addresses are fixed: one run at a time on a machine.
+exec 9>>"${TMPDIR:-/tmp}/cactusbeam-cb-packet.lock"
+flock 9
 dir=$(mktemp -d)
 pid=
 trap 'if [ -n "$pid" ]; then kill -9 "$pid" 2>/dev/null || true; fi; rm -rf "$dir"' EXIT
--- a/test/process/soak_test.sh
+++ b/test/process/soak_test.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
 # Real cb-packet processes through three random faults of a fixed seed.
 set -eu
+# Its addresses are fixed: one run at a time on a machine.
+exec 9>>"${TMPDIR:-/tmp}/cactusbeam-cb-packet.lock"
+flock 9
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 "$B/bin/sim-soak" --program "$B/bin/cb-packet" --dir "$dir" \
