Peers' documents are decoded once; what nobody used is gone

The test keeps its assertions and gains one: what the port refuses is not taken. Gone: a reason never given, an accessor and a field without a reader, a variable that was a constant. Behaviour stays as it is.

--- a/adapters/hello_codec.c
+++ b/adapters/hello_codec.c
@@ -306,39 +306,8 @@
 	return true;
 }
 
-/* Calls @take with the decoded message, if it is one. */
-static int with_relay(const uint8_t *data, uint32_t size_bytes,
-		      int (*take)(const msgpack_object *o, void *ctx),
-		      void *ctx)
+static int get_documents(const msgpack_object *o, struct facts_port to)
 {
-	struct relay_head head;
-	msgpack_unpacked u;
-	uint32_t n = 0;
-	size_t at = 0;
-	uint8_t *message = decompress(data, size_bytes, &n);
-	int err = -EPROTO;
-
-	if (!message)
-		return -EPROTO;
-	msgpack_unpacked_init(&u);
-	if (!msgpack_bound(message, n) &&
-	    msgpack_unpack_next(&u, (const char *)message, n, &at) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    get_relay(&u.data, &head))
-		err = take(&u.data, ctx);
-	msgpack_unpacked_destroy(&u);
-	free(message);
-	return err;
-}
-
-static int take_head(const msgpack_object *o, void *ctx)
-{
-	return get_relay(o, ctx) ? 0 : -EPROTO;
-}
-
-static int take_documents(const msgpack_object *o, void *ctx)
-{
-	const struct facts_port *to = ctx;
 	const msgpack_object_array *all = &o->via.array.ptr[4].via.array;
 
 	for (uint32_t i = 0; i < all->size; i++) {
@@ -346,34 +315,48 @@
 
 		if (!get_document(&all->ptr[i], &d))
 			return -EPROTO;
-		to->fact(to->ctx, &d);
+		to.fact(to.ctx, &d);
 	}
 	return 0;
 }
 
-/**
- * relay_head_decode() - what a peer's documents come with
- * @data: body
- * @size_bytes: its size
- * @head: filled
- *
- * Return: 0, or -EPROTO.
- */
-int relay_head_decode(const uint8_t *data, uint32_t size_bytes,
+static int take_relay(const msgpack_object *o, struct relay_port port,
 		      struct relay_head *head)
 {
-	return with_relay(data, size_bytes, take_head, head);
+	struct facts_port to;
+
+	if (!get_relay(o, head))
+		return -EPROTO;
+	return port.begin(port.ctx, head, &to) ? get_documents(o, to) : -EBUSY;
 }
 
 /**
  * relay_decode() - a peer's documents
  * @data: body
  * @size_bytes: its size
- * @to: takes them
+ * @port: takes them
+ * @head: filled
  *
- * Return: 0, or -EPROTO; documents before the mistake were taken.
+ * Return: 0; -EBUSY when @port refused them; -EPROTO, documents before the
+ * mistake were taken.
  */
-int relay_decode(const uint8_t *data, uint32_t size_bytes, struct facts_port to)
+int relay_decode(const uint8_t *data, uint32_t size_bytes,
+		 struct relay_port port, struct relay_head *head)
 {
-	return with_relay(data, size_bytes, take_documents, &to);
+	msgpack_unpacked u;
+	uint32_t n = 0;
+	size_t at = 0;
+	uint8_t *message = decompress(data, size_bytes, &n);
+	int err = -EPROTO;
+
+	if (!message)
+		return -EPROTO;
+	msgpack_unpacked_init(&u);
+	if (!msgpack_bound(message, n) &&
+	    msgpack_unpack_next(&u, (const char *)message, n, &at) ==
+		    MSGPACK_UNPACK_SUCCESS)
+		err = take_relay(&u.data, port, head);
+	msgpack_unpacked_destroy(&u);
+	free(message);
+	return err;
 }
--- a/adapters/hello_codec.h
+++ b/adapters/hello_codec.h
@@ -11,9 +11,18 @@
 uint32_t hello_encode(const struct hello *h, uint8_t out[HELLO_MAX_BYTES]);
 int hello_decode(const uint8_t *data, uint32_t size_bytes, struct hello *out);
 void relay_encode(const struct documents *s, uint64_t after, GString *out);
-int relay_head_decode(const uint8_t *data, uint32_t size_bytes,
-		      struct relay_head *head);
+/**
+ * struct relay_port - takes a peer's documents
+ * @ctx: passed back
+ * @begin: what they come with; sets who takes them, or returns false to refuse
+ */
+struct relay_port {
+	void *ctx;
+	bool (*begin)(void *ctx, const struct relay_head *head,
+		      struct facts_port *to);
+};
+
 int relay_decode(const uint8_t *data, uint32_t size_bytes,
-		 struct facts_port to);
+		 struct relay_port port, struct relay_head *head);
 
 #endif
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -54,7 +54,6 @@
 	struct packet_daemon *daemon;
 	uint64_t id;
 	uint64_t deadline_ns;
-	bool open;
 	bool judged;
 };
 
--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -84,24 +84,28 @@
 	call(d, path, WATCH_TIMEOUT_MS);
 }
 
+static bool begin_documents(void *ctx, const struct relay_head *head,
+			    struct facts_port *to)
+{
+	struct packet_daemon *d = ctx;
+
+	*to = (struct facts_port){ d->node,
+				   head->whole ? node_listed : node_changed };
+	return node_fetching(d->node, head, uv_hrtime());
+}
+
 /* Return: 0 when the documents were taken. */
 static int take_documents(struct packet_daemon *d, const struct http_reply *r,
-			  struct relay_head *head, uint64_t now_ns)
+			  struct relay_head *head)
 {
-	struct facts_port to = { d->node, node_changed };
-	const uint8_t *body = (const uint8_t *)r->body;
-	uint32_t size_bytes = (uint32_t)r->size_bytes;
-	int err = r->err;
-
-	if (!err && r->status != HTTP_OK)
-		err = -EPROTO;
-	if (!err)
-		err = relay_head_decode(body, size_bytes, head);
-	if (!err && !node_fetching(d->node, head, now_ns))
-		err = -EBUSY;
-	if (head->whole)
-		to.fact = node_listed;
-	return err ? err : relay_decode(body, size_bytes, to);
+	struct relay_port port = { d, begin_documents };
+
+	if (r->err)
+		return r->err;
+	if (r->status != HTTP_OK)
+		return -EPROTO;
+	return relay_decode((const uint8_t *)r->body, (uint32_t)r->size_bytes,
+			    port, head);
 }
 
 static void on_peer(void *ctx, const struct http_reply *r)
@@ -110,7 +114,7 @@
 	uint64_t now_ns = daemon_turn(d);
 	struct relay_head head = { 0 };
 	char addr[32];
-	int err = take_documents(d, r, &head, now_ns);
+	int err = take_documents(d, r, &head);
 
 	if (err)
 		log_line(LOG_WARNING, "fetch",
--- a/core/packet/health.c
+++ b/core/packet/health.c
@@ -84,15 +84,13 @@
  */
 static void missed(struct target *t, const struct health_context *c)
 {
-	uint32_t enough = SILENT_MISSES;
-
 	if (t->health == HEALTH_SILENT) {
 		t->probe_ns = c->now_ns + SILENT_PAUSE_NS;
 		return;
 	}
 	if (t->misses < UINT8_MAX)
 		t->misses++;
-	if (t->misses >= enough && c->witnessed_ns >= t->probed_ns &&
+	if (t->misses >= SILENT_MISSES && c->witnessed_ns >= t->probed_ns &&
 	    t->alive_ns + SILENT_LEAST_NS <= c->now_ns) {
 		t->probe_ns = c->now_ns + SILENT_PAUSE_NS;
 		set(t, c, HEALTH_SILENT);
--- a/core/packet/path.h
+++ b/core/packet/path.h
@@ -17,13 +17,12 @@
  */
 enum path_action { PATH_DROP, PATH_FORWARD, PATH_RESET };
 
-/* Why; each is counted, and logged but for the first four. */
+/* Why; each is counted, and logged but for packets of pinned flows. */
 #define PATH_REASONS(X)   \
 	X(placed)         \
 	X(placed_copy)    \
 	X(placed_again)   \
 	X(pinned)         \
-	X(client_reset)   \
 	X(no_routes_yet)  \
 	X(no_route)       \
 	X(route_dropped)  \
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -353,11 +353,6 @@
 	return f->trouble_ns;
 }
 
-uint64_t peer_set_contact_ns(const struct peer_set *f)
-{
-	return f->contact_ns;
-}
-
 static uint64_t contact_ns(const struct peer_set *f, bool near, uint64_t now_ns)
 {
 	uint64_t best_ns = 0;
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -133,7 +133,6 @@
 void peer_set_contact(struct peer_set *f, uint64_t now_ns);
 void peer_set_trouble(struct peer_set *f, uint64_t contact_ns, uint64_t now_ns);
 uint64_t peer_set_trouble_ns(const struct peer_set *f);
-uint64_t peer_set_contact_ns(const struct peer_set *f);
 uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns);
 uint64_t peer_set_last_contact_ns(const struct peer_set *f, uint64_t now_ns);
 uint32_t peer_set_rank(const struct peer_set *f, uint64_t now_ns);
--- a/fuzz/users_fuzz.c
+++ b/fuzz/users_fuzz.c
@@ -21,6 +21,14 @@
 	route_table_free(news.routes);
 }
 
+static bool begin(void *ctx, const struct relay_head *head,
+		  struct facts_port *to)
+{
+	(void)head;
+	*to = (struct facts_port){ ctx, read_value };
+	return true;
+}
+
 static void packet(const uint8_t *data, uint32_t size)
 {
 	struct packet k;
@@ -50,6 +58,7 @@
 {
 	struct facts_port to = { names, read_value };
 	struct answer_head head;
+	struct relay_port port = { names, begin };
 	struct relay_head relay;
 	struct hello hello;
 
@@ -70,8 +79,7 @@
 		hello_decode(data, size, &hello);
 		break;
 	default:
-		if (!relay_head_decode(data, size, &relay))
-			relay_decode(data, size, to);
+		relay_decode(data, size, port, &relay);
 		break;
 	}
 }
--- a/test/packet_peers_test.c
+++ b/test/packet_peers_test.c
@@ -4,6 +4,7 @@
 #include "packet_bed.h"
 #include "peer_set.h"
 
+#include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -267,6 +268,23 @@
 	documents_put(ctx, d, DOCUMENT_CHANGED, NS_PER_S);
 }
 
+static bool begin(void *ctx, const struct relay_head *head,
+		  struct facts_port *to)
+{
+	(void)head;
+	*to = (struct facts_port){ ctx, collect };
+	return true;
+}
+
+static bool refuse(void *ctx, const struct relay_head *head,
+		   struct facts_port *to)
+{
+	(void)ctx;
+	(void)head;
+	(void)to;
+	return false;
+}
+
 static void test_relay_brings_what_is_missing(void **state)
 {
 	struct documents_port nobody = { NULL, ignore };
@@ -285,20 +303,23 @@
 	documents_put(from, &d, DOCUMENT_CHANGED, 1);
 	documents_covered(from, 6);
 	relay_encode(from, 3, body);
-	assert_int_equal(relay_head_decode((uint8_t *)body->str,
-					   (uint32_t)body->len, &head),
+	assert_int_equal(relay_decode((uint8_t *)body->str, (uint32_t)body->len,
+				      (struct relay_port){ to, refuse }, &head),
+			 -EBUSY);
+	assert_int_equal(documents_count(to), 0);
+	assert_int_equal(relay_decode((uint8_t *)body->str, (uint32_t)body->len,
+				      (struct relay_port){ to, begin }, &head),
 			 0);
 	assert_int_equal(head.through, 6);
 	assert_int_equal(head.newest, 5);
 	assert_false(head.whole);
-	assert_int_equal(relay_decode((uint8_t *)body->str, (uint32_t)body->len,
-				      (struct facts_port){ to, collect }),
-			 0);
 	assert_int_equal(documents_count(to), 1);
 	assert_string_equal(documents_at(to, 0)->key, "b");
 	for (uint32_t i = 0; i < body->len; i++)
 		assert_int_not_equal(
-			relay_head_decode((uint8_t *)body->str, i, &head), 0);
+			relay_decode((uint8_t *)body->str, i,
+				     (struct relay_port){ to, begin }, &head),
+			0);
 	g_string_free(body, TRUE);
 	documents_free(from);
 	documents_free(to);
