Of equally loaded targets any gets the flow

Cause: two are drawn in the order of publication, and the first drawn won a tie. Ruled out: the draw itself, each target is drawn equally often. After: 850 to 1,150 each.

--- a/core/packet/place.c
+++ b/core/packet/place.c
@@ -85,12 +85,23 @@
 	d->seen++;
 }
 
+/*
+ * Of equal ones any: the first drawn is the one that was published first, and
+ * at low load, when most are idle, that one got twice the flows of the last.
+ */
 static struct target *cheapest(const struct draw *d,
-			       const struct place_query *q, struct target *best)
+			       const struct place_query *q, struct target *best,
+			       struct rng *rng)
 {
-	for (uint32_t i = 0; i < CHOICES && i < d->seen; i++)
-		if (!best || cost(d->picked[i], q) < cost(best, q))
-			best = d->picked[i];
+	uint32_t n = d->seen < CHOICES ? d->seen : CHOICES;
+	uint32_t from = n ? (uint32_t)(rng_next(rng) % n) : 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct target *t = d->picked[(from + i) % n];
+
+		if (!best || cost(t, q) < cost(best, q))
+			best = t;
+	}
 	return best;
 }
 
@@ -125,5 +136,5 @@
 			continue;
 		draw(t->news.zone == q->zone ? &near : &far, t, rng);
 	}
-	return cheapest(&far, q, cheapest(&near, q, NULL));
+	return cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
 }
--- a/test/packet_place_test.c
+++ b/test/packet_place_test.c
@@ -69,6 +69,28 @@
 	bed_close(&b);
 }
 
+/*
+ * Symptom: at low load the targets published first run twice the requests of
+ * the last. Sequence: two idle targets are drawn. Cause: the first drawn won,
+ * and those are drawn in the order of their publication.
+ */
+static void test_equal_targets_get_equal_shares(void **state)
+{
+	struct rng rng = { 3 };
+	uint32_t got[7] = { 0 };
+	struct bed b;
+
+	(void)state;
+	bed_open(&b);
+	for (uint32_t i = 1; i <= 6; i++)
+		bed_target(&b, i, SERVICE, ZONE);
+	for (uint32_t i = 0; i < 6000; i++)
+		got[place(&b, ROUTE_REPORT, &rng)->news.id]++;
+	for (uint32_t i = 1; i <= 6; i++)
+		assert_in_range(got[i], 850, 1150);
+	bed_close(&b);
+}
+
 /*
  * Symptom: while targets are replaced, reports are refused or reset by targets
  * that have just started, and the rest idles. Sequence: a new target comes with
@@ -185,6 +207,7 @@
 		cmocka_unit_test(test_own_data_centre_first),
 		cmocka_unit_test(test_spills_when_own_targets_are_busy),
 		cmocka_unit_test(test_less_loaded_gets_more),
+		cmocka_unit_test(test_equal_targets_get_equal_shares),
 		cmocka_unit_test(test_new_target_is_not_swamped),
 		cmocka_unit_test(test_cold_target_counts_less),
 		cmocka_unit_test(test_doubted_only_when_nothing_better),
