Targets that fail far more requests than others get no new flows

Cause: only silence counted against a target; a failing one opens flows, looks idle and is given more than its share. Ruled out: slots (no queue was full), retries (reports may not be repeated). What shows at layer 4: the size of the first acknowledgement after a request (errors 210 bytes, reports 840, uploads 540) and no answer in four mean answer times. Counted over 2 s, summed with peers' counts, compared with the other targets of the service; ejected for 3 s, then an eighth of the flows on trial. Found beside it: a heartbeat with 96 loads and large counts did not fit 1,400 bytes and would not have been sent at all; 88, and counts are capped.

--- a/adapters/hello_codec.c
+++ b/adapters/hello_codec.c
@@ -9,7 +9,7 @@
 #include <zstd.h>
 
 #define HELLO_VERSION 1
-#define HELLO_FIELDS 11
+#define HELLO_FIELDS 12
 #define HELLO_LEAVING 1
 #define HELLO_REPLY 2
 #define HELLO_LOADS 4
@@ -37,6 +37,11 @@
 			    (uint64_t[]){ h->loads[i].cookie, h->loads[i].feeds,
 					  h->loads[i].short_centi });
 	put_numbers(p, h->n_dead, h->dead);
+	msgpack_pack_array(p, h->n_failing);
+	for (uint32_t i = 0; i < h->n_failing; i++)
+		put_numbers(p, 2,
+			    (uint64_t[]){ h->failing[i].cookie,
+					  h->failing[i].failures_centi });
 }
 
 /**
@@ -137,6 +142,22 @@
 	return numbers(o, h->n_dead, h->dead);
 }
 
+static bool get_failing(const msgpack_object *o, struct hello *h)
+{
+	uint64_t v[2];
+
+	if (!list(o, HELLO_FAILING_MAX))
+		return false;
+	for (; h->n_failing < o->via.array.size; h->n_failing++) {
+		if (!numbers(&o->via.array.ptr[h->n_failing], 2, v))
+			return false;
+		h->failing[h->n_failing] =
+			(struct hello_failing){ (uint32_t)v[0],
+						(uint32_t)v[1] };
+	}
+	return true;
+}
+
 static bool get_hello(const msgpack_object *o, struct hello *h)
 {
 	const msgpack_object *f = o->via.array.ptr;
@@ -160,7 +181,7 @@
 	h->contact_age_ms = (uint32_t)contact;
 	h->trouble_age_ms = (uint32_t)trouble;
 	return get_peers(&f[8], h) && get_loads(&f[9], h) &&
-	       get_dead(&f[10], h);
+	       get_dead(&f[10], h) && get_failing(&f[11], h);
 }
 
 /**
--- a/bench/slopes-packets/main.c
+++ b/bench/slopes-packets/main.c
@@ -67,13 +67,20 @@
 	directory_routes(f->directory, t, f->now_ns);
 }
 
+static void no_eject(void *ctx, const struct target *t, float usual_failures)
+{
+	(void)ctx;
+	(void)t;
+	(void)usual_failures;
+}
+
 static void make(struct fixture *f, uint32_t targets)
 {
 	struct directory_conf dir = { 60 * NS_PER_S, NS_PER_S };
 	struct path_conf conf = { .flows_max = FLOWS,
 				  .flow_lifetime_ns = 60 * NS_PER_S };
-	struct path_port port = { NULL,	   no_target, no_flow,
-				  no_flow, no_target, no_health };
+	struct path_port port = { NULL,	     no_target, no_flow, no_flow,
+				  no_target, no_health, no_eject };
 
 	f->now_ns = 1000 * NS_PER_S;
 	f->directory = directory_new(&dir);
--- a/core/packet/loads.h
+++ b/core/packet/loads.h
@@ -6,6 +6,8 @@
 #include "peer_set.h"
 
 void loads_fill(const struct directory *d, struct hello *h);
+void loads_fill_failing(const struct directory *d, struct hello *h,
+			uint64_t now_ns);
 void loads_sum(struct directory *d, const struct peer_set *f, uint64_t now_ns);
 
 #endif
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include "loads.h"
+#include "outlier.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -20,13 +21,15 @@
 #define STOP_QUIET_NS (600 * NS_PER_MS)
 #define ROUND_MAX 16
 /*
- * Of the 21 KB a second that a node may spend on control, loads get this much:
- * 96 of them are told to ten peers every 0.6 s, a few with every heartbeat.
- * With every heartbeat they took 39 KB a second (slopes-packets,
- * bytes_hello_targets at 500).
+ * Of the 21 KB a second that a node may spend on control, loads and failing
+ * targets get this much: 88 loads are told to ten peers every 0.6 s, a few with
+ * every heartbeat. With every heartbeat they took 39 KB a second
+ * (slopes-packets, bytes_hello_targets at 500). Failing targets are told each
+ * time, and loads wait for it.
  */
 #define LOADS_BYTES_PER_S 12000ULL
 #define LOAD_BYTES 8
+#define FAILING_BYTES 9
 
 static const char *const stage_names[] = { "serving", "leaving", "absent" };
 
@@ -37,6 +40,16 @@
 	return t ? t->version : 0;
 }
 
+/* Loads are not told before what was sent is paid for. */
+static void pay(struct node *n, const struct hello *h, uint32_t count)
+{
+	uint64_t bytes = h->n_loads * LOAD_BYTES + h->n_failing * FAILING_BYTES;
+
+	if (n->loads_ns < n->now_ns)
+		n->loads_ns = n->now_ns;
+	n->loads_ns += bytes * count * NS_PER_S / LOADS_BYTES_PER_S;
+}
+
 static void send_hello(struct node *n, const uint64_t *to, uint32_t count,
 		       const struct target *dead)
 {
@@ -51,9 +64,8 @@
 		h.dead[h.n_dead++] = dead->news.id;
 	else if (n->now_ns >= n->loads_ns)
 		loads_fill(n->directory, &h);
-	if (h.has_loads)
-		n->loads_ns = n->now_ns + h.n_loads * LOAD_BYTES * count *
-						  NS_PER_S / LOADS_BYTES_PER_S;
+	loads_fill_failing(n->directory, &h, n->now_ns);
+	pay(n, &h, count);
 	n->port.hello(n->port.ctx, to, count, &h);
 }
 
@@ -100,6 +112,21 @@
 	n->port.health(n->port.ctx, t, before);
 }
 
+static void eject(void *ctx, const struct target *t, float usual_failures)
+{
+	struct node *n = ctx;
+	uint64_t ms = (t->ejected_until_ns - n->now_ns) / NS_PER_MS;
+
+	n->counters.ejections++;
+	n->port.log(n->port.ctx, NODE_WARNING, "target.eject",
+		    directory_name_text(n->directory, t->news.service),
+		    "target %llx gets no new flows for %llu ms: %.1f requests "
+		    "failed of late here, %.1f at peers, %.1f at others of it",
+		    (unsigned long long)t->news.id, (unsigned long long)ms,
+		    (double)outlier_failures(t, n->now_ns),
+		    (double)t->peers_failures, (double)usual_failures);
+}
+
 static void take_routes(struct node *n, const struct document *doc,
 			struct route_table *take)
 {
@@ -167,7 +194,7 @@
 	const struct node_conf *conf = &n->conf;
 	struct directory_conf dir = { conf->flow_lifetime_ns, RETURN_NS };
 	struct documents_port changed = { n, document_changed };
-	struct path_port port = { n, probe, again, reset, dead, health };
+	struct path_port port = { n, probe, again, reset, dead, health, eject };
 	struct path_conf path = {
 		.flows_max = conf->flows_max,
 		.flow_lifetime_ns = conf->flow_lifetime_ns,
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -78,6 +78,7 @@
 	X(peer_calls)            \
 	X(peer_calls_failed)     \
 	X(documents_refused)     \
+	X(ejections)             \
 	X(held_up)               \
 	X(paused)
 
--- a/core/packet/path.c
+++ b/core/packet/path.c
@@ -1,6 +1,7 @@
 #include "path.h"
 
 #include "health.h"
+#include "outlier.h"
 #include "place.h"
 
 #include <stdlib.h>
@@ -23,6 +24,8 @@
 /* Before any feed was measured: one request a second of 50 ms. */
 #define FEED_LOAD_FIRST 0.05f
 #define FEED_LOAD_WEIGHT 0.02f
+/* Failures are told with heartbeats, one in 200 ms. */
+#define JUDGE_NS (100 * NS_PER_MS)
 /* A flow not seen for this long is forgotten; clients repeat within 1.6 s, and
  * feeds pause for seconds. */
 #define FLOW_FORGET_NS (15 * NS_PER_S)
@@ -44,6 +47,8 @@
 	uint64_t answer_ns[ROUTE_KINDS];
 	uint64_t counts[PATH_REASON_COUNT];
 	struct path_times times[ROUTE_KINDS];
+	struct answer_sizes sizes;
+	uint64_t judged_ns;
 	float feed_load;
 	uint64_t held_up_ns;
 	uint64_t witnessed_ns;
@@ -213,7 +218,8 @@
 	rule(p, out, PATH_FORWARD, avoid ? PATH_placed_copy : PATH_placed, t);
 }
 
-static void answered(struct path *p, struct flow_seen *f, uint64_t now_ns)
+static void answered(struct path *p, struct flow_seen *f, uint32_t size_bytes,
+		     uint64_t now_ns)
 {
 	uint64_t took_ns = now_ns - f->request_ns;
 	uint64_t *mean_ns = &p->answer_ns[f->kind];
@@ -221,6 +227,8 @@
 	if (!f->busy)
 		return;
 	histogram_add(&p->times[f->kind].answer_us, took_ns / NS_PER_US);
+	if (outlier_small(&p->sizes, f->kind, size_bytes))
+		outlier_failed(f->target, now_ns);
 	*mean_ns += took_ns / ANSWER_WEIGHT - *mean_ns / ANSWER_WEIGHT;
 	flow_cache_busy(f, false);
 }
@@ -242,9 +250,11 @@
 		newer_seq = true;
 		alive(p, f->target, now_ns);
 	} else if (newer_ack) {
+		uint32_t size_bytes = k->ack - f->ack;
+
 		f->ack = k->ack;
 		alive(p, f->target, now_ns);
-		answered(p, f, now_ns);
+		answered(p, f, size_bytes, now_ns);
 	}
 	if (k->flags & (PACKET_FIN | PACKET_RST)) {
 		flow_cache_close(f);
@@ -472,10 +482,12 @@
 		if (!f->due_ns || f->due_ns > now_ns)
 			continue;
 		f->due_ns = 0;
-		if (f->stage == FLOW_OPENING)
+		if (f->stage == FLOW_OPENING) {
 			place_again(p, f, now_ns);
-		else
-			doubt(p, f->target, f->request_ns, now_ns);
+			continue;
+		}
+		doubt(p, f->target, f->request_ns, now_ns);
+		outlier_failed(f->target, now_ns);
 	}
 }
 
@@ -496,6 +508,13 @@
 				FEED_LOAD_WEIGHT;
 }
 
+static void judge(struct path *p, struct target *t, uint64_t now_ns)
+{
+	if (outlier_judge(p->directory, t, now_ns))
+		p->port.eject(p->port.ctx, t,
+			      outlier_usual(p->directory, t, now_ns));
+}
+
 /**
  * path_tick() - what time brings; every 20 to 50 ms
  * @p: state
@@ -506,7 +525,10 @@
 	uint32_t n = directory_slots(p->directory);
 	uint32_t feeds = 0, busy = 0;
 	struct health_context c = context(p, now_ns);
+	bool judging = now_ns >= p->judged_ns + JUDGE_NS;
 
+	if (judging)
+		p->judged_ns = now_ns;
 	check_due(p, now_ns);
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = directory_slot(p->directory, i);
@@ -514,6 +536,8 @@
 		average(t, now_ns);
 		health_tick(t, &c);
 		sweep_if_gone(p, t);
+		if (judging)
+			judge(p, t, now_ns);
 		feeds += t->feeds;
 		busy += t->busy - t->busy_short;
 	}
--- a/core/packet/path.h
+++ b/core/packet/path.h
@@ -64,6 +64,7 @@
  * @reset: end a flow that no packet asked about
  * @dead: a target was found dead here: tell the peers
  * @health: a target's health changed from @before
+ * @eject: a target gets no new flows for a while, for its failures
  */
 struct path_port {
 	void *ctx;
@@ -72,6 +73,7 @@
 	void (*reset)(void *ctx, const struct flow_seen *f);
 	void (*dead)(void *ctx, const struct target *t);
 	void (*health)(void *ctx, const struct target *t, uint8_t before);
+	void (*eject)(void *ctx, const struct target *t, float usual_failures);
 };
 
 /**
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -171,6 +171,8 @@
 	p->contact_ns = ago(now_ns, h->contact_age_ms);
 	if (h->has_loads)
 		keep_loads(p, h);
+	p->n_failing = h->n_failing;
+	memcpy(p->failing, h->failing, sizeof(p->failing));
 	for (uint32_t i = 0; i < h->n_peers; i++)
 		if (h->peers[i].age_ms <= GOSSIP_MAX_MS)
 			hear_of(f, &h->peers[i], now_ns);
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -11,8 +11,10 @@
 /* The VMs of one data centre and of those it exchanges news with. */
 #define PEERS_MAX 1024
 #define HELLO_PEERS_MAX 8
-#define HELLO_LOADS_MAX 96
+/* With twelve failing targets a heartbeat stays below 1,400 bytes. */
+#define HELLO_LOADS_MAX 88
 #define HELLO_DEAD_MAX 16
+#define HELLO_FAILING_MAX 12
 
 /**
  * struct hello_peer - what a hello says of a third VM
@@ -38,6 +40,16 @@
 	uint32_t short_centi;
 };
 
+/**
+ * struct hello_failing - a target at which a VM saw requests fail
+ * @cookie: target's cookie
+ * @failures_centi: how many of late, in hundredths
+ */
+struct hello_failing {
+	uint32_t cookie;
+	uint32_t failures_centi;
+};
+
 /**
  * struct hello - heartbeat between entries
  * @from: sender's address for peers
@@ -56,6 +68,8 @@
  * @has_loads: the sender told its loads, also when they are none
  * @n_dead: targets found dead
  * @dead: their ids
+ * @n_failing: targets that fail requests
+ * @failing: those, each above half a failure
  */
 struct hello {
 	uint64_t from;
@@ -73,6 +87,8 @@
 	struct hello_load loads[HELLO_LOADS_MAX];
 	uint32_t n_dead;
 	uint64_t dead[HELLO_DEAD_MAX];
+	uint32_t n_failing;
+	struct hello_failing failing[HELLO_FAILING_MAX];
 };
 
 /**
@@ -87,6 +103,8 @@
  * @contact_ns: when the platform answered it last
  * @n_loads: loads it told
  * @loads: those; apart, since the rest is walked often
+ * @n_failing: targets that it saw fail requests
+ * @failing: those
  */
 struct peer_vm {
 	uint64_t addr;
@@ -99,6 +117,8 @@
 	uint64_t contact_ns;
 	uint32_t n_loads;
 	struct hello_load *loads;
+	uint32_t n_failing;
+	struct hello_failing failing[HELLO_FAILING_MAX];
 };
 
 /**
--- a/core/packet/place.c
+++ b/core/packet/place.c
@@ -1,5 +1,7 @@
 #include "place.h"
 
+#include "outlier.h"
+
 /*
  * A flow leaves its data centre when the best target there is busier by this
  * part of its slots than the best elsewhere. Own targets first keeps flows
@@ -18,6 +20,8 @@
  * Three or four gain nothing where entries are few.
  */
 #define CHOICES 2
+/* One flow in so many may go to a target on trial after its ejection. */
+#define TRIAL_ODDS 8
 
 /**
  * place_serving() - whether a target may be given new flows at all
@@ -59,11 +63,13 @@
 }
 
 /* Targets in better health come first whatever their load. */
-static uint32_t rank(const struct target *t, const struct place_query *q)
+static uint32_t rank(const struct target *t, const struct place_query *q,
+		     bool trial)
 {
 	uint32_t rank = t->health;
 
-	if (t == q->avoid)
+	if (t == q->avoid || outlier_ejected(t, q->now_ns) ||
+	    (outlier_on_trial(t, q->now_ns) && !trial))
 		rank++;
 	return rank;
 }
@@ -124,15 +130,17 @@
 	struct target *const *all = NULL;
 	uint32_t n = directory_of_service(d, q->service, &all);
 	struct draw near = { 0 }, far = { 0 };
+	bool trial = rng_next(rng) % TRIAL_ODDS == 0;
 	uint32_t best = UINT32_MAX;
 
 	for (uint32_t i = 0; i < n; i++)
-		if (eligible(all[i]) && rank(all[i], q) < best)
-			best = rank(all[i], q);
+		if (eligible(all[i]) && rank(all[i], q, trial) < best)
+			best = rank(all[i], q, trial);
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
 
-		if (!eligible(t) || rank(t, q) != best || !reachable(d, t))
+		if (!eligible(t) || rank(t, q, trial) != best ||
+		    !reachable(d, t))
 			continue;
 		draw(t->news.zone == q->zone ? &near : &far, t, rng);
 	}
--- a/core/packet/target.h
+++ b/core/packet/target.h
@@ -69,6 +69,11 @@
  * @mean_ns: when @short_mean was brought up to date
  * @peers_feeds: sum of the peers' @feeds
  * @peers_short: sum of the peers' @short_mean
+ * @failures: requests that failed of late, as seen here
+ * @failures_ns: when @failures was brought up to date
+ * @peers_failures: sum of the peers' @failures
+ * @ejected_until_ns: gets no new flows until then, for its failures
+ * @ejections: how often in a row it was ejected, less one
  * @twin: next target with this cookie, oldest first
  * @slot: its index in the directory
  */
@@ -96,6 +101,11 @@
 	uint64_t mean_ns;
 	float peers_feeds;
 	float peers_short;
+	float failures;
+	uint64_t failures_ns;
+	float peers_failures;
+	uint64_t ejected_until_ns;
+	uint8_t ejections;
 	struct target *twin;
 	uint32_t slot;
 };
--- a/sim/sim-packets/clients.c
+++ b/sim/sim-packets/clients.c
@@ -10,6 +10,9 @@
 #define TRIES 3
 #define THINK_NS NS_PER_S
 #define PROBE_NS (100 * NS_PER_MS)
+/* An answer without the content that was asked for is small. */
+#define ANSWER_BYTES 600
+#define ERROR_BYTES 200
 
 static const uint64_t copy_ns[SYN_COPIES] = { 200 * NS_PER_MS,
 					      600 * NS_PER_MS };
@@ -180,18 +183,20 @@
 		send_request(w, client);
 }
 
-/* An answer; @refused: the target did not run it. */
+/* What may run twice, or did not run, is asked again. */
 void clients_answered(struct world *w, uint32_t client, uint16_t port,
-		      uint64_t number, bool refused)
+		      uint64_t number, enum sim_answer answer)
 {
 	struct sim_client *c = &w->clients[client];
 
 	if (c->port != port || c->number != number || !c->waiting)
 		return;
-	c->ack += 600;
+	c->ack += answer == ANSWER_DONE ? ANSWER_BYTES : ERROR_BYTES;
 	send(w, client, PACKET_ACK, 0);
-	if (!refused)
+	if (answer == ANSWER_DONE)
 		finish(w, client, true);
+	else if (answer == ANSWER_FAILED && c->route != FEED_ROUTE)
+		finish(w, client, false);
 	else
 		attempt(w, client);
 }
--- a/sim/sim-packets/fault_table.c
+++ b/sim/sim-packets/fault_table.c
@@ -85,6 +85,33 @@
 		world_kill_target(w, any_target(w), true);
 }
 
+/* One of each data centre: the first, so that no two faults differ in it. */
+static void fail_targets(struct world *w, enum world_failing how)
+{
+	for (uint32_t z = 0; z < w->conf.zones; z++)
+		for (uint32_t i = 0; i < w->n_targets; i++)
+			if (w->targets[i].zone == z && w->targets[i].alive &&
+			    w->targets[i].service == SERVICE_MAIN) {
+				world_fail_target(w, i, how, 8 * NS_PER_S);
+				break;
+			}
+}
+
+static void targets_fail(struct world *w)
+{
+	fail_targets(w, TARGET_FAILS);
+}
+
+static void targets_hang(struct world *w)
+{
+	fail_targets(w, TARGET_HANGS);
+}
+
+static void targets_crawl(struct world *w)
+{
+	fail_targets(w, TARGET_CRAWLS);
+}
+
 static void reuse(struct world *w)
 {
 	for (uint32_t i = 0; i < 3; i++)
@@ -192,6 +219,12 @@
 	  cut_zone_during_roll, 0.995 },
 	{ "kill_target", "a target's process ends", kill_target, 0.995 },
 	{ "darken_targets", "three targets lose power", darken_targets, 0.995 },
+	{ "targets_fail", "three targets answer with errors", targets_fail,
+	  0.995 },
+	{ "targets_hang", "three targets do not answer requests", targets_hang,
+	  0.99 },
+	{ "targets_crawl", "three targets are seven times slower",
+	  targets_crawl, 0.999 },
 	{ "reuse", "three die, other services get their addresses", reuse,
 	  0.995 },
 	{ "reuse_store_down", "and the store is down", reuse_store_down,
--- a/sim/sim-packets/targets.c
+++ b/sim/sim-packets/targets.c
@@ -5,6 +5,9 @@
 #include <string.h>
 
 #define DRAIN_NS (4 * NS_PER_S)
+/* An error is soon told; who crawls takes this many times as long. */
+#define ERROR_NS (5 * NS_PER_MS)
+#define CRAWL_FACTOR 7
 
 static void tell_driver(struct world *w, uint32_t target)
 {
@@ -77,14 +80,22 @@
 
 static void on_answer(struct world *w, const struct event *e)
 {
-	clients_answered(w, (uint32_t)(e->a >> 16), (uint16_t)e->a, e->b, e->c);
+	clients_answered(w, (uint32_t)(e->a >> 16), (uint16_t)e->a, e->b,
+			 (enum sim_answer)e->c);
 }
 
-static void answer(struct world *w, const struct sim_request *r, bool refused)
+static void answer(struct world *w, const struct sim_request *r,
+		   enum sim_answer answer)
 {
 	world_at(w, CLIENT_NS, on_answer,
 		 (uint64_t)r->client << 16 | ADDR_PORT(r->flow.caller),
-		 r->number, refused);
+		 r->number, answer);
+}
+
+static enum world_failing failing(const struct world *w,
+				  const struct sim_target *t)
+{
+	return w->now_ns < t->failing_until_ns ? t->failing : TARGET_WORKS;
 }
 
 static void on_cut(struct world *w, const struct event *e)
@@ -105,7 +116,8 @@
 	if (!t->alive)
 		return;
 	t->busy--;
-	answer(w, &done, false);
+	answer(w, &done,
+	       failing(w, t) == TARGET_FAILS ? ANSWER_FAILED : ANSWER_DONE);
 	/* One that drains closes each flow after its next answer. */
 	if (t->left_ns)
 		world_at(w, CLIENT_NS, on_cut, e->b, 0, 0);
@@ -120,12 +132,20 @@
 {
 	struct sim_target *t = &w->targets[target];
 	struct sim_client *c = &w->clients[r->client];
+	enum world_failing how = failing(w, t);
+	uint64_t work_ns = world_work_ns(w);
 
 	t->busy++;
 	t->runs++;
 	if (c->number == r->number && c->route == REPORT_ROUTE && ++c->ran > 1)
 		w->report.doubled++;
-	world_at(w, world_work_ns(w), on_done, target,
+	if (how == TARGET_HANGS)
+		work_ns += t->failing_until_ns - w->now_ns;
+	else if (how == TARGET_FAILS)
+		work_ns = ERROR_NS;
+	else if (how == TARGET_CRAWLS)
+		work_ns *= CRAWL_FACTOR;
+	world_at(w, work_ns, on_done, target,
 		 (uint64_t)r->client << 16 | ADDR_PORT(r->flow.caller),
 		 r->number);
 }
@@ -141,7 +161,7 @@
 		t->queue[t->n_queue++] = *r;
 	} else {
 		w->report.swamped++;
-		answer(w, r, true);
+		answer(w, r, ANSWER_REFUSED);
 	}
 }
 
@@ -277,6 +297,20 @@
 	world_at(w, 3 * NS_PER_S, on_lapse, target, 0, 0);
 }
 
+/**
+ * world_fail_target() - a target opens flows and fails their requests
+ * @w: world
+ * @target: target
+ * @how: how
+ * @ns: how long
+ */
+void world_fail_target(struct world *w, uint32_t target, enum world_failing how,
+		       uint64_t ns)
+{
+	w->targets[target].failing = how;
+	w->targets[target].failing_until_ns = w->now_ns + ns;
+}
+
 static void on_reuse(struct world *w, const struct event *e)
 {
 	const struct sim_target *t = &w->targets[e->a];
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -87,6 +87,15 @@
  */
 enum store_mode { STORE_ANSWERS, STORE_REFUSES, STORE_SILENT };
 
+/**
+ * enum world_failing - what a target does with requests
+ * @TARGET_WORKS: runs them
+ * @TARGET_FAILS: answers at once that they failed
+ * @TARGET_HANGS: takes them and does not answer
+ * @TARGET_CRAWLS: runs them much slower
+ */
+enum world_failing { TARGET_WORKS, TARGET_FAILS, TARGET_HANGS, TARGET_CRAWLS };
+
 /**
  * struct world_report - what clients and targets saw
  * @requests: requests asked
@@ -141,6 +150,8 @@
 		 uint64_t ns);
 void world_store_down(struct world *w, uint64_t ns, bool lapse);
 void world_kill_target(struct world *w, uint32_t target, bool dark);
+void world_fail_target(struct world *w, uint32_t target, enum world_failing how,
+		       uint64_t ns);
 void world_release_target(struct world *w, uint32_t target);
 void world_reuse_address(struct world *w, uint32_t target);
 void world_add_route(struct world *w);
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -69,12 +69,22 @@
 	uint64_t number;
 };
 
+/**
+ * enum sim_answer - what a client hears of its request
+ * @ANSWER_DONE: it ran
+ * @ANSWER_REFUSED: it did not run
+ * @ANSWER_FAILED: it ran and failed
+ */
+enum sim_answer { ANSWER_DONE, ANSWER_REFUSED, ANSWER_FAILED };
+
 struct sim_target {
 	struct target_news news;
 	uint32_t service;
 	uint32_t zone;
 	bool alive;
 	bool dark;
+	uint8_t failing;
+	uint64_t failing_until_ns;
 	uint64_t left_ns;
 	uint64_t disturbed_ns;
 	struct sim_flow flows[FLOWS_A_TARGET_MAX];
@@ -206,7 +216,7 @@
 void clients_opened(struct world *w, uint32_t client, uint16_t port,
 		    uint32_t target, uint32_t cookie);
 void clients_answered(struct world *w, uint32_t client, uint16_t port,
-		      uint64_t number, bool refused);
+		      uint64_t number, enum sim_answer answer);
 void clients_reset(struct world *w, const struct flow_key *flow,
 		   uint32_t entry);
 void clients_cut(struct world *w, uint32_t client, uint16_t port);
--- a/test/packet_bed.c
+++ b/test/packet_bed.c
@@ -44,11 +44,19 @@
 	(void)before;
 }
 
+static void on_eject(void *ctx, const struct target *t, float usual_failures)
+{
+	struct bed *b = ctx;
+
+	(void)usual_failures;
+	b->ejected[b->n_ejected++ % BED_EVENTS_MAX] = t->news.id;
+}
+
 void bed_open(struct bed *b)
 {
 	struct directory_conf dir = { 60 * NS_PER_S, 2500 * MS };
-	struct path_port port = { b,	    on_probe, on_again,
-				  on_reset, on_dead,  on_health };
+	struct path_port port = { b,	   on_probe,  on_again, on_reset,
+				  on_dead, on_health, on_eject };
 	struct path_conf conf = {
 		.flows_max = 256,
 		.flow_lifetime_ns = 60 * NS_PER_S,
--- a/test/packet_bed.h
+++ b/test/packet_bed.h
@@ -35,6 +35,8 @@
 	uint32_t n_resets;
 	uint64_t dead[BED_EVENTS_MAX];
 	uint32_t n_dead;
+	uint64_t ejected[BED_EVENTS_MAX];
+	uint32_t n_ejected;
 };
 
 void bed_open(struct bed *b);
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -1,5 +1,6 @@
 /* An entry without its sockets: reading, relaying, readiness, pause, stop. */
 #include "hello_codec.h"
+#include "outlier.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -384,6 +385,12 @@
 	}
 	before = f->calls.hello_bytes;
 	for (uint32_t second = 0; second < 10; second++) {
+		for (uint32_t i = 0; i < 20; i++)
+			for (uint32_t k = 0; k < 100; k++)
+				outlier_failed(
+					directory_by_id(f->node->directory,
+							100 + i),
+					f->now_ns);
 		for (uint32_t i = 0; i < 50; i++) {
 			for (uint32_t p = 0; i % 10 == 0 && p < 20; p++) {
 				struct hello h = { .from = PEER + p * 65536,
