core/ in rooms by subject, which include only downwards

Now base, member, spread, balance, request and packet, each with its own directory; scripts/check-includes (part of make lint) fails on an include of a room that is not below, and on a name of the users' platform outside platform/: seen to fail for entry.h in core/base and for op/config in core/packet.

--- a/Makefile
+++ b/Makefile
@@ -18,14 +18,15 @@
 PKGS := libuv glib-2.0 argtable2 msgpack libxxhash jansson libzstd
 endif
 LIBPKGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-DIRS := -Icore -Icore/packet -Iadapters -Isim -Isim/sim-packets -Iplatform
+DIRS := $(patsubst %,-I%,$(sort $(dir $(wildcard core/*/)))) -Iadapters -Isim \
+	-Isim/sim-packets -Iplatform
 CFLAGS := -std=gnu11 -O2 -g $(WARN) $(SANITIZE) $(DIRS) $(LIBPKGS)
 CXXFLAGS := -std=gnu++17 -O2 -g $(WARNXX) $(SANITIZE) $(DIRS) $(LIBPKGS)
 LDLIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm -lstdc++
 # Not what a program doesn't use: loading a library costs time and memory.
 LDFLAGS := $(SANITIZE) -Wl,--as-needed
 
-CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*.c core/*/*.c))
+CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*/*.c))
 ADAPT := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/*.c)) \
 	 $(patsubst %.cc,$(B)/%.o,$(wildcard adapters/*.cc))
 PLATFORM := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
@@ -138,7 +139,7 @@
 fuzz:
 	@scripts/fuzz
 
-SOURCES := $(wildcard core/*.[ch] core/*/*.[ch] platform/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
+SOURCES := $(wildcard core/*/*.[ch] platform/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
 	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] fuzz/*.[ch] \
 	   test/*.[ch] test/*.cc)
 fmt:
@@ -151,6 +152,7 @@
 		--suppress=missingIncludeSystem $(DIRS) \
 		$(filter-out %.cc %.h,$(SOURCES))
 	scripts/check-docs
+	scripts/check-includes
 
 DESTDIR ?=
 PREFIX ?= /usr/local
--- a/core/member_impl.h
+++ b/core/member/member_impl.h
@@ -1,4 +1,4 @@
-/* Parts of membership that only core/member*.c share. */
+/* Parts of membership that only core/member/member*.c share. */
 #ifndef CB_MEMBER_IMPL_H
 #define CB_MEMBER_IMPL_H
 
@@ -143,7 +143,7 @@
 	uint32_t n_outcomes;
 };
 
-/* core/member_set.c */
+/* core/member/member_set.c */
 int32_t member_index(const struct membership *m, uint64_t vm);
 int32_t member_insert(struct membership *m, uint64_t vm);
 void member_remove(struct membership *m, uint32_t i);
@@ -152,7 +152,7 @@
 bool member_is_silent(const struct membership *m, uint32_t i);
 uint64_t member_random_live(struct membership *m);
 
-/* core/member_news.c */
+/* core/member/member_news.c */
 void member_learn(struct membership *m, const struct gossip *g, bool spread,
 		  uint64_t now_ns);
 void member_send(struct membership *m, uint64_t vm, struct peer_msg *msg);
@@ -163,7 +163,7 @@
 void member_tell_deaths(struct membership *m);
 void member_tell(struct membership *m, uint32_t i, uint64_t now_ns);
 
-/* core/member_probe.c */
+/* core/member/member_probe.c */
 void member_round(struct membership *m, uint64_t now_ns);
 void member_probes_due(struct membership *m, uint64_t now_ns);
 void member_on_ping(struct membership *m, const struct peer_msg *msg);
@@ -172,13 +172,13 @@
 void member_on_ack(struct membership *m, const struct peer_msg *msg,
 		   uint64_t now_ns);
 
-/* core/member_lease.c */
+/* core/member/member_lease.c */
 void member_note_outcome(struct membership *m, bool answered);
 void member_revalidate(struct membership *m);
 void member_acked(struct membership *m, uint64_t vm, const struct probe *p);
 void member_watch_majority(struct membership *m, uint64_t now_ns);
 
-/* core/member.c */
+/* core/member/member.c */
 void member_due(struct membership *m, uint64_t deadline_ns);
 
 #endif
--- a/core/ring_impl.h
+++ b/core/member/ring_impl.h
@@ -1,4 +1,4 @@
-/* Parts of the ring that only core/ring*.c share. */
+/* Parts of the ring that only core/member/ring*.c share. */
 #ifndef CB_RING_IMPL_H
 #define CB_RING_IMPL_H
 
--- a/test/codec_case.h
+++ b/test/codec_case.h
@@ -1,5 +1,5 @@
 /*
- * Codecs behind an interface that C++ can read: core/config.h can't be
+ * Codecs behind an interface that C++ can read: core/balance/config.h can't be
  * included there.
  */
 #ifndef TEST_CODEC_CASE_H
--- a/test/testbed_fault.c
+++ b/test/testbed_fault.c
@@ -107,7 +107,7 @@
 {
 	if (!node_takes(f, ev))
 		return;
-	/* cb-watch gives an entry no older one (core/spread.h). */
+	/* cb-watch gives an entry no older one (core/spread/spread.h). */
 	if (ev->arg > f->nodes[ev->node].published)
 		give_config(f, ev->node, ev->arg);
 	event_free(ev);
