Soak: a proxy before each entry's store; settings reloaded; targets that fail

The users ask for connections that are delayed, reset, cut one way or silenced by a loopback proxy; the soak only restarted the store's fronts.

--- a/sim/sim-soak/main.c
+++ b/sim/sim-soak/main.c
@@ -22,8 +22,9 @@
 
 enum exit_code { EXIT_OK, EXIT_BROKEN, EXIT_USAGE };
 
-/* Faults that work on real processes: loopback can't be cut. */
-static const char *const faults[] = {
+/* Faults of the emulator that work on real processes: its cuts do not, the
+ * proxies have their own. */
+static const char *const world_names[] = {
 	"kill_entry",
 	"kill_entries",
 	"stop_entry",
@@ -40,9 +41,29 @@
 	"store_silent_release",
 	"storm",
 	"add_route",
-	NULL,
+	"targets_fail",
+	"targets_hang",
 };
 
+static void reset_connections(struct soak *s);
+
+/* Faults of connections and processes. */
+static const struct {
+	const char *name;
+	void (*apply)(struct soak *s);
+} own_faults[] = {
+	{ "store_fronts_restart", reset_connections },
+	{ "links_reset", proxy_reset },
+	{ "links_silent", proxy_silence },
+	{ "answers_lost", proxy_lose_answers },
+	{ "requests_lost", proxy_lose_requests },
+	{ "links_slow", proxy_slow },
+	{ "reload", processes_reload },
+};
+
+#define N_WORLD (sizeof(world_names) / sizeof(world_names[0]))
+#define N_OWN (sizeof(own_faults) / sizeof(own_faults[0]))
+
 /**
  * soak_advance() - bring the world to the present
  * @s: run
@@ -87,21 +108,49 @@
 	}
 }
 
-static void play_faults(struct soak *s, struct rng *rng, uint32_t n)
+static void apply(struct soak *s, uint32_t k)
+{
+	printf(" %s",
+	       k < N_WORLD ? world_names[k] : own_faults[k - N_WORLD].name);
+	fflush(stdout);
+	if (k < N_WORLD)
+		world_fault_find(world_names[k])->apply(s->world);
+	else
+		own_faults[k - N_WORLD].apply(s);
+}
+
+static uint32_t fault_find(const char *name)
 {
-	uint32_t kinds = 0;
-
-	while (faults[kinds])
-		kinds++;
-	for (uint32_t i = 0; i < n; i++) {
-		uint32_t k = (uint32_t)(rng_next(rng) % (kinds + 1));
-
-		printf(" %s", k < kinds ? faults[k] : "reset_connections");
-		fflush(stdout);
-		if (k < kinds)
-			world_fault_find(faults[k])->apply(s->world);
-		else
-			reset_connections(s);
+	uint32_t k = 0;
+
+	while (k < N_WORLD && strcmp(world_names[k], name))
+		k++;
+	if (k < N_WORLD)
+		return k;
+	while (k < N_WORLD + N_OWN &&
+	       strcmp(own_faults[k - N_WORLD].name, name))
+		k++;
+	return k;
+}
+
+/**
+ * struct soak_plan - which faults
+ * @n: how many
+ * @names: those, or NULL: they are drawn
+ */
+struct soak_plan {
+	uint32_t n;
+	const char **names;
+};
+
+/* Named ones keep the pauses of the seed that drew them. */
+static void play_faults(struct soak *s, struct rng *rng,
+			const struct soak_plan *plan)
+{
+	for (uint32_t i = 0; i < plan->n; i++) {
+		uint32_t k = (uint32_t)(rng_next(rng) % (N_WORLD + N_OWN));
+
+		apply(s, plan->names ? fault_find(plan->names[i]) : k);
 		pass(s, rng_next(rng) % (2 * FAULT_GAP_NS));
 	}
 }
@@ -112,6 +161,8 @@
 
 	for (uint32_t i = 0; i < s->world->n_entries; i++) {
 		err = publish_open(s, i);
+		if (!err)
+			err = proxy_open(s, i);
 		if (err)
 			return err;
 	}
@@ -152,7 +203,7 @@
 }
 
 static bool play(const char *program, const char *dir, uint64_t seed,
-		 uint32_t n_faults)
+		 const struct soak_plan *plan)
 {
 	static struct soak s; /* large for a stack */
 	struct rng rng = { hash_u64(seed, 2) | 1 };
@@ -183,12 +234,14 @@
 	uv_timer_start(&s.timer, on_tick, 0, TICK_MS);
 	printf("seed %llu:", (unsigned long long)seed);
 	pass(&s, WARM_UP_NS);
-	play_faults(&s, &rng, n_faults);
+	play_faults(&s, &rng, plan);
 	pass(&s, CALM_NS);
 	kept = judge(s.world);
 	processes_end(&s);
-	for (uint32_t i = 0; i < s.world->n_entries; i++)
+	for (uint32_t i = 0; i < s.world->n_entries; i++) {
+		proxy_close(&s, i);
 		publish_close(&s, i);
+	}
 	sockets_close(&s);
 	world_free(s.world);
 	return kept;
@@ -201,14 +254,34 @@
 	struct arg_int *seeds;
 	struct arg_int *first;
 	struct arg_int *faults;
+	struct arg_str *names;
+	struct arg_lit *list;
 	struct arg_lit *help;
 	struct arg_end *end;
 };
 
+static void list_faults(void)
+{
+	for (uint32_t i = 0; i < N_WORLD; i++)
+		printf("%s\n", world_names[i]);
+	for (uint32_t i = 0; i < N_OWN; i++)
+		printf("%s\n", own_faults[i].name);
+}
+
+/* Return: the name that is no fault, or NULL. */
+static const char *unknown_fault(const struct arg_str *names)
+{
+	for (int i = 0; i < names->count; i++)
+		if (fault_find(names->sval[i]) == N_WORLD + N_OWN)
+			return names->sval[i];
+	return NULL;
+}
+
 static int with_args(struct args *a, void **table, int argc, char **argv)
 {
 	int errors = arg_parse(argc, argv, table);
-	uint32_t seeds, first, n_faults, failed = 0;
+	uint32_t seeds, first, failed = 0;
+	struct soak_plan plan = { 6, NULL };
 
 	if (a->help->count) {
 		printf("Usage: sim-soak");
@@ -220,12 +293,27 @@
 		arg_print_errors(stderr, a->end, "sim-soak");
 		return EXIT_USAGE;
 	}
+	if (a->list->count) {
+		list_faults();
+		return EXIT_OK;
+	}
+	if (!a->program->count || !a->dir->count || unknown_fault(a->names)) {
+		fprintf(stderr, "sim-soak: %s\n",
+			unknown_fault(a->names)
+				? "--fault: no such fault, see --list"
+				: "--program and --dir are needed");
+		return EXIT_USAGE;
+	}
 	seeds = a->seeds->count ? (uint32_t)a->seeds->ival[0] : 1;
 	first = a->first->count ? (uint32_t)a->first->ival[0] : 1;
-	n_faults = a->faults->count ? (uint32_t)a->faults->ival[0] : 6;
+	if (a->faults->count)
+		plan.n = (uint32_t)a->faults->ival[0];
+	if (a->names->count)
+		plan = (struct soak_plan){ (uint32_t)a->names->count,
+					   a->names->sval };
 	for (uint32_t i = 0; i < seeds; i++)
 		failed += !play(a->program->sval[0], a->dir->sval[0], first + i,
-				n_faults);
+				&plan);
 	printf("%u passed, %u failed\n", seeds - failed, failed);
 	return failed ? EXIT_BROKEN : EXIT_OK;
 }
@@ -233,16 +321,19 @@
 int main(int argc, char **argv)
 {
 	struct args a = {
-		.program = arg_str1(NULL, "program", "FILE", "cb-packet"),
-		.dir = arg_str1(NULL, "dir", "DIR", "settings and logs"),
+		.program = arg_str0(NULL, "program", "FILE", "cb-packet"),
+		.dir = arg_str0(NULL, "dir", "DIR", "settings and logs"),
 		.seeds = arg_int0(NULL, "seeds", "N", "runs (1)"),
 		.first = arg_int0(NULL, "first-seed", "N", "(1)"),
 		.faults = arg_int0(NULL, "faults", "N", "faults a run (6)"),
+		.names = arg_strn(NULL, "fault", "NAME", 0, 32,
+				  "these, one after the other"),
+		.list = arg_lit0(NULL, "list", "name the faults and stop"),
 		.help = arg_lit0(NULL, "help", "print this and stop"),
 		.end = arg_end(8),
 	};
-	void *table[] = { a.program, a.dir,  a.seeds, a.first,
-			  a.faults,  a.help, a.end };
+	void *table[] = { a.program, a.dir,  a.seeds, a.first, a.faults,
+			  a.names,   a.list, a.help,  a.end };
 	int code = EXIT_USAGE;
 
 	signal(SIGPIPE, SIG_IGN);
--- a/sim/sim-soak/processes.c
+++ b/sim/sim-soak/processes.c
@@ -8,15 +8,25 @@
 #include <unistd.h>
 
 #define SEEDS 3
+#define DECISIONS_PER_S 20
 #define READY_TIMEOUT_MS 400
 /* An answer older than this counts as missed by the router. */
 #define READY_VALID_NS (900 * NS_PER_MS)
 
-static void write_settings(const struct soak *s, uint32_t i, const char *path)
+static void settings_path(const struct soak *s, uint32_t i, char out[512])
+{
+	snprintf(out, 512, "%s/entry-%u.toml", s->dir, i);
+}
+
+static void write_settings(const struct soak *s, uint32_t i,
+			   uint32_t decisions_per_s)
 {
 	uint32_t zone = s->world->entries[i].zone;
-	FILE *f = fopen(path, "w");
+	char path[512];
+	FILE *f;
 
+	settings_path(s, i, path);
+	f = fopen(path, "w");
 	if (!f)
 		return;
 	fprintf(f,
@@ -32,7 +42,8 @@
 	for (uint32_t seed = 0; seed < SEEDS; seed++)
 		fprintf(f, "seed_%u = \"127.3.0.%u:%d\"\n", seed, seed + 1,
 			HTTP_PORT);
-	fprintf(f, "[limits]\nflows = 4096\n");
+	fprintf(f, "[limits]\nflows = 4096\ndecisions_per_s = %u\n",
+		decisions_per_s);
 	fclose(f);
 }
 
@@ -68,10 +79,10 @@
 	w->entries[entry].frozen = false;
 	if (e->running)
 		return; /* still ending: its end starts it again */
-	snprintf(settings, sizeof(settings), "%s/entry-%u.toml", s->dir, entry);
+	settings_path(s, entry, settings);
 	snprintf(log, sizeof(log), "%s/entry-%u.log", s->dir, entry);
 	s->world = w;
-	write_settings(s, entry, settings);
+	write_settings(s, entry, DECISIONS_PER_S);
 	io[1].flags = io[2].flags = UV_INHERIT_FD;
 	io[1].data.fd = io[2].data.fd =
 		open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
@@ -192,6 +203,19 @@
 	}
 }
 
+/**
+ * processes_reload() - settings change, with a signal to every other entry
+ * @s: run
+ */
+void processes_reload(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->world->n_entries; i++) {
+		write_settings(s, i, DECISIONS_PER_S + 1);
+		if (i % 2 == 0)
+			signal_to(s, i, SIGHUP);
+	}
+}
+
 /**
  * processes_end() - kill what this run started
  * @s: run
--- a/sim/sim-soak/soak.h
+++ b/sim/sim-soak/soak.h
@@ -13,7 +13,8 @@
 
 #define CLIENT_SOCKETS 16
 #define CLIENT_IP_0 0x7f010001
-#define STORE_IP_0 0x7f040001
+#define PROXY_IP_0 0x7f040001
+#define STORE_IP_0 0x7f060001
 #define STORE_PORT 8169
 #define CLIENT_PORT 8172
 #define READY_PORT 8167
@@ -22,6 +23,7 @@
 #define WAITERS_MAX 64
 
 struct soak;
+struct link;
 
 /* A watch that waits for a change. */
 struct waiter {
@@ -39,6 +41,11 @@
  * @store: the store's front for this entry alone, so that it can be turned
  *	away alone
  * @waiters: watches that wait
+ * @proxy: what the entry takes for the store
+ * @links: connections through it
+ * @lost_until_ns: what comes from an end of a new link until then is lost
+ * @slow_until_ns: until then bytes take @delay_ns longer
+ * @delay_ns: that
  * @caller: asks whether it is ready
  * @ready: it said so at @ready_ns
  */
@@ -49,6 +56,11 @@
 	bool running;
 	struct http_server *store;
 	struct waiter waiters[WAITERS_MAX];
+	uv_tcp_t proxy;
+	struct link *links;
+	uint64_t lost_until_ns[2];
+	uint64_t slow_until_ns;
+	uint64_t delay_ns;
 	struct http_caller *caller;
 	bool ready;
 	uint64_t ready_ns;
@@ -98,6 +110,7 @@
 struct entry_driver processes_driver(struct soak *s);
 int processes_open(struct soak *s);
 void processes_ask(struct soak *s);
+void processes_reload(struct soak *s);
 void processes_end(struct soak *s);
 
 /* sockets.c */
@@ -108,6 +121,15 @@
 void sockets_packet(struct soak *s, uint32_t entry, uint32_t client,
 		    uint8_t flags, uint32_t size_bytes);
 
+/* proxy.c */
+int proxy_open(struct soak *s, uint32_t entry);
+void proxy_close(struct soak *s, uint32_t entry);
+void proxy_reset(struct soak *s);
+void proxy_silence(struct soak *s);
+void proxy_lose_answers(struct soak *s);
+void proxy_lose_requests(struct soak *s);
+void proxy_slow(struct soak *s);
+
 /* publish.c */
 int publish_open(struct soak *s, uint32_t entry);
 void publish_close(struct soak *s, uint32_t entry);
