Soak: the entries whose store is cut in one direction are drawn

With the same two each time the reader of a data centre was never among them: no 'platform lost' in the logs of answers_lost and requests_lost; now it is in about half of the runs.

--- a/sim/sim-soak/proxy.c
+++ b/sim/sim-soak/proxy.c
@@ -291,8 +291,10 @@
 
 static void cut(struct soak *s, enum link_end from, uint64_t ns)
 {
+	uint32_t first = (uint32_t)(rng_next(&s->world->rng) % 2);
+
 	disturbed(s, ns);
-	for (uint32_t i = 0; i < s->world->n_entries; i += 2) {
+	for (uint32_t i = first; i < s->world->n_entries; i += 2) {
 		s->entries[i].lost_until_ns[from] = uv_hrtime() + ns;
 		swallow(&s->entries[i], from);
 	}
