--- a/sim/sim-packets/faults.c
+++ b/sim/sim-packets/faults.c
@@ -133,6 +133,19 @@
 			store_target(w, &w->targets[i]);
 }
 
+/**
+ * world_store_slow() - the store answers late
+ * @w: world
+ * @answer_ns: time until an answer
+ * @ns: how long
+ */
+void world_store_slow(struct world *w, uint64_t answer_ns, uint64_t ns)
+{
+	w->store_slow_ns = answer_ns;
+	w->store_slow_until_ns = w->now_ns + ns;
+	w->store_disturbed_ns = w->now_ns + ns;
+}
+
 /**
  * world_store_down() - the store answers nobody
  * @w: world
--- a/sim/sim-packets/main.c
+++ b/sim/sim-packets/main.c
@@ -23,6 +23,7 @@
 	struct arg_int *feeds;
 	struct arg_int *reports;
 	struct arg_str *faults;
+	struct arg_lit *recovery;
 	struct arg_lit *json;
 	struct arg_lit *list;
 	struct arg_lit *help;
@@ -44,6 +45,9 @@
 			arg_int0(NULL, "reports", "N", "a second in each (25)"),
 		.faults = arg_strn(NULL, "fault", "NAME", 0, 64,
 				   "one of --list; all without it"),
+		.recovery = arg_lit0(NULL, "recovery",
+				     "times until all serve again after all "
+				     "lost power"),
 		.json = arg_lit0(NULL, "json", "a line of JSON a run"),
 		.list = arg_lit0(NULL, "list", "name the faults and stop"),
 		.help = arg_lit0(NULL, "help", "print this and stop"),
@@ -165,6 +169,11 @@
 			       world_faults[i].help);
 		return EXIT_OK;
 	}
+	if (a->recovery->count)
+		return recovery_table(number(a->first_seed, 1),
+				      number(a->seeds, 1))
+			       ? EXIT_BROKEN
+			       : EXIT_OK;
 	if (!a->json->count)
 		printf("%-24s %5s %8s %7s %5s %6s %6s %7s %6s %6s %9s\n",
 		       "fault", "seed", "requests", "in aim", "late", "failed",
@@ -175,9 +184,10 @@
 int main(int argc, char **argv)
 {
 	struct args a = args_new();
-	void *table[] = { a.seeds,   a.first_seed, a.seconds, a.entries,
-			  a.targets, a.feeds,	   a.reports, a.faults,
-			  a.json,    a.list,	   a.help,    a.end };
+	void *table[] = { a.seeds,    a.first_seed, a.seconds, a.entries,
+			  a.targets,  a.feeds,	    a.reports, a.faults,
+			  a.recovery, a.json,	    a.list,    a.help,
+			  a.end };
 	int code = EXIT_USAGE;
 
 	if (!arg_nullcheck(table))
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -100,6 +100,11 @@
 		answer(w, (uint32_t)e->a, s->watch_after, SOURCE_OK);
 }
 
+static uint64_t answer_ns(const struct world *w)
+{
+	return w->now_ns < w->store_slow_until_ns ? w->store_slow_ns : STORE_NS;
+}
+
 void store_list(void *ctx, const char *after_key)
 {
 	struct port_ctx *c = ctx;
@@ -107,7 +112,7 @@
 
 	(void)after_key;
 	c->w->report.store_calls++;
-	world_at(c->w, m == STORE_SILENT ? LIST_TIMEOUT_NS : STORE_NS,
+	world_at(c->w, m == STORE_SILENT ? LIST_TIMEOUT_NS : answer_ns(c->w),
 		 on_listed, index_of(c->w, c->e), c->e->boot,
 		 m != STORE_ANSWERS);
 }
@@ -124,8 +129,8 @@
 	world_at(c->w, wait_ns, on_watch_over, index_of(c->w, c->e), c->e->boot,
 		 after);
 	if (m == STORE_ANSWERS && c->w->revision > after)
-		world_at(c->w, STORE_NS, on_watched, index_of(c->w, c->e),
-			 c->e->boot, 0);
+		world_at(c->w, answer_ns(c->w), on_watched,
+			 index_of(c->w, c->e), c->e->boot, 0);
 }
 
 static void changed(struct world *w, struct store_key *k, const void *value,
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -148,6 +148,7 @@
 void world_cut_zone(struct world *w, uint32_t zone, uint64_t ns);
 void world_store(struct world *w, uint32_t entry, enum store_mode mode,
 		 uint64_t ns);
+void world_store_slow(struct world *w, uint64_t answer_ns, uint64_t ns);
 void world_store_down(struct world *w, uint64_t ns, bool lapse);
 void world_kill_target(struct world *w, uint32_t target, bool dark);
 void world_fail_target(struct world *w, uint32_t target, enum world_failing how,
@@ -157,6 +158,26 @@
 void world_add_route(struct world *w);
 void world_drop_route(struct world *w);
 
+/* The store answers, is slow, refuses half, is silent to half, is down. */
+#define RECOVERY_CONDITIONS 5
+#define RECOVERY_ENTRIES 9
+
+/**
+ * struct recovery - times of one run, 0 where it did not come to it
+ * @first_ns: from the first process's start until the first entry was ready
+ * @each_ns: from each process's start until it was ready
+ * @agree_ns: from the last process's start until all were ready and knew the
+ *	newest revision
+ */
+struct recovery {
+	uint64_t first_ns;
+	uint64_t each_ns[RECOVERY_ENTRIES];
+	uint64_t agree_ns;
+};
+
+void recovery_run(uint64_t seed, uint32_t condition, struct recovery *r);
+int recovery_table(uint64_t first_seed, uint32_t seeds);
+
 /**
  * struct world_fault - a fault or planned work, by name
  * @name: name
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -167,6 +167,8 @@
 	bool extra_route;
 	uint64_t extra_ns;
 	uint64_t store_down_ns;
+	uint64_t store_slow_ns;
+	uint64_t store_slow_until_ns;
 	uint64_t store_disturbed_ns;
 	uint64_t cut_until_ns[ZONES_MAX];
 	uint64_t next_id;
--- a/test/packet_world_test.c
+++ b/test/packet_world_test.c
@@ -109,6 +109,29 @@
 	}
 }
 
+/*
+ * Symptom: clients' requests pass their deadlines after all entries lost power.
+ * Sequence: all start at once, nobody has anything, the store turns some away.
+ * Cause: each further wait of a young process is one of all clients. While the
+ * store is down (the last condition, for 1.4 s after the start) nobody can.
+ */
+static void test_all_serve_soon_after_all_lost_power(void **state)
+{
+	static const uint64_t ready_ms[RECOVERY_CONDITIONS] = { 60, 300, 120,
+								120, 1700 };
+	struct recovery r;
+
+	(void)state;
+	for (uint32_t c = 0; c < RECOVERY_CONDITIONS; c++)
+		for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+			recovery_run(seed, c, &r);
+			for (uint32_t i = 0; i < RECOVERY_ENTRIES; i++)
+				assert_in_range(r.each_ns[i], 1,
+						ready_ms[c] * NS_PER_MS);
+			assert_in_range(r.agree_ns, 1, ready_ms[c] * NS_PER_MS);
+		}
+}
+
 static void test_a_run_repeats(void **state)
 {
 	struct world_report one, other;
@@ -147,6 +170,7 @@
 		cmocka_unit_test(test_every_fault),
 		cmocka_unit_test(test_every_fault_with_flows_that_move),
 		cmocka_unit_test(test_pairs_of_faults),
+		cmocka_unit_test(test_all_serve_soon_after_all_lost_power),
 		cmocka_unit_test(test_a_run_repeats),
 		cmocka_unit_test(test_few_read_the_store),
 	};
