--- a/core/packet/path.c
+++ b/core/packet/path.c
@@ -1,36 +1,14 @@
-#include "path.h"
+#include "path_impl.h"
 
-#include "health.h"
-#include "outlier.h"
 #include "place.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* A client answers a SYN+ACK at once: two trips to it and one to the target
- * take under 12 ms at both deployments; the rest is for queues on the way. */
-#define OPENING_DUE_NS (40 * NS_PER_MS)
-/* Later the client's own copies do: each further try is another handshake. */
-#define AGAIN_UNTIL_NS (150 * NS_PER_MS)
-/* A request without an answer is doubted after so many mean answer times,
- * within bounds: below a client's first repeat, above a busy moment. */
-#define REQUEST_DUE_MEANS 4
-#define REQUEST_DUE_MIN_NS (60 * NS_PER_MS)
-#define REQUEST_DUE_MAX_NS (400 * NS_PER_MS)
 /* Weight of one sample in the mean answer time. */
 #define ANSWER_WEIGHT 32
-/* Loads are averaged over a second: some twenty requests of a target. */
-#define LOAD_WINDOW_NS NS_PER_S
 /* Before any feed was measured: one request a second of 50 ms. */
 #define FEED_LOAD_FIRST 0.05f
-#define FEED_LOAD_WEIGHT 0.02f
-/* Failures are told with heartbeats, one in 200 ms. */
-#define JUDGE_NS (100 * NS_PER_MS)
-/* A flow not seen for this long is forgotten; clients repeat within 1.6 s, and
- * feeds pause for seconds. */
-#define FLOW_FORGET_NS (15 * NS_PER_S)
-
-static struct health_context context(struct path *p, uint64_t now_ns);
 
 const char *const path_reason_names[PATH_REASON_COUNT] = {
 #define X(name) #name,
@@ -38,22 +16,6 @@
 #undef X
 };
 
-struct path {
-	struct path_conf conf;
-	struct directory *directory;
-	struct path_port port;
-	struct rng rng;
-	struct flow_cache *flows;
-	uint64_t answer_ns[ROUTE_KINDS];
-	uint64_t counts[PATH_REASON_COUNT];
-	struct path_times times[ROUTE_KINDS];
-	struct answer_sizes sizes;
-	uint64_t judged_ns;
-	float feed_load;
-	uint64_t held_up_ns;
-	uint64_t witnessed_ns;
-};
-
 /**
  * path_new() - make the decisions' state
  * @conf: settings
@@ -113,12 +75,12 @@
 	}
 	if (!best)
 		return false;
-	c = context(p, about->probed_ns);
+	c = path_context(p, about->probed_ns);
 	health_probe(best, &c);
 	return true;
 }
 
-static struct health_context context(struct path *p, uint64_t now_ns)
+struct health_context path_context(struct path *p, uint64_t now_ns)
 {
 	return (struct health_context){ &p->port, now_ns, ask_witness, p,
 					p->witnessed_ns };
@@ -126,15 +88,15 @@
 
 static void alive(struct path *p, struct target *t, uint64_t now_ns)
 {
-	struct health_context c = context(p, now_ns);
+	struct health_context c = path_context(p, now_ns);
 
 	health_alive(t, &c);
 }
 
-static void doubt(struct path *p, struct target *t, uint64_t since_ns,
-		  uint64_t now_ns)
+void path_doubt(struct path *p, struct target *t, uint64_t since_ns,
+		uint64_t now_ns)
 {
-	struct health_context c = context(p, now_ns);
+	struct health_context c = path_context(p, now_ns);
 
 	health_doubt(t, &c, since_ns);
 }
@@ -157,9 +119,9 @@
 	return due_ns > REQUEST_DUE_MAX_NS ? REQUEST_DUE_MAX_NS : due_ns;
 }
 
-static struct target *place(struct path *p, const struct flow_key *key,
-			    const struct route *r, const struct target *avoid,
-			    uint64_t now_ns)
+struct target *path_place(struct path *p, const struct flow_key *key,
+			  const struct route *r, const struct target *avoid,
+			  uint64_t now_ns)
 {
 	struct place_query q = {
 		.service = route_service(r, flow_hash(key)),
@@ -194,10 +156,10 @@
 		f = NULL;
 	}
 	if (f) {
-		doubt(p, f->target, f->opened_ns, now_ns);
+		path_doubt(p, f->target, f->opened_ns, now_ns);
 		avoid = f->target;
 	}
-	t = place(p, &k->flow, r, avoid, now_ns);
+	t = path_place(p, &k->flow, r, avoid, now_ns);
 	if (!t) {
 		rule(p, out, PATH_RESET, PATH_no_target, NULL);
 		return;
@@ -263,7 +225,7 @@
 	if (!k->size_bytes)
 		return;
 	if (!newer_seq) {
-		doubt(p, f->target, f->request_ns, now_ns);
+		path_doubt(p, f->target, f->request_ns, now_ns);
 		return;
 	}
 	f->seq = k->seq;
@@ -365,187 +327,6 @@
 		out->action = PATH_DROP;
 }
 
-/*
- * End the flows of a target that is gone: their clients would wait out their
- * deadlines, and can open another flow at once instead.
- */
-static void sweep(struct path *p, const struct target *t)
-{
-	struct flow_seen *f = flow_cache_newest(p->flows);
-
-	for (; f; f = flow_cache_older(p->flows, f)) {
-		if (f->target != t || f->stage == FLOW_CLOSED)
-			continue;
-		if (f->stage == FLOW_OPEN) {
-			p->counts[PATH_swept]++;
-			p->port.reset(p->port.ctx, f);
-		}
-		flow_cache_close(f);
-	}
-}
-
-/* @t->flows tells whether any is left to end. */
-static void sweep_if_gone(struct path *p, const struct target *t)
-{
-	if (t->flows && t->health >= HEALTH_SILENT)
-		sweep(p, t);
-}
-
-/**
- * path_probed() - take the outcome of a connection attempt
- * @p: state
- * @id: target
- * @outcome: what it showed
- * @now_ns: time
- */
-void path_probed(struct path *p, uint64_t id, enum probe_outcome outcome,
-		 uint64_t now_ns)
-{
-	struct target *t = directory_by_id(p->directory, id);
-	struct health_context c;
-
-	if (!t)
-		return;
-	if (outcome == PROBE_SILENT && p->held_up_ns + NS_PER_S > now_ns)
-		outcome = PROBE_VOID;
-	if (outcome == PROBE_OPEN && t->news.zone == p->conf.zone &&
-	    t->probed_ns > p->witnessed_ns)
-		p->witnessed_ns = t->probed_ns;
-	c = context(p, now_ns);
-	health_probed(t, &c, outcome);
-	sweep_if_gone(p, t);
-}
-
-/**
- * path_told_dead() - a peer found that a target's process has ended
- * @p: state
- * @id: target
- */
-void path_told_dead(struct path *p, uint64_t id)
-{
-	struct target *t = directory_by_id(p->directory, id);
-	struct health_context c = context(p, 0);
-
-	if (!t)
-		return;
-	health_dead(t, &c);
-	sweep_if_gone(p, t);
-}
-
-/**
- * path_held_up() - this process did not run for a while
- * @p: state
- * @now_ns: time
- *
- * What was due meanwhile may lie unread in the socket: nothing is doubted for
- * it. Without this a pause of this VM condemns healthy targets.
- */
-void path_held_up(struct path *p, uint64_t now_ns)
-{
-	struct flow_seen *f = flow_cache_newest(p->flows);
-
-	p->held_up_ns = now_ns;
-	for (; f; f = flow_cache_older(p->flows, f))
-		f->due_ns = 0;
-}
-
-/*
- * A SYN that nobody answered goes to another target without waiting for the
- * client's copy after 200 ms, which alone would miss a target latency of
- * 100 ms.
- */
-static void place_again(struct path *p, struct flow_seen *f, uint64_t now_ns)
-{
-	const struct route *r =
-		route_table_find(directory_table(p->directory), f->key.vip);
-	struct target *t;
-
-	doubt(p, f->target, f->opened_ns, now_ns);
-	if (!r || !f->syn_bytes || now_ns - f->opened_ns > AGAIN_UNTIL_NS)
-		return;
-	t = place(p, &f->key, r, f->target, now_ns);
-	if (!t || t == f->target)
-		return;
-	flow_cache_move(f, t);
-	f->due_ns = now_ns + OPENING_DUE_NS;
-	p->counts[PATH_placed_again]++;
-	p->port.again(p->port.ctx, f);
-}
-
-static void check_due(struct path *p, uint64_t now_ns)
-{
-	struct flow_seen *f = flow_cache_newest(p->flows);
-
-	for (; f; f = flow_cache_older(p->flows, f)) {
-		if (f->seen_ns + 2 * REQUEST_DUE_MAX_NS < now_ns)
-			break;
-		if (!f->due_ns || f->due_ns > now_ns)
-			continue;
-		f->due_ns = 0;
-		if (f->stage == FLOW_OPENING) {
-			place_again(p, f, now_ns);
-			continue;
-		}
-		doubt(p, f->target, f->request_ns, now_ns);
-		outlier_failed(f->target, now_ns);
-	}
-}
-
-static void average(struct target *t, uint64_t now_ns)
-{
-	float part = (float)(now_ns - t->mean_ns) / LOAD_WINDOW_NS;
-
-	if (part > 1)
-		part = 1;
-	t->short_mean += ((float)t->busy_short - t->short_mean) * part;
-	t->mean_ns = now_ns;
-}
-
-static void measure_feeds(struct path *p, uint32_t feeds, uint32_t busy)
-{
-	if (feeds)
-		p->feed_load += ((float)busy / (float)feeds - p->feed_load) *
-				FEED_LOAD_WEIGHT;
-}
-
-static void judge(struct path *p, struct target *t, uint64_t now_ns)
-{
-	if (outlier_judge(p->directory, t, now_ns))
-		p->port.eject(p->port.ctx, t,
-			      outlier_usual(p->directory, t, now_ns));
-}
-
-/**
- * path_tick() - what time brings; every 20 to 50 ms
- * @p: state
- * @now_ns: time
- */
-void path_tick(struct path *p, uint64_t now_ns)
-{
-	uint32_t n = directory_slots(p->directory);
-	uint32_t feeds = 0, busy = 0;
-	struct health_context c = context(p, now_ns);
-	bool judging = now_ns >= p->judged_ns + JUDGE_NS;
-
-	if (judging)
-		p->judged_ns = now_ns;
-	check_due(p, now_ns);
-	for (uint32_t i = 0; i < n; i++) {
-		struct target *t = directory_slot(p->directory, i);
-
-		average(t, now_ns);
-		health_tick(t, &c);
-		sweep_if_gone(p, t);
-		if (judging)
-			judge(p, t, now_ns);
-		feeds += t->feeds;
-		busy += t->busy - t->busy_short;
-	}
-	measure_feeds(p, feeds, busy);
-	if (now_ns > FLOW_FORGET_NS)
-		flow_cache_expire(p->flows, now_ns - FLOW_FORGET_NS);
-}
-
 const uint64_t *path_counts(const struct path *p)
 {
 	return p->counts;
--- /dev/null
+++ b/core/packet/path_impl.h
@@ -0,0 +1,58 @@
+/* Insides of the decisions on packets. */
+#ifndef CB_PATH_IMPL_H
+#define CB_PATH_IMPL_H
+
+#include "health.h"
+#include "outlier.h"
+#include "path.h"
+
+/* A client answers a SYN+ACK at once: two trips to it and one to the target
+ * take under 12 ms at both deployments; the rest is for queues on the way. */
+#define OPENING_DUE_NS (40 * NS_PER_MS)
+/* A request without an answer is doubted after so many mean answer times,
+ * within bounds: below a client's first repeat, above a busy moment. */
+#define REQUEST_DUE_MEANS 4
+#define REQUEST_DUE_MIN_NS (60 * NS_PER_MS)
+#define REQUEST_DUE_MAX_NS (400 * NS_PER_MS)
+
+/**
+ * struct path - the decisions' state
+ * @conf: settings
+ * @directory: targets and routes
+ * @port: what is needed from outside
+ * @rng: random source
+ * @flows: flows seen of late
+ * @answer_ns: mean time until an answer, by kind of route
+ * @counts: verdicts, by reason
+ * @times: how long things took, by kind of route
+ * @sizes: how large answers are
+ * @judged_ns: when failing targets were looked for last
+ * @feed_load: slots that one open feed takes on average
+ * @held_up_ns: when this process last stood still
+ * @witnessed_ns: when the latest probe that a target of this data centre
+ *	answered went out
+ */
+struct path {
+	struct path_conf conf;
+	struct directory *directory;
+	struct path_port port;
+	struct rng rng;
+	struct flow_cache *flows;
+	uint64_t answer_ns[ROUTE_KINDS];
+	uint64_t counts[PATH_REASON_COUNT];
+	struct path_times times[ROUTE_KINDS];
+	struct answer_sizes sizes;
+	uint64_t judged_ns;
+	float feed_load;
+	uint64_t held_up_ns;
+	uint64_t witnessed_ns;
+};
+
+struct health_context path_context(struct path *p, uint64_t now_ns);
+void path_doubt(struct path *p, struct target *t, uint64_t since_ns,
+		uint64_t now_ns);
+struct target *path_place(struct path *p, const struct flow_key *key,
+			  const struct route *r, const struct target *avoid,
+			  uint64_t now_ns);
+
+#endif
--- /dev/null
+++ b/core/packet/path_tick.c
@@ -0,0 +1,195 @@
+/* What time and probes bring: unanswered flows, loads, targets that are gone. */
+#include "path_impl.h"
+
+/* Later the client's own copies do: each further try is another handshake. */
+#define AGAIN_UNTIL_NS (150 * NS_PER_MS)
+/* Loads are averaged over a second: some twenty requests of a target. */
+#define LOAD_WINDOW_NS NS_PER_S
+/* Weight of one measurement in the mean load of a feed. */
+#define FEED_LOAD_WEIGHT 0.02f
+/* Failures are told with heartbeats, one in 200 ms. */
+#define JUDGE_NS (100 * NS_PER_MS)
+/* A flow not seen for this long is forgotten; clients repeat within 1.6 s, and
+ * feeds pause for seconds. */
+#define FLOW_FORGET_NS (15 * NS_PER_S)
+
+/*
+ * End the flows of a target that is gone: their clients would wait out their
+ * deadlines, and can open another flow at once instead.
+ */
+static void sweep(struct path *p, const struct target *t)
+{
+	struct flow_seen *f = flow_cache_newest(p->flows);
+
+	for (; f; f = flow_cache_older(p->flows, f)) {
+		if (f->target != t || f->stage == FLOW_CLOSED)
+			continue;
+		if (f->stage == FLOW_OPEN) {
+			p->counts[PATH_swept]++;
+			p->port.reset(p->port.ctx, f);
+		}
+		flow_cache_close(f);
+	}
+}
+
+/* @t->flows tells whether any is left to end. */
+static void sweep_if_gone(struct path *p, const struct target *t)
+{
+	if (t->flows && t->health >= HEALTH_SILENT)
+		sweep(p, t);
+}
+
+/**
+ * path_probed() - take the outcome of a connection attempt
+ * @p: state
+ * @id: target
+ * @outcome: what it showed
+ * @now_ns: time
+ */
+void path_probed(struct path *p, uint64_t id, enum probe_outcome outcome,
+		 uint64_t now_ns)
+{
+	struct target *t = directory_by_id(p->directory, id);
+	struct health_context c;
+
+	if (!t)
+		return;
+	if (outcome == PROBE_SILENT && p->held_up_ns + NS_PER_S > now_ns)
+		outcome = PROBE_VOID;
+	if (outcome == PROBE_OPEN && t->news.zone == p->conf.zone &&
+	    t->probed_ns > p->witnessed_ns)
+		p->witnessed_ns = t->probed_ns;
+	c = path_context(p, now_ns);
+	health_probed(t, &c, outcome);
+	sweep_if_gone(p, t);
+}
+
+/**
+ * path_told_dead() - a peer found that a target's process has ended
+ * @p: state
+ * @id: target
+ */
+void path_told_dead(struct path *p, uint64_t id)
+{
+	struct target *t = directory_by_id(p->directory, id);
+	struct health_context c = path_context(p, 0);
+
+	if (!t)
+		return;
+	health_dead(t, &c);
+	sweep_if_gone(p, t);
+}
+
+/**
+ * path_held_up() - this process did not run for a while
+ * @p: state
+ * @now_ns: time
+ *
+ * What was due meanwhile may lie unread in the socket: nothing is doubted for
+ * it. Without this a pause of this VM condemns healthy targets.
+ */
+void path_held_up(struct path *p, uint64_t now_ns)
+{
+	struct flow_seen *f = flow_cache_newest(p->flows);
+
+	p->held_up_ns = now_ns;
+	for (; f; f = flow_cache_older(p->flows, f))
+		f->due_ns = 0;
+}
+
+/*
+ * A SYN that nobody answered goes to another target without waiting for the
+ * client's copy after 200 ms, which alone would miss a target latency of
+ * 100 ms.
+ */
+static void place_again(struct path *p, struct flow_seen *f, uint64_t now_ns)
+{
+	const struct route *r =
+		route_table_find(directory_table(p->directory), f->key.vip);
+	struct target *t;
+
+	path_doubt(p, f->target, f->opened_ns, now_ns);
+	if (!r || !f->syn_bytes || now_ns - f->opened_ns > AGAIN_UNTIL_NS)
+		return;
+	t = path_place(p, &f->key, r, f->target, now_ns);
+	if (!t || t == f->target)
+		return;
+	flow_cache_move(f, t);
+	f->due_ns = now_ns + OPENING_DUE_NS;
+	p->counts[PATH_placed_again]++;
+	p->port.again(p->port.ctx, f);
+}
+
+static void check_due(struct path *p, uint64_t now_ns)
+{
+	struct flow_seen *f = flow_cache_newest(p->flows);
+
+	for (; f; f = flow_cache_older(p->flows, f)) {
+		if (f->seen_ns + 2 * REQUEST_DUE_MAX_NS < now_ns)
+			break;
+		if (!f->due_ns || f->due_ns > now_ns)
+			continue;
+		f->due_ns = 0;
+		if (f->stage == FLOW_OPENING) {
+			place_again(p, f, now_ns);
+			continue;
+		}
+		path_doubt(p, f->target, f->request_ns, now_ns);
+		outlier_failed(f->target, now_ns);
+	}
+}
+
+static void average(struct target *t, uint64_t now_ns)
+{
+	float part = (float)(now_ns - t->mean_ns) / LOAD_WINDOW_NS;
+
+	if (part > 1)
+		part = 1;
+	t->short_mean += ((float)t->busy_short - t->short_mean) * part;
+	t->mean_ns = now_ns;
+}
+
+static void measure_feeds(struct path *p, uint32_t feeds, uint32_t busy)
+{
+	if (feeds)
+		p->feed_load += ((float)busy / (float)feeds - p->feed_load) *
+				FEED_LOAD_WEIGHT;
+}
+
+static void judge(struct path *p, struct target *t, uint64_t now_ns)
+{
+	if (outlier_judge(p->directory, t, now_ns))
+		p->port.eject(p->port.ctx, t,
+			      outlier_usual(p->directory, t, now_ns));
+}
+
+/**
+ * path_tick() - what time brings; every 20 to 50 ms
+ * @p: state
+ * @now_ns: time
+ */
+void path_tick(struct path *p, uint64_t now_ns)
+{
+	uint32_t n = directory_slots(p->directory);
+	uint32_t feeds = 0, busy = 0;
+	struct health_context c = path_context(p, now_ns);
+	bool judging = now_ns >= p->judged_ns + JUDGE_NS;
+
+	if (judging)
+		p->judged_ns = now_ns;
+	check_due(p, now_ns);
+	for (uint32_t i = 0; i < n; i++) {
+		struct target *t = directory_slot(p->directory, i);
+
+		average(t, now_ns);
+		health_tick(t, &c);
+		sweep_if_gone(p, t);
+		if (judging)
+			judge(p, t, now_ns);
+		feeds += t->feeds;
+		busy += t->busy - t->busy_short;
+	}
+	measure_feeds(p, feeds, busy);
+	if (now_ns > FLOW_FORGET_NS)
+		flow_cache_expire(p->flows, now_ns - FLOW_FORGET_NS);
+}
