--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -1,4 +1,4 @@
-#include "node.h"
+#include "node_impl.h"
 
 #include "loads.h"
 #include "outlier.h"
@@ -31,15 +31,6 @@
 #define LOAD_BYTES 8
 #define FAILING_BYTES 9
 
-static const char *const stage_names[] = { "serving", "leaving", "absent" };
-
-static uint64_t version(const struct node *n)
-{
-	const struct route_table *t = directory_table(n->directory);
-
-	return t ? t->version : 0;
-}
-
 /* Loads are not told before what was sent is paid for. */
 static void pay(struct node *n, const struct hello *h, uint32_t count)
 {
@@ -70,7 +61,7 @@
 }
 
 /* Tell the neighbours now what can't wait for the next heartbeat. */
-static void tell(struct node *n, const struct target *dead)
+void node_tell(struct node *n, const struct target *dead)
 {
 	uint64_t to[ROUND_MAX];
 	uint32_t count =
@@ -102,7 +93,7 @@
 
 static void dead(void *ctx, const struct target *t)
 {
-	tell(ctx, t);
+	node_tell(ctx, t);
 }
 
 static void health(void *ctx, const struct target *t, uint8_t before)
@@ -127,73 +118,11 @@
 		    (double)t->peers_failures, (double)usual_failures);
 }
 
-static void take_routes(struct node *n, const struct document *doc,
-			struct route_table *take)
-{
-	unsigned long long taken = take->version;
-	uint32_t routes = take->n_routes;
-	int err = directory_routes(n->directory, take, n->now_ns);
-
-	if (err)
-		n->port.log(n->port.ctx,
-			    err == -EALREADY ? NODE_INFO : NODE_ERROR, "routes",
-			    NULL, "version %llu not taken, %llu is in force%s",
-			    taken, (unsigned long long)version(n),
-			    err == -ENOMEM ? ": out of memory" : "");
-	else
-		n->port.log(n->port.ctx, NODE_INFO, "routes", NULL,
-			    "version %llu in force, revision %llu, %u routes",
-			    taken, (unsigned long long)doc->revision, routes);
-}
-
-static void take_target(struct node *n, const struct document *doc,
-			const struct target_news *news)
-{
-	struct target *t = directory_by_id(n->directory, news->id);
-	uint8_t before = t ? t->stage : UINT8_MAX;
-
-	/* A deletion seen first still says whose flows may come. */
-	if (!doc->deleted || (!t && news->addr))
-		t = directory_target(n->directory, news, n->now_ns);
-	if (doc->deleted)
-		t = directory_absent(n->directory, news->id, n->now_ns,
-				     peer_set_trouble_ns(n->peers));
-	if (!t && !doc->deleted)
-		n->port.log(n->port.ctx, NODE_ERROR, "target", doc->key,
-			    "no room for another target");
-	if (!t || t->stage == before)
-		return;
-	n->port.log(n->port.ctx, NODE_INFO, "target", doc->key,
-		    "%s, service %s, revision %llu%s", stage_names[t->stage],
-		    directory_name_text(n->directory, t->news.service),
-		    (unsigned long long)doc->revision,
-		    t->presumed ? ", presumed to live" : "");
-}
-
-static void document_changed(void *ctx, const struct document *doc)
-{
-	struct node *n = ctx;
-	struct document_news news;
-	const char *problem = "";
-
-	if (n->port.decode(doc, n->directory, &news, &problem)) {
-		n->counters.documents_refused++;
-		n->port.log(n->port.ctx, NODE_ERROR, "document", doc->key,
-			    "revision %llu refused: %s",
-			    (unsigned long long)doc->revision, problem);
-		return;
-	}
-	if (news.kind == DOCUMENT_ROUTES && news.routes)
-		take_routes(n, doc, news.routes);
-	else if (news.kind == DOCUMENT_TARGET)
-		take_target(n, doc, &news.target);
-}
-
 static int make(struct node *n)
 {
 	const struct node_conf *conf = &n->conf;
 	struct directory_conf dir = { conf->flow_lifetime_ns, RETURN_NS };
-	struct documents_port changed = { n, document_changed };
+	struct documents_port changed = { n, node_document_changed };
 	struct path_port port = { n, probe, again, reset, dead, health, eject };
 	struct path_conf path = {
 		.flows_max = conf->flows_max,
@@ -284,13 +213,13 @@
 	path_packet(n->path, k, n->fresh, now_ns, out);
 }
 
-static void judge_ready(struct node *n)
+void node_judge_ready(struct node *n)
 {
 	bool ready = n->ready;
 
 	judge_fresh(n);
 	/* Once ready it stays so: a peer that is ahead is no reason to leave. */
-	if (version(n) && (ready || n->fresh))
+	if (node_version(n) && (ready || n->fresh))
 		ready = true;
 	if (n->stop_ns)
 		ready = false;
@@ -300,60 +229,12 @@
 	n->port.log(n->port.ctx, NODE_INFO, "ready", NULL,
 		    "%s, configuration %llu, revision %llu, %u targets, "
 		    "%u peers",
-		    ready ? "yes" : "no", (unsigned long long)version(n),
+		    ready ? "yes" : "no", (unsigned long long)node_version(n),
 		    (unsigned long long)documents_through(n->documents),
 		    directory_slots(n->directory),
 		    peer_set_live(n->peers, n->now_ns));
 }
 
-static struct source_view view(const struct node *n)
-{
-	return (struct source_view){
-		.now_ns = n->now_ns,
-		.rank = peer_set_rank(n->peers, n->now_ns),
-		.through = documents_through(n->documents),
-		.others_ns = peer_set_others_contact_ns(n->peers, n->now_ns),
-		.fetching = n->fetching,
-	};
-}
-
-static void fetch(struct node *n)
-{
-	const struct peer_vm *p;
-
-	if (n->fetching)
-		return;
-	p = peer_set_ahead(n->peers, documents_newest(n->documents), n->now_ns);
-	if (!p)
-		return;
-	n->fetching = true;
-	n->counters.peer_calls++;
-	n->port.fetch(n->port.ctx, p->addr, documents_through(n->documents));
-}
-
-/* Start the calls that are due. */
-static void call(struct node *n)
-{
-	struct source_view v = view(n);
-	enum source_step step;
-
-	fetch(n);
-	if (n->stop_ns)
-		return;
-	step = source_next(&n->source, &v);
-	if (step == SOURCE_WAIT)
-		return;
-	n->step = step;
-	n->counters.platform_calls++;
-	n->counters.platform_lists += step == SOURCE_LIST;
-	source_begin(&n->source, step);
-	if (step == SOURCE_LIST)
-		n->port.list(n->port.ctx,
-			     n->list_revision ? n->list_after : NULL);
-	else
-		n->port.watch(n->port.ctx, documents_through(n->documents));
-}
-
 /**
  * node_tick() - what time brings; every 20 ms
  * @n: entry
@@ -373,7 +254,7 @@
 		send_hello(n, to, count, NULL);
 		loads_sum(n->directory, n->peers, now_ns);
 	}
-	call(n);
+	node_call(n);
 	documents_tick(n->documents, now_ns);
 	clock = (struct directory_clock){
 		now_ns,
@@ -381,153 +262,7 @@
 		peer_set_last_contact_ns(n->peers, now_ns),
 	};
 	directory_tick(n->directory, &clock);
-	judge_ready(n);
-}
-
-static void take(struct node *n, const struct document *d,
-		 enum document_origin origin)
-{
-	if (documents_put(n->documents, d, origin, n->now_ns) == -ENOMEM)
-		n->port.log(n->port.ctx, NODE_ERROR, "document", d->key,
-			    "revision %llu lost: no room",
-			    (unsigned long long)d->revision);
-}
-
-/**
- * node_listed() - a document of a listing or of a peer's whole state
- * @ctx: entry
- * @d: document
- */
-void node_listed(void *ctx, const struct document *d)
-{
-	take(ctx, d, DOCUMENT_LISTED);
-}
-
-/**
- * node_changed() - a document that changed, or that a peer sent
- * @ctx: entry
- * @d: document
- */
-void node_changed(void *ctx, const struct document *d)
-{
-	take(ctx, d, DOCUMENT_CHANGED);
-}
-
-/**
- * node_answering() - the platform's answer is about to be taken, by
- *	node_listed() or node_changed()
- * @n: entry
- * @now_ns: time
- */
-void node_answering(struct node *n, uint64_t now_ns)
-{
-	n->now_ns = now_ns;
-	if (n->step == SOURCE_LIST && !n->list_revision)
-		documents_list_begin(n->documents);
-}
-
-static void take_head(struct node *n, const struct answer_head *head)
-{
-	if (n->step == SOURCE_WATCH) {
-		documents_covered(n->documents, head->revision);
-		return;
-	}
-	if (!n->list_revision)
-		n->list_revision = head->revision;
-	memcpy(n->list_after, head->last_key, sizeof(n->list_after));
-	if (!head->more)
-		documents_list_end(n->documents, n->list_revision, n->now_ns);
-}
-
-static void note_contact(struct node *n, bool ok)
-{
-	uint32_t failures = n->source.failures;
-
-	if (ok) {
-		peer_set_contact(n->peers, n->now_ns);
-		if (failures)
-			n->port.log(n->port.ctx, NODE_INFO, "platform", NULL,
-				    "answers again after %u failures",
-				    failures);
-		return;
-	}
-	n->counters.platform_calls_failed++;
-	peer_set_trouble(n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns);
-}
-
-/**
- * node_answer() - a call to the platform ended
- * @n: entry
- * @outcome: how
- * @head: what the answer said, when it was SOURCE_OK
- * @now_ns: time
- */
-void node_answer(struct node *n, enum source_outcome outcome,
-		 const struct answer_head *head, uint64_t now_ns)
-{
-	struct source_view v;
-	bool changed;
-
-	n->now_ns = now_ns;
-	if (outcome == SOURCE_OK)
-		take_head(n, head);
-	note_contact(n, outcome != SOURCE_FAILED);
-	changed = documents_newest(n->documents) > n->told;
-	v = view(n);
-	source_end(&n->source, outcome, outcome == SOURCE_OK && head->more,
-		   changed, &v);
-	if (!n->source.listing)
-		n->list_revision = 0;
-	if (changed || outcome == SOURCE_FAILED)
-		tell(n, NULL);
-	n->told = documents_newest(n->documents);
-	call(n);
-	judge_ready(n);
-}
-
-/**
- * node_fetching() - a peer's documents are about to be taken, by node_listed()
- *	when they are its whole state, else by node_changed()
- * @n: entry
- * @head: what they come with
- * @now_ns: time
- *
- * Two listings at a time would each miss what the other names.
- *
- * Return: whether to take them.
- */
-bool node_fetching(struct node *n, const struct relay_head *head,
-		   uint64_t now_ns)
-{
-	n->now_ns = now_ns;
-	if (!head->whole)
-		return true;
-	if (n->source.listing)
-		return false;
-	documents_list_begin(n->documents);
-	return true;
-}
-
-/**
- * node_fetched() - a call to a peer ended
- * @n: entry
- * @head: what its documents came with, all taken; NULL when there were none
- * @now_ns: time
- */
-void node_fetched(struct node *n, const struct relay_head *head,
-		  uint64_t now_ns)
-{
-	n->now_ns = now_ns;
-	n->fetching = false;
-	if (!head) {
-		n->counters.peer_calls_failed++;
-		return;
-	}
-	if (head->whole)
-		documents_list_end(n->documents, head->through, now_ns);
-	documents_covered(n->documents, head->through);
-	documents_knows(n->documents, head->newest);
-	judge_ready(n);
+	node_judge_ready(n);
 }
 
 /**
@@ -544,8 +279,8 @@
 		path_told_dead(n->path, h->dead[i]);
 	if (h->reply)
 		send_hello(n, &h->from, 1, NULL);
-	call(n);
-	judge_ready(n);
+	node_call(n);
+	node_judge_ready(n);
 }
 
 /**
@@ -600,8 +335,8 @@
 		return;
 	n->now_ns = now_ns;
 	n->stop_ns = now_ns;
-	judge_ready(n);
-	tell(n, NULL);
+	node_judge_ready(n);
+	node_tell(n, NULL);
 }
 
 /**
--- /dev/null
+++ b/core/packet/node_calls.c
@@ -0,0 +1,199 @@
+/* Calls to the platform and to peers that know more. */
+#include "node_impl.h"
+
+#include <errno.h>
+#include <string.h>
+
+static struct source_view view(const struct node *n)
+{
+	return (struct source_view){
+		.now_ns = n->now_ns,
+		.rank = peer_set_rank(n->peers, n->now_ns),
+		.through = documents_through(n->documents),
+		.others_ns = peer_set_others_contact_ns(n->peers, n->now_ns),
+		.fetching = n->fetching,
+	};
+}
+
+static void fetch(struct node *n)
+{
+	const struct peer_vm *p;
+
+	if (n->fetching)
+		return;
+	p = peer_set_ahead(n->peers, documents_newest(n->documents), n->now_ns);
+	if (!p)
+		return;
+	n->fetching = true;
+	n->counters.peer_calls++;
+	n->port.fetch(n->port.ctx, p->addr, documents_through(n->documents));
+}
+
+/* Start the calls that are due. */
+void node_call(struct node *n)
+{
+	struct source_view v = view(n);
+	enum source_step step;
+
+	fetch(n);
+	if (n->stop_ns)
+		return;
+	step = source_next(&n->source, &v);
+	if (step == SOURCE_WAIT)
+		return;
+	n->step = step;
+	n->counters.platform_calls++;
+	n->counters.platform_lists += step == SOURCE_LIST;
+	source_begin(&n->source, step);
+	if (step == SOURCE_LIST)
+		n->port.list(n->port.ctx,
+			     n->list_revision ? n->list_after : NULL);
+	else
+		n->port.watch(n->port.ctx, documents_through(n->documents));
+}
+
+static void take(struct node *n, const struct document *d,
+		 enum document_origin origin)
+{
+	if (documents_put(n->documents, d, origin, n->now_ns) == -ENOMEM)
+		n->port.log(n->port.ctx, NODE_ERROR, "document", d->key,
+			    "revision %llu lost: no room",
+			    (unsigned long long)d->revision);
+}
+
+/**
+ * node_listed() - a document of a listing or of a peer's whole state
+ * @ctx: entry
+ * @d: document
+ */
+void node_listed(void *ctx, const struct document *d)
+{
+	take(ctx, d, DOCUMENT_LISTED);
+}
+
+/**
+ * node_changed() - a document that changed, or that a peer sent
+ * @ctx: entry
+ * @d: document
+ */
+void node_changed(void *ctx, const struct document *d)
+{
+	take(ctx, d, DOCUMENT_CHANGED);
+}
+
+/**
+ * node_answering() - the platform's answer is about to be taken, by
+ *	node_listed() or node_changed()
+ * @n: entry
+ * @now_ns: time
+ */
+void node_answering(struct node *n, uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	if (n->step == SOURCE_LIST && !n->list_revision)
+		documents_list_begin(n->documents);
+}
+
+static void take_head(struct node *n, const struct answer_head *head)
+{
+	if (n->step == SOURCE_WATCH) {
+		documents_covered(n->documents, head->revision);
+		return;
+	}
+	if (!n->list_revision)
+		n->list_revision = head->revision;
+	memcpy(n->list_after, head->last_key, sizeof(n->list_after));
+	if (!head->more)
+		documents_list_end(n->documents, n->list_revision, n->now_ns);
+}
+
+static void note_contact(struct node *n, bool ok)
+{
+	uint32_t failures = n->source.failures;
+
+	if (ok) {
+		peer_set_contact(n->peers, n->now_ns);
+		if (failures)
+			n->port.log(n->port.ctx, NODE_INFO, "platform", NULL,
+				    "answers again after %u failures",
+				    failures);
+		return;
+	}
+	n->counters.platform_calls_failed++;
+	peer_set_trouble(n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns);
+}
+
+/**
+ * node_answer() - a call to the platform ended
+ * @n: entry
+ * @outcome: how
+ * @head: what the answer said, when it was SOURCE_OK
+ * @now_ns: time
+ */
+void node_answer(struct node *n, enum source_outcome outcome,
+		 const struct answer_head *head, uint64_t now_ns)
+{
+	struct source_view v;
+	bool changed;
+
+	n->now_ns = now_ns;
+	if (outcome == SOURCE_OK)
+		take_head(n, head);
+	note_contact(n, outcome != SOURCE_FAILED);
+	changed = documents_newest(n->documents) > n->told;
+	v = view(n);
+	source_end(&n->source, outcome, outcome == SOURCE_OK && head->more,
+		   changed, &v);
+	if (!n->source.listing)
+		n->list_revision = 0;
+	if (changed || outcome == SOURCE_FAILED)
+		node_tell(n, NULL);
+	n->told = documents_newest(n->documents);
+	node_call(n);
+	node_judge_ready(n);
+}
+
+/**
+ * node_fetching() - a peer's documents are about to be taken, by node_listed()
+ *	when they are its whole state, else by node_changed()
+ * @n: entry
+ * @head: what they come with
+ * @now_ns: time
+ *
+ * Two listings at a time would each miss what the other names.
+ *
+ * Return: whether to take them.
+ */
+bool node_fetching(struct node *n, const struct relay_head *head,
+		   uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	if (!head->whole)
+		return true;
+	if (n->source.listing)
+		return false;
+	documents_list_begin(n->documents);
+	return true;
+}
+
+/**
+ * node_fetched() - a call to a peer ended
+ * @n: entry
+ * @head: what its documents came with, all taken; NULL when there were none
+ * @now_ns: time
+ */
+void node_fetched(struct node *n, const struct relay_head *head,
+		  uint64_t now_ns)
+{
+	n->now_ns = now_ns;
+	n->fetching = false;
+	if (!head) {
+		n->counters.peer_calls_failed++;
+		return;
+	}
+	if (head->whole)
+		documents_list_end(n->documents, head->through, now_ns);
+	documents_covered(n->documents, head->through);
+	documents_knows(n->documents, head->newest);
+	node_judge_ready(n);
+}
--- /dev/null
+++ b/core/packet/node_impl.h
@@ -0,0 +1,18 @@
+/* Insides of an entry. */
+#ifndef CB_NODE_IMPL_H
+#define CB_NODE_IMPL_H
+
+#include "node.h"
+
+/* node.c */
+void node_tell(struct node *n, const struct target *dead);
+void node_judge_ready(struct node *n);
+
+/* node_published.c */
+uint64_t node_version(const struct node *n);
+void node_document_changed(void *ctx, const struct document *doc);
+
+/* node_calls.c */
+void node_call(struct node *n);
+
+#endif
