--- a/adapters/hello_codec.c
+++ b/adapters/hello_codec.c
@@ -102,36 +102,53 @@
 	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size <= max;
 }
 
-static bool get_peers(const msgpack_object *o, struct hello *h)
+/* Rows of @fields numbers each, one after the other in @out. Return: how many
+ * rows, or -EPROTO. */
+static int rows(const msgpack_object *o, uint32_t max, uint32_t fields,
+		uint64_t *out)
 {
-	uint64_t v[3];
+	if (!list(o, max))
+		return -EPROTO;
+	for (uint32_t i = 0; i < o->via.array.size; i++)
+		if (!numbers(&o->via.array.ptr[i], fields, out + i * fields))
+			return -EPROTO;
+	return (int)o->via.array.size;
+}
 
-	if (!list(o, HELLO_PEERS_MAX))
-		return false;
-	for (; h->n_peers < o->via.array.size; h->n_peers++) {
-		if (!numbers(&o->via.array.ptr[h->n_peers], 3, v))
-			return false;
-		h->peers[h->n_peers] =
-			(struct hello_peer){ v[0], (uint32_t)v[1],
-					     (uint32_t)v[2] };
-	}
-	return true;
+static bool get_peers(const msgpack_object *o, struct hello *h)
+{
+	uint64_t v[HELLO_PEERS_MAX][3];
+	int n = rows(o, HELLO_PEERS_MAX, 3, v[0]);
+
+	for (int i = 0; i < n; i++)
+		h->peers[h->n_peers++] =
+			(struct hello_peer){ v[i][0], (uint32_t)v[i][1],
+					     (uint32_t)v[i][2] };
+	return n >= 0;
 }
 
 static bool get_loads(const msgpack_object *o, struct hello *h)
 {
-	uint64_t v[3];
+	uint64_t v[HELLO_LOADS_MAX][3];
+	int n = rows(o, HELLO_LOADS_MAX, 3, v[0]);
+
+	for (int i = 0; i < n; i++)
+		h->loads[h->n_loads++] = (struct hello_load){
+			(uint32_t)v[i][0], (uint32_t)v[i][1], (uint32_t)v[i][2]
+		};
+	return n >= 0;
+}
 
-	if (!list(o, HELLO_LOADS_MAX))
-		return false;
-	for (; h->n_loads < o->via.array.size; h->n_loads++) {
-		if (!numbers(&o->via.array.ptr[h->n_loads], 3, v))
-			return false;
-		h->loads[h->n_loads] =
-			(struct hello_load){ (uint32_t)v[0], (uint32_t)v[1],
-					     (uint32_t)v[2] };
-	}
-	return true;
+static bool get_failing(const msgpack_object *o, struct hello *h)
+{
+	uint64_t v[HELLO_FAILING_MAX][2];
+	int n = rows(o, HELLO_FAILING_MAX, 2, v[0]);
+
+	for (int i = 0; i < n; i++)
+		h->failing[h->n_failing++] =
+			(struct hello_failing){ (uint32_t)v[i][0],
+						(uint32_t)v[i][1] };
+	return n >= 0;
 }
 
 static bool get_dead(const msgpack_object *o, struct hello *h)
@@ -142,22 +159,6 @@
 	return numbers(o, h->n_dead, h->dead);
 }
 
-static bool get_failing(const msgpack_object *o, struct hello *h)
-{
-	uint64_t v[2];
-
-	if (!list(o, HELLO_FAILING_MAX))
-		return false;
-	for (; h->n_failing < o->via.array.size; h->n_failing++) {
-		if (!numbers(&o->via.array.ptr[h->n_failing], 2, v))
-			return false;
-		h->failing[h->n_failing] =
-			(struct hello_failing){ (uint32_t)v[0],
-						(uint32_t)v[1] };
-	}
-	return true;
-}
-
 static bool get_hello(const msgpack_object *o, struct hello *h)
 {
 	const msgpack_object *f = o->via.array.ptr;
--- a/test/packet_peers_test.c
+++ b/test/packet_peers_test.c
@@ -241,6 +241,49 @@
 	bed_close(&b);
 }
 
+/*
+ * Symptom: peers count an entry out while it is at its busiest. Sequence: its
+ * loads are many and large, so a heartbeat passes the size of a datagram.
+ * Cause: it was not sent at all then.
+ */
+static void test_fullest_heartbeat_fits(void **state)
+{
+	uint8_t data[HELLO_MAX_BYTES];
+	struct hello got, h = {
+		.from = UINT64_MAX,
+		.zone = UINT32_MAX,
+		.boot = UINT64_MAX,
+		.leaving = true,
+		.reply = true,
+		.newest = UINT64_MAX,
+		.contact_age_ms = UINT32_MAX,
+		.trouble_age_ms = UINT32_MAX,
+		.n_peers = HELLO_PEERS_MAX,
+		.has_loads = true,
+		.n_loads = HELLO_LOADS_MAX,
+		.n_failing = HELLO_FAILING_MAX,
+	};
+	uint32_t n;
+
+	(void)state;
+	for (uint32_t i = 0; i < HELLO_PEERS_MAX; i++)
+		h.peers[i] =
+			(struct hello_peer){ UINT32_MAX, UINT32_MAX, 2000 };
+	for (uint32_t i = 0; i < HELLO_LOADS_MAX; i++)
+		h.loads[i] = (struct hello_load){ UINT32_MAX, UINT16_MAX,
+						  UINT16_MAX };
+	for (uint32_t i = 0; i < HELLO_FAILING_MAX; i++)
+		h.failing[i] =
+			(struct hello_failing){ UINT32_MAX - i, UINT16_MAX };
+	n = hello_encode(&h, data);
+	assert_in_range(n, 1000, HELLO_MAX_BYTES);
+	assert_int_equal(hello_decode(data, n, &got), 0);
+	assert_int_equal(got.n_loads, HELLO_LOADS_MAX);
+	assert_int_equal(got.n_failing, HELLO_FAILING_MAX);
+	assert_int_equal(got.failing[3].cookie, UINT32_MAX - 3);
+	assert_int_equal(got.failing[3].failures_centi, UINT16_MAX);
+}
+
 static void test_cut_and_foreign_datagrams_are_refused(void **state)
 {
 	uint8_t data[HELLO_MAX_BYTES];
@@ -336,6 +379,7 @@
 		cmocka_unit_test(test_who_is_alone_hurries_for_a_while_only),
 		cmocka_unit_test(test_far_peers_leave_room_for_near_ones),
 		cmocka_unit_test(test_loads_of_peers_are_summed),
+		cmocka_unit_test(test_fullest_heartbeat_fits),
 		cmocka_unit_test(test_cut_and_foreign_datagrams_are_refused),
 		cmocka_unit_test(test_relay_brings_what_is_missing),
 	};
