Seconds in settings may have a fraction; the time until the kill is a setting

The platform's bounds may have fractions and go into the settings through a template; flow_lifetime_s = 45.5 was refused, so no process would have started on such a deployment (packet_settings_test, fails before).

--- a/adapters/fields.c
+++ b/adapters/fields.c
@@ -145,6 +145,7 @@
 	[FIELD_U32] = { TOML_INTEGER, NULL, NULL },
 	[FIELD_U64] = { TOML_INTEGER, NULL, NULL },
 	[FIELD_MS] = { TOML_INTEGER, NULL, NULL },
+	[FIELD_SECONDS] = { TOML_INTEGER, NULL, NULL },
 	[FIELD_BOOL] = { TOML_BOOL, NULL, "true or false" },
 };
 
@@ -165,8 +166,9 @@
 		return kinds[f->kind].expected;
 	if (f->choices)
 		return choices_text(f, buf, n);
-	g_snprintf(buf, n, "an integer from %lld to %lld", (long long)f->min,
-		   (long long)f->max);
+	g_snprintf(buf, n, "%s from %lld to %lld",
+		   f->kind == FIELD_SECONDS ? "a number" : "an integer",
+		   (long long)f->min, (long long)f->max);
 	return buf;
 }
 
@@ -178,6 +180,8 @@
 
 	if (f->kind == FIELD_MS)
 		u64 *= NS_PER_MS;
+	if (f->kind == FIELD_SECONDS)
+		u64 *= NS_PER_S;
 	if (f->kind == FIELD_BOOL)
 		*(bool *)to = number != 0;
 	else if (f->kind == FIELD_U16)
@@ -193,10 +197,27 @@
 	return f->kind == FIELD_BOOL || (number >= f->min && number <= f->max);
 }
 
+/* Also refuses what is no number: nothing is in range of it. */
+static bool decimal_take(const struct field *f, double seconds, void *to,
+			 char *problem, size_t n)
+{
+	uint64_t ns;
+
+	if (!(seconds >= (double)f->min && seconds <= (double)f->max)) {
+		g_snprintf(problem, n, "%g is out of range", seconds);
+		return false;
+	}
+	ns = (uint64_t)(seconds * (double)NS_PER_S);
+	memcpy(to, &ns, sizeof(ns));
+	return true;
+}
+
 /* Takes the value, or says in @problem why not. */
 static bool value_take(const struct field *f, const struct toml_node *node,
 		       void *to, char *problem, size_t n)
 {
+	if (f->kind == FIELD_SECONDS && node->kind == TOML_DECIMAL)
+		return decimal_take(f, node->decimal, to, problem, n);
 	if (node->kind != kinds[f->kind].toml) {
 		g_snprintf(problem, n, "is %s", toml_kind_name(node->kind));
 		return false;
--- a/adapters/fields.h
+++ b/adapters/fields.h
@@ -23,6 +23,8 @@
  * @FIELD_U32: integer into uint32_t
  * @FIELD_U64: integer into uint64_t
  * @FIELD_MS: milliseconds into nanoseconds, uint64_t
+ * @FIELD_SECONDS: seconds, with or without a fraction, into nanoseconds,
+ *	uint64_t; its range and fallback are whole seconds
  * @FIELD_BOOL: true or false into bool
  */
 enum field_kind {
@@ -38,6 +40,7 @@
 	FIELD_U32,
 	FIELD_U64,
 	FIELD_MS,
+	FIELD_SECONDS,
 	FIELD_BOOL,
 	FIELD_KIND_COUNT
 };
--- a/adapters/packet_settings.c
+++ b/adapters/packet_settings.c
@@ -20,6 +20,13 @@
 			      RANGE(low, high, usual))                 \
 	}
 
+#define SECONDS(name, member, low, high, usual)                             \
+	{                                                                   \
+		"timing", LISTEN_NOT,                                       \
+			FIELD(packet_settings, name, FIELD_SECONDS, member, \
+			      RANGE(low, high, usual))                      \
+	}
+
 static const char *const formats[] = { "text", "json", NULL };
 static const char *const levels[] = { "error", "warning", "info", "debug",
 				      NULL };
@@ -40,9 +47,9 @@
 	NUMBER("limits", flows, 1024, 1 << 20, 32768),
 	/* Lines of the log a second about single flows. */
 	NUMBER("limits", decisions_per_s, 0, 100000, 20),
-	NUMBER("timing", flow_lifetime_s, 1, 86400, 60),
-	/* Below the 6 s after which the platform kills. */
-	NUMBER("timing", stop_ms, 100, 600000, 4500),
+	SECONDS("flow_lifetime_s", flow_lifetime_ns, 1, 86400, 60),
+	/* The users' platform kills 6 s after its signal. */
+	SECONDS("grace_s", grace_ns, 1, 600, 6),
 	{ "log", LISTEN_NOT,
 	  FIELD(packet_settings, "level", FIELD_WORD, log.level,
 		.choices = levels, .fallback = 2) },
--- a/adapters/packet_settings.h
+++ b/adapters/packet_settings.h
@@ -16,8 +16,8 @@
 	uint64_t platform;
 	uint64_t seeds[PACKET_SEEDS_MAX];
 	uint32_t flows;
-	uint32_t flow_lifetime_s;
-	uint32_t stop_ms;
+	uint64_t flow_lifetime_ns;
+	uint64_t grace_ns;
 	uint32_t decisions_per_s;
 	struct log_settings log;
 };
--- a/adapters/toml.cc
+++ b/adapters/toml.cc
@@ -118,6 +118,9 @@
 	out->line = lines.of(v);
 	if (v.is_string()) {
 		string_out(v, out);
+	} else if (v.is_floating()) {
+		out->kind = TOML_DECIMAL;
+		out->decimal = v.as_floating();
 	} else if (v.is_integer()) {
 		out->kind = TOML_INTEGER;
 		out->number = v.as_integer();
@@ -250,9 +253,11 @@
  */
 const char *toml_kind_name(enum toml_kind kind)
 {
-	static const char *const names[] = { "a string",  "an integer",
-					     "a boolean", "a table",
-					     "an array",  "a value" };
+	static const char *const names[] = {
+		"a string",  "an integer", "a number with a fraction",
+		"a boolean", "a table",	   "an array",
+		"a value"
+	};
 
 	return names[kind];
 }
--- a/adapters/toml.h
+++ b/adapters/toml.h
@@ -16,6 +16,7 @@
 enum toml_kind {
 	TOML_STRING,
 	TOML_INTEGER,
+	TOML_DECIMAL,
 	TOML_BOOL,
 	TOML_TABLE,
 	TOML_ARRAY,
@@ -30,6 +31,7 @@
  * @key: name in its table; empty for an array's item and for the root
  * @text: a string's text, else NULL
  * @number: an integer, or 0 or 1 of a bool
+ * @decimal: a number with a fraction
  * @items: a table's values sorted by key, or an array's in order
  * @n_items: how many
  * @taken: for the reader's own use; 0 at first
@@ -42,6 +44,7 @@
 	char *key;
 	char *text;
 	int64_t number;
+	double decimal;
 	struct toml_node *items;
 	uint32_t n_items;
 };
--- a/cmd/cb-packet/daemon.c
+++ b/cmd/cb-packet/daemon.c
@@ -13,6 +13,9 @@
 /* Short enough for the 40 ms after which an unanswered SYN goes elsewhere. */
 #define TICK_MS 20
 #define LINE_BYTES 512
+/* Part of the time until it is killed that a planned stop may take; the rest is
+ * for a process that is held up. */
+#define STOP_PERCENT 75
 /* The settings may change without a signal; what is taken can wait so long. */
 #define SETTINGS_LOOK_NS (5 * NS_PER_S)
 
@@ -185,8 +188,8 @@
 		.self = d->settings.peer,
 		.boot = d->boot,
 		.flows_max = d->settings.flows,
-		.flow_lifetime_ns = d->settings.flow_lifetime_s * NS_PER_S,
-		.stop_ns = d->settings.stop_ms * NS_PER_MS,
+		.flow_lifetime_ns = d->settings.flow_lifetime_ns,
+		.stop_ns = d->settings.grace_ns * STOP_PERCENT / 100,
 	};
 	struct node_port port = {
 		.ctx = d,
--- a/test/packet_settings_test.c
+++ b/test/packet_settings_test.c
@@ -23,14 +23,15 @@
 	assert_string_equal(s.data_centre, "garda");
 	assert_int_equal(s.seeds[1], ADDR(0x7f000102, 8166));
 	assert_int_equal(s.seeds[2], 0);
-	assert_int_equal(s.flow_lifetime_s, 60);
+	assert_int_equal(s.flow_lifetime_ns, 60 * NS_PER_S);
+	assert_int_equal(s.grace_ns, 6 * NS_PER_S);
 	assert_int_equal(s.log.format, LOG_JSON);
 	mistakes_free(&m);
 }
 
-static uint32_t mistakes_in(const char *text, int expected)
+static uint32_t read_text(const char *text, int expected,
+			  struct packet_settings *s)
 {
-	struct packet_settings s;
 	struct mistakes m = { 0 };
 	char *path = NULL;
 	int fd = g_file_open_tmp("cb-packet-XXXXXX", &path, NULL);
@@ -39,7 +40,7 @@
 	assert_true(fd >= 0);
 	g_close(fd, NULL);
 	assert_true(g_file_set_contents(path, text, -1, NULL));
-	assert_int_equal(packet_settings_read(path, &s, &m), expected);
+	assert_int_equal(packet_settings_read(path, s, &m), expected);
 	n = m.n_errors;
 	mistakes_free(&m);
 	g_unlink(path);
@@ -47,6 +48,42 @@
 	return n;
 }
 
+static uint32_t mistakes_in(const char *text, int expected)
+{
+	struct packet_settings s;
+
+	return read_text(text, expected, &s);
+}
+
+#define COMPLETE                                                   \
+	"[vm]\ndata_centre = \"g\"\npeer = \"127.0.0.1:1\"\n"      \
+	"http = \"127.0.0.1:2\"\n[clients]\nlisten = "             \
+	"\"127.0.0.1:3\"\n[platform]\naddress = \"127.0.0.2:1\"\n" \
+	"ready = \"127.0.0.1:4\"\n"
+
+/*
+ * Symptom: no process starts on a deployment. Sequence: its bounds have
+ * fractions, and go into the settings as they are. Cause: only whole seconds
+ * were taken.
+ */
+static void test_seconds_may_have_a_fraction(void **state)
+{
+	struct packet_settings s;
+
+	(void)state;
+	read_text(COMPLETE "[timing]\nflow_lifetime_s = 45.5\ngrace_s = 2.5\n",
+		  0, &s);
+	assert_int_equal(s.flow_lifetime_ns, 45500 * NS_PER_MS);
+	assert_int_equal(s.grace_ns, 2500 * NS_PER_MS);
+	read_text(COMPLETE "[timing]\nflow_lifetime_s = 60.0\n", 0, &s);
+	assert_int_equal(s.flow_lifetime_ns, 60 * NS_PER_S);
+	assert_int_equal(mistakes_in(COMPLETE
+				     "[timing]\nflow_lifetime_s = nan\n"
+				     "grace_s = -1.5\n",
+				     -EINVAL),
+			 2);
+}
+
 static void test_every_mistake_is_told_at_once(void **state)
 {
 	(void)state;
@@ -91,8 +128,10 @@
 			g_string_append_printf(filled, "%s\n", lines[i]);
 		else if (strstr(lines[i], "zone"))
 			g_string_append(filled, "data_centre = \"z\"\n");
-		else if (strstr(lines[i], "lifetime"))
-			g_string_append(filled, "flow_lifetime_s = 60\n");
+		else if (strstr(lines[i], "_s = "))
+			g_string_append_printf(filled, "%.*s60\n",
+					       (int)(open - lines[i]),
+					       lines[i]);
 		else
 			g_string_append_printf(filled, "%.*s127.0.0.1:%u\"\n",
 					       (int)(open - lines[i]), lines[i],
@@ -108,6 +147,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_example_passes),
+		cmocka_unit_test(test_seconds_may_have_a_fraction),
 		cmocka_unit_test(test_every_mistake_is_told_at_once),
 		cmocka_unit_test(test_two_listeners_on_one_address_clash),
 		cmocka_unit_test(test_template_names_our_keys),
--- a/test/toml_test.c
+++ b/test/toml_test.c
@@ -142,7 +142,8 @@
 	assert_string_equal(toml_find(r, "s")->text, "x");
 	assert_int_equal(toml_find(r, "i")->number, -7);
 	assert_int_equal(toml_find(r, "b")->kind, TOML_BOOL);
-	assert_int_equal(toml_find(r, "f")->kind, TOML_OTHER);
+	assert_int_equal(toml_find(r, "f")->kind, TOML_DECIMAL);
+	assert_true(toml_find(r, "f")->decimal == 1.5);
 	assert_int_equal(toml_find(r, "f")->line, 4);
 	assert_int_equal(toml_find(r, "t")->line, 5);
 	assert_int_equal(toml_find(toml_find(r, "t"), "k")->items[1].line, 7);
