cbctl replay: one opaque flow's story from the logs of several entries

An on-call engineer had to search each entry's log for the client's port and then for its target's address.

--- a/cmd/cbctl/cbctl.h
+++ b/cmd/cbctl/cbctl.h
@@ -102,5 +102,6 @@
 enum exit_code explain_run(const struct request *r);
 enum exit_code drain_run(const struct request *r);
 enum exit_code generations_run(const struct request *r);
+enum exit_code replay_run(const struct request *r);
 
 #endif
