Failing is told from chance by deviations of a Poisson count

Cause: 4 % of feeds' answers are small, and four times a small mean is within chance: of 240 windows of 2 s one is expected to pass five. Now four standard deviations above the others' mean, and two. Test: packet_outlier_test chance_ejects_nobody, failed first.

--- a/core/packet/outlier.c
+++ b/core/packet/outlier.c
@@ -14,12 +14,19 @@
 #define SIZE_WEIGHT 0.03f
 /* Failures are forgotten over this time: a target that mends is used again. */
 #define WINDOW_NS (2 * NS_PER_S)
-/* Fewer failures may be chance at any target. */
+/* Fewer failures may be chance at any target; on trial fewer do, since it has
+ * failed before. */
 #define FAILURES_MIN 5
-/* On trial fewer do: it has failed before. */
 #define FAILURES_MIN_TRIAL 2
-/* And so many times those of the others: under overload all have some. */
-#define USUAL_FACTOR 4
+/*
+ * And so many standard deviations (of a Poisson count) above those of the
+ * others, with so many to spare: under overload all have some, and feeds always
+ * have, 1.1 of late in the mean. With four times the others' mean instead four
+ * of 14 targets were ejected on a calm day.
+ */
+#define DEVIATIONS 4
+#define DEVIATIONS_TRIAL 2
+#define FAILURES_SPARE 2
 /* Then it is tried again; twice as long each time that it fails again soon. */
 #define EJECT_NS (3 * NS_PER_S)
 #define EJECT_STEPS_MAX 3
@@ -135,6 +142,18 @@
 	return others ? sum / (float)others : 0;
 }
 
+/* So many failures are no chance any more. */
+static float limit(const struct target *t, float usual, uint64_t now_ns)
+{
+	bool trial = outlier_on_trial(t, now_ns);
+	float deviations = trial ? DEVIATIONS_TRIAL : DEVIATIONS;
+	float least = trial ? FAILURES_MIN_TRIAL : FAILURES_MIN;
+	float spare = trial ? 0 : FAILURES_SPARE;
+	float chance = usual + deviations * sqrtf(usual) + spare;
+
+	return chance > least ? chance : least;
+}
+
 /* Whether one more may be ejected. */
 static bool room(const struct directory *d, const struct target *t,
 		 uint64_t now_ns)
@@ -167,11 +186,10 @@
 {
 	float sum = failures(t, now_ns);
 	uint64_t last_ns = EJECT_NS << t->ejections;
-	float least =
-		outlier_on_trial(t, now_ns) ? FAILURES_MIN_TRIAL : FAILURES_MIN;
 
-	if (sum < least || !place_serving(t) || outlier_ejected(t, now_ns) ||
-	    sum < USUAL_FACTOR * outlier_usual(d, t, now_ns) ||
+	if (sum < FAILURES_MIN_TRIAL || !place_serving(t) ||
+	    outlier_ejected(t, now_ns) ||
+	    sum < limit(t, outlier_usual(d, t, now_ns), now_ns) ||
 	    !room(d, t, now_ns))
 		return false;
 	if (now_ns > t->ejected_until_ns + last_ns)
--- a/test/packet_outlier_test.c
+++ b/test/packet_outlier_test.c
@@ -105,6 +105,28 @@
 	bed_close(&b);
 }
 
+/*
+ * Symptom: on a calm day a few good targets are out of use for seconds.
+ * Sequence: feeds have small answers now and then; one target happens to have
+ * five in two seconds. Cause: chance was not told from failure.
+ */
+static void test_chance_ejects_nobody(void **state)
+{
+	struct bed b;
+
+	(void)state;
+	open_bed(&b);
+	for (uint32_t i = 1; i <= TARGETS; i++)
+		directory_by_id(b.directory, i)->peers_failures = 1.2f;
+	directory_by_id(b.directory, 2)->peers_failures = 6;
+	bed_pass(&b, 200 * MS);
+	assert_int_equal(b.n_ejected, 0);
+	directory_by_id(b.directory, 2)->peers_failures = 10;
+	bed_pass(&b, 200 * MS);
+	assert_int_equal(b.n_ejected, 1);
+	bed_close(&b);
+}
+
 static void fail_much(struct bed *b, uint64_t id)
 {
 	for (uint32_t i = 0; i < 20; i++)
@@ -247,6 +269,7 @@
 		cmocka_unit_test(
 			test_target_that_does_not_answer_gets_no_new_flows),
 		cmocka_unit_test(test_overload_ejects_nobody),
+		cmocka_unit_test(test_chance_ejects_nobody),
 		cmocka_unit_test(test_a_third_is_ejected_at_most),
 		cmocka_unit_test(test_on_trial_it_gets_few_flows),
 		cmocka_unit_test(test_failing_again_ejects_for_longer),
