--- a/core/packet/outlier.c
+++ b/core/packet/outlier.c
@@ -6,10 +6,11 @@
 
 /*
  * An answer below this part of the mean of its kind counts as failed. Errors
- * had 0.25 of a report's usual size and 0.36 of an upload's; of the answers of
- * feeds, whose sizes vary, 4 % are below it at every target alike.
+ * had 0.25 of a report's usual size and 0.39 of an upload's: below 0.4, 197 of
+ * 2,683 uploads failed where 15 % of their targets did, below 0.45 148. Of the
+ * answers of feeds, whose sizes vary, some 4 % are below it at every target.
  */
-#define SMALL_PART 0.4f
+#define SMALL_PART 0.45f
 /* Weight of one answer in the mean size. */
 #define SIZE_WEIGHT 0.03f
 /* Failures are forgotten over this time: a target that mends is used again. */
--- a/test/packet_outlier_test.c
+++ b/test/packet_outlier_test.c
@@ -243,6 +243,7 @@
 		assert_false(outlier_small(&s, ROUTE_UPLOAD, 500));
 	}
 	assert_true(outlier_small(&s, ROUTE_FEED, 500));
+	assert_true(outlier_small(&s, ROUTE_UPLOAD, 211));
 	assert_false(outlier_small(&s, ROUTE_UPLOAD, 500));
 	assert_true(outlier_small(&s, ROUTE_UPLOAD, 190));
 }
