--- a/adapters/hello_codec.c
+++ b/adapters/hello_codec.c
@@ -8,7 +8,7 @@
 #include <string.h>
 #include <zstd.h>
 
-#define HELLO_VERSION 1
+#define HELLO_VERSION 2
 #define HELLO_FIELDS 12
 #define HELLO_LEAVING 1
 #define HELLO_REPLY 2
@@ -36,7 +36,11 @@
 		put_numbers(p, 3,
 			    (uint64_t[]){ h->loads[i].cookie, h->loads[i].feeds,
 					  h->loads[i].short_centi });
-	put_numbers(p, h->n_dead, h->dead);
+	msgpack_pack_array(p, h->n_dead);
+	for (uint32_t i = 0; i < h->n_dead; i++)
+		put_numbers(p, 2,
+			    (uint64_t[]){ h->dead[i].id,
+					  h->dead[i].started_ms });
 	msgpack_pack_array(p, h->n_failing);
 	for (uint32_t i = 0; i < h->n_failing; i++)
 		put_numbers(p, 2,
@@ -153,10 +157,12 @@
 
 static bool get_dead(const msgpack_object *o, struct hello *h)
 {
-	if (!list(o, HELLO_DEAD_MAX))
-		return false;
-	h->n_dead = o->via.array.size;
-	return numbers(o, h->n_dead, h->dead);
+	uint64_t v[HELLO_DEAD_MAX][2];
+	int n = rows(o, HELLO_DEAD_MAX, 2, v[0]);
+
+	for (int i = 0; i < n; i++)
+		h->dead[h->n_dead++] = (struct incarnation){ v[i][0], v[i][1] };
+	return n >= 0;
 }
 
 static bool get_hello(const msgpack_object *o, struct hello *h)
--- a/bench/slopes-packets/main.c
+++ b/bench/slopes-packets/main.c
@@ -31,6 +31,13 @@
 	(void)f;
 }
 
+static void no_again(void *ctx, const struct flow_seen *f, uint8_t reason)
+{
+	(void)ctx;
+	(void)f;
+	(void)reason;
+}
+
 static void no_health(void *ctx, const struct target *t, uint8_t before)
 {
 	(void)ctx;
@@ -79,7 +86,7 @@
 	struct directory_conf dir = { 60 * NS_PER_S, NS_PER_S };
 	struct path_conf conf = { .flows_max = FLOWS,
 				  .flow_lifetime_ns = 60 * NS_PER_S };
-	struct path_port port = { NULL,	     no_target, no_flow, no_flow,
+	struct path_port port = { NULL,	     no_target, no_again, no_flow,
 				  no_target, no_health, no_eject };
 
 	f->now_ns = 1000 * NS_PER_S;
@@ -94,7 +101,9 @@
 			.created = i,
 		};
 
-		directory_target(f->directory, &news, f->now_ns);
+		enum target_change change;
+
+		directory_target(f->directory, &news, f->now_ns, &change);
 	}
 	f->path = path_new(&conf, f->directory, port, (struct rng){ 7 });
 }
--- a/cmd/cb-packet/clients.c
+++ b/cmd/cb-packet/clients.c
@@ -100,17 +100,17 @@
 }
 
 /**
- * clients_again() - hand a flow's SYN to the target that it has now
+ * clients_again() - hand a flow's kept packet to the target that it has now
  * @d: process
  * @f: flow
  */
 void clients_again(struct packet_daemon *d, const struct flow_seen *f)
 {
-	uint8_t copy[SYN_MAX_BYTES];
+	uint8_t copy[KEPT_MAX_BYTES];
 
-	memcpy(copy, f->syn, f->syn_bytes);
+	memcpy(copy, f->kept, f->kept_bytes);
 	d->platform->pin(copy, f->target->cookie);
-	to_target(d, f->target, copy, f->syn_bytes);
+	to_target(d, f->target, copy, f->kept_bytes);
 	clients_flush(d); /* before @copy goes */
 }
 
--- a/cmd/cb-packet/daemon.c
+++ b/cmd/cb-packet/daemon.c
@@ -148,9 +148,9 @@
 	node_stop(d->node, daemon_turn(d));
 }
 
-static void send_again(void *ctx, const struct flow_seen *f)
+static void send_again(void *ctx, const struct flow_seen *f, uint8_t reason)
 {
-	decisions_again(ctx, f);
+	decisions_again(ctx, f, reason);
 	clients_again(ctx, f);
 }
 
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -52,7 +52,7 @@
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	struct packet_daemon *daemon;
-	uint64_t id;
+	struct incarnation who;
 	uint64_t deadline_ns;
 	bool judged;
 };
@@ -146,6 +146,7 @@
 		      const struct path_verdict *v);
 void decisions_health(void *ctx, const struct target *t, uint8_t before);
 void decisions_reset(struct packet_daemon *d, const struct flow_seen *f);
-void decisions_again(struct packet_daemon *d, const struct flow_seen *f);
+void decisions_again(struct packet_daemon *d, const struct flow_seen *f,
+		     uint8_t reason);
 
 #endif
--- a/cmd/cb-packet/decisions.c
+++ b/cmd/cb-packet/decisions.c
@@ -106,12 +106,15 @@
 }
 
 /**
- * decisions_again() - log that a SYN goes to another target
+ * decisions_again() - log that a kept packet is sent
  * @d: process
  * @f: flow
+ * @reason: enum path_reason
  */
-void decisions_again(struct packet_daemon *d, const struct flow_seen *f)
+void decisions_again(struct packet_daemon *d, const struct flow_seen *f,
+		     uint8_t reason)
 {
 	if (allowed(d))
-		line(d, "flow.open", &f->key, "placed_again", f->target);
+		line(d, "flow.again", &f->key, path_reason_names[reason],
+		     f->target);
 }
--- a/cmd/cb-packet/probes.c
+++ b/cmd/cb-packet/probes.c
@@ -30,14 +30,14 @@
 static void judge(struct probe *p, enum probe_outcome outcome)
 {
 	struct packet_daemon *d = p->daemon;
-	uint64_t id = p->id;
+	struct incarnation who = p->who;
 
 	if (p->judged)
 		return;
 	d->counters.probes_refused += outcome == PROBE_REFUSED;
 	d->counters.probes_silent += outcome == PROBE_SILENT;
 	give_back(d, p);
-	node_probed(d->node, id, outcome, uv_hrtime());
+	node_probed(d->node, &who, outcome, uv_hrtime());
 	clients_flush(d);
 }
 
@@ -90,16 +90,17 @@
 		.sin_port = htons(ADDR_PORT(t->news.addr)),
 		.sin_addr.s_addr = htonl(ADDR_IP(t->news.addr)),
 	};
+	struct incarnation who = target_incarnation(t);
 	int err;
 
 	if (!p) {
-		node_probed(d->node, t->news.id, PROBE_VOID, uv_hrtime());
+		node_probed(d->node, &who, PROBE_VOID, uv_hrtime());
 		return;
 	}
 	d->counters.probes++;
 	d->probes[place] = p;
 	p->daemon = d;
-	p->id = t->news.id;
+	p->who = who;
 	p->deadline_ns = uv_hrtime() + PROBE_TIMEOUT_NS;
 	uv_tcp_init(d->loop, &p->tcp);
 	p->tcp.data = p;
--- a/core/packet/directory.c
+++ b/core/packet/directory.c
@@ -1,4 +1,4 @@
-#include "directory.h"
+#include "directory_impl.h"
 
 #include "index.h"
 
@@ -6,43 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define COOKIE_SEED 0x636f6f6b6965ULL
-
-/* Targets of one service, in the order they were learned. */
-struct service {
-	struct target **targets;
-	uint32_t n;
-	uint32_t capacity;
-};
-
-struct directory {
-	struct directory_conf conf;
-	struct route_table *table;
-	struct target *slots[DIRECTORY_TARGETS_MAX];
-	uint32_t n_slots;
-	struct index *by_cookie;
-	struct index *by_id;
-	struct service services[DIRECTORY_SERVICES_MAX];
-	char *names[DIRECTORY_SERVICES_MAX];
-	uint32_t n_names;
-	struct index *by_name;
-};
-
-/**
- * target_cookie() - routing cookie of a target
- * @id: its id
- *
- * An id is longer than the 32 bits that a packet carries, so the cookie is a
- * hash of it; every entry computes the same.
- *
- * Return: cookie, never 0.
- */
-uint32_t target_cookie(uint64_t id)
-{
-	uint32_t cookie = (uint32_t)hash_u64(id, COOKIE_SEED);
-
-	return cookie ? cookie : 1;
-}
+#define ADDR_SEED 0x61646472ULL
 
 /**
  * directory_new() - an empty directory
@@ -59,8 +23,9 @@
 	d->conf = *conf;
 	d->by_cookie = index_new(DIRECTORY_TARGETS_MAX);
 	d->by_id = index_new(DIRECTORY_TARGETS_MAX);
+	d->by_addr = index_new(DIRECTORY_TARGETS_MAX);
 	d->by_name = index_new(DIRECTORY_SERVICES_MAX);
-	if (d->by_cookie && d->by_id && d->by_name)
+	if (d->by_cookie && d->by_id && d->by_addr && d->by_name)
 		return d;
 	directory_free(d);
 	return NULL;
@@ -79,70 +44,11 @@
 	route_table_free(d->table);
 	index_free(d->by_cookie);
 	index_free(d->by_id);
+	index_free(d->by_addr);
 	index_free(d->by_name);
 	free(d);
 }
 
-/**
- * directory_name() - number of a service's or data centre's name
- * @d: directory
- * @name: name
- *
- * Return: its number, new when the name is; DIRECTORY_NAME_NONE when there
- * are too many names.
- */
-uint32_t directory_name(struct directory *d, const char *name)
-{
-	uint64_t hash = hash_text(name);
-	uint32_t i = index_get(d->by_name, hash);
-
-	if (i != INDEX_NONE)
-		return i;
-	if (d->n_names == DIRECTORY_SERVICES_MAX)
-		return DIRECTORY_NAME_NONE;
-	d->names[d->n_names] = strdup(name);
-	index_put(d->by_name, hash, d->n_names);
-	return d->n_names++;
-}
-
-const char *directory_name_text(const struct directory *d, uint32_t name)
-{
-	return name < d->n_names && d->names[name] ? d->names[name] : "";
-}
-
-/**
- * directory_routes() - put a configuration in force
- * @d: directory
- * @take: table; taken in any case
- * @now_ns: time
- *
- * Return: 0; -EALREADY when a version as high is in force; -ENOMEM.
- */
-int directory_routes(struct directory *d, struct route_table *take,
-		     uint64_t now_ns)
-{
-	int err;
-
-	if (d->table && take->version <= d->table->version) {
-		route_table_free(take);
-		return -EALREADY;
-	}
-	err = route_table_index(take);
-	if (err) {
-		route_table_free(take);
-		return err;
-	}
-	route_table_inherit(take, d->table, now_ns, d->conf.flow_lifetime_ns);
-	route_table_free(d->table);
-	d->table = take;
-	return 0;
-}
-
-const struct route_table *directory_table(const struct directory *d)
-{
-	return d->table;
-}
-
 static int service_add(struct service *s, struct target *t)
 {
 	struct target **grown = s->targets;
@@ -168,66 +74,53 @@
 	}
 }
 
-static bool older(const struct target *a, const struct target *b)
+static void note_successor(struct target *t, uint64_t now_ns)
 {
-	if (a->news.created != b->news.created)
-		return a->news.created < b->news.created;
-	return a->news.id < b->news.id;
+	if (!t->successor_ns)
+		t->successor_ns = now_ns;
 }
 
-/* Put @t among the targets of its cookie, the oldest first. */
-static void cookie_add(struct directory *d, struct target *t)
+static struct target *latest_at(const struct directory *d, uint64_t addr)
 {
-	uint32_t head = index_get(d->by_cookie, t->cookie);
-	struct target **at, *first;
+	uint32_t slot = index_get(d->by_addr, hash_u64(addr, ADDR_SEED));
 
-	if (head == INDEX_NONE) {
-		index_put(d->by_cookie, t->cookie, t->slot);
-		return;
-	}
-	first = d->slots[head];
-	at = &first;
-	while (*at && older(*at, t))
-		at = &(*at)->twin;
-	t->twin = *at;
-	*at = t;
-	if (first->slot != head) {
-		index_del(d->by_cookie, t->cookie, head);
-		index_put(d->by_cookie, t->cookie, first->slot);
-	}
+	return slot == INDEX_NONE ? NULL : d->slots[slot];
 }
 
-static void cookie_remove(struct directory *d, struct target *t)
+static void index_addr(struct directory *d, const struct target *t)
 {
-	uint32_t head = index_get(d->by_cookie, t->cookie);
-	struct target **at, *first = d->slots[head];
-
-	at = &first;
-	while (*at && *at != t)
-		at = &(*at)->twin;
-	if (*at)
-		*at = t->twin;
-	index_del(d->by_cookie, t->cookie, head);
-	if (first)
-		index_put(d->by_cookie, t->cookie, first->slot);
+	index_put(d->by_addr, hash_u64(t->news.addr, ADDR_SEED), t->slot);
+}
+
+static void unindex_addr(struct directory *d, const struct target *t)
+{
+	if (latest_at(d, t->news.addr) == t)
+		index_del(d->by_addr, hash_u64(t->news.addr, ADDR_SEED),
+			  t->slot);
 }
 
 /*
- * An address has one target at a time: who had it before has ended. Entries
- * are learned in any order, so @t may be the earlier one.
+ * An address has one process at a time: when a later one is published there,
+ * the earlier one has ended. It gets no new flows. That it is dead takes a
+ * packet that goes unanswered, too: an entry by somebody else, who only names
+ * the address of a target, would cut all flows of it. Entries are learned in
+ * any order, so @t may be the earlier one.
  */
-static void end_earlier(struct directory *d, struct target *t)
+static void take_address(struct directory *d, struct target *t, uint64_t now_ns)
 {
-	for (uint32_t i = 0; i < d->n_slots; i++) {
-		struct target *o = d->slots[i];
+	struct target *o = latest_at(d, t->news.addr);
 
-		if (o == t || o->news.addr != t->news.addr)
-			continue;
-		if (older(o, t))
-			o->health = HEALTH_DEAD;
-		else
-			t->health = HEALTH_DEAD;
+	if (o == t)
+		return;
+	if (o && o->stage != TARGET_ABSENT && target_older(t, o)) {
+		note_successor(t, now_ns);
+		return;
+	}
+	if (o) {
+		note_successor(o, now_ns);
+		unindex_addr(d, o);
 	}
+	index_addr(d, t);
 }
 
 static struct target *add(struct directory *d, const struct target_news *news,
@@ -250,46 +143,120 @@
 	d->slots[d->n_slots++] = t;
 	index_put(d->by_id, news->id, t->slot);
 	cookie_add(d, t);
-	end_earlier(d, t);
 	return t;
 }
 
+static bool move_service(struct directory *d, struct target *t,
+			 uint32_t service)
+{
+	if (service == t->news.service)
+		return true;
+	if (service >= DIRECTORY_SERVICES_MAX ||
+	    service_add(&d->services[service], t))
+		return false;
+	service_remove(&d->services[t->news.service], t);
+	return true;
+}
+
+/* Nothing that was learned of the process before holds for the next one. */
+static void forget_process(struct target *t)
+{
+	t->health = HEALTH_GOOD;
+	t->alive_ns = 0;
+	t->successor_ns = 0;
+	t->probe_ns = 0;
+	t->misses = 0;
+	t->failures = 0;
+	t->ejected_until_ns = 0;
+	t->ejections = 0;
+	t->cold_until_ns = 0;
+}
+
+/*
+ * Whether an entry is older than what is known: a write that was held up may
+ * be done after the one that followed it, by the same process or the next.
+ */
+static bool outdated(const struct target *t, const struct target_news *news)
+{
+	if (news->started_ms != t->news.started_ms)
+		return news->started_ms < t->news.started_ms;
+	return news->sequence < t->news.sequence;
+}
+
+/* Two keys may name one id; the entry that was created first has it. */
+static bool foreign(const struct target *t, const struct target_news *news)
+{
+	if (news->entry == t->news.entry || t->stage == TARGET_ABSENT)
+		return false;
+	return news->created > t->news.created;
+}
+
+static enum target_change take(struct directory *d, struct target *t,
+			       const struct target_news *news)
+{
+	bool restarted = news->started_ms != t->news.started_ms;
+	bool same_entry = news->entry == t->news.entry;
+	uint64_t created = t->news.created;
+
+	if (!move_service(d, t, news->service))
+		return TARGET_NO_ROOM;
+	unindex_addr(d, t);
+	if (restarted)
+		cookie_remove(d, t);
+	t->news = *news;
+	if (restarted) {
+		forget_process(t);
+		cookie_add(d, t);
+		return TARGET_RESTARTED;
+	}
+	/* An entry that came back after a lapse is of the same process. */
+	if (same_entry)
+		t->news.created = created;
+	return TARGET_UPDATED;
+}
+
 /**
  * directory_target() - take what was published of a target
  * @d: directory
  * @news: its entry
  * @now_ns: time
+ * @change: set to what it meant, enum target_change
  *
  * Return: the target, or NULL when there is no room for it.
  */
 struct target *directory_target(struct directory *d,
-				const struct target_news *news, uint64_t now_ns)
+				const struct target_news *news, uint64_t now_ns,
+				enum target_change *change)
 {
 	struct target *t = directory_by_id(d, news->id);
-	uint64_t created;
 
-	if (!t)
+	if (!t) {
 		t = add(d, news, now_ns);
-	if (!t)
-		return NULL;
-	/* An entry that came back after a lapse is the same target. */
-	created = t->news.created;
-	t->news.leaving = news->leaving;
-	t->news.slots = news->slots;
-	t->news.zone = news->zone;
-	t->news.created = created;
+		*change = t ? TARGET_NEW : TARGET_NO_ROOM;
+	} else if (foreign(t, news)) {
+		*change = TARGET_FOREIGN;
+	} else if (news->entry == t->news.entry && outdated(t, news)) {
+		*change = TARGET_OUTDATED;
+	} else {
+		*change = take(d, t, news);
+	}
+	if (*change >= TARGET_NO_ROOM)
+		return t;
 	t->stage = news->leaving ? TARGET_LEAVING : TARGET_SERVING;
 	if (news->cold_ns)
 		t->cold_until_ns = now_ns + news->cold_ns;
+	take_address(d, t, now_ns);
 	return t;
 }
 
 /**
- * directory_absent() - a target's entry vanished from the platform
+ * directory_absent() - a target's entry vanished from the platform, or names
+ *	no target any more
  * @d: directory
- * @id: target
+ * @news: its id and key
  * @now_ns: time
- * @trouble_ns: when the platform was last seen in trouble; 0 for never
+ * @trouble_ns: when the platform was last seen in trouble; 0 for never, and for
+ *	an entry that still stands
  *
  * While the platform is away the entries of live targets run out. They are
  * presumed to live until it has answered after it was back for long enough to
@@ -297,12 +264,16 @@
  *
  * Return: the target, or NULL.
  */
-struct target *directory_absent(struct directory *d, uint64_t id,
-				uint64_t now_ns, uint64_t trouble_ns)
+struct target *directory_absent(struct directory *d,
+				const struct target_news *news, uint64_t now_ns,
+				uint64_t trouble_ns)
 {
-	struct target *t = directory_by_id(d, id);
+	struct target *t = directory_by_id(d, news->id);
 
-	if (!t || t->stage == TARGET_ABSENT)
+	if (!t || t->news.entry != news->entry)
+		return t;
+	t->presumed = t->presumed && trouble_ns;
+	if (t->stage == TARGET_ABSENT)
 		return t;
 	t->absent_ns = now_ns;
 	t->forget_ns = now_ns + d->conf.flow_lifetime_ns;
@@ -316,20 +287,22 @@
 static void forget(struct directory *d, struct target *t)
 {
 	struct target *last = d->slots[d->n_slots - 1];
+	bool latest;
 
 	cookie_remove(d, t);
+	unindex_addr(d, t);
 	index_del(d->by_id, t->news.id, t->slot);
 	service_remove(&d->services[t->news.service], t);
 	if (last != t) {
-		uint32_t head = index_get(d->by_cookie, last->cookie);
-
 		index_del(d->by_id, last->news.id, last->slot);
-		if (head == last->slot)
-			index_del(d->by_cookie, last->cookie, head);
 		index_put(d->by_id, last->news.id, t->slot);
-		if (head == last->slot)
-			index_put(d->by_cookie, last->cookie, t->slot);
+		cookie_renumber(d, last, t->slot);
+		latest = latest_at(d, last->news.addr) == last;
+		if (latest)
+			unindex_addr(d, last);
 		last->slot = t->slot;
+		if (latest)
+			index_addr(d, last);
 		d->slots[t->slot] = last;
 	}
 	d->n_slots--;
@@ -364,33 +337,31 @@
  */
 void directory_tick(struct directory *d, const struct directory_clock *c)
 {
+	uint32_t present = 0, told = 0;
+
 	for (uint32_t i = d->n_slots; i-- > 0;) {
 		struct target *t = d->slots[i];
 
+		present += t->stage != TARGET_ABSENT;
+		told += t->stage != TARGET_ABSENT && t->news.started_ms;
 		if (t->stage != TARGET_ABSENT)
 			continue;
 		presume(d, t, c);
 		if (c->now_ns >= t->forget_ns && !t->held && !t->probing)
 			forget(d, t);
 	}
+	d->starts_told = told * 2 > present;
 }
 
 /**
- * directory_by_cookie() - target that a cookie names
+ * directory_starts_told() - whether targets here tell when they started
  * @d: directory
- * @cookie: cookie
- *
- * Of several targets with one cookie it is the oldest, by the revision of its
- * entry's creation, which all entries see alike; place_target() gives the
- * others no flows.
  *
- * Return: target, or NULL.
+ * Return: whether most do. Then an entry that does not is somebody else's.
  */
-struct target *directory_by_cookie(const struct directory *d, uint32_t cookie)
+bool directory_starts_told(const struct directory *d)
 {
-	uint32_t slot = index_get(d->by_cookie, cookie);
-
-	return slot == INDEX_NONE ? NULL : d->slots[slot];
+	return d->starts_told;
 }
 
 struct target *directory_by_id(const struct directory *d, uint64_t id)
--- a/core/packet/directory.h
+++ b/core/packet/directory.h
@@ -30,17 +30,40 @@
 struct directory *directory_new(const struct directory_conf *conf);
 void directory_free(struct directory *d);
 
+uint32_t directory_known(const struct directory *d, const char *name);
 uint32_t directory_name(struct directory *d, const char *name);
+uint32_t directory_names(const struct directory *d);
 const char *directory_name_text(const struct directory *d, uint32_t name);
 
 int directory_routes(struct directory *d, struct route_table *take,
 		     uint64_t now_ns);
 const struct route_table *directory_table(const struct directory *d);
+
+/**
+ * enum target_change - what an entry meant
+ * @TARGET_NEW: an unknown target
+ * @TARGET_UPDATED: more of the process that is known
+ * @TARGET_RESTARTED: the next process under the same id
+ * @TARGET_NO_ROOM: not taken, there are too many
+ * @TARGET_OUTDATED: not taken, older than what is known
+ * @TARGET_FOREIGN: not taken, another key has this id
+ */
+enum target_change {
+	TARGET_NEW,
+	TARGET_UPDATED,
+	TARGET_RESTARTED,
+	TARGET_NO_ROOM,
+	TARGET_OUTDATED,
+	TARGET_FOREIGN,
+};
+
 struct target *directory_target(struct directory *d,
-				const struct target_news *news,
-				uint64_t now_ns);
-struct target *directory_absent(struct directory *d, uint64_t id,
-				uint64_t now_ns, uint64_t trouble_ns);
+				const struct target_news *news, uint64_t now_ns,
+				enum target_change *change);
+struct target *directory_absent(struct directory *d,
+				const struct target_news *news, uint64_t now_ns,
+				uint64_t trouble_ns);
+
 /**
  * struct directory_clock - what the end of a presumption goes by
  * @now_ns: time
@@ -54,6 +77,7 @@
 };
 
 void directory_tick(struct directory *d, const struct directory_clock *c);
+bool directory_starts_told(const struct directory *d);
 
 struct target *directory_by_cookie(const struct directory *d, uint32_t cookie);
 struct target *directory_by_id(const struct directory *d, uint64_t id);
--- /dev/null
+++ b/core/packet/directory_names.c
@@ -0,0 +1,84 @@
+/* Names of services, and the routes in force. */
+#include "directory_impl.h"
+
+#include "index.h"
+
+#include <errno.h>
+#include <string.h>
+
+/**
+ * directory_known() - number of a service's name
+ * @d: directory
+ * @name: name
+ *
+ * Return: its number; DIRECTORY_NAME_NONE when no configuration named it.
+ */
+uint32_t directory_known(const struct directory *d, const char *name)
+{
+	uint32_t i = index_get(d->by_name, hash_text(name));
+
+	return i == INDEX_NONE ? DIRECTORY_NAME_NONE : i;
+}
+
+/**
+ * directory_name() - give a service's name a number
+ * @d: directory
+ * @name: name that a configuration has; those of targets' entries are looked up
+ *	only, or whoever writes entries could use up all numbers
+ *
+ * Return: its number, new when the name is; DIRECTORY_NAME_NONE when there
+ * are too many names.
+ */
+uint32_t directory_name(struct directory *d, const char *name)
+{
+	uint32_t i = directory_known(d, name);
+
+	if (i != DIRECTORY_NAME_NONE || d->n_names == DIRECTORY_SERVICES_MAX)
+		return i;
+	d->names[d->n_names] = strdup(name);
+	index_put(d->by_name, hash_text(name), d->n_names);
+	return d->n_names++;
+}
+
+uint32_t directory_names(const struct directory *d)
+{
+	return d->n_names;
+}
+
+const char *directory_name_text(const struct directory *d, uint32_t name)
+{
+	return name < d->n_names && d->names[name] ? d->names[name] : "";
+}
+
+/**
+ * directory_routes() - put a configuration in force
+ * @d: directory
+ * @take: table; taken in any case
+ * @now_ns: time
+ *
+ * Return: 0; -EALREADY when a version as high is in force; -ENOMEM.
+ */
+int directory_routes(struct directory *d, struct route_table *take,
+		     uint64_t now_ns)
+{
+	int err;
+
+	if (d->table && take->version <= d->table->version) {
+		route_table_free(take);
+		return -EALREADY;
+	}
+	err = route_table_index(take);
+	if (err) {
+		route_table_free(take);
+		return err;
+	}
+	route_table_inherit(take, d->table, now_ns, d->conf.flow_lifetime_ns);
+	route_table_free(d->table);
+	d->table = take;
+	return 0;
+}
+
+const struct route_table *directory_table(const struct directory *d)
+{
+	return d->table;
+}
--- a/core/packet/documents.c
+++ b/core/packet/documents.c
@@ -109,6 +109,11 @@
 	return 0;
 }
 
+static void show(struct documents *s, struct document *d)
+{
+	d->held = !s->port.changed(s->port.ctx, d);
+}
+
 /**
  * documents_put() - take a fact
  * @s: store
@@ -145,10 +150,21 @@
 		d->seen = s->listing;
 	if (d->revision > s->newest)
 		s->newest = d->revision;
-	s->port.changed(s->port.ctx, d);
+	show(s, d);
 	return 0;
 }
 
+/**
+ * documents_again() - show the documents that were not taken once more
+ * @s: store
+ */
+void documents_again(struct documents *s)
+{
+	for (uint32_t i = 0; i < s->n; i++)
+		if (s->all[i]->held)
+			show(s, s->all[i]);
+}
+
 /**
  * documents_list_begin() - a whole listing of the platform begins
  * @s: store
@@ -177,7 +193,7 @@
 		d->revision = revision;
 		d->deleted = true;
 		d->forget_ns = now_ns + s->keep_ns;
-		s->port.changed(s->port.ctx, d);
+		show(s, d);
 	}
 	documents_knows(s, revision);
 	documents_covered(s, revision);
--- a/core/packet/documents.h
+++ b/core/packet/documents.h
@@ -19,6 +19,7 @@
  * @deleted: it is gone; its last value is kept for late flows
  * @forget_ns: when a deleted one is forgotten
  * @seen: mark of the listing that named it last
+ * @held: who is told of changes waits for another document first
  * @value: value, owned
  * @size_bytes: size of @value
  */
@@ -29,6 +30,7 @@
 	bool deleted;
 	uint64_t forget_ns;
 	uint32_t seen;
+	bool held;
 	uint8_t *value;
 	uint32_t size_bytes;
 };
@@ -44,11 +46,12 @@
 /**
  * struct documents_port - who is told of changes
  * @ctx: passed back
- * @changed: @d is new, changed or deleted
+ * @changed: @d is new, changed or deleted. Return: whether it was taken; if not,
+ *	documents_again() shows it once more
  */
 struct documents_port {
 	void *ctx;
-	void (*changed)(void *ctx, const struct document *d);
+	bool (*changed)(void *ctx, const struct document *d);
 };
 
 struct documents;
@@ -57,6 +60,7 @@
 void documents_free(struct documents *s);
 int documents_put(struct documents *s, const struct document *news,
 		  enum document_origin origin, uint64_t now_ns);
+void documents_again(struct documents *s);
 void documents_list_begin(struct documents *s);
 void documents_list_end(struct documents *s, uint64_t revision,
 			uint64_t now_ns);
--- a/core/packet/flow_cache.h
+++ b/core/packet/flow_cache.h
@@ -9,8 +9,8 @@
 #include "packet.h"
 #include "target.h"
 
-/* A SYN carries no data: a head of some 32 bytes. */
-#define SYN_MAX_BYTES 48
+/* A packet without data: a head of some 32 bytes. */
+#define KEPT_MAX_BYTES 48
 
 /**
  * enum flow_stage - how far a flow is
@@ -33,8 +33,9 @@
  * @due_ns: a sign of life is expected by then; 0 for none
  * @seq: highest sequence number sent
  * @ack: highest acknowledgement sent
- * @syn: its SYN, to be sent again while @stage is FLOW_OPENING
- * @syn_bytes: size of @syn; 0 when it was too long to keep
+ * @kept: its last packet without data, to be sent again: a SYN if and only if
+ *	@stage is FLOW_OPENING
+ * @kept_bytes: size of @kept; 0 when there is none, or it was too long
  * @newer: next flow of the list by @seen_ns
  * @older: previous one
  */
@@ -50,8 +51,8 @@
 	uint64_t due_ns;
 	uint32_t seq;
 	uint32_t ack;
-	uint8_t syn[SYN_MAX_BYTES];
-	uint8_t syn_bytes;
+	uint8_t kept[KEPT_MAX_BYTES];
+	uint8_t kept_bytes;
 	uint32_t newer;
 	uint32_t older;
 };
--- a/core/packet/health.c
+++ b/core/packet/health.c
@@ -3,8 +3,9 @@
 /* After a probe that found a target alive; a doubt in between is answered by
  * that probe. At 14 targets and 8 entries at most 0.4 probes a request. */
 #define PROBE_PAUSE_NS (250 * NS_PER_MS)
-/* A silent target may only be paused or cut off: look again this often. */
-#define SILENT_PAUSE_NS (500 * NS_PER_MS)
+/* A silent target may only be paused or cut off, and a dead one start again
+ * while nobody can publish it: look again this often. */
+#define LOOK_AGAIN_NS (500 * NS_PER_MS)
 /* One lost packet must not condemn a target with all its flows. */
 #define SILENT_MISSES 2
 /* With no other target to compare with. */
@@ -17,7 +18,7 @@
 {
 	uint8_t before = t->health;
 
-	if (before == health || before == HEALTH_DEAD)
+	if (before == health)
 		return;
 	t->health = health;
 	c->port->health(c->port->ctx, t, before);
@@ -37,16 +38,25 @@
 	c->port->probe(c->port->ctx, t);
 }
 
+static void alive(struct target *t, const struct health_context *c)
+{
+	t->alive_ns = c->now_ns;
+	t->misses = 0;
+	set(t, c, HEALTH_GOOD);
+}
+
 /**
- * health_alive() - a packet showed that a target lives
+ * health_answered() - a packet showed that a target lives
  * @t: target
  * @c: context
+ *
+ * Only the target that a packet is meant for answers it. So whoever else was
+ * published at its address is not there.
  */
-void health_alive(struct target *t, const struct health_context *c)
+void health_answered(struct target *t, const struct health_context *c)
 {
-	t->alive_ns = c->now_ns;
-	t->misses = 0;
-	set(t, c, HEALTH_GOOD);
+	t->successor_ns = 0;
+	alive(t, c);
 }
 
 /**
@@ -55,13 +65,20 @@
  * @c: context
  * @since_ns: when that packet went out; a later sign of life answers the doubt
  *
- * Without it each flow of a dead target waits out its client's deadline.
+ * Without it each flow of a dead target waits out its client's deadline. Where
+ * a later process has the address a connection attempt would be answered by
+ * that one, and say nothing.
  */
 void health_doubt(struct target *t, const struct health_context *c,
 		  uint64_t since_ns)
 {
-	if (t->health != HEALTH_GOOD || t->alive_ns > since_ns ||
-	    c->now_ns < t->probe_ns)
+	if (t->health != HEALTH_GOOD || t->alive_ns > since_ns)
+		return;
+	if (t->successor_ns) {
+		set(t, c, HEALTH_DEAD);
+		return;
+	}
+	if (c->now_ns < t->probe_ns)
 		return;
 	set(t, c, HEALTH_DOUBTED);
 	health_probe(t, c);
@@ -84,15 +101,15 @@
  */
 static void missed(struct target *t, const struct health_context *c)
 {
-	if (t->health == HEALTH_SILENT) {
-		t->probe_ns = c->now_ns + SILENT_PAUSE_NS;
+	if (t->health >= HEALTH_SILENT) {
+		t->probe_ns = c->now_ns + LOOK_AGAIN_NS;
 		return;
 	}
 	if (t->misses < UINT8_MAX)
 		t->misses++;
 	if (t->misses >= SILENT_MISSES && c->witnessed_ns >= t->probed_ns &&
 	    t->alive_ns + SILENT_LEAST_NS <= c->now_ns) {
-		t->probe_ns = c->now_ns + SILENT_PAUSE_NS;
+		t->probe_ns = c->now_ns + LOOK_AGAIN_NS;
 		set(t, c, HEALTH_SILENT);
 		return;
 	}
@@ -114,9 +131,11 @@
 	switch (outcome) {
 	case PROBE_OPEN:
 		t->probe_ns = c->now_ns + PROBE_PAUSE_NS;
-		health_alive(t, c);
+		if (!t->successor_ns)
+			alive(t, c);
 		break;
 	case PROBE_REFUSED:
+		t->probe_ns = c->now_ns + LOOK_AGAIN_NS;
 		if (t->health == HEALTH_DEAD)
 			break;
 		set(t, c, HEALTH_DEAD);
@@ -132,14 +151,19 @@
 	}
 }
 
+static bool published(const struct target *t)
+{
+	return t->stage != TARGET_ABSENT || t->presumed;
+}
+
 /**
- * health_tick() - probe a silent target again
+ * health_tick() - probe a silent or dead target again
  * @t: target
  * @c: context
  */
 void health_tick(struct target *t, const struct health_context *c)
 {
-	if (t->health == HEALTH_SILENT && t->stage != TARGET_ABSENT &&
+	if (t->health >= HEALTH_SILENT && published(t) && !t->successor_ns &&
 	    c->now_ns >= t->probe_ns)
 		health_probe(t, c);
 }
--- a/core/packet/health.h
+++ b/core/packet/health.h
@@ -24,7 +24,7 @@
 	uint64_t witnessed_ns;
 };
 
-void health_alive(struct target *t, const struct health_context *c);
+void health_answered(struct target *t, const struct health_context *c);
 void health_doubt(struct target *t, const struct health_context *c,
 		  uint64_t since_ns);
 void health_dead(struct target *t, const struct health_context *c);
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -52,7 +52,7 @@
 	h.leaving = n->stop_ns;
 	h.newest = documents_newest(n->documents);
 	if (dead)
-		h.dead[h.n_dead++] = dead->news.id;
+		h.dead[h.n_dead++] = target_incarnation(dead);
 	else if (n->now_ns >= n->loads_ns)
 		loads_fill(n->directory, &h);
 	loads_fill_failing(n->directory, &h, n->now_ns);
@@ -77,11 +77,11 @@
 	n->port.probe(n->port.ctx, t);
 }
 
-static void again(void *ctx, const struct flow_seen *f)
+static void again(void *ctx, const struct flow_seen *f, uint8_t reason)
 {
 	struct node *n = ctx;
 
-	n->port.again(n->port.ctx, f);
+	n->port.again(n->port.ctx, f, reason);
 }
 
 static void reset(void *ctx, const struct flow_seen *f)
@@ -144,7 +144,7 @@
 	n->peers = peer_set_new(&peers, rng);
 	if (!n->directory || !n->documents || !n->peers)
 		return -ENOMEM;
-	path.zone = directory_name(n->directory, conf->data_centre);
+	path.zone = peers.zone;
 	rng.s = rng_next(&rng) | 1;
 	n->path = path_new(&path, n->directory, port, rng);
 	return n->path ? 0 : -ENOMEM;
@@ -276,7 +276,7 @@
 	n->now_ns = now_ns;
 	peer_set_hear(n->peers, h, now_ns);
 	for (uint32_t i = 0; i < h->n_dead; i++)
-		path_told_dead(n->path, h->dead[i]);
+		path_told_dead(n->path, &h->dead[i]);
 	if (h->reply)
 		send_hello(n, &h->from, 1, NULL);
 	node_call(n);
@@ -286,15 +286,15 @@
 /**
  * node_probed() - a connection attempt ended
  * @n: entry
- * @id: target
+ * @who: target, and its process when the attempt began
  * @outcome: what it showed
  * @now_ns: time
  */
-void node_probed(struct node *n, uint64_t id, enum probe_outcome outcome,
-		 uint64_t now_ns)
+void node_probed(struct node *n, const struct incarnation *who,
+		 enum probe_outcome outcome, uint64_t now_ns)
 {
 	n->now_ns = now_ns;
-	path_probed(n->path, id, outcome, now_ns);
+	path_probed(n->path, who, outcome, now_ns);
 }
 
 /**
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -46,7 +46,8 @@
  * @fetch: ask a peer for documents; node_fetched() ends it
  * @hello: send a heartbeat
  * @probe: connect to a target; node_probed() ends it
- * @again: hand a flow's SYN to its target
+ * @again: hand the packet that is kept of a flow to its target; why, of enum
+ *	path_reason
  * @reset: end a flow
  * @health: a target's health changed
  * @decode: decode a document, as struct packet_platform does
@@ -60,7 +61,7 @@
 	void (*hello)(void *ctx, const uint64_t *to, uint32_t n,
 		      const struct hello *h);
 	void (*probe)(void *ctx, const struct target *t);
-	void (*again)(void *ctx, const struct flow_seen *f);
+	void (*again)(void *ctx, const struct flow_seen *f, uint8_t reason);
 	void (*reset)(void *ctx, const struct flow_seen *f);
 	void (*health)(void *ctx, const struct target *t, uint8_t before);
 	int (*decode)(const struct document *d, struct directory *names,
@@ -117,6 +118,9 @@
  * @ready: whether the platform may send packets here
  * @stop_ns: when a planned stop began, 0 for none
  * @client_ns: last packet of a client
+ * @names_taken: services named when the configuration was taken
+ * @refusals_ns: when the second began in which @refusals are counted
+ * @refusals: entries refused in it
  */
 struct node {
 	struct node_conf conf;
@@ -137,6 +141,9 @@
 	bool ready;
 	uint64_t stop_ns;
 	uint64_t client_ns;
+	uint32_t names_taken;
+	uint64_t refusals_ns;
+	uint32_t refusals;
 	struct node_counters counters;
 };
 
@@ -156,8 +163,8 @@
 void node_fetched(struct node *n, const struct relay_head *head,
 		  uint64_t now_ns);
 void node_hello(struct node *n, const struct hello *h, uint64_t now_ns);
-void node_probed(struct node *n, uint64_t id, enum probe_outcome outcome,
-		 uint64_t now_ns);
+void node_probed(struct node *n, const struct incarnation *who,
+		 enum probe_outcome outcome, uint64_t now_ns);
 bool node_late(struct node *n, uint64_t gap_ns, uint64_t now_ns);
 void node_stop(struct node *n, uint64_t now_ns);
 bool node_stopped(const struct node *n, uint64_t now_ns);
--- a/core/packet/node_impl.h
+++ b/core/packet/node_impl.h
@@ -10,7 +10,7 @@
 
 /* node_published.c */
 uint64_t node_version(const struct node *n);
-void node_document_changed(void *ctx, const struct document *doc);
+bool node_document_changed(void *ctx, const struct document *doc);
 
 /* node_calls.c */
 void node_call(struct node *n);
--- a/core/packet/outlier.c
+++ b/core/packet/outlier.c
@@ -134,7 +134,7 @@
 	float sum = 0;
 
 	for (uint32_t i = 0; i < n; i++) {
-		if (all[i] == t || !place_serving(all[i]) ||
+		if (all[i] == t || !place_serving(d, all[i]) ||
 		    outlier_ejected(all[i], now_ns))
 			continue;
 		sum += failures(all[i], now_ns);
@@ -164,8 +164,8 @@
 	uint32_t serving = 0, ejected = 0;
 
 	for (uint32_t i = 0; i < n; i++) {
-		serving += place_serving(all[i]);
-		ejected += place_serving(all[i]) &&
+		serving += place_serving(d, all[i]);
+		ejected += place_serving(d, all[i]) &&
 			   outlier_ejected(all[i], now_ns);
 	}
 	return (ejected + 1) * EJECT_PART <= serving;
@@ -188,7 +188,7 @@
 	float sum = failures(t, now_ns);
 	uint64_t last_ns = EJECT_NS << t->ejections;
 
-	if (sum < FAILURES_MIN_TRIAL || !place_serving(t) ||
+	if (sum < FAILURES_MIN_TRIAL || !place_serving(d, t) ||
 	    outlier_ejected(t, now_ns) ||
 	    sum < limit(t, outlier_usual(d, t, now_ns), now_ns) ||
 	    !room(d, t, now_ns))
--- a/core/packet/path.c
+++ b/core/packet/path.c
@@ -97,7 +97,7 @@
 {
 	struct health_context c = path_context(p, now_ns);
 
-	health_alive(t, &c);
+	health_answered(t, &c);
 }
 
 void path_doubt(struct path *p, struct target *t, uint64_t since_ns,
@@ -142,6 +142,15 @@
 	return place_target(p->directory, &q, &p->rng);
 }
 
+/* Keep a packet that may be sent again: it carries no data. */
+static void keep(struct flow_seen *f, const struct packet *k)
+{
+	if (k->size_bytes || k->n_bytes > KEPT_MAX_BYTES)
+		return;
+	f->kept_bytes = (uint8_t)k->n_bytes;
+	memcpy(f->kept, k->bytes, k->n_bytes);
+}
+
 /*
  * A copy of a SYN says that no answer reached the client. It goes to another
  * target: the first may be dead or full, and if both answer the client takes
@@ -178,11 +187,7 @@
 				   now_ns);
 	flow_cache_touch(p->flows, f, now_ns);
 	f->seq = k->seq;
-	f->syn_bytes = 0;
-	if (k->n_bytes <= SYN_MAX_BYTES) {
-		f->syn_bytes = (uint8_t)k->n_bytes;
-		memcpy(f->syn, k->bytes, k->n_bytes);
-	}
+	keep(f, k);
 	f->due_ns = now_ns + OPENING_DUE_NS;
 	rule(p, out, PATH_FORWARD, avoid ? PATH_placed_copy : PATH_placed, t);
 }
@@ -216,6 +221,7 @@
 		histogram_add(&p->times[f->kind].open_us,
 			      (now_ns - f->opened_ns) / NS_PER_US);
 		f->stage = FLOW_OPEN;
+		f->kept_bytes = 0;
 		f->ack = k->ack;
 		f->seq = k->seq - 1;
 		f->due_ns = 0;
@@ -232,6 +238,7 @@
 		flow_cache_close(f);
 		return;
 	}
+	keep(f, k);
 	if (!k->size_bytes)
 		return;
 	if (!newer_seq) {
--- a/core/packet/path.h
+++ b/core/packet/path.h
@@ -22,6 +22,7 @@
 	X(placed)         \
 	X(placed_copy)    \
 	X(placed_again)   \
+	X(restarted)      \
 	X(pinned)         \
 	X(no_routes_yet)  \
 	X(no_route)       \
@@ -60,7 +61,8 @@
  * @ctx: passed back
  * @probe: find out whether something listens at @t's address; the outcome
  *	goes to path_probed()
- * @again: hand a flow's SYN to its target, which is another one now
+ * @again: hand the packet that is kept of a flow to its target, for a reason of
+ *	enum path_reason
  * @reset: end a flow that no packet asked about
  * @dead: a target was found dead here: tell the peers
  * @health: a target's health changed from @before
@@ -69,7 +71,7 @@
 struct path_port {
 	void *ctx;
 	void (*probe)(void *ctx, const struct target *t);
-	void (*again)(void *ctx, const struct flow_seen *f);
+	void (*again)(void *ctx, const struct flow_seen *f, uint8_t reason);
 	void (*reset)(void *ctx, const struct flow_seen *f);
 	void (*dead)(void *ctx, const struct target *t);
 	void (*health)(void *ctx, const struct target *t, uint8_t before);
@@ -78,7 +80,7 @@
 
 /**
  * struct path_conf - settings
- * @zone: number of this VM's data centre's name
+ * @zone: hash of this VM's data centre's name
  * @flows_max: flows followed at once
  * @flow_lifetime_ns: an open flow lives no longer
  * @start_ns: when this process began to know routes
@@ -118,9 +120,10 @@
 void path_free(struct path *p);
 void path_packet(struct path *p, const struct packet *packet, bool fresh,
 		 uint64_t now_ns, struct path_verdict *out);
-void path_probed(struct path *p, uint64_t id, enum probe_outcome outcome,
-		 uint64_t now_ns);
-void path_told_dead(struct path *p, uint64_t id);
+void path_probed(struct path *p, const struct incarnation *who,
+		 enum probe_outcome outcome, uint64_t now_ns);
+void path_told_dead(struct path *p, const struct incarnation *who);
+void path_restarted(struct path *p, const struct target *t);
 void path_held_up(struct path *p, uint64_t now_ns);
 void path_tick(struct path *p, uint64_t now_ns);
 const uint64_t *path_counts(const struct path *p);
--- a/core/packet/path_tick.c
+++ b/core/packet/path_tick.c
@@ -42,18 +42,21 @@
 /**
  * path_probed() - take the outcome of a connection attempt
  * @p: state
- * @id: target
+ * @who: target, and its process when the attempt began; what it shows of one
+ *	process says nothing of the next
  * @outcome: what it showed
  * @now_ns: time
  */
-void path_probed(struct path *p, uint64_t id, enum probe_outcome outcome,
-		 uint64_t now_ns)
+void path_probed(struct path *p, const struct incarnation *who,
+		 enum probe_outcome outcome, uint64_t now_ns)
 {
-	struct target *t = directory_by_id(p->directory, id);
+	struct target *t = directory_by_id(p->directory, who->id);
 	struct health_context c;
 
 	if (!t)
 		return;
+	if (who->started_ms != t->news.started_ms)
+		outcome = PROBE_VOID;
 	if (outcome == PROBE_SILENT && p->held_up_ns + NS_PER_S > now_ns)
 		outcome = PROBE_VOID;
 	if (outcome == PROBE_OPEN && t->news.zone == p->conf.zone &&
@@ -67,19 +70,48 @@
 /**
  * path_told_dead() - a peer found that a target's process has ended
  * @p: state
- * @id: target
+ * @who: target and process. Of an earlier process than the one known here the
+ *	word came late; a later one's word holds for all before it.
  */
-void path_told_dead(struct path *p, uint64_t id)
+void path_told_dead(struct path *p, const struct incarnation *who)
 {
-	struct target *t = directory_by_id(p->directory, id);
+	struct target *t = directory_by_id(p->directory, who->id);
 	struct health_context c = path_context(p, 0);
 
-	if (!t)
+	if (!t || who->started_ms < t->news.started_ms)
 		return;
 	health_dead(t, &c);
 	sweep_if_gone(p, t);
 }
 
+/**
+ * path_restarted() - the next process of a target was published
+ * @p: state
+ * @t: target
+ *
+ * It knows none of the flows of the one before: a client that waits for an
+ * answer of that one would wait until its deadline. Which flows those are can't
+ * be told here, since some may have been opened at the new process before it
+ * was published. The target can: it ends a flow that it doesn't know when it
+ * gets any packet of it, and takes another copy of one that it has seen.
+ */
+void path_restarted(struct path *p, const struct target *t)
+{
+	struct flow_seen *f = flow_cache_newest(p->flows);
+
+	while (f) {
+		struct flow_seen *older = flow_cache_older(p->flows, f);
+
+		if (f->target == t && f->stage == FLOW_OPEN) {
+			p->counts[PATH_restarted]++;
+			if (f->kept_bytes)
+				p->port.again(p->port.ctx, f, PATH_restarted);
+			flow_cache_remove(p->flows, f);
+		}
+		f = older;
+	}
+}
+
 /**
  * path_held_up() - this process did not run for a while
  * @p: state
@@ -109,7 +141,7 @@
 	struct target *t;
 
 	path_doubt(p, f->target, f->opened_ns, now_ns);
-	if (!r || !f->syn_bytes || now_ns - f->opened_ns > AGAIN_UNTIL_NS)
+	if (!r || !f->kept_bytes || now_ns - f->opened_ns > AGAIN_UNTIL_NS)
 		return;
 	t = path_place(p, &f->key, r, f->target, now_ns);
 	if (!t || t == f->target)
@@ -117,7 +149,7 @@
 	flow_cache_move(f, t);
 	f->due_ns = now_ns + OPENING_DUE_NS;
 	p->counts[PATH_placed_again]++;
-	p->port.again(p->port.ctx, f);
+	p->port.again(p->port.ctx, f, PATH_placed_again);
 }
 
 static void check_due(struct path *p, uint64_t now_ns)
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -6,14 +6,14 @@
 #ifndef CB_PEER_SET_H
 #define CB_PEER_SET_H
 
-#include "types.h"
+#include "target.h"
 
 /* The VMs of one data centre and of those it exchanges news with. */
 #define PEERS_MAX 1024
 #define HELLO_PEERS_MAX 8
 /* With twelve failing targets a heartbeat stays below 1,400 bytes. */
 #define HELLO_LOADS_MAX 88
-#define HELLO_DEAD_MAX 16
+#define HELLO_DEAD_MAX 8
 #define HELLO_FAILING_MAX 12
 
 /**
@@ -67,7 +67,7 @@
  * @loads: those
  * @has_loads: the sender told its loads, also when they are none
  * @n_dead: targets found dead
- * @dead: their ids
+ * @dead: their processes
  * @n_failing: targets that fail requests
  * @failing: those, each above half a failure
  */
@@ -86,7 +86,7 @@
 	uint32_t n_loads;
 	struct hello_load loads[HELLO_LOADS_MAX];
 	uint32_t n_dead;
-	uint64_t dead[HELLO_DEAD_MAX];
+	struct incarnation dead[HELLO_DEAD_MAX];
 	uint32_t n_failing;
 	struct hello_failing failing[HELLO_FAILING_MAX];
 };
--- a/core/packet/place.c
+++ b/core/packet/place.c
@@ -25,13 +25,17 @@
 
 /**
  * place_serving() - whether a target may be given new flows at all
+ * @d: directory
  * @t: target
  *
- * Return: whether it is published as serving, or presumed to be.
+ * Return: whether it is published as serving, or presumed to be, and nothing
+ * says that its process has ended or that it never was one.
  */
-bool place_serving(const struct target *t)
+bool place_serving(const struct directory *d, const struct target *t)
 {
-	if (t->health == HEALTH_DEAD)
+	if (t->health == HEALTH_DEAD || t->successor_ns)
+		return false;
+	if (!t->news.started_ms && directory_starts_told(d))
 		return false;
 	return t->stage == TARGET_SERVING ||
 	       (t->stage == TARGET_ABSENT && t->presumed);
@@ -111,9 +115,9 @@
 	return best;
 }
 
-static bool eligible(const struct target *t)
+static bool eligible(const struct directory *d, const struct target *t)
 {
-	return place_serving(t) && t->health != HEALTH_SILENT;
+	return place_serving(d, t) && t->health != HEALTH_SILENT;
 }
 
 /**
@@ -134,12 +138,12 @@
 	uint32_t best = UINT32_MAX;
 
 	for (uint32_t i = 0; i < n; i++)
-		if (eligible(all[i]) && rank(all[i], q, trial) < best)
+		if (eligible(d, all[i]) && rank(all[i], q, trial) < best)
 			best = rank(all[i], q, trial);
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
 
-		if (!eligible(t) || rank(t, q, trial) != best ||
+		if (!eligible(d, t) || rank(t, q, trial) != best ||
 		    !reachable(d, t))
 			continue;
 		draw(t->news.zone == q->zone ? &near : &far, t, rng);
--- a/core/packet/platform_port.h
+++ b/core/packet/platform_port.h
@@ -48,7 +48,8 @@
  * struct document_news - a decoded document
  * @kind: enum document_kind
  * @routes: the configuration, owned by the caller, or NULL
- * @target: the target; only @target.id when the document was deleted
+ * @target: the target; only @target.id and @target.entry when the document was
+ *	deleted without a value, or refused
  */
 struct document_news {
 	uint8_t kind;
@@ -66,7 +67,8 @@
  * @watch_path: path that waits for changes after a revision
  * @read_list: decode a page; 0 or a negative error
  * @read_changes: decode an answer to @watch_path; 0 or a negative error
- * @read_document: decode a document; 0, or -EPROTO with *@problem set
+ * @read_document: decode a document; 0, -EPROTO with *@problem set, or -ENOENT
+ *	for a target of a service that no configuration names
  * @ready_path: path on which the platform asks whether this VM is ready
  */
 struct packet_platform {
--- a/core/packet/target.h
+++ b/core/packet/target.h
@@ -17,16 +17,30 @@
  * @HEALTH_GOOD: nothing speaks against it
  * @HEALTH_DOUBTED: a packet went unanswered, a probe is out
  * @HEALTH_SILENT: probes go unanswered: paused, cut off or without power
- * @HEALTH_DEAD: its process has ended; an id never comes back
+ * @HEALTH_DEAD: its process has ended; another may start under its id
  */
 enum target_health { HEALTH_GOOD, HEALTH_DOUBTED, HEALTH_SILENT, HEALTH_DEAD };
 
+/**
+ * struct incarnation - one process of a target
+ * @id: the target's id; the next process may have the same
+ * @started_ms: its start, Unix milliseconds by its own clock; 0 when it is not
+ *	told. Compared only with starts of the same target or address.
+ */
+struct incarnation {
+	uint64_t id;
+	uint64_t started_ms;
+};
+
 /**
  * struct target_news - what the platform's entry of a target says
- * @id: number of its incarnation, new at each start
+ * @id: target's id
+ * @started_ms: start of its process, as in struct incarnation
+ * @sequence: number of the entry among those of this process
+ * @entry: hash of the key that the entry stands under
  * @addr: address and port
  * @service: number of its service's name
- * @zone: number of its data centre's name
+ * @zone: hash of its data centre's name
  * @slots: requests it runs at once
  * @leaving: takes no new flows
  * @cold_ns: how much longer it stays slow after its start
@@ -34,6 +48,9 @@
  */
 struct target_news {
 	uint64_t id;
+	uint64_t started_ms;
+	uint64_t sequence;
+	uint64_t entry;
 	uint64_t addr;
 	uint32_t service;
 	uint32_t zone;
@@ -56,6 +73,7 @@
  * @cold_until_ns: slow until then
  * @health: enum target_health
  * @alive_ns: last sign of life
+ * @successor_ns: when a later process at its address was published; 0 for never
  * @probe_ns: earliest time of the next probe
  * @probing: a probe is out
  * @probed_ns: when it, or the last one, went out
@@ -88,6 +106,7 @@
 	uint64_t cold_until_ns;
 	uint8_t health;
 	uint64_t alive_ns;
+	uint64_t successor_ns;
 	uint64_t probe_ns;
 	bool probing;
 	uint64_t probed_ns;
@@ -110,4 +129,9 @@
 	uint32_t slot;
 };
 
+static inline struct incarnation target_incarnation(const struct target *t)
+{
+	return (struct incarnation){ t->news.id, t->news.started_ms };
+}
+
 #endif
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -126,8 +126,11 @@
 {
 	struct sim_entry *s = &w->entries[e->a];
 
+	struct incarnation who = { e->b, e->c >> 8 };
+
 	if (runs(s))
-		node_probed(s->node, e->b, (enum probe_outcome)e->c, w->now_ns);
+		node_probed(s->node, &who, (enum probe_outcome)(uint8_t)e->c,
+			    w->now_ns);
 }
 
 static void probe(void *ctx, const struct target *t)
@@ -146,7 +149,7 @@
 		outcome = PROBE_REFUSED;
 	}
 	world_at(c->w, way_ns, on_probed, (uint32_t)(c->e - c->w->entries),
-		 t->news.id, outcome);
+		 t->news.id, t->news.started_ms << 8 | outcome);
 }
 
 static uint32_t client_of(const struct world *w, const struct flow_key *flow)
@@ -183,14 +186,16 @@
 		 (uint64_t)port << 40 | (uint64_t)flags << 32 | size_bytes);
 }
 
-static void again(void *ctx, const struct flow_seen *f)
+static void again(void *ctx, const struct flow_seen *f, uint8_t reason)
 {
 	struct port_ctx *c = ctx;
 	uint32_t client = client_of(c->w, &f->key);
+	uint8_t flags = f->stage == FLOW_OPENING ? PACKET_SYN : PACKET_ACK;
 
+	(void)reason;
 	if (client != UINT32_MAX)
 		forward(c->w, c->e, f->target, client, ADDR_PORT(f->key.caller),
-			PACKET_SYN, 0);
+			flags, 0);
 }
 
 static void on_reset(struct world *w, const struct event *e)
--- a/sim/sim-packets/fault_table.c
+++ b/sim/sim-packets/fault_table.c
@@ -124,6 +124,97 @@
 	reuse(w);
 }
 
+static void restart_targets(struct world *w)
+{
+	for (uint32_t i = 0; i < 3; i++)
+		world_restart_target(w, any_target(w), 300 * NS_PER_MS);
+}
+
+/* Faster than anything notices; the entry alone tells. */
+static void restart_targets_at_once(struct world *w)
+{
+	for (uint32_t i = 0; i < 3; i++)
+		world_restart_target(w, any_target(w), NS_PER_MS);
+}
+
+static void on_restart(struct world *w, const struct event *e)
+{
+	world_restart_target(w, (uint32_t)e->a, e->b);
+}
+
+static void restart_targets_twice(struct world *w)
+{
+	for (uint32_t i = 0; i < 3; i++) {
+		uint32_t t = any_target(w);
+
+		world_restart_target(w, t, 200 * NS_PER_MS);
+		world_at(w, 500 * NS_PER_MS, on_restart, t, 200 * NS_PER_MS, 0);
+	}
+}
+
+static void restart_targets_store_down(struct world *w)
+{
+	world_store_down(w, 6 * NS_PER_S, false);
+	restart_targets(w);
+}
+
+static void restart_targets_and_roll(struct world *w)
+{
+	roll(w);
+	restart_targets(w);
+}
+
+/* Cut off, started again meanwhile, published once the cut is over. */
+static void restart_targets_cut(struct world *w)
+{
+	uint32_t zone = (uint32_t)(rng_next(&w->rng) % w->conf.zones);
+
+	world_cut_zone(w, zone, 5 * NS_PER_S);
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		if (w->targets[i].zone == zone &&
+		    w->targets[i].service == SERVICE_MAIN)
+			world_restart_target(w, i, NS_PER_S);
+}
+
+static void restart_most_targets(struct world *w)
+{
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		if (i % 3 && w->targets[i].service == SERVICE_MAIN)
+			world_restart_target(w, i, NS_PER_S);
+}
+
+static void on_leave(struct world *w, const struct event *e)
+{
+	world_release_target(w, (uint32_t)e->a);
+}
+
+static void late_entries(struct world *w)
+{
+	for (uint32_t i = 0; i < 3; i++) {
+		uint32_t t = any_target(w);
+
+		world_late_entry(w, t, 2 * NS_PER_S);
+		if (i)
+			world_at(w, 500 * NS_PER_MS, on_leave, t, 0, 0);
+		else
+			world_restart_target(w, t, 300 * NS_PER_MS);
+	}
+}
+
+static void foreign_entries(struct world *w)
+{
+	for (uint32_t i = FOREIGN_NONE + 1; i < FOREIGN_KINDS; i++)
+		world_foreign_entry(w, (enum world_foreign)i, any_target(w),
+				    false);
+}
+
+static void foreign_entries_in_place(struct world *w)
+{
+	for (uint32_t i = FOREIGN_NONE + 1; i < FOREIGN_KINDS; i++)
+		world_foreign_entry(w, (enum world_foreign)i, any_target(w),
+				    true);
+}
+
 static void on_release(struct world *w, const struct event *e)
 {
 	world_release_target(w, (uint32_t)e->a);
@@ -232,6 +323,26 @@
 	{ "release", "every target is replaced", release, 0.995 },
 	{ "release_and_roll", "and every entry stopped and started",
 	  release_and_roll, 0.995 },
+	{ "restart_targets", "three start again under their id, in 0.3 s",
+	  restart_targets, 0.995 },
+	{ "restart_targets_at_once", "in a millisecond",
+	  restart_targets_at_once, 0.995 },
+	{ "restart_targets_twice", "twice in half a second",
+	  restart_targets_twice, 0.995 },
+	{ "restart_targets_store_down", "and the store is down",
+	  restart_targets_store_down, 0.995 },
+	{ "restart_targets_and_roll", "and every entry stopped and started",
+	  restart_targets_and_roll, 0.995 },
+	{ "restart_targets_cut", "all of a data centre, while it is cut off",
+	  restart_targets_cut, 0.97 },
+	{ "restart_most_targets", "two of three, in 1 s", restart_most_targets,
+	  0.95 },
+	{ "late_entries", "entries are written late, over later ones",
+	  late_entries, 0.995 },
+	{ "foreign_entries", "somebody else writes among targets' entries",
+	  foreign_entries, 0.999 },
+	{ "foreign_entries_in_place", "and in place of targets' entries",
+	  foreign_entries_in_place, 0.995 },
 	{ "store_down", "the store is down for 5 s", store_down, 0.999 },
 	{ "store_lapse", "and all entries of targets run out", store_lapse,
 	  0.999 },
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -1,6 +1,7 @@
 /* The store that publishes: keys with revisions, listings and watches. */
 #include "world_state.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -157,18 +158,28 @@
 	changed(w, key_of(w, "routes"), &v, sizeof(v));
 }
 
-static void target_key(const struct sim_target *t, char *out, size_t n)
+static void target_key(uint64_t id, char *out, size_t n)
 {
-	snprintf(out, n, "target/%llu", (unsigned long long)t->news.id);
+	snprintf(out, n, "target/%llu", (unsigned long long)id);
 }
 
-void store_target(struct world *w, const struct sim_target *t)
+/* An entry as it was made up, whoever wrote it. */
+void store_foreign(struct world *w, uint64_t id, const struct target_value *v)
 {
-	struct target_value v = { t->news, t->service, t->zone };
 	char key[64];
 
-	target_key(t, key, sizeof(key));
-	changed(w, key_of(w, key), &v, sizeof(v));
+	target_key(id, key, sizeof(key));
+	changed(w, key_of(w, key), v, sizeof(*v));
+}
+
+/* A target publishes itself. */
+void store_target(struct world *w, struct sim_target *t)
+{
+	struct target_value v = { .service = t->service, .zone = t->zone };
+
+	t->news.sequence++;
+	v.news = t->news;
+	store_foreign(w, t->news.id, &v);
 }
 
 void store_delete(struct world *w, const struct sim_target *t)
@@ -176,7 +187,7 @@
 	struct store_key *k;
 	char key[64];
 
-	target_key(t, key, sizeof(key));
+	target_key(t->news.id, key, sizeof(key));
 	k = key_of(w, key);
 	if (!k->d.deleted)
 		changed(w, k, NULL, 0);
@@ -205,6 +216,7 @@
 			directory_name(names, service_names[SERVICE_MAIN]), 1
 		};
 	}
+	directory_name(names, service_names[SERVICE_OTHER]);
 	out->kind = DOCUMENT_ROUTES;
 	out->routes = t;
 	return 0;
@@ -223,13 +235,19 @@
 				     names, out);
 	out->kind = DOCUMENT_TARGET;
 	out->target.id = strtoull(strchr(d->key, '/') + 1, NULL, 10);
+	out->target.entry = hash_text(d->key);
 	if (!d->value)
 		return 0;
 	memcpy(&v, d->value, sizeof(v));
+	*problem = "not a target's";
+	if (v.foreign && v.foreign != FOREIGN_UNBORN)
+		return v.foreign == FOREIGN_SERVICE ? -ENOENT : -EPROTO;
 	zone_name(v.zone, zone);
+	v.news.id = out->target.id;
+	v.news.entry = out->target.entry;
 	out->target = v.news;
-	out->target.service = directory_name(names, service_names[v.service]);
-	out->target.zone = directory_name(names, zone);
+	out->target.service = directory_known(names, service_names[v.service]);
+	out->target.zone = (uint32_t)hash_text(zone);
 	out->target.created = d->created;
 	return 0;
 }
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -96,6 +96,27 @@
  */
 enum world_failing { TARGET_WORKS, TARGET_FAILS, TARGET_HANGS, TARGET_CRAWLS };
 
+/**
+ * enum world_foreign - an entry that no target wrote
+ * @FOREIGN_NONE: it is a target's
+ * @FOREIGN_BYTES: not readable
+ * @FOREIGN_MISSING: a field is missing
+ * @FOREIGN_TYPE: a field is of another type
+ * @FOREIGN_STATE: a state that there is not
+ * @FOREIGN_SERVICE: a service that no configuration names
+ * @FOREIGN_UNBORN: all but the start of its process
+ */
+enum world_foreign {
+	FOREIGN_NONE,
+	FOREIGN_BYTES,
+	FOREIGN_MISSING,
+	FOREIGN_TYPE,
+	FOREIGN_STATE,
+	FOREIGN_SERVICE,
+	FOREIGN_UNBORN,
+	FOREIGN_KINDS,
+};
+
 /**
  * struct world_report - what clients and targets saw
  * @requests: requests asked
@@ -153,6 +174,10 @@
 void world_kill_target(struct world *w, uint32_t target, bool dark);
 void world_fail_target(struct world *w, uint32_t target, enum world_failing how,
 		       uint64_t ns);
+void world_restart_target(struct world *w, uint32_t target, uint64_t down_ns);
+void world_late_entry(struct world *w, uint32_t target, uint64_t late_ns);
+void world_foreign_entry(struct world *w, enum world_foreign what,
+			 uint32_t target, bool under_its_key);
 void world_release_target(struct world *w, uint32_t target);
 void world_reuse_address(struct world *w, uint32_t target);
 void world_add_route(struct world *w);
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -79,6 +79,8 @@
 
 struct sim_target {
 	struct target_news news;
+	uint32_t process;
+	uint64_t restarted_ns;
 	uint32_t service;
 	uint32_t zone;
 	bool alive;
@@ -105,6 +107,7 @@
 	uint8_t state;
 	uint32_t cookie;
 	uint32_t target;
+	uint32_t process;
 	uint32_t seq;
 	uint32_t ack;
 	bool waiting;
@@ -125,6 +128,7 @@
 /* A target's entry and a configuration, as values of the store. */
 struct target_value {
 	struct target_news news;
+	enum world_foreign foreign;
 	uint32_t service;
 	uint32_t zone;
 };
@@ -189,7 +193,8 @@
 
 /* store.c */
 void store_routes(struct world *w);
-void store_target(struct world *w, const struct sim_target *t);
+void store_target(struct world *w, struct sim_target *t);
+void store_foreign(struct world *w, uint64_t id, const struct target_value *v);
 void store_delete(struct world *w, const struct sim_target *t);
 enum store_mode store_mode_of(const struct world *w, uint32_t entry);
 void store_list(void *ctx, const char *after_key);
@@ -210,6 +215,7 @@
 void targets_packet(struct world *w, uint32_t target, uint32_t client,
 		    uint32_t entry, uint8_t flags, uint32_t size_bytes,
 		    const struct flow_key *flow, uint64_t number);
+void targets_told(struct world *w, uint32_t target);
 uint32_t targets_at(const struct world *w, uint64_t addr);
 void targets_end(struct world *w, uint32_t target, bool dark);
 
--- a/test/packet_bed.h
+++ b/test/packet_bed.h
@@ -19,7 +19,7 @@
 #define BED_EVENTS_MAX 64
 
 struct bed_probe {
-	uint64_t id;
+	struct incarnation who;
 	bool done;
 };
 
@@ -37,6 +37,7 @@
 	uint32_t n_dead;
 	uint64_t ejected[BED_EVENTS_MAX];
 	uint32_t n_ejected;
+	enum target_change change;
 };
 
 void bed_open(struct bed *b);
@@ -44,6 +45,8 @@
 struct route_table *bed_table(struct bed *b, uint64_t version);
 struct target *bed_target(struct bed *b, uint64_t id, const char *service,
 			  const char *zone);
+struct target *bed_publish(struct bed *b, const struct target_news *news);
+void bed_absent(struct bed *b, uint64_t id, uint64_t trouble_ns);
 struct path_verdict bed_syn(struct bed *b, uint64_t caller, uint64_t vip,
 			    uint32_t copies);
 struct path_verdict bed_data(struct bed *b, uint64_t caller, uint64_t vip,
