--- a/adapters/fields.c
+++ b/adapters/fields.c
@@ -146,9 +146,15 @@
 	[FIELD_U64] = { TOML_INTEGER, NULL, NULL },
 	[FIELD_MS] = { TOML_INTEGER, NULL, NULL },
 	[FIELD_SECONDS] = { TOML_INTEGER, NULL, NULL },
+	[FIELD_DECIMAL] = { TOML_INTEGER, NULL, NULL },
 	[FIELD_BOOL] = { TOML_BOOL, NULL, "true or false" },
 };
 
+static bool fraction(const struct field *f)
+{
+	return f->kind == FIELD_SECONDS || f->kind == FIELD_DECIMAL;
+}
+
 static const char *choices_text(const struct field *f, char *buf, size_t n)
 {
 	g_strlcpy(buf, "one of", n);
@@ -167,7 +173,7 @@
 	if (f->choices)
 		return choices_text(f, buf, n);
 	g_snprintf(buf, n, "%s from %lld to %lld",
-		   f->kind == FIELD_SECONDS ? "a number" : "an integer",
+		   fraction(f) ? "a number" : "an integer",
 		   (long long)f->min, (long long)f->max);
 	return buf;
 }
@@ -177,6 +183,7 @@
 	uint16_t u16 = (uint16_t)number;
 	uint32_t u32 = (uint32_t)number;
 	uint64_t u64 = (uint64_t)number;
+	double decimal = (double)number;
 
 	if (f->kind == FIELD_MS)
 		u64 *= NS_PER_MS;
@@ -188,6 +195,8 @@
 		memcpy(to, &u16, sizeof(u16));
 	else if (f->kind == FIELD_U32)
 		memcpy(to, &u32, sizeof(u32));
+	else if (f->kind == FIELD_DECIMAL)
+		memcpy(to, &decimal, sizeof(decimal));
 	else
 		memcpy(to, &u64, sizeof(u64));
 }
@@ -198,17 +207,20 @@
 }
 
 /* Also refuses what is no number: nothing is in range of it. */
-static bool decimal_take(const struct field *f, double seconds, void *to,
+static bool decimal_take(const struct field *f, double number, void *to,
 			 char *problem, size_t n)
 {
 	uint64_t ns;
 
-	if (!(seconds >= (double)f->min && seconds <= (double)f->max)) {
-		g_snprintf(problem, n, "%g is out of range", seconds);
+	if (!(number >= (double)f->min && number <= (double)f->max)) {
+		g_snprintf(problem, n, "%g is out of range", number);
 		return false;
 	}
-	ns = (uint64_t)(seconds * (double)NS_PER_S);
-	memcpy(to, &ns, sizeof(ns));
+	ns = (uint64_t)(number * (double)NS_PER_S);
+	if (f->kind == FIELD_SECONDS)
+		memcpy(to, &ns, sizeof(ns));
+	else
+		memcpy(to, &number, sizeof(number));
 	return true;
 }
 
@@ -216,7 +228,7 @@
 static bool value_take(const struct field *f, const struct toml_node *node,
 		       void *to, char *problem, size_t n)
 {
-	if (f->kind == FIELD_SECONDS && node->kind == TOML_DECIMAL)
+	if (fraction(f) && node->kind == TOML_DECIMAL)
 		return decimal_take(f, node->decimal, to, problem, n);
 	if (node->kind != kinds[f->kind].toml) {
 		g_snprintf(problem, n, "is %s", toml_kind_name(node->kind));
--- a/adapters/fields.h
+++ b/adapters/fields.h
@@ -25,6 +25,8 @@
  * @FIELD_MS: milliseconds into nanoseconds, uint64_t
  * @FIELD_SECONDS: seconds, with or without a fraction, into nanoseconds,
  *	uint64_t; its range and fallback are whole seconds
+ * @FIELD_DECIMAL: a number, with or without a fraction, into double; its range
+ *	and fallback are whole
  * @FIELD_BOOL: true or false into bool
  */
 enum field_kind {
@@ -41,6 +43,7 @@
 	FIELD_U64,
 	FIELD_MS,
 	FIELD_SECONDS,
+	FIELD_DECIMAL,
 	FIELD_BOOL,
 	FIELD_KIND_COUNT
 };
--- /dev/null
+++ b/sim/sim-experiment/main.c
@@ -0,0 +1,145 @@
+/*
+ * sim-experiment: plays described experiments on the emulator, policies side by
+ * side on the same seeds, and prints what callers got.
+ */
+#include "experiment.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum exit_code { EXIT_OK, EXIT_BROKEN, EXIT_USAGE };
+
+/* Arguments; end stands last, as argtable wants it. */
+struct args {
+	struct arg_file *files;
+	struct arg_int *seeds;
+	struct arg_lit *json;
+	struct arg_lit *windows;
+	struct arg_lit *list;
+	struct arg_lit *help;
+	struct arg_end *end;
+};
+
+static struct args args_new(void)
+{
+	return (struct args){
+		.files = arg_filen(NULL, NULL, "FILE", 0, 64, "experiments"),
+		.seeds = arg_int0(NULL, "seeds", "N",
+				  "runs of each policy, not the file's"),
+		.json = arg_lit0(NULL, "json", "a line of JSON a policy"),
+		.windows = arg_lit0(NULL, "windows",
+				    "the first seed's windows, for plots"),
+		.list = arg_lit0(NULL, "list", "name the troubles and stop"),
+		.help = arg_lit0(NULL, "help", "print this and stop"),
+		.end = arg_end(8),
+	};
+}
+
+static int play_windows(const struct experiment *x)
+{
+	for (uint32_t v = 0; v < x->n_variants; v++) {
+		struct outcome out;
+		struct windows windows;
+		int err = experiment_play(x, v, x->first_seed, &out, &windows);
+
+		if (err)
+			return err;
+		report_windows(x, v, &windows);
+		windows_free(&windows);
+	}
+	return 0;
+}
+
+static int play_seeds(const struct experiment *x, struct outcome *all)
+{
+	for (uint32_t v = 0; v < x->n_variants; v++)
+		for (uint32_t i = 0; i < x->seeds; i++) {
+			struct windows windows;
+			int err = experiment_play(
+				x, v, x->first_seed + i,
+				&all[(size_t)v * x->seeds + i], &windows);
+
+			if (err)
+				return err;
+			windows_free(&windows);
+		}
+	return 0;
+}
+
+static int play(const struct args *a, const struct experiment *x)
+{
+	struct outcome *all =
+		calloc((size_t)x->n_variants * x->seeds, sizeof(*all));
+	uint64_t broken = 0;
+
+	if (!all || play_seeds(x, all)) {
+		fprintf(stderr, "sim-experiment: out of memory\n");
+		free(all);
+		return EXIT_USAGE;
+	}
+	if (a->json->count)
+		report_json(x, all);
+	else
+		report_table(x, all);
+	for (uint32_t i = 0; i < x->n_variants * x->seeds; i++)
+		broken += all[i].rules;
+	free(all);
+	return broken ? EXIT_BROKEN : EXIT_OK;
+}
+
+static int play_file(const struct args *a, const char *path)
+{
+	static struct experiment x; /* large for a stack */
+	struct mistakes m = { 0 };
+	int code = EXIT_USAGE;
+
+	if (experiment_read(path, &x, &m)) {
+		mistakes_print(&m, stderr);
+	} else {
+		if (a->seeds->count && a->seeds->ival[0] > 0)
+			x.seeds = (uint32_t)a->seeds->ival[0];
+		code = a->windows->count ? play_windows(&x) : play(a, &x);
+	}
+	mistakes_free(&m);
+	return code;
+}
+
+static int with_args(struct args *a, void **table, int argc, char **argv)
+{
+	int errors = arg_parse(argc, argv, table);
+	int code = EXIT_OK;
+
+	if (a->help->count) {
+		printf("Usage: sim-experiment");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-18s %s\n");
+		return EXIT_OK;
+	}
+	if (errors) {
+		arg_print_errors(stderr, a->end, "sim-experiment");
+		return EXIT_USAGE;
+	}
+	for (uint32_t i = 0; a->list->count && i < n_trouble_kinds; i++)
+		printf("%-18s %s\n", trouble_kinds[i].name,
+		       trouble_kinds[i].help);
+	for (int i = 0; i < a->files->count; i++) {
+		int one = play_file(a, a->files->filename[i]);
+
+		code = one > code ? one : code;
+	}
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	struct args a = args_new();
+	void *table[] = { a.files,   a.seeds, a.json, a.windows,
+			  a.list, a.help,  a.end };
+	int code = EXIT_USAGE;
+
+	if (!arg_nullcheck(table))
+		code = with_args(&a, table, argc, argv);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/sim/sim-experiment/report.c
@@ -0,0 +1,172 @@
+/* Results of an experiment: a table, JSON, windows for plots. */
+#include "experiment.h"
+
+#include <gsl/gsl_cdf.h>
+#include <math.h>
+#include <stdio.h>
+
+/* Two-sided 95 %. */
+#define QUANTILE 0.975
+
+/**
+ * struct figure - a column of the table
+ * @name: its heading
+ * @offset: of the double in struct outcome
+ */
+struct figure {
+	const char *name;
+	size_t offset;
+};
+
+#define FIGURE(name, member) { name, offsetof(struct outcome, member) }
+
+static const struct figure figures[] = {
+	FIGURE("earned", earned),     FIGURE("worst", worst),
+	FIGURE("in_aim", in_aim),     FIGURE("served", served),
+	FIGURE("swamped", swamped),   FIGURE("far", far),
+	FIGURE("probes", probes),     FIGURE("imbalance", imbalance),
+	FIGURE("bound", bound),	      FIGURE("bound_worst", bound_worst),
+	FIGURE("cut", lost[CAUSE_CUT]), FIGURE("gone", lost[CAUSE_GONE]),
+	FIGURE("refused", lost[CAUSE_REFUSED]),
+	FIGURE("waited", lost[CAUSE_WAITED]),
+	FIGURE("work", lost[CAUSE_WORK]),
+	FIGURE("failed", lost[CAUSE_FAILED]),
+};
+
+#define N_FIGURES (sizeof(figures) / sizeof(figures[0]))
+/* Those that are compared with the first policy's. */
+#define COMPARED 3
+
+static double value(const struct outcome *o, const struct figure *f)
+{
+	return *(const double *)((const char *)o + f->offset);
+}
+
+static const struct outcome *of(const struct experiment *x,
+				const struct outcome *all, uint32_t variant)
+{
+	return all + (size_t)variant * x->seeds;
+}
+
+static double mean(const struct experiment *x, const struct outcome *of,
+		   const struct figure *f)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < x->seeds; i++)
+		sum += value(&of[i], f);
+	return sum / x->seeds;
+}
+
+/* Half the width of the interval of the mean difference, seed by seed. */
+static double interval(const struct experiment *x, const struct outcome *a,
+		       const struct outcome *b, const struct figure *f)
+{
+	double d = mean(x, a, f) - mean(x, b, f), sum = 0;
+
+	if (x->seeds < 2)
+		return 0;
+	for (uint32_t i = 0; i < x->seeds; i++) {
+		double e = value(&a[i], f) - value(&b[i], f) - d;
+
+		sum += e * e;
+	}
+	return gsl_cdf_tdist_Pinv(QUANTILE, x->seeds - 1) *
+	       sqrt(sum / (x->seeds - 1) / x->seeds);
+}
+
+static uint64_t rules(const struct experiment *x, const struct outcome *of)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < x->seeds; i++)
+		n += of[i].rules;
+	return n;
+}
+
+/**
+ * report_table() - print means, and differences to the first policy
+ * @x: experiment
+ * @all: outcomes, policy by policy
+ */
+void report_table(const struct experiment *x, const struct outcome *all)
+{
+	printf("%s: %s, %u seeds from %u, load %.2f\n", x->title, x->site.name,
+	       x->seeds, x->first_seed, x->load);
+	printf("%-28s", "");
+	for (uint32_t k = 0; k < N_FIGURES; k++)
+		printf(" %9s", figures[k].name);
+	printf(" rules\n");
+	for (uint32_t v = 0; v < x->n_variants; v++) {
+		printf("%-28s", x->variants[v].title);
+		for (uint32_t k = 0; k < N_FIGURES; k++)
+			printf(" %9.4f", mean(x, of(x, all, v), &figures[k]));
+		printf(" %5llu\n",
+		       (unsigned long long)rules(x, of(x, all, v)));
+	}
+	for (uint32_t v = 1; v < x->n_variants; v++) {
+		printf("%-28s", x->variants[v].title);
+		for (uint32_t k = 0; k < COMPARED; k++)
+			printf(" %s %+.4f +- %.4f", figures[k].name,
+			       mean(x, of(x, all, v), &figures[k]) -
+				       mean(x, all, &figures[k]),
+			       interval(x, of(x, all, v), all, &figures[k]));
+		printf("\n");
+	}
+}
+
+/**
+ * report_json() - a line a policy
+ * @x: experiment
+ * @all: outcomes, policy by policy
+ */
+void report_json(const struct experiment *x, const struct outcome *all)
+{
+	for (uint32_t v = 0; v < x->n_variants; v++) {
+		printf("{\"experiment\":\"%s\",\"site\":\"%s\",\"seeds\":%u,"
+		       "\"policy\":\"%s\"",
+		       x->title, x->site.name, x->seeds, x->variants[v].title);
+		for (uint32_t k = 0; k < N_FIGURES; k++)
+			printf(",\"%s\":%.5f", figures[k].name,
+			       mean(x, of(x, all, v), &figures[k]));
+		for (uint32_t k = 0; v && k < COMPARED; k++)
+			printf(",\"%s_change\":%.5f,\"%s_interval\":%.5f",
+			       figures[k].name,
+			       mean(x, of(x, all, v), &figures[k]) -
+				       mean(x, all, &figures[k]),
+			       figures[k].name,
+			       interval(x, of(x, all, v), all, &figures[k]));
+		printf(",\"rules\":%llu}\n",
+		       (unsigned long long)rules(x, of(x, all, v)));
+	}
+}
+
+/**
+ * report_windows() - a row a window of a run, for plots
+ * @x: experiment
+ * @variant: number of its policy
+ * @v: windows
+ */
+void report_windows(const struct experiment *x, uint32_t variant,
+		    const struct windows *v)
+{
+	printf("# %s, %s\n", x->title, x->variants[variant].title);
+	printf("# from_s requests in_aim late failed earned bound");
+	for (uint32_t k = 1; k < CAUSES; k++)
+		printf(" %s", world_cause_names[k]);
+	printf("\n");
+	for (uint32_t i = 0; i < v->n; i++) {
+		const struct window *o = &v->all[i];
+
+		printf("%.0f %llu %llu %llu %llu %.4f %.4f",
+		       (double)o->from_ns / NS_PER_S,
+		       (unsigned long long)o->requests,
+		       (unsigned long long)o->in_aim,
+		       (unsigned long long)o->late,
+		       (unsigned long long)o->failed, o->earned / o->owed,
+		       o->bound / o->owed);
+		for (uint32_t k = 1; k < CAUSES; k++)
+			printf(" %.4f", o->lost[k] / o->owed);
+		printf("\n");
+	}
+}
--- /dev/null
+++ b/sim/sim-packets/arrivals.c
@@ -0,0 +1,166 @@
+/* When clients ask, and who of them does. */
+#include "world_state.h"
+
+#include <math.h>
+
+#define USER_IP 1
+#define FIRST_PORT 1000
+/* Clients that only test the configuration ask this often. */
+#define PROBE_NS (100 * NS_PER_MS)
+#define TRIES_TO_FIND_IDLE 8
+
+static double rate(const struct world *w, uint32_t zone, uint32_t class)
+{
+	const struct site_zone *z = &w->conf.site.zones[zone];
+	double per_s = z->per_s[class];
+	double since = (double)(w->now_ns - w->start_ns);
+
+	if (z->wave_ns)
+		per_s *= 1 + z->swing * sin(2 * M_PI *
+					    (since / (double)z->wave_ns +
+					     z->phase));
+	if (w->now_ns < w->load_until_ns[zone])
+		per_s *= w->load[zone];
+	return per_s;
+}
+
+static uint32_t add(struct world *w, uint32_t zone, uint32_t class)
+{
+	uint32_t i = w->n_users;
+
+	if (i == USERS_MAX)
+		return USERS_MAX - 1;
+	w->n_users++;
+	w->users[i] = (struct sim_user){
+		.zone = zone,
+		.ip = USER_IP + i,
+		.port = FIRST_PORT,
+		.class = (uint8_t)class,
+		.target = NO_TARGET,
+	};
+	return i;
+}
+
+/* Users with a long flow stand first, data centre by data centre. */
+static uint32_t first_of(const struct world *w, uint32_t zone)
+{
+	uint32_t first = 0;
+
+	for (uint32_t z = 0; z < zone; z++)
+		first += w->conf.site.zones[z].users;
+	return first;
+}
+
+static uint32_t any_feeder(struct world *w, uint32_t zone)
+{
+	uint32_t first = first_of(w, zone);
+	uint32_t n = w->conf.site.zones[zone].users;
+	uint32_t user = first;
+
+	for (uint32_t i = 0; i < TRIES_TO_FIND_IDLE; i++) {
+		user = first + (uint32_t)(rng_next(&w->rng) % n);
+		if (!w->users[user].waiting)
+			break;
+	}
+	return user;
+}
+
+/* One that is idle, or a new one. */
+static uint32_t fresh(struct world *w, uint32_t zone, uint32_t class)
+{
+	uint32_t *next = &w->fresh_next[zone][class];
+
+	for (uint32_t i = 0; i < w->n_users; i++) {
+		uint32_t user = (*next + i) % w->n_users;
+		const struct sim_user *u = &w->users[user];
+
+		if (u->zone != zone || u->class != class || u->waiting)
+			continue;
+		*next = user + 1;
+		return user;
+	}
+	return add(w, zone, class);
+}
+
+static struct sim_ask draw(struct world *w, struct rng *rng, uint32_t class)
+{
+	const struct site_class *c = &w->classes[class];
+
+	return (struct sim_ask){
+		.asked_ns = w->now_ns,
+		.work_ns = world_draw(rng, &c->work_ns),
+		.request_bytes =
+			(uint32_t)world_draw(rng, &c->request_bytes),
+		.answer_bytes =
+			(uint32_t)world_draw(rng, &c->answer_bytes),
+	};
+}
+
+static void hand_to(struct world *w, uint32_t user, const struct sim_ask *ask)
+{
+	struct sim_user *u = &w->users[user];
+
+	if (!u->waiting)
+		users_ask(w, user, ask);
+	else if (u->n_pending < PENDING_MAX)
+		u->pending[u->n_pending++] = *ask;
+}
+
+static void on_arrival(struct world *w, const struct event *e)
+{
+	uint32_t zone = (uint32_t)e->a, class = (uint32_t)e->b;
+	double gap_s = -log(1 - world_chance(&w->ask_rng)) / rate(w, zone, class);
+	struct sim_ask ask = draw(w, &w->ask_rng, class);
+	bool feed = w->classes[class].kind == ROUTE_FEED;
+
+	world_at(w, (uint64_t)(gap_s * (double)NS_PER_S), on_arrival, zone,
+		 class, 0);
+	hand_to(w, feed ? any_feeder(w, zone) : fresh(w, zone, class), &ask);
+}
+
+static void on_probe(struct world *w, const struct event *e)
+{
+	struct sim_ask ask = draw(w, &w->rng, probe_route(w));
+
+	hand_to(w, (uint32_t)e->a, &ask);
+}
+
+/* A user that only tests the configuration asks again. */
+void arrivals_again(struct world *w, uint32_t user)
+{
+	double part = 0.5 + world_chance(&w->rng);
+
+	world_at(w, (uint64_t)(part * (double)PROBE_NS), on_probe, user, 0, 0);
+}
+
+/* Return: whether a request waited for this user. */
+bool arrivals_next(struct world *w, uint32_t user)
+{
+	struct sim_user *u = &w->users[user];
+	struct sim_ask ask = u->pending[0];
+
+	if (!u->n_pending)
+		return false;
+	u->n_pending--;
+	for (uint32_t i = 0; i < u->n_pending; i++)
+		u->pending[i] = u->pending[i + 1];
+	users_ask(w, user, &ask);
+	return true;
+}
+
+/* Feeders of every data centre, then a user each that tests the configuration;
+ * users of other kinds come as they are needed. */
+void arrivals_start(struct world *w)
+{
+	const struct site *s = &w->conf.site;
+
+	for (uint32_t z = 0; z < s->n_zones; z++)
+		for (uint32_t i = 0; i < s->zones[z].users; i++)
+			add(w, z, 0);
+	for (uint32_t z = 0; z < s->n_zones; z++)
+		arrivals_again(w, add(w, z, probe_route(w)));
+	for (uint32_t z = 0; z < s->n_zones; z++)
+		for (uint32_t c = 0; c < s->n_classes; c++)
+			if (s->zones[z].per_s[c] > 0)
+				world_at(w, 0, on_arrival, z, c, 0);
+}
--- /dev/null
+++ b/sim/sim-packets/bound.c
@@ -0,0 +1,203 @@
+/*
+ * An upper bound, proved by leaving out what can only make it worse. A request
+ * asked in a window is answered in time only if (1) one of the packets that its
+ * client sends at fixed times meets a running entry early enough for its own
+ * work to end in time, and (2) its work is done between the window's begin and
+ * the latest target latency after its end, in the slots of living targets then.
+ * Of those that (1) allows, the ones of most worth for their work are taken
+ * until the slots' time is used up (a fractional knapsack, the best that any
+ * choice can do); all others count as answered late if (1) allows that. Left
+ * out: queues, who is sent where, cold targets, two requests on one flow.
+ */
+#include "bound.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+/* When a client sends something for a request, after it was asked: packets and
+ * their repeats, or opening packets, their copies and those of later tries. */
+static const uint64_t sent_ms[] = { 0,	  200,	600,  1400, 1600, 2000,
+				    2800, 3000, 3400, 4200, 4600, 5600 };
+
+/**
+ * struct wish - a request that could be answered in time
+ * @work_ns: its work
+ * @gain: worth of that above being answered late
+ */
+struct wish {
+	uint64_t work_ns;
+	double gain;
+};
+
+/**
+ * bound_reach() - when entries ran
+ * @w: world, after its run
+ * @out: filled; free its @spans
+ *
+ * A data centre without an entry that runs has its packets sent to others, so
+ * any entry will do.
+ *
+ * Return: 0 or -ENOMEM.
+ */
+int bound_reach(const struct world *w, struct bound_reach *out)
+{
+	bool up[ENTRIES_MAX] = { false };
+	uint32_t running = 0;
+
+	*out = (struct bound_reach){ calloc(w->n_runs + 1,
+					    sizeof(struct bound_span)),
+				     0 };
+	if (!out->spans)
+		return -ENOMEM;
+	for (uint32_t i = 0; i < w->n_runs; i++) {
+		const struct entry_mark *m = &w->runs[i];
+		struct bound_span *s = &out->spans[out->n++];
+
+		if (up[m->entry] != m->up)
+			running += m->up ? 1U : -1U;
+		up[m->entry] = m->up;
+		s->from_ns = m->at_ns;
+		s->any = running;
+	}
+	return 0;
+}
+
+static bool met(const struct bound_reach *reach, uint64_t at_ns)
+{
+	uint32_t low = 0, high = reach->n;
+
+	while (low < high) {
+		uint32_t mid = (low + high) / 2;
+
+		if (reach->spans[mid].from_ns <= at_ns)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low && reach->spans[low - 1].any;
+}
+
+/* Return: when the first packet that meets an entry does, or 0. */
+static uint64_t first_met_ns(const struct world *w,
+			     const struct bound_reach *reach,
+			     const struct world_request *r)
+{
+	for (uint32_t i = 0; i < sizeof(sent_ms) / sizeof(sent_ms[0]); i++) {
+		uint64_t at_ns = r->asked_ns + sent_ms[i] * NS_PER_MS +
+				 w->conf.site.client_ns;
+
+		if (met(reach, at_ns))
+			return at_ns;
+	}
+	return 0;
+}
+
+/* From the entry to the nearest target, through its work, to the client. */
+static uint64_t earliest_ns(const struct world *w,
+			    const struct bound_reach *reach,
+			    const struct world_request *r)
+{
+	uint64_t met_ns = first_met_ns(w, reach, r);
+
+	return met_ns ? met_ns + w->conf.site.near_ns + r->work_ns +
+				w->conf.site.client_ns - r->asked_ns
+		      : UINT64_MAX;
+}
+
+static double slots_ns(const struct world *w, uint32_t service,
+		       uint64_t from_ns, uint64_t to_ns)
+{
+	double all = 0;
+	uint64_t at_ns = from_ns;
+	uint32_t slots = 0;
+
+	for (uint32_t i = 0; i < w->n_capacity; i++) {
+		const struct capacity_mark *m = &w->capacity[i];
+
+		if (m->service != service || m->at_ns >= to_ns)
+			continue;
+		if (m->at_ns > at_ns) {
+			all += (double)slots * (double)(m->at_ns - at_ns);
+			at_ns = m->at_ns;
+		}
+		slots = m->slots;
+	}
+	return all + (double)slots * (double)(to_ns - at_ns);
+}
+
+static int compare(const void *a, const void *b)
+{
+	const struct wish *x = a, *y = b;
+	double p = x->gain * (double)y->work_ns;
+	double q = y->gain * (double)x->work_ns;
+
+	return (p < q) - (p > q);
+}
+
+static double best_ns(struct wish *wishes, uint32_t n, double room_ns)
+{
+	double gain = 0;
+
+	qsort(wishes, n, sizeof(*wishes), compare);
+	for (uint32_t i = 0; i < n && room_ns > 0; i++) {
+		double work_ns = (double)wishes[i].work_ns;
+		double part = work_ns <= room_ns ? 1 : room_ns / work_ns;
+
+		gain += part * wishes[i].gain;
+		room_ns -= work_ns;
+	}
+	return gain;
+}
+
+static double of_service(const struct world *w,
+			 const struct bound_reach *reach, uint32_t service,
+			 uint64_t from_ns, uint64_t to_ns, struct wish *wishes)
+{
+	uint64_t latest_ns = 0;
+	uint32_t n = 0;
+	double sure = 0;
+
+	for (uint32_t i = 0; i < w->n_requests; i++) {
+		const struct world_request *r = &w->requests[i];
+		const struct site_class *c = &w->classes[r->class];
+		uint64_t took_ns;
+
+		if (c->service != service || r->asked_ns < from_ns ||
+		    r->asked_ns >= to_ns)
+			continue;
+		took_ns = earliest_ns(w, reach, r);
+		if (took_ns <= c->deadline_ns)
+			sure += c->late_worth;
+		if (took_ns > c->aim_ns)
+			continue;
+		wishes[n++] = (struct wish){ r->work_ns,
+					     c->worth - c->late_worth };
+		if (c->aim_ns > latest_ns)
+			latest_ns = c->aim_ns;
+	}
+	return sure + best_ns(wishes, n,
+			      slots_ns(w, service, from_ns, to_ns + latest_ns));
+}
+
+/**
+ * bound_of() - the most that requests asked within a window could earn
+ * @w: world, after its run
+ * @reach: bound_reach() of it
+ * @from_ns: begin of the window
+ * @ns: its length
+ *
+ * Return: worth.
+ */
+double bound_of(const struct world *w, const struct bound_reach *reach,
+		uint64_t from_ns, uint64_t ns)
+{
+	struct wish *wishes = calloc(w->n_requests + 1, sizeof(*wishes));
+	double all = 0;
+
+	if (!wishes)
+		return 0;
+	for (uint32_t s = 0; s < w->conf.site.n_services; s++)
+		all += of_service(w, reach, s, from_ns, from_ns + ns, wishes);
+	free(wishes);
+	return all;
+}
--- a/sim/sim-packets/faults.c
+++ b/sim/sim-packets/faults.c
@@ -48,6 +48,7 @@
 void world_entry_ended(struct world *w, uint32_t entry)
 {
 	w->entries[entry].up = false;
+	world_mark_entry(w, entry, false);
 	w->entries[entry].disturbed_ns = w->now_ns;
 	world_at(w, restart_ns(w), on_restart, entry, 0, 0);
 }
@@ -184,3 +185,16 @@
 	w->extra_ns = w->now_ns;
 	store_routes(w);
 }
+
+/**
+ * world_load() - clients of a data centre ask more, or less
+ * @w: world
+ * @zone: data centre
+ * @factor: times as much
+ * @ns: how long
+ */
+void world_load(struct world *w, uint32_t zone, double factor, uint64_t ns)
+{
+	w->load[zone] = factor;
+	w->load_until_ns[zone] = w->now_ns + ns;
+}
--- /dev/null
+++ b/sim/sim-packets/site.c
@@ -0,0 +1,65 @@
+#include "site.h"
+
+#include "route_table.h"
+
+#include <stdio.h>
+
+static void plain_service(struct site *s, const char *name, uint32_t targets)
+{
+	struct site_service *v = &s->services[s->n_services++];
+
+	*v = (struct site_service){
+		.slots = 3,
+		.queue = 12,
+		.connections = 2000,
+		.cold_ns = 2 * NS_PER_S,
+		.cold_percent = 160,
+		.idle_close_ns = 12 * NS_PER_S,
+	};
+	snprintf(v->name, sizeof(v->name), "%s", name);
+	for (uint32_t z = 0; z < s->n_zones; z++)
+		v->targets[z] = targets;
+}
+
+static void plain_zones(struct site *s, const struct site_size *size)
+{
+	for (uint32_t z = 0; z < s->n_zones; z++) {
+		struct site_zone *v = &s->zones[z];
+
+		snprintf(v->name, sizeof(v->name), "zone%u", z);
+		v->entries = size->entries;
+		v->users = size->users;
+		v->per_s[0] = size->feeds_per_s;
+		v->per_s[1] = size->reports_per_s;
+	}
+}
+
+/**
+ * site_plain() - the deployment of the tests: feeds and reports of one service
+ * @s: filled
+ * @size: how large
+ */
+void site_plain(struct site *s, const struct site_size *size)
+{
+	static const struct site_class classes[] = {
+		{ "feed", 0, ROUTE_FEED, 2, { 55 * NS_PER_MS, 50, 330 * NS_PER_MS },
+		  { 200, 0, 0 }, { 2000, 60, 12000 }, 250 * NS_PER_MS,
+		  2500 * NS_PER_MS, 1, 0.1, 2 },
+		{ "report", 0, ROUTE_REPORT, 1,
+		  { 72 * NS_PER_MS, 50, 430 * NS_PER_MS }, { 900, 50, 5400 },
+		  { 600, 50, 3600 }, 300 * NS_PER_MS, 3 * NS_PER_S, 2, 0.2, 2 },
+	};
+
+	*s = (struct site){
+		.n_zones = size->zones,
+		.near_ns = 200 * NS_PER_US,
+		.far_ns = NS_PER_MS,
+		.client_ns = NS_PER_MS,
+	};
+	snprintf(s->name, sizeof(s->name), "plain");
+	plain_zones(s, size);
+	plain_service(s, "main", size->targets);
+	plain_service(s, "other", 1);
+	for (uint32_t i = 0; i < sizeof(classes) / sizeof(classes[0]); i++)
+		s->classes[s->n_classes++] = classes[i];
+}
--- /dev/null
+++ b/sim/sim-packets/windows.c
@@ -0,0 +1,135 @@
+#include "windows.h"
+
+#include "bound.h"
+
+#include <errno.h>
+#include <stdlib.h>
+
+/* Return: number of the window, UINT32_MAX for none. */
+static uint32_t window_at(const struct world *w, uint64_t asked_ns)
+{
+	return asked_ns < w->start_ns
+		       ? UINT32_MAX
+		       : (uint32_t)((asked_ns - w->start_ns) / WINDOW_NS);
+}
+
+/* Requests of the last window may not have ended: it is left out. */
+static uint32_t count_windows(const struct world *w)
+{
+	return (uint32_t)((w->now_ns - w->start_ns) / WINDOW_NS);
+}
+
+static void add(struct window *v, const struct site_class *c,
+		const struct world_request *r)
+{
+	double earned = c->worth;
+
+	v->requests++;
+	v->owed += c->worth;
+	if (!r->took_ns) {
+		v->failed++;
+		earned = 0;
+	} else if (r->took_ns > c->aim_ns) {
+		v->late++;
+		earned = c->late_worth;
+	} else {
+		v->in_aim++;
+	}
+	v->earned += earned;
+	v->lost[r->cause] += c->worth - earned;
+}
+
+static void sum(struct windows *v)
+{
+	for (uint32_t i = 0; i < v->n; i++) {
+		const struct window *o = &v->all[i];
+
+		v->total.requests += o->requests;
+		v->total.in_aim += o->in_aim;
+		v->total.late += o->late;
+		v->total.failed += o->failed;
+		v->total.owed += o->owed;
+		v->total.earned += o->earned;
+		v->total.bound += o->bound;
+		for (uint32_t k = 0; k < CAUSES; k++)
+			v->total.lost[k] += o->lost[k];
+	}
+}
+
+/**
+ * windows_of() - what a run earned
+ * @w: world, after its run
+ * @out: filled; windows_free() frees it
+ *
+ * Return: 0 or -ENOMEM.
+ */
+int windows_of(const struct world *w, struct windows *out)
+{
+	struct bound_reach reach;
+
+	*out = (struct windows){ .n = count_windows(w) };
+	out->all = calloc(out->n + 1, sizeof(*out->all));
+	if (!out->all || bound_reach(w, &reach)) {
+		windows_free(out);
+		return -ENOMEM;
+	}
+	for (uint32_t i = 0; i < out->n; i++)
+		out->all[i].from_ns = i * WINDOW_NS;
+	for (uint32_t i = 0; i < w->n_requests; i++) {
+		const struct world_request *r = &w->requests[i];
+		uint32_t at = window_at(w, r->asked_ns);
+
+		if (at < out->n)
+			add(&out->all[at], &w->classes[r->class], r);
+	}
+	for (uint32_t i = 0; i < out->n; i++)
+		out->all[i].bound =
+			bound_of(w, &reach, w->start_ns + out->all[i].from_ns,
+				 WINDOW_NS);
+	free(reach.spans);
+	sum(out);
+	return 0;
+}
+
+void windows_free(struct windows *v)
+{
+	free(v->all);
+	v->all = NULL;
+}
+
+static int compare(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+/**
+ * windows_worst() - the worst windows
+ * @v: run
+ * @n: how many of them
+ * @bound: of the bound instead of what was earned
+ *
+ * Return: mean part earned of what was owed there; 1 without windows.
+ */
+double windows_worst(const struct windows *v, uint32_t n, bool bound)
+{
+	double *parts = calloc(v->n + 1, sizeof(*parts));
+	double all = 0;
+	uint32_t used = 0;
+
+	if (!parts)
+		return 0;
+	for (uint32_t i = 0; i < v->n; i++)
+		if (v->all[i].owed > 0)
+			parts[used++] = (bound ? v->all[i].bound
+					       : v->all[i].earned) /
+					v->all[i].owed;
+	qsort(parts, used, sizeof(*parts), compare);
+	if (n > used)
+		n = used;
+	for (uint32_t i = 0; i < n; i++)
+		all += parts[i];
+	free(parts);
+	return n ? all / n : 1;
+}
