--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 ifeq ($(OWN),1)
 ADAPT := $(patsubst %,$(B)/adapters/%.o,addr daemon_args fields hello_codec histogram_text http \
 	 http_call \
-	 json_text log mistakes msgpack_bound packet_settings policy_settings settings \
+	 json_text log mistakes msgpack_bound packet_settings policy_settings probe_outcome settings \
 	 settings_table toml toml_shape usage)
 endif
 # Stand-ins without their main(), so that tests reach their modules.
--- a/cmd/cb-packet/probes.c
+++ b/cmd/cb-packet/probes.c
@@ -4,6 +4,7 @@
  * no slot of the target.
  */
 #include "daemon.h"
+#include "probe_outcome.h"
 
 #include <netinet/in.h>
 #include <stdlib.h>
@@ -41,29 +42,12 @@
 	clients_flush(d);
 }
 
-static enum probe_outcome outcome_of(int status)
-{
-	switch (status) {
-	case 0:
-		return PROBE_OPEN;
-	case UV_ECONNREFUSED:
-	case UV_ECONNRESET:
-		return PROBE_REFUSED;
-	case UV_ETIMEDOUT:
-	case UV_EHOSTUNREACH:
-	case UV_ENETUNREACH:
-		return PROBE_SILENT;
-	default:
-		return PROBE_VOID; /* a shortage of this VM's own */
-	}
-}
-
 static void on_connect(uv_connect_t *connect, int status)
 {
 	struct probe *p = connect->data;
 
 	if (status != UV_ECANCELED)
-		judge(p, outcome_of(status));
+		judge(p, probe_outcome(status));
 }
 
 static uint32_t free_place(const struct packet_daemon *d)
@@ -108,7 +92,7 @@
 	err = uv_tcp_connect(&p->connect, &p->tcp, (struct sockaddr *)&to,
 			     on_connect);
 	if (err)
-		judge(p, outcome_of(err));
+		judge(p, probe_outcome(err));
 }
 
 /**
