--- a/core/packet/place.c
+++ b/core/packet/place.c
@@ -26,23 +26,29 @@
 
 /*
  * Long flows are spread by their number, since the load of one shows only over
- * many requests; what is busy this moment matters to short ones alone.
+ * many requests. What a target has to do this moment, feeds' requests too,
+ * matters to short ones alone: beside the mean of other short ones, 0.012 more
+ * of the worth is earned at 2.8 times the lifts' load, 0.017 at 1.6 times the
+ * forecasts' (three seeds each).
  */
+static float busy(const struct target *t, const struct place_query *q)
+{
+	if (q->kind == ROUTE_FEED)
+		return ((float)t->feeds + t->peers_feeds) * q->feed_load +
+		       t->short_mean + t->peers_short;
+	return (float)t->running + t->peers_running;
+}
+
 static float cost(const struct target *t, const struct place_query *q)
 {
-	float feeds = (float)t->feeds + t->peers_feeds;
-	float busy = feeds * q->feed_load + t->peers_short;
 	float slots = t->news.slots ? t->news.slots : 1;
 
-	if (q->kind == ROUTE_FEED || t->short_mean > (float)t->busy_short)
-		busy += t->short_mean;
-	else
-		busy += (float)t->busy_short;
 	if (q->now_ns < t->cold_until_ns)
 		slots *= PERCENT / (float)q->policy->cold_percent;
 	if (t->news.zone == q->zone)
-		return busy / slots;
-	return busy / slots + (float)q->policy->zone_penalty_percent / PERCENT;
+		return busy(t, q) / slots;
+	return busy(t, q) / slots +
+	       (float)q->policy->zone_penalty_percent / PERCENT;
 }
 
 /* Whether the cookie of a flow at @t would lead to @t. */
--- a/test/packet_place_test.c
+++ b/test/packet_place_test.c
@@ -49,7 +49,7 @@
 	bed_open(&b);
 	own = bed_target(&b, 1, SERVICE, ZONE);
 	bed_target(&b, 2, SERVICE, OTHER_ZONE);
-	own->peers_short = 3;
+	own->peers_running = 3;
 	assert_int_equal(place(&b, ROUTE_REPORT, &rng)->news.id, 2);
 	bed_close(&b);
 }
@@ -70,6 +70,47 @@
 	bed_close(&b);
 }
 
+/*
+ * Symptom: reports wait behind feeds' requests though a target nearby is idle.
+ * Sequence: all feeds of one target ask in the same moment. Cause: reports went
+ * by the mean number of feeds and of reports, which is the same at both.
+ */
+static void test_reports_go_by_what_targets_do_now(void **state)
+{
+	struct rng rng = { 3 };
+	struct target *asked, *other;
+	struct bed b;
+
+	(void)state;
+	bed_open(&b);
+	asked = bed_target(&b, 1, SERVICE, ZONE);
+	other = bed_target(&b, 2, SERVICE, ZONE);
+	asked->peers_feeds = other->peers_feeds = 20;
+	asked->running = 1;
+	asked->peers_running = 2;
+	for (uint32_t i = 0; i < 64; i++)
+		assert_ptr_equal(place(&b, ROUTE_REPORT, &rng), other);
+	bed_close(&b);
+}
+
+/* Where feeds happen to ask says nothing of where the next one should be. */
+static void test_feeds_do_not_go_by_the_moment(void **state)
+{
+	struct rng rng = { 3 };
+	struct target *asked, *other;
+	struct bed b;
+
+	(void)state;
+	bed_open(&b);
+	asked = bed_target(&b, 1, SERVICE, ZONE);
+	other = bed_target(&b, 2, SERVICE, ZONE);
+	other->peers_feeds = 1;
+	asked->running = 3;
+	for (uint32_t i = 0; i < 64; i++)
+		assert_ptr_equal(place(&b, ROUTE_FEED, &rng), asked);
+	bed_close(&b);
+}
+
 /*
  * Symptom: at low load the targets published first run twice the requests of
  * the last. Sequence: two idle targets are drawn. Cause: the first drawn won,
@@ -208,6 +249,8 @@
 		cmocka_unit_test(test_own_data_centre_first),
 		cmocka_unit_test(test_spills_when_own_targets_are_busy),
 		cmocka_unit_test(test_less_loaded_gets_more),
+		cmocka_unit_test(test_reports_go_by_what_targets_do_now),
+		cmocka_unit_test(test_feeds_do_not_go_by_the_moment),
 		cmocka_unit_test(test_equal_targets_get_equal_shares),
 		cmocka_unit_test(test_new_target_is_not_swamped),
 		cmocka_unit_test(test_cold_target_counts_less),
