--- a/core/packet/flow_cache.c
+++ b/core/packet/flow_cache.c
@@ -1,5 +1,7 @@
 #include "flow_cache.h"
 
+#include "directory.h"
+
 #include "index.h"
 #include "route_table.h"
 
@@ -17,6 +19,7 @@
 	uint32_t oldest;
 	struct index *by_key;
 	struct waiting *waiting;
+	uint32_t running[DIRECTORY_SERVICES_MAX];
 };
 
 /**
@@ -112,15 +115,33 @@
 
 /**
  * flow_cache_sent() - a flow's target has its request, or is done with it
+ * @c: cache
  * @f: flow
  * @sent: which
  */
-void flow_cache_sent(struct flow_seen *f, bool sent)
+void flow_cache_sent(struct flow_cache *c, struct flow_seen *f, bool sent)
 {
+	uint32_t by = sent ? 1U : -1U;
+
 	if (f->sent == sent)
 		return;
+	if (sent)
+		f->service = f->target->news.service;
 	f->sent = sent;
-	f->target->running += sent ? 1U : -1U;
+	f->target->running += by;
+	c->running[f->service] += by;
+}
+
+/**
+ * flow_cache_running() - requests that the targets of a service have from here
+ * @c: cache
+ * @service: number of its name
+ *
+ * Return: how many.
+ */
+uint32_t flow_cache_running(const struct flow_cache *c, uint32_t service)
+{
+	return c->running[service];
 }
 
 /**
@@ -140,7 +161,7 @@
 	if (busy)
 		return;
 	waiting_remove(c->waiting, f);
-	flow_cache_sent(f, false);
+	flow_cache_sent(c, f, false);
 	f->due_ns = 0;
 }
 
--- a/core/packet/flow_cache.h
+++ b/core/packet/flow_cache.h
@@ -31,6 +31,8 @@
  * @sent: of that one: the target has it, as far as is known
  * @alone: it found a slot free, as far as was known: the answer's time is work
  * @priority: of its route; 0 goes first
+ * @service: at which its request is counted while @sent; a target may start
+ *	again as one of another
  * @asked_ns: when it came from the client
  * @aim_by_ns: its answer is of full use until then; 0 for no target latency
  * @expires_ns: its route's timeout; its client waits no longer
@@ -58,6 +60,7 @@
 	bool sent;
 	bool alone;
 	uint8_t priority;
+	uint32_t service;
 	uint32_t waiting;
 	uint64_t asked_ns;
 	uint64_t aim_by_ns;
@@ -90,7 +93,8 @@
 void flow_cache_move(struct flow_cache *c, struct flow_seen *f,
 		     struct target *to);
 void flow_cache_busy(struct flow_cache *c, struct flow_seen *f, bool busy);
-void flow_cache_sent(struct flow_seen *f, bool sent);
+void flow_cache_sent(struct flow_cache *c, struct flow_seen *f, bool sent);
+uint32_t flow_cache_running(const struct flow_cache *c, uint32_t service);
 void flow_cache_close(struct flow_cache *c, struct flow_seen *f);
 void flow_cache_remove(struct flow_cache *c, struct flow_seen *f);
 void flow_cache_expire(struct flow_cache *c, uint64_t seen_before_ns);
--- a/core/packet/path.c
+++ b/core/packet/path.c
@@ -207,18 +207,19 @@
 {
 	uint64_t took_ns = now_ns - f->request_ns;
 	uint64_t *mean_ns = &p->answer_ns[f->kind];
+	bool small;
 
 	if (!f->busy)
 		return;
 	histogram_add(&p->times[f->kind].answer_us, took_ns / NS_PER_US);
-	if (f->sent && f->alone && f->trip_ns && took_ns > f->trip_ns)
-		work_measured(&p->work[f->target->news.service], f->kind,
-			      took_ns - f->trip_ns);
-	if (outlier_small(&p->sizes, p->policy, f->kind, size_bytes))
+	small = outlier_small(&p->sizes, p->policy, f->kind, size_bytes);
+	if (small)
 		outlier_failed(f->target, p->policy, now_ns);
+	if (f->sent)
+		path_worked(p, f, small, now_ns);
 	*mean_ns += took_ns / ANSWER_WEIGHT - *mean_ns / ANSWER_WEIGHT;
 	flow_cache_busy(p->flows, f, false);
-	path_release(p, f->target, now_ns);
+	path_release(p, f->target->news.service, now_ns);
 }
 
 /* A request of the client's begins. */
@@ -290,7 +291,7 @@
 	}
 	if (k->flags & (PACKET_FIN | PACKET_RST)) {
 		flow_cache_close(p->flows, f);
-		path_release(p, f->target, now_ns);
+		path_release(p, f->target->news.service, now_ns);
 		return false;
 	}
 	keep(f, k);
--- a/core/packet/path.h
+++ b/core/packet/path.h
@@ -28,6 +28,7 @@
 	X(waits)          \
 	X(waited)         \
 	X(expired)        \
+	X(refused)        \
 	X(pinned)         \
 	X(no_routes_yet)  \
 	X(no_route)       \
--- a/core/packet/path_impl.h
+++ b/core/packet/path_impl.h
@@ -5,6 +5,7 @@
 #include "health.h"
 #include "outlier.h"
 #include "path.h"
+#include "window.h"
 #include "work.h"
 
 /**
@@ -22,6 +23,7 @@
  * @judged_ns: when failing targets were looked for last
  * @feed_load: slots that one open feed takes on average
  * @work: what requests take, by service
+ * @windows: requests that may be at the targets at a time, by service
  * @waiting: packets that wait for their targets
  * @loaded: some target has as much to do as it has slots
  * @stopping: nothing waits here any more
@@ -43,6 +45,7 @@
 	uint64_t judged_ns;
 	float feed_load;
 	struct service_work work[DIRECTORY_SERVICES_MAX];
+	struct window windows[DIRECTORY_SERVICES_MAX];
 	struct waiting *waiting;
 	bool loaded;
 	bool stopping;
@@ -55,7 +58,10 @@
 /* path_wait.c */
 bool path_hold(struct path *p, struct flow_seen *f, const struct packet *k);
 void path_sent(struct path *p, struct flow_seen *f, uint64_t now_ns);
-void path_release(struct path *p, const struct target *t, uint64_t now_ns);
+void path_release(struct path *p, uint32_t service, uint64_t now_ns);
+void path_worked(struct path *p, struct flow_seen *f, bool small,
+		 uint64_t now_ns);
+void path_release_all(struct path *p, uint64_t now_ns);
 void path_expire(struct path *p, const struct target *t, uint64_t now_ns);
 bool path_loaded(const struct target *t);
 
--- a/core/packet/path_tick.c
+++ b/core/packet/path_tick.c
@@ -168,7 +168,7 @@
 		}
 		path_doubt(p, f->target, f->request_ns, now_ns);
 		outlier_failed(f->target, p->policy, now_ns);
-		flow_cache_sent(f, false);
+		flow_cache_sent(p->flows, f, false);
 	}
 }
 
@@ -229,13 +229,13 @@
 		health_tick(t, &c);
 		sweep_if_gone(p, t);
 		path_expire(p, t, now_ns);
-		path_release(p, t, now_ns);
 		p->loaded |= path_loaded(t);
 		if (judging)
 			judge(p, t, now_ns);
 		feeds += t->feeds;
 		busy += t->busy - t->busy_short;
 	}
+	path_release_all(p, now_ns);
 	measure_feeds(p, feeds, busy);
 	if (now_ns > FLOW_FORGET_NS)
 		flow_cache_expire(p->flows, now_ns - FLOW_FORGET_NS);
--- a/core/packet/path_wait.c
+++ b/core/packet/path_wait.c
@@ -39,7 +39,12 @@
 		.left_ns = left_ns(f, now_ns),
 	};
 
-	if (!t->running || t->stage != TARGET_SERVING || p->stopping)
+	if (t->stage != TARGET_SERVING || p->stopping)
+		return true;
+	if (!window_open(&p->windows[t->news.service],
+			 flow_cache_running(p->flows, t->news.service)))
+		return false;
+	if (!t->running)
 		return true;
 	return at_target(t) <
 	       work_limit(&p->work[t->news.service], p->policy, &q);
@@ -75,7 +80,41 @@
 	f->request_ns = now_ns;
 	f->alone = at_target(f->target) < f->target->news.slots;
 	f->due_ns = now_ns + path_request_due_ns(p, f->kind);
-	flow_cache_sent(f, true);
+	flow_cache_sent(p->flows, f, true);
+}
+
+/**
+ * path_worked() - what the answer to a request shows of its service
+ * @p: state
+ * @f: its flow; the target had it
+ * @small: the answer is far smaller than usual
+ * @now_ns: time
+ *
+ * A small answer that came sooner than work could, from a target that has
+ * others to work on, says that it has no room. Targets that fail all requests
+ * at once are never loaded, and teach nothing about the others' room.
+ */
+void path_worked(struct path *p, struct flow_seen *f, bool small,
+		 uint64_t now_ns)
+{
+	uint32_t service = f->target->news.service;
+	uint32_t running = flow_cache_running(p->flows, service);
+	struct service_work *w = &p->work[service];
+	uint64_t took_ns = now_ns - f->request_ns;
+	uint64_t least_ns =
+		w->kinds[f->kind].mean_ns * p->policy->refused_percent / 100;
+
+	if (small && took_ns < least_ns + f->trip_ns) {
+		if (at_target(f->target) >= f->target->news.slots) {
+			p->counts[PATH_refused]++;
+			window_refused(&p->windows[service], p->policy, running,
+				       now_ns);
+		}
+		return;
+	}
+	window_answered(&p->windows[service], running);
+	if (f->alone && f->trip_ns && took_ns > f->trip_ns)
+		work_measured(w, f->kind, took_ns - f->trip_ns);
 }
 
 static void send(struct path *p, struct flow_seen *f, uint64_t now_ns)
@@ -113,31 +152,57 @@
 			 : a->asked_ns < b->asked_ns;
 }
 
+/* The first to go of those for @t, or of @best. */
 static struct flow_seen *next_of(const struct path *p, const struct target *t,
-				 uint64_t now_ns)
+				 struct flow_seen *best, uint64_t now_ns)
 {
-	struct flow_seen *best = waiting_first(p->waiting, t);
+	struct flow_seen *f = waiting_first(p->waiting, t);
+	struct flow_seen *first = f;
+
+	for (; f; f = waiting_next(p->waiting, f))
+		if (before(p, f, first, now_ns))
+			first = f;
+	if (!first || !may_go(p, first, now_ns))
+		return best;
+	return !best || before(p, first, best, now_ns) ? first : best;
+}
+
+static struct flow_seen *next(const struct path *p, uint32_t service,
+			      uint64_t now_ns)
+{
+	struct target *const *targets = NULL;
+	uint32_t n = directory_of_service(p->directory, service, &targets);
+	struct flow_seen *best = NULL;
 
-	for (struct flow_seen *f = best; f; f = waiting_next(p->waiting, f))
-		if (before(p, f, best, now_ns))
-			best = f;
+	for (uint32_t i = 0; i < n; i++)
+		if (targets[i]->waiting)
+			best = next_of(p, targets[i], best, now_ns);
 	return best;
 }
 
 /**
- * path_release() - let requests go to a target that has less to do
+ * path_release() - let requests go to a service whose targets have less to do
  * @p: state
- * @t: target
+ * @service: number of its name
  * @now_ns: time
  */
-void path_release(struct path *p, const struct target *t, uint64_t now_ns)
+void path_release(struct path *p, uint32_t service, uint64_t now_ns)
 {
-	struct flow_seen *f = next_of(p, t, now_ns);
+	struct flow_seen *f;
 
-	while (f && may_go(p, f, now_ns)) {
+	while (waiting_count(p->waiting) && (f = next(p, service, now_ns)))
 		send(p, f, now_ns);
-		f = next_of(p, t, now_ns);
-	}
+}
+
+/**
+ * path_release_all() - the same for all services
+ * @p: state
+ * @now_ns: time
+ */
+void path_release_all(struct path *p, uint64_t now_ns)
+{
+	for (uint32_t i = 0; i < directory_names(p->directory); i++)
+		path_release(p, i, now_ns);
 }
 
 /**
@@ -180,6 +245,5 @@
 void path_stop(struct path *p, uint64_t now_ns)
 {
 	p->stopping = true;
-	for (uint32_t i = 0; i < directory_slots(p->directory); i++)
-		path_release(p, directory_slot(p->directory, i), now_ns);
+	path_release_all(p, now_ns);
 }
--- a/core/packet/policy.c
+++ b/core/packet/policy.c
@@ -39,6 +39,10 @@
 	.waiting_max = 512,
 	.limit_percent = 85,
 	.late_percent = 60,
+	.window_percent = 90,
+	.window_refused_percent = 5,
+	.window_pause_ns = 100 * NS_PER_MS,
+	.refused_percent = 25,
 	.running_window_ns = 200 * NS_PER_MS,
 	.heartbeat_loaded_ns = 60 * NS_PER_MS,
 
--- a/core/packet/policy.h
+++ b/core/packet/policy.h
@@ -80,6 +80,14 @@
  *	its client still wants it, but each that goes makes another late. With
  *	none beyond free slots 141 of 20,460 feeds expired in 20 s at 84 %
  *	of what targets with two slots can do; above 70 overload costs more.
+ * @window_percent: what is left of an entry's window at a service when a target
+ *	there had no room for a request; 0 for no window
+ * @window_refused_percent: but not before this part of the requests was refused:
+ *	with a cut for each, small fleets, whose entries know better from their
+ *	peers, lost up to 0.02 of the worth
+ * @window_pause_ns: refusals within this are one sign
+ * @refused_percent: a small answer that took less than this part of the work of
+ *	its kind was no work: the target refused
  * @running_window_ns: the requests that a target has are averaged over this
  *	before peers are told: at the moment of a heartbeat there may be none
  * @heartbeat_loaded_ns: time between heartbeats while a target has as much to
@@ -138,6 +146,10 @@
 	uint32_t waiting_max;
 	uint32_t limit_percent;
 	uint32_t late_percent;
+	uint32_t window_percent;
+	uint32_t window_refused_percent;
+	uint64_t window_pause_ns;
+	uint32_t refused_percent;
 	uint64_t running_window_ns;
 	uint64_t heartbeat_loaded_ns;
 
--- a/test/packet_load_test.c
+++ b/test/packet_load_test.c
@@ -63,6 +63,21 @@
 	assert_gain("load-2.8-lift", &none, 0.02);
 }
 
+/*
+ * Symptom: clients of a large fleet that wakes use up their tries, while
+ * targets refuse half of all requests. Sequence: 64 entries each see one request
+ * or none of their own at a target. Cause: one always goes, so nothing limited
+ * their sum.
+ */
+static void test_many_entries_overrun_the_queues(void **state)
+{
+	struct policy none = policy_usual;
+
+	(void)state;
+	none.window_percent = 0;
+	assert_gain("load-5.2-lift-grown", &none, 0.05);
+}
+
 /* Targets that start again are cold, and hold nothing of what was asked. */
 static void test_most_targets_restart(void **state)
 {
@@ -93,6 +108,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_more_asked_than_can_be_done),
+		cmocka_unit_test(test_many_entries_overrun_the_queues),
 		cmocka_unit_test(test_most_targets_restart),
 		cmocka_unit_test(test_targets_keep_up),
 	};
--- a/test/packet_wait_test.c
+++ b/test/packet_wait_test.c
@@ -428,6 +428,45 @@
 	assert_int_equal(ask(f, VIP).action, PATH_WAIT);
 }
 
+/*
+ * What is refused at once by a loaded target teaches how many may be there at a
+ * time; what an idle one fails at once, nothing.
+ */
+static void refuse(struct fixture *f, uint32_t n, float peers_running)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t flow = f->flows;
+
+		f->target->peers_running = peers_running;
+		assert_int_equal(ask(f, VIP).action, PATH_FORWARD);
+		f->bed.now_ns += MS;
+		bed_data(&f->bed, caller(flow), VIP, f->target->cookie, 2, 101,
+			 0);
+	}
+}
+
+static void test_refusals_limit_what_is_at_the_service(void **state)
+{
+	struct fixture *f = *state;
+
+	refuse(f, 1, SLOTS);
+	fill(f, 4);
+	refuse(f, 1, SLOTS);
+	assert_int_equal(count(f, PATH_refused), 2);
+	f->target->peers_running = 0;
+	assert_int_equal(ask(f, VIP).action, PATH_FORWARD);
+	assert_int_equal(ask(f, VIP).action, PATH_WAIT);
+}
+
+static void test_failures_of_an_idle_target_limit_nothing(void **state)
+{
+	struct fixture *f = *state;
+
+	refuse(f, 20, 0);
+	assert_int_equal(count(f, PATH_refused), 0);
+	fill(f, LIMIT);
+}
+
 int main(void)
 {
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
@@ -448,6 +487,8 @@
 		TEST(test_peers_requests_count),
 		TEST(test_overdue_requests_are_not_counted),
 		TEST(test_overdue_after_a_long_wait),
+		TEST(test_refusals_limit_what_is_at_the_service),
+		TEST(test_failures_of_an_idle_target_limit_nothing),
 		TEST(test_without_room_it_goes_at_once),
 		TEST(test_only_answers_that_found_a_slot_measure_work),
 	};
