--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -110,6 +110,22 @@
 		t->peers_short);
 }
 
+/* What limits the requests that go to each service. */
+static void write_limits(const struct packet_daemon *d, GString *out)
+{
+	for (uint32_t i = 0; i < directory_names(d->node->directory); i++) {
+		struct path_limits l = path_limits(d->node->path, i);
+
+		g_string_append_printf(
+			out,
+			"service %s work_us %llu running %u window %.1f "
+			"refused_percent %.1f\n",
+			directory_name_text(d->node->directory, i),
+			(unsigned long long)(l.work_ns / NS_PER_US), l.running,
+			l.window, l.refused_percent);
+	}
+}
+
 static void write_status(struct packet_daemon *d, GString *out)
 {
 	const struct route_table *table = directory_table(d->node->directory);
@@ -127,6 +143,7 @@
 				       (unsigned long long)p->newest,
 				       p->leaving);
 	}
+	write_limits(d, out);
 }
 
 static void write_targets(const struct packet_daemon *d, const char *query,
--- a/core/packet/path.h
+++ b/core/packet/path.h
@@ -126,6 +126,20 @@
 	struct histogram answer_us;
 };
 
+/**
+ * struct path_limits - what limits the requests that go to a service
+ * @work_ns: mean time that its targets take, without waiting; 0 for unknown
+ * @running: requests of this entry there
+ * @window: how many there may be; 0 for no limit
+ * @refused_percent: part that was refused of late
+ */
+struct path_limits {
+	uint64_t work_ns;
+	uint32_t running;
+	float window;
+	float refused_percent;
+};
+
 struct path;
 
 struct path *path_new(const struct path_conf *conf, struct directory *d,
@@ -145,6 +159,7 @@
 const struct path_times *path_times(const struct path *p, uint8_t kind);
 uint32_t path_flows(const struct path *p);
 uint32_t path_waiting(const struct path *p);
+struct path_limits path_limits(const struct path *p, uint32_t service);
 const struct flow_seen *path_flow(const struct path *p,
 				  const struct flow_key *key);
 float path_feed_load(const struct path *p);
--- a/core/packet/path_wait.c
+++ b/core/packet/path_wait.c
@@ -9,6 +9,8 @@
  */
 #include "path_impl.h"
 
+#define PERCENT 100
+
 /*
  * Requests at a target, of all entries. The peers' are those of some 100 ms ago:
  * in emulated overload the sum is right in the mean, with a deviation of 1.7
@@ -101,8 +103,8 @@
 	uint32_t running = flow_cache_running(p->flows, service);
 	struct service_work *w = &p->work[service];
 	uint64_t took_ns = now_ns - f->request_ns;
-	uint64_t least_ns =
-		w->kinds[f->kind].mean_ns * p->policy->refused_percent / 100;
+	uint64_t least_ns = w->kinds[f->kind].mean_ns *
+			    p->policy->refused_percent / PERCENT;
 
 	if (small && took_ns < least_ns + f->trip_ns) {
 		if (at_target(f->target) >= f->target->news.slots) {
@@ -237,6 +239,25 @@
 	return t->waiting || (t->running && at_target(t) >= t->news.slots);
 }
 
+/**
+ * path_limits() - what limits the requests that go to a service
+ * @p: state
+ * @service: number of its name
+ *
+ * Return: limits.
+ */
+struct path_limits path_limits(const struct path *p, uint32_t service)
+{
+	const struct window *w = &p->windows[service];
+
+	return (struct path_limits){
+		.work_ns = p->work[service].all.mean_ns,
+		.running = flow_cache_running(p->flows, service),
+		.window = w->size,
+		.refused_percent = w->refused * PERCENT,
+	};
+}
+
 /**
  * path_stop() - this process will end: nothing waits here from now on
  * @p: state
--- a/sim/sim-experiment/read.c
+++ b/sim/sim-experiment/read.c
@@ -1,5 +1,6 @@
 /* Reads the description of an experiment. */
 #include "experiment.h"
+#include "settings_table.h"
 
 #include "policy_settings.h"
 
@@ -154,21 +155,12 @@
 int experiment_read(const char *path, struct experiment *out,
 		    struct mistakes *m)
 {
-	uint32_t before = m->n_errors;
-	struct toml_node *root;
-	char *text = NULL;
-	gsize size_bytes = 0;
+	struct settings_reader r;
+	int err = settings_open(&r, path, m);
 
 	*out = (struct experiment){ 0 };
-	if (!g_file_get_contents(path, &text, &size_bytes, NULL)) {
-		mistake_add(m, path, 0, "", "can't be read", "a file");
-		return -ENOENT;
-	}
-	root = toml_read(path, text, size_bytes, m);
-	g_free(text);
-	if (!root)
-		return -EINVAL;
-	take(m, root, out);
-	toml_free(root);
-	return m->n_errors > before ? -EINVAL : 0;
+	if (err)
+		return err;
+	take(m, r.root, out);
+	return settings_close(&r);
 }
--- a/sim/sim-experiment/read_site.c
+++ b/sim/sim-experiment/read_site.c
@@ -1,5 +1,6 @@
 /* Reads the description of a deployment. */
 #include "experiment.h"
+#include "settings_table.h"
 
 #include "route_table.h"
 
@@ -239,27 +240,18 @@
  */
 int site_read(const char *path, struct site *out, struct mistakes *m)
 {
-	uint32_t before = m->n_errors;
-	struct toml_node *root;
-	char *text = NULL;
-	gsize size_bytes = 0;
+	struct settings_reader r;
+	int err = settings_open(&r, path, m);
 
 	*out = (struct site){ 0 };
-	if (!g_file_get_contents(path, &text, &size_bytes, NULL)) {
-		mistake_add(m, path, 0, "", "can't be read", "a file");
-		return -ENOENT;
-	}
-	root = toml_read(path, text, size_bytes, m);
-	g_free(text);
-	if (!root)
-		return -EINVAL;
-	take_name(m, root, out->name);
-	fields_take(m, "", root, site_fields, out);
-	take_zones(m, root, out);
-	take_services(m, root, out);
-	take_classes(m, root, out);
-	take_rates(m, root, out);
-	fields_unknown(m, "", root);
-	toml_free(root);
-	return m->n_errors > before ? -EINVAL : 0;
+	if (err)
+		return err;
+	take_name(m, r.root, out->name);
+	fields_take(m, "", r.root, site_fields, out);
+	take_zones(m, r.root, out);
+	take_services(m, r.root, out);
+	take_classes(m, r.root, out);
+	take_rates(m, r.root, out);
+	fields_unknown(m, "", r.root);
+	return settings_close(&r);
 }
--- a/test/packet_place_test.c
+++ b/test/packet_place_test.c
@@ -24,6 +24,31 @@
 	return place_target(b->directory, &q, rng);
 }
 
+/* Two targets of this data centre. */
+struct pair {
+	struct bed bed;
+	struct target *one;
+	struct target *other;
+};
+
+static void pair_open(struct pair *p)
+{
+	bed_open(&p->bed);
+	p->one = bed_target(&p->bed, 1, SERVICE, ZONE);
+	p->other = bed_target(&p->bed, 2, SERVICE, ZONE);
+}
+
+/* All flows of a kind go to one target. */
+static void assert_all_go(struct pair *p, uint8_t kind,
+			  const struct target *target)
+{
+	struct rng rng = { 3 };
+
+	for (uint32_t i = 0; i < 64; i++)
+		assert_ptr_equal(place(&p->bed, kind, &rng), target);
+	bed_close(&p->bed);
+}
+
 static void test_own_data_centre_first(void **state)
 {
 	struct rng rng = { 3 };
@@ -56,18 +81,12 @@
 
 static void test_less_loaded_gets_more(void **state)
 {
-	struct rng rng = { 3 };
-	uint32_t to_idle = 0;
-	struct bed b;
+	struct pair p;
 
 	(void)state;
-	bed_open(&b);
-	bed_target(&b, 1, SERVICE, ZONE)->peers_feeds = 20;
-	bed_target(&b, 2, SERVICE, ZONE);
-	for (uint32_t i = 0; i < 64; i++)
-		to_idle += place(&b, ROUTE_FEED, &rng)->news.id == 2;
-	assert_int_equal(to_idle, 64);
-	bed_close(&b);
+	pair_open(&p);
+	p.one->peers_feeds = 20;
+	assert_all_go(&p, ROUTE_FEED, p.other);
 }
 
 /*
@@ -77,38 +96,26 @@
  */
 static void test_reports_go_by_what_targets_do_now(void **state)
 {
-	struct rng rng = { 3 };
-	struct target *asked, *other;
-	struct bed b;
+	struct pair p;
 
 	(void)state;
-	bed_open(&b);
-	asked = bed_target(&b, 1, SERVICE, ZONE);
-	other = bed_target(&b, 2, SERVICE, ZONE);
-	asked->peers_feeds = other->peers_feeds = 20;
-	asked->running = 1;
-	asked->peers_running = 2;
-	for (uint32_t i = 0; i < 64; i++)
-		assert_ptr_equal(place(&b, ROUTE_REPORT, &rng), other);
-	bed_close(&b);
+	pair_open(&p);
+	p.one->peers_feeds = p.other->peers_feeds = 20;
+	p.one->running = 1;
+	p.one->peers_running = 2;
+	assert_all_go(&p, ROUTE_REPORT, p.other);
 }
 
 /* Where feeds happen to ask says nothing of where the next one should be. */
 static void test_feeds_do_not_go_by_the_moment(void **state)
 {
-	struct rng rng = { 3 };
-	struct target *asked, *other;
-	struct bed b;
+	struct pair p;
 
 	(void)state;
-	bed_open(&b);
-	asked = bed_target(&b, 1, SERVICE, ZONE);
-	other = bed_target(&b, 2, SERVICE, ZONE);
-	other->peers_feeds = 1;
-	asked->running = 3;
-	for (uint32_t i = 0; i < 64; i++)
-		assert_ptr_equal(place(&b, ROUTE_FEED, &rng), asked);
-	bed_close(&b);
+	pair_open(&p);
+	p.other->peers_feeds = 1;
+	p.one->running = 3;
+	assert_all_go(&p, ROUTE_FEED, p.one);
 }
 
 /*
