--- a/adapters/policy_settings.c
+++ b/adapters/policy_settings.c
@@ -47,6 +47,8 @@
 	NUMBER(waiting_max, 0, UINT16_MAX),
 	NUMBER(limit_percent, 0, PERCENT_MAX),
 	NUMBER(late_percent, 0, PERCENT_MAX),
+	NUMBER(guess_percent, 0, 100),
+	TIME(young, 0),
 	NUMBER(window_percent, 0, 100),
 	NUMBER(window_refused_percent, 0, 100),
 	TIME(window_pause, 0),
--- a/core/packet/path.c
+++ b/core/packet/path.c
@@ -222,6 +222,19 @@
 	path_release(p, f->target->news.service, now_ns);
 }
 
+/*
+ * Clients repeat what they sent while no entry was there. Which first packets
+ * are such repeats can't be told; of flows that asked then, nearly all are.
+ */
+static bool presumed_repeat(const struct path *p, const struct flow_seen *f,
+			    uint64_t now_ns)
+{
+	bool young = now_ns < p->conf.start_ns + p->policy->young_ns;
+	bool first = f->opened_ns == now_ns;
+
+	return young && first && !f->trip_ns;
+}
+
 /* A request of the client's begins. */
 static void begin(struct path *p, struct flow_seen *f, const struct route *r,
 		  uint64_t now_ns)
@@ -229,6 +242,8 @@
 	f->priority = r->priority;
 	f->asked_ns = now_ns;
 	f->aim_by_ns = r->aim_ms ? now_ns + r->aim_ms * NS_PER_MS : 0;
+	if (f->aim_by_ns && presumed_repeat(p, f, now_ns))
+		f->aim_by_ns = now_ns;
 	f->expires_ns = now_ns + r->timeout_ms * NS_PER_MS;
 	flow_cache_busy(p->flows, f, true);
 }
--- a/core/packet/policy.h
+++ b/core/packet/policy.h
@@ -80,6 +80,15 @@
  *	its client still wants it, but each that goes makes another late. With
  *	none beyond free slots 141 of 20,460 feeds expired in 20 s at 84 %
  *	of what targets with two slots can do; above 70 overload costs more.
+ * @guess_percent: before an answer has shown what work takes, it is taken for
+ *	this part of the target latency: after all entries were away 400 requests
+ *	meet targets with 42 slots, and without a limit those that come next wait
+ *	behind all of them. 0 for no limit until then.
+ * @young_ns: a process as young as this takes the first request that it sees of
+ *	a flow whose opening it did not see for the repeat of one that came
+ *	before its start: late already, so that it gets free slots only. With
+ *	both, the worst two seconds after 1.4 s without entries earn 0.63 of the
+ *	forecasts' worth instead of 0.57 (four seeds, emulated; 0.71 at most).
  * @window_percent: what is left of an entry's window at a service when a target
  *	there had no room for a request; 0 for no window
  * @window_refused_percent: but not before this part of the requests was refused:
@@ -146,6 +155,8 @@
 	uint32_t waiting_max;
 	uint32_t limit_percent;
 	uint32_t late_percent;
+	uint32_t guess_percent;
+	uint64_t young_ns;
 	uint32_t window_percent;
 	uint32_t window_refused_percent;
 	uint64_t window_pause_ns;
--- a/core/packet/work.c
+++ b/core/packet/work.c
@@ -60,16 +60,19 @@
 		 const struct work_query *q)
 {
 	const struct mean_time *own = &w->kinds[q->kind];
+	int64_t guess_ns = q->aim_ns * policy->guess_percent / (int64_t)PERCENT;
+	int64_t own_ns = own->n ? (int64_t)own->mean_ns : guess_ns;
+	int64_t all_ns = w->all.n ? (int64_t)w->all.mean_ns : guess_ns;
 	bool late = !work_in_time(w, q->kind, q->left_ns);
 	float percent = (float)policy->limit_percent;
-	int64_t spare_ns;
+	int64_t spare_ns = (late ? q->aim_ns : q->left_ns) - own_ns;
 
-	if (!own->n)
+	if (!own->n && !policy->guess_percent)
 		return INFINITY;
+	if (spare_ns <= 0)
+		return q->slots;
 	if (late)
 		percent *= (float)policy->late_percent / PERCENT;
-	spare_ns = (late ? q->aim_ns : q->left_ns) - (int64_t)own->mean_ns;
 	return q->slots *
-	       (1 + fmaxf((float)spare_ns, 0) / (float)w->all.mean_ns *
-			    percent / PERCENT);
+	       (1 + (float)spare_ns / (float)all_ns * percent / PERCENT);
 }
--- a/test/packet_load_test.c
+++ b/test/packet_load_test.c
@@ -89,9 +89,23 @@
 }
 
 /*
- * Where targets keep up, and in the second after all entries were away, waiting
- * here must cost next to nothing.
+ * Symptom: for two seconds after all entries lost power nearly every answer is
+ * late, also to requests that came after their return. Sequence: clients repeat
+ * together what they had sent; the new processes know no limit and give it all
+ * to the targets. Cause: whoever comes next waits there behind all of it.
  */
+static void test_all_entries_were_away(void **state)
+{
+	struct policy none = policy_usual;
+
+	(void)state;
+	none.young_ns = 0;
+	none.guess_percent = 0;
+	assert_gain("outage-forecast", &none, 0.008);
+	assert_gain("outage-lift", &none, -0.005);
+}
+
+/* Where targets keep up, waiting here must cost next to nothing. */
 static void test_targets_keep_up(void **state)
 {
 	struct policy none = policy_usual;
@@ -101,7 +115,6 @@
 	assert_gain("load-1.6-forecast", &none, -0.005);
 	assert_gain("load-2.2-lift", &none, -0.005);
 	assert_gain("load-3.5-pipe", &none, -0.005);
-	assert_gain("outage-forecast", &none, -0.005);
 }
 
 int main(void)
@@ -110,6 +123,7 @@
 		cmocka_unit_test(test_more_asked_than_can_be_done),
 		cmocka_unit_test(test_many_entries_overrun_the_queues),
 		cmocka_unit_test(test_most_targets_restart),
+		cmocka_unit_test(test_all_entries_were_away),
 		cmocka_unit_test(test_targets_keep_up),
 	};
 
--- a/test/packet_wait_test.c
+++ b/test/packet_wait_test.c
@@ -391,17 +391,57 @@
 	assert_int_equal(f->target->running, 0);
 }
 
+/* A new process, of which @policy holds. */
+static void start_again(struct fixture *f, const struct policy *policy)
+{
+	bed_close(&f->bed);
+	bed_open_with(&f->bed, policy);
+	f->flows = 0;
+	bed_times(&f->bed, AIM_MS, TIMEOUT_MS);
+	f->target = bed_target(&f->bed, 1, SERVICE, ZONE);
+}
+
+static struct path_verdict ask_unseen(struct fixture *f)
+{
+	return bed_data(&f->bed, caller(f->flows++), VIP, f->target->cookie, 2,
+			1, 100);
+}
+
+/*
+ * Symptom: requests that come after all entries were away wait behind those that
+ * came before. Sequence: clients repeat these on flows that the new process has
+ * not seen. Cause: they went as new ones, up to the limit.
+ */
+static void test_repeats_to_a_young_entry_get_free_slots(void **state)
+{
+	struct fixture *f = *state;
+	struct policy policy = policy_usual;
+
+	policy.young_ns = f->bed.now_ns + NS_PER_S;
+	start_again(f, &policy);
+	for (uint32_t i = 0; i < SLOTS; i++)
+		assert_int_equal(ask_unseen(f).action, PATH_FORWARD);
+	assert_int_equal(ask_unseen(f).action, PATH_WAIT);
+	assert_int_equal(ask(f, VIP).action, PATH_FORWARD);
+}
+
+static void test_older_entry_takes_them_as_new(void **state)
+{
+	struct fixture *f = *state;
+
+	start_again(f, &policy_usual);
+	f->bed.now_ns += policy_usual.young_ns;
+	for (uint32_t i = 0; i < 2 * SLOTS; i++)
+		assert_int_equal(ask_unseen(f).action, PATH_FORWARD);
+}
+
 static void test_without_room_it_goes_at_once(void **state)
 {
 	struct fixture *f = *state;
 	struct policy policy = policy_usual;
 
-	bed_close(&f->bed);
 	policy.waiting_max = 2;
-	bed_open_with(&f->bed, &policy);
-	f->flows = 0;
-	bed_times(&f->bed, AIM_MS, TIMEOUT_MS);
-	f->target = bed_target(&f->bed, 1, SERVICE, ZONE);
+	start_again(f, &policy);
 	ask(f, VIP);
 	f->bed.now_ns += WORK_NS;
 	answer_of(f, 0, VIP);
@@ -489,6 +529,8 @@
 		TEST(test_overdue_after_a_long_wait),
 		TEST(test_refusals_limit_what_is_at_the_service),
 		TEST(test_failures_of_an_idle_target_limit_nothing),
+		TEST(test_repeats_to_a_young_entry_get_free_slots),
+		TEST(test_older_entry_takes_them_as_new),
 		TEST(test_without_room_it_goes_at_once),
 		TEST(test_only_answers_that_found_a_slot_measure_work),
 	};
--- a/test/packet_work_test.c
+++ b/test/packet_work_test.c
@@ -36,6 +36,19 @@
 	assert_false(isinf(limit(&w, ROUTE_REPORT, 300 * MS)));
 }
 
+/* A quarter of 300 ms is what it may take: 1 and three times three. */
+static void test_guess_before_the_first_answer(void **state)
+{
+	struct policy policy = { .limit_percent = 100, .guess_percent = 25 };
+	struct work_query q = { ROUTE_FEED, 3, 300 * MS, 300 * MS };
+	struct service_work w = { 0 };
+
+	(void)state;
+	assert_int_equal((int)work_limit(&w, &policy, &q), 12);
+	q.aim_ns = q.left_ns = 0;
+	assert_int_equal((int)work_limit(&w, &policy, &q), 3);
+}
+
 /* 300 ms less its own 50 are five times 50; three slots each, and the first. */
 static void test_limit_is_what_is_done_in_time(void **state)
 {
@@ -104,6 +117,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_no_limit_before_the_first_answer),
+		cmocka_unit_test(test_guess_before_the_first_answer),
 		cmocka_unit_test(test_limit_is_what_is_done_in_time),
 		cmocka_unit_test(test_late_ones_have_a_part_of_it),
 		cmocka_unit_test(test_slots_are_always_filled),
--- a/test/process/reload_test.sh
+++ b/test/process/reload_test.sh
@@ -40,6 +40,8 @@
 }
 
 settings 1 >"$dir/settings.toml"
+# The process's own redirection may come after the first look at its log.
+: >"$dir/log"
 "$B/bin/cb-packet" --settings "$dir/settings.toml" >"$dir/log" 2>&1 &
 pid=$!
 wait_for 1 '"step":"start"'
