--- a/adapters/policy_settings.c
+++ b/adapters/policy_settings.c
@@ -15,7 +15,6 @@
 const struct field policy_fields[] = {
 	NUMBER(choices, 0, 16),
 	NUMBER(zone_penalty_percent, 0, PERCENT_MAX),
-	NUMBER(cold_percent, 1, PERCENT_MAX),
 	NUMBER(trial_odds, 1, COUNT_MAX),
 	TIME(opening_due, 0),
 	TIME(opening_until, 0),
--- a/core/packet/directory.c
+++ b/core/packet/directory.c
@@ -169,7 +169,6 @@
 	t->failures = 0;
 	t->ejected_until_ns = 0;
 	t->ejections = 0;
-	t->cold_until_ns = 0;
 }
 
 /*
@@ -243,8 +242,6 @@
 	if (*change >= TARGET_NO_ROOM)
 		return t;
 	t->stage = news->leaving ? TARGET_LEAVING : TARGET_SERVING;
-	if (news->cold_ns)
-		t->cold_until_ns = now_ns + news->cold_ns;
 	take_address(d, t, now_ns);
 	return t;
 }
--- a/core/packet/place.c
+++ b/core/packet/place.c
@@ -43,8 +43,6 @@
 {
 	float slots = t->news.slots ? t->news.slots : 1;
 
-	if (q->now_ns < t->cold_until_ns)
-		slots *= PERCENT / (float)q->policy->cold_percent;
 	if (t->news.zone == q->zone)
 		return busy(t, q) / slots;
 	return busy(t, q) / slots +
--- a/core/packet/policy.c
+++ b/core/packet/policy.c
@@ -3,7 +3,6 @@
 const struct policy policy_usual = {
 	.choices = 2,
 	.zone_penalty_percent = 40,
-	.cold_percent = 160,
 	.trial_odds = 8,
 
 	.opening_due_ns = 40 * NS_PER_MS,
--- a/core/packet/policy.h
+++ b/core/packet/policy.h
@@ -17,7 +17,6 @@
  *	targets first keeps flows alive when data centres are cut from each
  *	other and saves the bytes between them; spilling keeps a data centre
  *	that lost its targets served.
- * @cold_percent: a target that has just started takes so much longer
  * @trial_odds: one flow in so many may go to a target on trial after its
  *	ejection
  * @opening_due_ns: a client answers a target's handshake at once; two trips to
@@ -119,7 +118,6 @@
 struct policy {
 	uint32_t choices;
 	uint32_t zone_penalty_percent;
-	uint32_t cold_percent;
 	uint32_t trial_odds;
 
 	uint64_t opening_due_ns;
--- a/core/packet/target.h
+++ b/core/packet/target.h
@@ -43,7 +43,6 @@
  * @zone: hash of its data centre's name
  * @slots: requests it runs at once
  * @leaving: takes no new flows
- * @cold_ns: how much longer it stays slow after its start
  * @created: revision of the entry's creation, the same at every reader
  */
 struct target_news {
@@ -56,7 +55,6 @@
 	uint32_t zone;
 	uint16_t slots;
 	bool leaving;
-	uint64_t cold_ns;
 	uint64_t created;
 };
 
@@ -70,7 +68,6 @@
  *	as lapsed, not as gone
  * @presumed_until_ns: an answer of the platform after this ends that
  * @forget_ns: when an absent one is forgotten
- * @cold_until_ns: slow until then
  * @health: enum target_health
  * @alive_ns: last sign of life
  * @successor_ns: when a later process at its address was published; 0 for never
@@ -108,7 +105,6 @@
 	bool presumed;
 	uint64_t presumed_until_ns;
 	uint64_t forget_ns;
-	uint64_t cold_until_ns;
 	uint8_t health;
 	uint64_t alive_ns;
 	uint64_t successor_ns;
