--- a/core/packet/path_wait.c
+++ b/core/packet/path_wait.c
@@ -27,8 +27,9 @@
 }
 
 /*
- * One at a time always goes, whatever the peers told: otherwise an entry that
- * is cut from them would keep its requests for as long as it believes them.
+ * One at a time goes to a target whatever the peers told: otherwise an entry
+ * that is cut from them would keep its requests for as long as it believes them.
+ * Only the window may hold that one back, which goes by what this entry saw.
  */
 static bool may_go(const struct path *p, const struct flow_seen *f,
 		   uint64_t now_ns)
