Few read the platform for all; a start lists pages that may be old

Five readers, one a data centre, each woke 7.5 times a second while targets were replaced. Others read beside them: an entry of 57 hears a given peer once in 1.4 s, and took the reader for lost. At a start each entry paused 0.1 s after each page that brought something new, and listed on though a peer had brought everything.

Change. - Claims of who reads go round with heartbeats, ordered by the platform's revision. Two data centres read for all, the second once a second; the others read when fewer are heard of, or nobody elsewhere for a second. - Changes are gathered for 300 ms instead of 100. - Later pages of the first listing may be old (a tenth of the price, not in the store's rate); a watch that waits for nothing makes them good before the entry is ready. - Pages follow at once; a listing ends when a peer brought it all. - At the first start of a whole fleet entries get to know each other for a second before one reads: nobody is served then.

Tests: packet_source_test, packet_node_test, users_platform_test. The emulator's store has pages and old views. packet_documents_test now tells what a listing shows from what was confirmed, as the code does.

--- a/adapters/hello_codec.c
+++ b/adapters/hello_codec.c
@@ -8,12 +8,13 @@
 #include <string.h>
 #include <zstd.h>
 
-#define HELLO_VERSION 3
+#define HELLO_VERSION 4
 #define HELLO_FIELDS 12
 #define HELLO_LEAVING 1
 #define HELLO_REPLY 2
 #define HELLO_LOADS 4
 #define LOAD_FIELDS 4
+#define CLAIM_FIELDS 5
 #define RELAY_VERSION 1
 #define RELAY_FIELDS 5
 #define RELAY_ITEM_FIELDS 5
@@ -48,6 +49,13 @@
 		put_numbers(p, 2,
 			    (uint64_t[]){ h->failing[i].cookie,
 					  h->failing[i].failures_centi });
+	msgpack_pack_array(p, h->n_claims);
+	for (uint32_t i = 0; i < h->n_claims; i++)
+		put_numbers(p, CLAIM_FIELDS,
+			    (uint64_t[]){ h->claims[i].zone, h->claims[i].by,
+					  h->claims[i].revision,
+					  h->claims[i].number,
+					  h->claims[i].age_ms });
 }
 
 /**
@@ -74,7 +82,6 @@
 					(h->reply ? HELLO_REPLY : 0) |
 					(h->has_loads ? HELLO_LOADS : 0));
 	msgpack_pack_uint64(&p, h->newest);
-	msgpack_pack_uint64(&p, h->contact_age_ms);
 	msgpack_pack_uint64(&p, h->trouble_age_ms);
 	put_lists(&p, h);
 	if (buf.size <= HELLO_MAX_BYTES) {
@@ -168,10 +175,23 @@
 	return n >= 0;
 }
 
+static bool get_claims(const msgpack_object *o, struct hello *h)
+{
+	uint64_t v[HELLO_CLAIMS_MAX][CLAIM_FIELDS];
+	int n = rows(o, HELLO_CLAIMS_MAX, CLAIM_FIELDS, v[0]);
+
+	for (int i = 0; i < n; i++)
+		h->claims[h->n_claims++] =
+			(struct hello_claim){ (uint32_t)v[i][0], v[i][1],
+					      v[i][2], (uint32_t)v[i][3],
+					      (uint32_t)v[i][4] };
+	return n >= 0;
+}
+
 static bool get_hello(const msgpack_object *o, struct hello *h)
 {
 	const msgpack_object *f = o->via.array.ptr;
-	uint64_t version, zone, flags, contact, trouble;
+	uint64_t version, zone, flags, trouble;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY ||
 	    o->via.array.size != HELLO_FIELDS ||
@@ -181,17 +201,16 @@
 	    !number(&f[3], UINT64_MAX, &h->boot) ||
 	    !number(&f[4], UINT32_MAX, &flags) ||
 	    !number(&f[5], UINT64_MAX, &h->newest) ||
-	    !number(&f[6], UINT32_MAX, &contact) ||
-	    !number(&f[7], UINT32_MAX, &trouble))
+	    !number(&f[6], UINT32_MAX, &trouble))
 		return false;
 	h->zone = (uint32_t)zone;
 	h->leaving = flags & HELLO_LEAVING;
 	h->reply = flags & HELLO_REPLY;
 	h->has_loads = flags & HELLO_LOADS;
-	h->contact_age_ms = (uint32_t)contact;
 	h->trouble_age_ms = (uint32_t)trouble;
-	return get_peers(&f[8], h) && get_loads(&f[9], h) &&
-	       get_dead(&f[10], h) && get_failing(&f[11], h);
+	return get_peers(&f[7], h) && get_loads(&f[8], h) &&
+	       get_dead(&f[9], h) && get_failing(&f[10], h) &&
+	       get_claims(&f[11], h);
 }
 
 /**
--- a/adapters/policy_settings.c
+++ b/adapters/policy_settings.c
@@ -60,6 +60,7 @@
 	SWITCH(tell_failures),
 	SWITCH(relay),
 	SWITCH(one_reader),
+	SWITCH(old_listing),
 	TIME(young_wait, 0),
 	{ 0 }
 };
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -130,8 +130,8 @@
 /* reading.c: the platform and the peers' documents. */
 int reading_open(struct packet_daemon *d);
 void reading_close(struct packet_daemon *d);
-void reading_list(void *ctx, const char *after_key);
-void reading_watch(void *ctx, uint64_t after);
+void reading_list(void *ctx, const char *after_key, bool exact);
+void reading_watch(void *ctx, uint64_t after, uint64_t wait_ns);
 void reading_fetch(void *ctx, uint64_t peer, uint64_t after);
 
 /* probes.c: connection attempts to targets. */
--- a/cmd/cb-packet/decisions.c
+++ b/cmd/cb-packet/decisions.c
@@ -25,7 +25,7 @@
 {
 	uint64_t now_ns = uv_hrtime();
 
-	return now_ns - peer_set_last_contact_ns(d->node->peers, now_ns);
+	return now_ns - peer_set_last_contact_ns(d->node->peers);
 }
 
 static void line(struct packet_daemon *d, const char *step,
--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -9,7 +9,8 @@
 
 /* The platform answers in milliseconds; slow ones up to some hundreds. */
 #define LIST_TIMEOUT_MS 1500
-#define WATCH_TIMEOUT_MS (SOURCE_WATCH_MS + 600)
+/* Beyond the time that a watch waits. */
+#define WATCH_SLACK_MS 600
 #define PEER_TIMEOUT_MS 800
 #define HTTP_OK 200
 #define HTTP_GONE 410
@@ -60,13 +61,14 @@
  * reading_list() - ask the platform for a page
  * @ctx: process
  * @after_key: last key of the page before, or NULL
+ * @exact: of this moment
  */
-void reading_list(void *ctx, const char *after_key)
+void reading_list(void *ctx, const char *after_key, bool exact)
 {
 	struct packet_daemon *d = ctx;
 	char path[PATH_MAX_BYTES];
 
-	d->platform->list_path(after_key, path);
+	d->platform->list_path(after_key, exact, path);
 	call(d, path, LIST_TIMEOUT_MS);
 }
 
@@ -74,14 +76,16 @@
  * reading_watch() - ask the platform for changes
  * @ctx: process
  * @after: revision
+ * @wait_ns: answered after this without any
  */
-void reading_watch(void *ctx, uint64_t after)
+void reading_watch(void *ctx, uint64_t after, uint64_t wait_ns)
 {
 	struct packet_daemon *d = ctx;
+	uint32_t wait_ms = (uint32_t)(wait_ns / NS_PER_MS);
 	char path[PATH_MAX_BYTES];
 
-	d->platform->watch_path(after, SOURCE_WATCH_MS, path);
-	call(d, path, WATCH_TIMEOUT_MS);
+	d->platform->watch_path(after, wait_ms, path);
+	call(d, path, wait_ms + WATCH_SLACK_MS);
 }
 
 static bool begin_documents(void *ctx, const struct relay_head *head,
--- a/core/packet/documents.c
+++ b/core/packet/documents.c
@@ -13,6 +13,7 @@
 	uint32_t n;
 	uint32_t capacity;
 	struct index *by_key;
+	uint64_t known;
 	uint64_t through;
 	uint64_t newest;
 	uint64_t floor;
@@ -177,10 +178,10 @@
 /**
  * documents_list_end() - every page of the listing was put
  * @s: store
- * @revision: revision of the platform when its first page was read
+ * @revision: least revision that one of its pages shows
  * @now_ns: time
  *
- * What it lacks was deleted, unless it came after the first page.
+ * What it lacks was deleted, unless it came after that revision.
  */
 void documents_list_end(struct documents *s, uint64_t revision, uint64_t now_ns)
 {
@@ -196,11 +197,13 @@
 		show(s, d);
 	}
 	documents_knows(s, revision);
-	documents_covered(s, revision);
+	if (revision > s->known)
+		s->known = revision;
 }
 
 /**
- * documents_covered() - everything up to a revision is known
+ * documents_covered() - everything up to a revision is known, and that was all
+ *	there was when the platform was asked
  * @s: store
  * @revision: revision
  */
@@ -208,6 +211,8 @@
 {
 	if (revision > s->through)
 		s->through = revision;
+	if (revision > s->known)
+		s->known = revision;
 }
 
 /**
@@ -251,11 +256,24 @@
 }
 
 /**
- * documents_through() - revision up to which everything is known
+ * documents_known() - revision up to which everything is known, though there
+ *	may have been more for seconds
  * @s: store
  *
  * Return: revision, 0 before the first listing.
  */
+uint64_t documents_known(const struct documents *s)
+{
+	return s->known;
+}
+
+/**
+ * documents_through() - revision up to which everything is known, of an answer
+ *	that was not old
+ * @s: store
+ *
+ * Return: revision, 0 before the first such answer.
+ */
 uint64_t documents_through(const struct documents *s)
 {
 	return s->through;
--- a/core/packet/documents.h
+++ b/core/packet/documents.h
@@ -67,6 +67,7 @@
 void documents_covered(struct documents *s, uint64_t revision);
 void documents_knows(struct documents *s, uint64_t newest);
 void documents_tick(struct documents *s, uint64_t now_ns);
+uint64_t documents_known(const struct documents *s);
 uint64_t documents_through(const struct documents *s);
 uint64_t documents_newest(const struct documents *s);
 uint64_t documents_floor(const struct documents *s);
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -24,7 +24,7 @@
  * wait for it.
  */
 #define CONTROL_BYTES_PER_S 21000ULL
-#define HEAD_BYTES 190
+#define HEAD_BYTES 250
 #define LOAD_BYTES 10
 #define FAILING_BYTES 9
 
@@ -70,7 +70,9 @@
 		return;
 	peer_set_fill(n->peers, &h, n->now_ns);
 	h.leaving = n->stop_ns;
-	h.newest = documents_newest(n->documents);
+	/* Nobody is to take for new what may be seconds old. */
+	if (documents_through(n->documents))
+		h.newest = documents_newest(n->documents);
 	if (dead)
 		h.dead[h.n_dead++] = target_incarnation(dead);
 	else if (n->now_ns >= n->loads_ns && n->policy->tell_loads)
@@ -147,6 +149,12 @@
 		    (double)t->peers_failures, (double)usual_failures);
 }
 
+/* Hash of the name of its data centre. */
+uint32_t node_zone(const struct node *n)
+{
+	return (uint32_t)hash_text(n->conf.data_centre);
+}
+
 static int make(struct node *n)
 {
 	const struct node_conf *conf = &n->conf;
@@ -170,7 +178,7 @@
 	struct rng rng = { hash_u64(conf->self, conf->boot) | 1 };
 
 	memcpy(peers.seeds, conf->seeds, sizeof(conf->seeds));
-	peers.zone = (uint32_t)hash_text(conf->data_centre);
+	peers.zone = node_zone(n);
 	n->directory = directory_new(&dir);
 	n->documents = documents_new(changed, conf->flow_lifetime_ns);
 	n->peers = peer_set_new(&peers, rng);
@@ -202,6 +210,7 @@
 	n->port = port;
 	n->now_ns = now_ns;
 	n->source.start_ns = now_ns;
+	n->source.exact = !n->policy->old_listing;
 	if (!make(n))
 		return n;
 	node_free(n);
@@ -293,7 +302,7 @@
 	clock = (struct directory_clock){
 		now_ns,
 		peer_set_trouble_ns(n->peers),
-		peer_set_last_contact_ns(n->peers, now_ns),
+		peer_set_last_contact_ns(n->peers),
 	};
 	directory_tick(n->directory, &clock);
 	node_judge_ready(n);
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -43,8 +43,10 @@
 /**
  * struct node_port - what an entry needs from outside
  * @ctx: passed back
- * @list: ask the platform for a page; node_answer() ends it
- * @watch: ask the platform for changes; node_answer() ends it
+ * @list: ask the platform for a page, of this moment if @exact, otherwise it may
+ *	be seconds old; node_answer() ends it
+ * @watch: ask the platform for changes, to be answered after @wait_ns without
+ *	any; node_answer() ends it
  * @fetch: ask a peer for documents; node_fetched() ends it
  * @hello: send a heartbeat
  * @probe: connect to a target; node_probed() ends it
@@ -58,8 +60,8 @@
  */
 struct node_port {
 	void *ctx;
-	void (*list)(void *ctx, const char *after_key);
-	void (*watch)(void *ctx, uint64_t after);
+	void (*list)(void *ctx, const char *after_key, bool exact);
+	void (*watch)(void *ctx, uint64_t after, uint64_t wait_ns);
 	void (*fetch)(void *ctx, uint64_t peer, uint64_t after);
 	void (*hello)(void *ctx, const uint64_t *to, uint32_t n,
 		      const struct hello *h);
@@ -115,10 +117,12 @@
  * @peers: the other entries
  * @source: calls to the platform
  * @step: the call under way
- * @list_revision: revision of the listing's first page, 0 before it
+ * @list_first: revision of the listing's first page, 0 before it
+ * @list_revision: least revision of its pages
  * @list_after: last key of the page before
  * @told: newest revision that the neighbours were told of at once
  * @fetching: a peer is being asked
+ * @fetching_far: and is of another data centre
  * @loads_ns: when loads may be told next
  * @fresh: no peer is known to know more
  * @ready: whether the platform may send packets here
@@ -138,10 +142,12 @@
 	struct peer_set *peers;
 	struct source source;
 	enum source_step step;
+	uint64_t list_first;
 	uint64_t list_revision;
 	char list_after[DOCUMENT_KEY_MAX_BYTES + 1];
 	uint64_t told;
 	bool fetching;
+	bool fetching_far;
 	uint64_t now_ns;
 	uint64_t loads_ns;
 	bool fresh;
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -10,8 +10,11 @@
 		.policy = n->policy,
 		.now_ns = n->now_ns,
 		.rank = peer_set_rank(n->peers, n->now_ns),
+		.known = documents_known(n->documents),
 		.through = documents_through(n->documents),
 		.others_ns = peer_set_others_contact_ns(n->peers, n->now_ns),
+		.readers_before = peer_set_readers_before(
+			n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns),
 		.fetching = n->fetching,
 	};
 }
@@ -26,6 +29,7 @@
 	if (!p)
 		return;
 	n->fetching = true;
+	n->fetching_far = p->zone != node_zone(n);
 	n->counters.peer_calls++;
 	n->port.fetch(n->port.ctx, p->addr, documents_through(n->documents));
 }
@@ -47,10 +51,10 @@
 	n->counters.platform_lists += step == SOURCE_LIST;
 	source_begin(&n->source, step);
 	if (step == SOURCE_LIST)
-		n->port.list(n->port.ctx,
-			     n->list_revision ? n->list_after : NULL);
+		n->port.list(n->port.ctx, n->list_first ? n->list_after : NULL,
+			     n->source.exact || !n->list_first);
 	else
-		n->port.watch(n->port.ctx, documents_through(n->documents));
+		n->port.watch(n->port.ctx, v.known, source_wait_ns(&v));
 }
 
 static void take(struct node *n, const struct document *d,
@@ -91,7 +95,7 @@
 void node_answering(struct node *n, uint64_t now_ns)
 {
 	n->now_ns = now_ns;
-	if (n->step == SOURCE_LIST && !n->list_revision)
+	if (n->step == SOURCE_LIST && !n->list_first)
 		documents_list_begin(n->documents);
 }
 
@@ -101,19 +105,39 @@
 		documents_covered(n->documents, head->revision);
 		return;
 	}
-	if (!n->list_revision)
+	if (!n->source.listing)
+		return;
+	if (!n->list_first)
+		n->list_first = n->list_revision = head->revision;
+	/* Pages that may be old need not be of one time, nor in order. */
+	if (head->revision < n->list_revision)
 		n->list_revision = head->revision;
 	memcpy(n->list_after, head->last_key, sizeof(n->list_after));
-	if (!head->more)
-		documents_list_end(n->documents, n->list_revision, n->now_ns);
+	if (head->more)
+		return;
+	documents_list_end(n->documents, n->list_revision, n->now_ns);
+	if (n->list_revision == n->list_first)
+		documents_covered(n->documents, n->list_first);
 }
 
-static void note_contact(struct node *n, bool ok)
+/*
+ * Who stood in for a reader that reads again leaves it the claim: with one of
+ * its own it would not see that it is not needed, and read on.
+ */
+static bool needless_claim(const struct node *n)
+{
+	struct source_view v = view(n);
+
+	return v.rank && v.others_ns + SOURCE_CONTACT_NS > v.now_ns;
+}
+
+static void note_contact(struct node *n, bool ok, uint64_t revision)
 {
 	uint32_t failures = n->source.failures;
 
 	if (ok) {
-		peer_set_contact(n->peers, n->now_ns);
+		if (!needless_claim(n))
+			peer_set_contact(n->peers, revision, n->now_ns);
 		if (failures)
 			n->port.log(n->port.ctx, NODE_INFO, "platform", NULL,
 				    "answers again after %u failures",
@@ -140,13 +164,14 @@
 	n->now_ns = now_ns;
 	if (outcome == SOURCE_OK)
 		take_head(n, head);
-	note_contact(n, outcome != SOURCE_FAILED);
+	note_contact(n, outcome != SOURCE_FAILED,
+		     outcome == SOURCE_OK ? head->revision : 0);
 	changed = documents_newest(n->documents) > n->told;
 	v = view(n);
 	source_end(&n->source, outcome, outcome == SOURCE_OK && head->more,
 		   changed, &v);
 	if (!n->source.listing)
-		n->list_revision = 0;
+		n->list_first = 0;
 	if (changed || outcome == SOURCE_FAILED)
 		node_tell(n, NULL);
 	n->told = documents_newest(n->documents);
@@ -186,6 +211,8 @@
 void node_fetched(struct node *n, const struct relay_head *head,
 		  uint64_t now_ns)
 {
+	bool first = !documents_through(n->documents);
+
 	n->now_ns = now_ns;
 	n->fetching = false;
 	if (!head) {
@@ -196,5 +223,14 @@
 		documents_list_end(n->documents, head->through, now_ns);
 	documents_covered(n->documents, head->through);
 	documents_knows(n->documents, head->newest);
+	if (first && documents_through(n->documents)) {
+		source_needless(&n->source);
+		n->list_first = 0;
+	}
+	/* News from elsewhere: few others here have them yet. */
+	if (n->fetching_far && documents_newest(n->documents) > n->told) {
+		n->told = documents_newest(n->documents);
+		node_tell(n, NULL);
+	}
 	node_judge_ready(n);
 }
--- a/core/packet/node_impl.h
+++ b/core/packet/node_impl.h
@@ -7,6 +7,7 @@
 /* node.c */
 void node_tell(struct node *n, const struct target *dead);
 void node_judge_ready(struct node *n);
+uint32_t node_zone(const struct node *n);
 
 /* node_published.c */
 uint64_t node_version(const struct node *n);
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -22,6 +22,9 @@
  * Who stays alone is cut off, and asks no more often than others do. */
 #define ALONE_PERIOD_NS (20 * NS_PER_MS)
 #define ALONE_HURRY_NS (2 * NS_PER_S)
+/* A VM hears ten heartbeats a second from elsewhere, two where there are few:
+ * with none for so long its data centre is cut off. */
+#define FAR_HEARD_NS NS_PER_S
 #define RANK_SEED 0x72616e6bULL
 /* Trouble of the platform is told for this long. */
 #define TROUBLE_TOLD_NS (10 * NS_PER_S)
@@ -34,7 +37,8 @@
 	uint64_t next_ns;
 	uint64_t alone_ns;
 	uint32_t round;
-	uint64_t contact_ns;
+	struct claims claims;
+	uint64_t far_ns;
 	uint64_t trouble_ns;
 };
 
@@ -146,6 +150,18 @@
 		memcpy(p->loads, h->loads, p->n_loads * sizeof(*h->loads));
 }
 
+static void hear_claims(struct peer_set *f, const struct hello *h,
+			uint64_t now_ns)
+{
+	for (uint32_t i = 0; i < h->n_claims; i++) {
+		const struct hello_claim *k = &h->claims[i];
+		struct read_claim c = { k->zone, k->by, k->revision, k->number,
+					ago(now_ns, k->age_ms) };
+
+		claims_take(&f->claims, &c);
+	}
+}
+
 /**
  * peer_set_hear() - take a peer's heartbeat
  * @f: set
@@ -168,7 +184,8 @@
 	p->heard_ns = p->direct_ns = now_ns;
 	p->leaving = h->leaving;
 	p->newest = h->newest;
-	p->contact_ns = ago(now_ns, h->contact_age_ms);
+	if (h->zone != f->conf.zone)
+		f->far_ns = now_ns;
 	if (h->has_loads)
 		keep_loads(p, h);
 	p->n_failing = h->n_failing;
@@ -176,6 +193,7 @@
 	for (uint32_t i = 0; i < h->n_peers; i++)
 		if (h->peers[i].age_ms <= GOSSIP_MAX_MS)
 			hear_of(f, &h->peers[i], now_ns);
+	hear_claims(f, h, now_ns);
 	trouble_ns = ago(now_ns, h->trouble_age_ms);
 	if (h->trouble_age_ms != UINT32_MAX && trouble_ns > f->trouble_ns)
 		f->trouble_ns = trouble_ns;
@@ -308,6 +326,20 @@
 	return ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX - 1;
 }
 
+static void fill_claims(const struct peer_set *f, struct hello *h,
+			uint64_t now_ns)
+{
+	struct read_claim c[HELLO_CLAIMS_MAX];
+	uint32_t n =
+		claims_newest(&f->claims, f->conf.zone, c, HELLO_CLAIMS_MAX);
+
+	for (uint32_t i = 0; i < n; i++)
+		h->claims[h->n_claims++] =
+			(struct hello_claim){ c[i].zone, c[i].by, c[i].revision,
+					      c[i].number,
+					      age_ms(now_ns, c[i].contact_ns) };
+}
+
 /**
  * peer_set_fill() - fill what is known of the others into a heartbeat
  * @f: set
@@ -321,7 +353,7 @@
 	h->from = f->conf.self;
 	h->zone = f->conf.zone;
 	h->boot = f->conf.boot;
-	h->contact_age_ms = age_ms(now_ns, f->contact_ns);
+	fill_claims(f, h, now_ns);
 	h->trouble_age_ms = UINT32_MAX;
 	if (f->trouble_ns && f->trouble_ns + TROUBLE_TOLD_NS > now_ns)
 		h->trouble_age_ms = age_ms(now_ns, f->trouble_ns);
@@ -340,11 +372,13 @@
 /**
  * peer_set_contact() - the platform answered this VM
  * @f: set
+ * @revision: of the platform; 0 when the answer told none
  * @now_ns: time
  */
-void peer_set_contact(struct peer_set *f, uint64_t now_ns)
+void peer_set_contact(struct peer_set *f, uint64_t revision, uint64_t now_ns)
 {
-	f->contact_ns = now_ns;
+	claims_contact(&f->claims, f->conf.zone, f->conf.self, revision,
+		       now_ns);
 }
 
 /**
@@ -357,8 +391,7 @@
 void peer_set_trouble(struct peer_set *f, uint64_t contact_ns, uint64_t now_ns)
 {
 	f->trouble_ns = now_ns;
-	if (f->contact_ns > contact_ns)
-		f->contact_ns = contact_ns;
+	claims_withdraw(&f->claims, f->conf.zone, f->conf.self, contact_ns);
 }
 
 uint64_t peer_set_trouble_ns(const struct peer_set *f)
@@ -366,47 +399,53 @@
 	return f->trouble_ns;
 }
 
-static uint64_t contact_ns(const struct peer_set *f, bool near, uint64_t now_ns)
+/**
+ * peer_set_others_contact_ns() - when the platform last answered another VM of
+ *	this data centre that goes on reading
+ * @f: set
+ * @now_ns: time
+ *
+ * Return: time, 0 for never.
+ */
+uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns)
 {
-	uint64_t best_ns = 0;
+	const struct read_claim *c = claims_of(&f->claims, f->conf.zone);
+	const struct peer_vm *p = c ? find(f, c->by) : NULL;
 
-	for (uint32_t i = 0; i < f->n; i++) {
-		const struct peer_vm *p = &f->peers[i];
-
-		if ((near && p->zone != f->conf.zone) || !live(p, now_ns) ||
-		    p->leaving || p->contact_ns <= best_ns)
-			continue;
-		best_ns = p->contact_ns;
-	}
-	return best_ns;
+	if (!c || c->by == f->conf.self ||
+	    (p && (p->leaving || !live(p, now_ns))))
+		return 0;
+	return c->contact_ns;
 }
 
 /**
- * peer_set_others_contact_ns() - when a live VM of this data centre was last
- *	answered by the platform
+ * peer_set_last_contact_ns() - when the platform last answered this VM or any
+ *	that was heard of
  * @f: set
- * @now_ns: time
  *
  * Return: time, 0 for never.
  */
-uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns)
+uint64_t peer_set_last_contact_ns(const struct peer_set *f)
 {
-	return contact_ns(f, true, now_ns);
+	return claims_latest_ns(&f->claims);
 }
 
 /**
- * peer_set_last_contact_ns() - when this VM or any live one was last answered
- *	by the platform
+ * peer_set_readers_before() - how many data centres read the platform that come
+ *	before this one
  * @f: set
+ * @since_ns: who was not answered since does not read
  * @now_ns: time
  *
- * Return: time, 0 for never.
+ * Return: how many; 0 when nobody elsewhere was heard of late. What they read
+ * does not come here then.
  */
-uint64_t peer_set_last_contact_ns(const struct peer_set *f, uint64_t now_ns)
+uint32_t peer_set_readers_before(const struct peer_set *f, uint64_t since_ns,
+				 uint64_t now_ns)
 {
-	uint64_t others_ns = contact_ns(f, false, now_ns);
-
-	return others_ns > f->contact_ns ? others_ns : f->contact_ns;
+	if (f->far_ns + FAR_HEARD_NS < now_ns)
+		return 0;
+	return claims_before(&f->claims, f->conf.zone, since_ns);
 }
 
 /**
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -6,15 +6,19 @@
 #ifndef CB_PEER_SET_H
 #define CB_PEER_SET_H
 
+#include "claims.h"
 #include "target.h"
 
 /* The VMs of one data centre and of those it exchanges news with. */
 #define PEERS_MAX 1024
 #define HELLO_PEERS_MAX 8
-/* With twelve failing targets a heartbeat stays below 1,400 bytes. */
-#define HELLO_LOADS_MAX 70
+/* With twelve failing targets and all claims a heartbeat stays below 1,400
+ * bytes. */
+#define HELLO_LOADS_MAX 60
 #define HELLO_DEAD_MAX 8
 #define HELLO_FAILING_MAX 12
+/* The own data centre's claim, and those of two that read for all. */
+#define HELLO_CLAIMS_MAX 3
 
 /**
  * struct hello_peer - what a hello says of a third VM
@@ -53,6 +57,22 @@
 	uint32_t failures_centi;
 };
 
+/**
+ * struct hello_claim - a claim to read the platform, as struct read_claim
+ * @zone: hash of the data centre's name
+ * @by: the reader's address for peers
+ * @revision: of the platform
+ * @number: tells claims at one revision apart
+ * @age_ms: how long ago it was answered
+ */
+struct hello_claim {
+	uint32_t zone;
+	uint64_t by;
+	uint64_t revision;
+	uint32_t number;
+	uint32_t age_ms;
+};
+
 /**
  * struct hello - heartbeat between entries
  * @from: sender's address for peers
@@ -61,7 +81,6 @@
  * @leaving: it is about to end
  * @reply: an answer to this is wanted: the sender knows few others
  * @newest: newest revision that it knows
- * @contact_age_ms: how long ago the platform answered it
  * @trouble_age_ms: how long ago anybody found the platform in trouble;
  *	UINT32_MAX for not lately
  * @n_peers: third VMs named
@@ -73,6 +92,8 @@
  * @dead: their processes
  * @n_failing: targets that fail requests
  * @failing: those, each above half a failure
+ * @n_claims: claims to read the platform
+ * @claims: those; a contact that is older than a minute counts as none
  */
 struct hello {
 	uint64_t from;
@@ -81,7 +102,6 @@
 	bool leaving;
 	bool reply;
 	uint64_t newest;
-	uint32_t contact_age_ms;
 	uint32_t trouble_age_ms;
 	uint32_t n_peers;
 	struct hello_peer peers[HELLO_PEERS_MAX];
@@ -92,6 +112,8 @@
 	struct incarnation dead[HELLO_DEAD_MAX];
 	uint32_t n_failing;
 	struct hello_failing failing[HELLO_FAILING_MAX];
+	uint32_t n_claims;
+	struct hello_claim claims[HELLO_CLAIMS_MAX];
 };
 
 /**
@@ -103,7 +125,6 @@
  * @direct_ns: last hello of its own; 0 for none
  * @leaving: it is about to end
  * @newest: newest revision that it knows
- * @contact_ns: when the platform answered it last
  * @n_loads: loads it told
  * @loads: those; apart, since the rest is walked often
  * @n_failing: targets that it saw fail requests
@@ -117,7 +138,6 @@
 	uint64_t direct_ns;
 	bool leaving;
 	uint64_t newest;
-	uint64_t contact_ns;
 	uint32_t n_loads;
 	struct hello_load *loads;
 	uint32_t n_failing;
@@ -154,11 +174,13 @@
 uint32_t peer_set_neighbours(struct peer_set *f, uint64_t now_ns, uint64_t *to,
 			     uint32_t to_max);
 void peer_set_fill(struct peer_set *f, struct hello *h, uint64_t now_ns);
-void peer_set_contact(struct peer_set *f, uint64_t now_ns);
+void peer_set_contact(struct peer_set *f, uint64_t revision, uint64_t now_ns);
 void peer_set_trouble(struct peer_set *f, uint64_t contact_ns, uint64_t now_ns);
+uint32_t peer_set_readers_before(const struct peer_set *f, uint64_t since_ns,
+				 uint64_t now_ns);
 uint64_t peer_set_trouble_ns(const struct peer_set *f);
 uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns);
-uint64_t peer_set_last_contact_ns(const struct peer_set *f, uint64_t now_ns);
+uint64_t peer_set_last_contact_ns(const struct peer_set *f);
 uint32_t peer_set_rank(const struct peer_set *f, uint64_t now_ns);
 const struct peer_vm *peer_set_ahead(struct peer_set *f, uint64_t newest,
 				     uint64_t now_ns);
--- a/core/packet/platform_port.h
+++ b/core/packet/platform_port.h
@@ -63,7 +63,8 @@
  * @pin: write a target's cookie into a SYN
  * @envelope: what stands in front of a packet to @t; its size in bytes
  * @write_reset: a reset of a flow, its @ack as the client sent it last; size
- * @list_path: path that lists everything, after a key or from the start
+ * @list_path: path that lists everything, after a key or from the start; not
+ *	@exact, the answer may be seconds old and costs the platform less
  * @watch_path: path that waits for changes after a revision
  * @read_list: decode a page; 0 or a negative error
  * @read_changes: decode an answer to @watch_path; 0 or a negative error
@@ -79,7 +80,8 @@
 			     uint8_t out[ENVELOPE_MAX_BYTES]);
 	uint32_t (*write_reset)(const struct flow_key *flow, uint32_t ack,
 				uint8_t out[RESET_MAX_BYTES]);
-	void (*list_path)(const char *after_key, char out[PATH_MAX_BYTES]);
+	void (*list_path)(const char *after_key, bool exact,
+			  char out[PATH_MAX_BYTES]);
 	void (*watch_path)(uint64_t after, uint32_t wait_ms,
 			   char out[PATH_MAX_BYTES]);
 	int (*read_list)(const char *body, size_t size_bytes,
--- a/core/packet/policy.c
+++ b/core/packet/policy.c
@@ -53,5 +53,6 @@
 	.tell_failures = true,
 	.relay = true,
 	.one_reader = true,
+	.old_listing = true,
 	.young_wait_ns = 5 * NS_PER_MS,
 };
--- a/core/packet/policy.h
+++ b/core/packet/policy.h
@@ -111,6 +111,10 @@
  *	waits for its own answer from the platform
  * @one_reader: of the entries of a data centre one reads while it is answered;
  *	otherwise each does
+ * @old_listing: the first listing's later pages may be seconds old, and a watch
+ *	that waits for nothing brings what came since. They cost the platform a
+ *	tenth, and do not count towards its rate: when 295 entries start over
+ *	600 targets, each that finds no peer lists 13 pages.
  * @young_wait_ns: a process that knows nothing reads after this; when all
  *	restart together no peer has anything, and each further wait is one of
  *	all clients
@@ -168,6 +172,7 @@
 	bool tell_failures;
 	bool relay;
 	bool one_reader;
+	bool old_listing;
 	uint64_t young_wait_ns;
 };
 
--- a/core/packet/source.c
+++ b/core/packet/source.c
@@ -11,8 +11,17 @@
 #define RANK_KNOWN_NS (500 * NS_PER_MS)
 /* Ranks stand in one after the other, not all at once. */
 #define RANK_STEP_NS (300 * NS_PER_MS)
-/* Changes that come in a row are read in one call. */
-#define BATCH_NS (100 * NS_PER_MS)
+/*
+ * Changes that come in a row are read in one call. Pages of a listing follow
+ * each other at once: with this pause after each that brought something new, a
+ * listing of 13 pages took 0.3 to 0.4 s, for which its entry was not ready.
+ */
+#define BATCH_NS (300 * NS_PER_MS)
+/* One data centre reads for all; another one reads as well, since a watch may
+ * have gone silent, but seldom: a change that only it sees is known after a
+ * second, and in force everywhere half a second later, of 3 s. */
+#define READING_ZONES 2
+#define SECOND_BATCH_NS NS_PER_S
 #define RETRY_FIRST_NS (100 * NS_PER_MS)
 #define RETRY_DOUBLINGS 3
 /* Then the listing's first page may be older than the platform's history. */
@@ -41,6 +50,8 @@
 							   : young_wait_ns(v));
 	if (!v->policy->one_reader)
 		return true;
+	if (v->readers_before >= READING_ZONES)
+		return false;
 	if (!v->rank && (v->now_ns > s->start_ns + RANK_KNOWN_NS ||
 			 v->now_ns > v->others_ns + SOURCE_CONTACT_NS))
 		return true;
@@ -59,8 +70,20 @@
 {
 	if (s->calling || v->now_ns < s->next_ns || !wanted(s, v))
 		return SOURCE_WAIT;
-	return s->listing || s->relist || !v->through ? SOURCE_LIST
-						      : SOURCE_WATCH;
+	return s->listing || s->relist || !v->known ? SOURCE_LIST
+						    : SOURCE_WATCH;
+}
+
+/**
+ * source_wait_ns() - how long a watch may wait for a change
+ * @v: what the decision goes by
+ *
+ * Return: time; none after a listing that may be old: what came since is
+ * wanted at once, also when it is nothing.
+ */
+uint64_t source_wait_ns(const struct source_view *v)
+{
+	return v->through ? SOURCE_WATCH_MS * NS_PER_MS : 0;
 }
 
 /**
@@ -75,6 +98,18 @@
 	s->listing = step == SOURCE_LIST;
 }
 
+/**
+ * source_needless() - a peer brought what a first listing was to bring
+ * @s: state
+ *
+ * A listing that is answered later than a peer goes on for pages otherwise: at
+ * 600 targets 13 calls.
+ */
+void source_needless(struct source *s)
+{
+	s->listing = false;
+}
+
 /**
  * source_end() - a call ended
  * @s: state
@@ -94,11 +129,15 @@
 	if (outcome == SOURCE_OK) {
 		s->listing = s->listing && more;
 		s->failures = 0;
-		s->next_ns = changed ? now_ns + BATCH_NS : now_ns;
+		s->next_ns = now_ns;
+		if (changed && !s->listing && v->through)
+			s->next_ns +=
+				v->readers_before ? SECOND_BATCH_NS : BATCH_NS;
 		return;
 	}
 	if (outcome == SOURCE_BEHIND) {
 		s->relist = true;
+		s->exact = true;
 		s->listing = false;
 		s->next_ns = now_ns;
 		return;
@@ -108,6 +147,7 @@
 	s->failures++;
 	if (s->listing && s->failures >= LISTING_FAILURES) {
 		s->relist = true;
+		s->exact = true;
 		s->listing = false;
 	}
 	s->next_ns = now_ns + (RETRY_FIRST_NS << doublings);
--- a/core/packet/source.h
+++ b/core/packet/source.h
@@ -23,16 +23,23 @@
  * @policy: figures to go by
  * @now_ns: time
  * @rank: place among the live VMs of the data centre
- * @through: revision up to which everything is known here, 0 for nothing
+ * @known: revision after which changes are to be asked for, 0 before the first
+ *	listing
+ * @through: revision up to which everything was known when the platform was
+ *	asked last, 0 for nothing; less than @known after a listing that may be
+ *	old
  * @others_ns: when the platform last answered another VM of the data centre
+ * @readers_before: data centres that read and come before this one
  * @fetching: a peer that knows more is being asked
  */
 struct source_view {
 	const struct policy *policy;
 	uint64_t now_ns;
 	uint32_t rank;
+	uint64_t known;
 	uint64_t through;
 	uint64_t others_ns;
+	uint32_t readers_before;
 	bool fetching;
 };
 
@@ -43,6 +50,7 @@
  * @calling: a call is under way
  * @listing: pages are being read
  * @relist: the next call has to list
+ * @exact: all pages of a listing have to be of this moment, not only its first
  * @failures: calls in a row that failed
  */
 struct source {
@@ -51,6 +59,7 @@
 	bool calling;
 	bool listing;
 	bool relist;
+	bool exact;
 	uint32_t failures;
 };
 
@@ -62,7 +71,9 @@
 
 enum source_step source_next(const struct source *s,
 			     const struct source_view *v);
+uint64_t source_wait_ns(const struct source_view *v);
 void source_begin(struct source *s, enum source_step step);
+void source_needless(struct source *s);
 void source_end(struct source *s, enum source_outcome outcome, bool more,
 		bool changed, const struct source_view *v);
 
--- a/sim/sim-packets/world.c
+++ b/sim/sim-packets/world.c
@@ -277,6 +277,7 @@
 		node_free(w->entries[i].node);
 	for (uint32_t i = 0; i < w->n_targets; i++)
 		free(w->targets[i].flows);
+	free(w->old_keys);
 	free(w->requests);
 	free(w->capacity);
 	free(w->runs);
--- a/test/packet_documents_test.c
+++ b/test/packet_documents_test.c
@@ -89,6 +89,10 @@
 	assert_true(find(s, "b")->deleted);
 	/* Written after the first page was read. */
 	assert_false(find(s, "new")->deleted);
+	assert_int_equal(documents_known(s), 10);
+	/* Its pages may have been old. */
+	assert_int_equal(documents_through(s), 0);
+	documents_covered(s, 10);
 	assert_int_equal(documents_through(s), 10);
 	documents_free(s);
 }
