A start of hundreds has what is published from peers, soon

On the large deployment (295 entries, 600 targets) an entry was ready 1.29 s after its start in the median when all had lost power, the first after 0.2 s: all asked the platform at once, and its link of 1 Gbit/s carried 295 answers of 600 KB at the same time. Seeds start last and were asked 5,000 times a second. The second answer of a peer was waited for, each peer encoded everything for each that asked, and 600 lines of the log took 60 ms on 0.12 cores.

--- a/adapters/hello_codec.c
+++ b/adapters/hello_codec.c
@@ -296,6 +296,7 @@
  */
 void relay_encode(const struct documents *s, uint64_t after, GString *out)
 {
+
 	bool whole = after < documents_floor(s);
 	uint32_t n = 0;
 	msgpack_sbuffer buf;
--- a/adapters/http_call.c
+++ b/adapters/http_call.c
@@ -18,6 +18,7 @@
 	uv_connect_t connect;
 	struct http_caller *owner; /* NULL once it was given up */
 	bool connected;
+	uint64_t begun_ns;
 };
 
 struct http_caller {
@@ -198,6 +199,11 @@
 	}
 	n->connected = true;
 	uv_read_start((uv_stream_t *)&n->tcp, on_alloc, on_read);
+	if (c->handler.connected &&
+	    !c->handler.connected(c->handler.ctx, uv_hrtime() - n->begun_ns)) {
+		finish(c, -EBUSY);
+		return;
+	}
 	send_request(c);
 }
 
@@ -217,6 +223,7 @@
 	n->tcp.data = n;
 	n->connect.data = n;
 	n->owner = c;
+	n->begun_ns = uv_hrtime();
 	c->connection = n;
 	c->server = server;
 	return uv_tcp_connect(&n->connect, &n->tcp, (struct sockaddr *)&to,
--- a/adapters/http_call.h
+++ b/adapters/http_call.h
@@ -12,7 +12,7 @@
 /**
  * struct http_reply - how a call ended
  * @err: 0, or a negative error when no whole answer came: -ETIMEDOUT,
- *	-ECONNREFUSED, -ECONNRESET, -EPROTO, -EMSGSIZE
+ *	-ECONNREFUSED, -ECONNRESET, -EPROTO, -EMSGSIZE, -EBUSY
  * @status: HTTP status when @err is 0
  * @body: body, ends with a zero byte that @size_bytes doesn't count
  * @size_bytes: its size
@@ -30,10 +30,13 @@
  * struct http_call_handler - port that takes the end of calls
  * @ctx: passed back
  * @done: the call ended; the next may be started from here
+ * @connected: a new connection stands, after so long; false to send nothing:
+ *	the call ends with -EBUSY. May be NULL.
  */
 struct http_call_handler {
 	void *ctx;
 	void (*done)(void *ctx, const struct http_reply *reply);
+	bool (*connected)(void *ctx, uint64_t took_ns);
 };
 
 struct http_caller;
--- a/adapters/platform.c
+++ b/adapters/platform.c
@@ -45,7 +45,7 @@
 		  struct platform_handler handler, struct platform **out)
 {
 	struct platform *p = calloc(1, sizeof(*p));
-	struct http_call_handler done = { p, on_done };
+	struct http_call_handler done = { p, on_done, NULL };
 	const char *at =
 		g_str_has_prefix(url, SCHEME) ? url + strlen(SCHEME) : url;
 	int err;
--- a/cmd/cb-packet/daemon.c
+++ b/cmd/cb-packet/daemon.c
@@ -196,6 +196,7 @@
 		.ctx = d,
 		.list = reading_list,
 		.watch = reading_watch,
+		.cancel = reading_cancel,
 		.fetch = reading_fetch,
 		.hello = peers_send,
 		.probe = probes_start,
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -48,6 +48,17 @@
 	uint32_t data_bytes[BATCH];
 };
 
+/*
+ * Everything that is published, encoded, for VMs that know nothing: when all
+ * start at once hundreds ask the first that knows, and encoding 600 targets
+ * with 1,800 routes takes a machine of 0.12 cores over 10 ms.
+ */
+struct relay_cache {
+	GString *body;
+	uint64_t newest;
+	uint64_t floor;
+};
+
 struct probe {
 	uv_tcp_t tcp;
 	uv_connect_t connect;
@@ -101,6 +112,7 @@
 
 	struct probe *probes[PROBES_MAX];
 
+	struct relay_cache relay;
 	struct http_server *http;
 	struct http_server *ready_http;
 };
@@ -132,6 +144,7 @@
 void reading_close(struct packet_daemon *d);
 void reading_list(void *ctx, const char *after_key, bool exact);
 void reading_watch(void *ctx, uint64_t after, uint64_t wait_ns);
+void reading_cancel(void *ctx);
 void reading_fetch(void *ctx, uint64_t peer, uint64_t after);
 
 /* probes.c: connection attempts to targets. */
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -207,6 +207,27 @@
 	return OK;
 }
 
+static void write_documents(struct packet_daemon *d, uint64_t after,
+			    GString *out)
+{
+	const struct documents *s = d->node->documents;
+	struct relay_cache *c = &d->relay;
+
+	if (after) {
+		relay_encode(s, after, out);
+		return;
+	}
+	if (!c->body || c->newest != documents_newest(s) ||
+	    c->floor != documents_floor(s)) {
+		if (!c->body)
+			c->body = g_string_new(NULL);
+		relay_encode(s, 0, c->body);
+		c->newest = documents_newest(s);
+		c->floor = documents_floor(s);
+	}
+	g_string_append_len(out, c->body->str, (gssize)c->body->len);
+}
+
 static int answer(void *ctx, struct http_request *req, const char *method,
 		  const char *path, const char *query, const GString *in,
 		  GString *body)
@@ -219,8 +240,7 @@
 	(void)in;
 	if (!strcmp(path, "/documents")) {
 		http_query(query, "after", after, sizeof(after));
-		relay_encode(d->node->documents,
-			     g_ascii_strtoull(after, NULL, 10), body);
+		write_documents(d, g_ascii_strtoull(after, NULL, 10), body);
 	} else if (!strcmp(path, "/metrics")) {
 		write_metrics(d, body);
 	} else if (!strcmp(path, "/status")) {
@@ -258,4 +278,6 @@
 		http_close(d->http);
 	if (d->ready_http)
 		http_close(d->ready_http);
+	if (d->relay.body)
+		g_string_free(d->relay.body, TRUE);
 }
--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -25,6 +25,8 @@
 
 	if (!r->err && r->status == HTTP_GONE)
 		return SOURCE_BEHIND;
+	if (r->err == -EBUSY)
+		return SOURCE_BUSY;
 	if (r->err || r->status != HTTP_OK)
 		return SOURCE_FAILED;
 	err = list ? d->platform->read_list(r->body, r->size_bytes, to, head)
@@ -48,6 +50,13 @@
 	node_answer(d->node, outcome, &head, now_ns);
 }
 
+static bool on_connected(void *ctx, uint64_t took_ns)
+{
+	struct packet_daemon *d = ctx;
+
+	return node_connected(d->node, took_ns, daemon_turn(d));
+}
+
 static void call(struct packet_daemon *d, const char *path, uint64_t timeout_ms)
 {
 	int err = http_call(d->platform_caller, d->settings.platform, path,
@@ -88,6 +97,17 @@
 	call(d, path, wait_ms + WATCH_SLACK_MS);
 }
 
+/**
+ * reading_cancel() - give up the call to the platform under way
+ * @ctx: process
+ */
+void reading_cancel(void *ctx)
+{
+	struct packet_daemon *d = ctx;
+
+	http_cancel(d->platform_caller);
+}
+
 static bool begin_documents(void *ctx, const struct relay_head *head,
 			    struct facts_port *to)
 {
@@ -158,8 +178,8 @@
  */
 int reading_open(struct packet_daemon *d)
 {
-	struct http_call_handler platform = { d, on_platform };
-	struct http_call_handler peer = { d, on_peer };
+	struct http_call_handler platform = { d, on_platform, on_connected };
+	struct http_call_handler peer = { d, on_peer, NULL };
 	int err = http_caller_open(d->loop, platform, &d->platform_caller);
 
 	return err ? err : http_caller_open(d->loop, peer, &d->peer_caller);
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -15,6 +15,8 @@
 #define STOP_LEAST_NS (1600 * NS_PER_MS)
 #define STOP_QUIET_NS (600 * NS_PER_MS)
 #define ROUND_MAX 16
+/* Of the 3 s that a change has to be in force everywhere. */
+#define BEHIND_MAX_NS NS_PER_S
 /*
  * What a node may spend on control, and what heartbeats without loads take of
  * it: with ten peers, five times a second, half. Loads and failing targets have
@@ -61,8 +63,10 @@
 	peer_set_hurry(n->peers, next_ns > n->loads_ns ? next_ns : n->loads_ns);
 }
 
+enum hello_reason { HELLO_NEWS, HELLO_ANSWER };
+
 static void send_hello(struct node *n, const uint64_t *to, uint32_t count,
-		       const struct target *dead)
+		       const struct target *dead, enum hello_reason why)
 {
 	struct hello h = { 0 };
 
@@ -73,6 +77,11 @@
 	/* Nobody is to take for new what may be seconds old. */
 	if (documents_through(n->documents))
 		h.newest = documents_newest(n->documents);
+	else
+		h.reply = true; /* who knows something is to say so at once */
+	/* Two that know nothing would answer each other without end. */
+	if (why == HELLO_ANSWER)
+		h.reply = false;
 	if (dead)
 		h.dead[h.n_dead++] = target_incarnation(dead);
 	else if (n->now_ns >= n->loads_ns && n->policy->tell_loads)
@@ -90,7 +99,7 @@
 	uint32_t count =
 		peer_set_neighbours(n->peers, n->now_ns, to, ROUND_MAX);
 
-	send_hello(n, to, count, dead);
+	send_hello(n, to, count, dead, HELLO_NEWS);
 }
 
 static void probe(void *ctx, const struct target *t)
@@ -235,9 +244,16 @@
  */
 static void judge_fresh(struct node *n)
 {
-	n->fresh = documents_through(n->documents) &&
-		   !peer_set_ahead(n->peers, documents_newest(n->documents),
-				   n->now_ns);
+	uint64_t newest = documents_newest(n->documents);
+	const struct peer_vm *p = peer_set_ahead(n->peers, newest, n->now_ns);
+
+	n->fresh = documents_through(n->documents) && !p;
+	if (newest >= n->behind)
+		n->behind_ns = 0;
+	if (p && !n->behind_ns) {
+		n->behind_ns = n->now_ns;
+		n->behind = p->newest;
+	}
 }
 
 /**
@@ -255,13 +271,24 @@
 	path_packet(n->path, k, n->fresh, now_ns, out);
 }
 
+/*
+ * A peer that knows more since a moment ago is no reason to wait: while targets
+ * publish themselves all the time there always is one. When 295 entries start
+ * at once the second answer of a peer came 110 ms after the first.
+ */
+static bool nearly_fresh(const struct node *n)
+{
+	return documents_through(n->documents) &&
+	       n->behind_ns + BEHIND_MAX_NS > n->now_ns;
+}
+
 void node_judge_ready(struct node *n)
 {
 	bool ready = n->ready;
 
 	judge_fresh(n);
 	/* Once ready it stays so: a peer that is ahead is no reason to leave. */
-	if (node_version(n) && (ready || n->fresh))
+	if (node_version(n) && (ready || n->fresh || nearly_fresh(n)))
 		ready = true;
 	if (n->stop_ns)
 		ready = false;
@@ -293,7 +320,7 @@
 	count = peer_set_due(n->peers, !documents_through(n->documents), now_ns,
 			     to, ROUND_MAX);
 	if (count) {
-		send_hello(n, to, count, NULL);
+		send_hello(n, to, count, NULL, HELLO_NEWS);
 		hurry(n);
 		loads_sum(n->directory, n->peers, now_ns);
 	}
@@ -321,9 +348,13 @@
 	for (uint32_t i = 0; i < h->n_dead; i++)
 		path_told_dead(n->path, &h->dead[i]);
 	if (h->reply)
-		send_hello(n, &h->from, 1, NULL);
-	node_call(n);
-	node_judge_ready(n);
+		send_hello(n, &h->from, 1, NULL, HELLO_ANSWER);
+	/* Both walk all peers; hundreds of heartbeats a second come when all
+	 * start at once, and the tick does the rest. */
+	if (h->newest > documents_newest(n->documents)) {
+		node_call(n);
+		node_judge_ready(n);
+	}
 }
 
 /**
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -47,6 +47,7 @@
  *	be seconds old; node_answer() ends it
  * @watch: ask the platform for changes, to be answered after @wait_ns without
  *	any; node_answer() ends it
+ * @cancel: give up the call to the platform under way
  * @fetch: ask a peer for documents; node_fetched() ends it
  * @hello: send a heartbeat
  * @probe: connect to a target; node_probed() ends it
@@ -62,6 +63,7 @@
 	void *ctx;
 	void (*list)(void *ctx, const char *after_key, bool exact);
 	void (*watch)(void *ctx, uint64_t after, uint64_t wait_ns);
+	void (*cancel)(void *ctx);
 	void (*fetch)(void *ctx, uint64_t peer, uint64_t after);
 	void (*hello)(void *ctx, const uint64_t *to, uint32_t n,
 		      const struct hello *h);
@@ -125,6 +127,8 @@
  * @fetching_far: and is of another data centre
  * @loads_ns: when loads may be told next
  * @fresh: no peer is known to know more
+ * @behind_ns: since when @behind is not known here; 0 when no peer knows more
+ * @behind: newest revision that a peer told then
  * @ready: whether the platform may send packets here
  * @stop_ns: when a planned stop began, 0 for none
  * @client_ns: last packet of a client
@@ -151,6 +155,8 @@
 	uint64_t now_ns;
 	uint64_t loads_ns;
 	bool fresh;
+	uint64_t behind_ns;
+	uint64_t behind;
 	bool ready;
 	uint64_t stop_ns;
 	uint64_t client_ns;
@@ -168,6 +174,7 @@
 void node_tick(struct node *n, uint64_t now_ns);
 void node_listed(void *ctx, const struct document *d);
 void node_changed(void *ctx, const struct document *d);
+bool node_connected(struct node *n, uint64_t took_ns, uint64_t now_ns);
 void node_answering(struct node *n, uint64_t now_ns);
 void node_answer(struct node *n, enum source_outcome outcome,
 		 const struct answer_head *head, uint64_t now_ns);
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -15,7 +15,9 @@
 		.others_ns = peer_set_others_contact_ns(n->peers, n->now_ns),
 		.readers_before = peer_set_readers_before(
 			n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns),
+		.peers = peer_set_live(n->peers, n->now_ns),
 		.fetching = n->fetching,
+		.chance = hash_u64(n->now_ns, n->conf.self ^ n->conf.boot),
 	};
 }
 
@@ -86,6 +88,23 @@
 	take(ctx, d, DOCUMENT_CHANGED);
 }
 
+/**
+ * node_connected() - a new connection to the platform stands
+ * @n: entry
+ * @took_ns: time that it took
+ * @now_ns: time
+ *
+ * Return: whether to ask over it; otherwise the call ends with SOURCE_BUSY.
+ */
+bool node_connected(struct node *n, uint64_t took_ns, uint64_t now_ns)
+{
+	struct source_view v;
+
+	n->now_ns = now_ns;
+	v = view(n);
+	return source_connected(&n->source, &v, took_ns);
+}
+
 /**
  * node_answering() - the platform's answer is about to be taken, by
  *	node_listed() or node_changed()
@@ -164,8 +183,9 @@
 	n->now_ns = now_ns;
 	if (outcome == SOURCE_OK)
 		take_head(n, head);
-	note_contact(n, outcome != SOURCE_FAILED,
-		     outcome == SOURCE_OK ? head->revision : 0);
+	if (outcome != SOURCE_BUSY)
+		note_contact(n, outcome != SOURCE_FAILED,
+			     outcome == SOURCE_OK ? head->revision : 0);
 	changed = documents_newest(n->documents) > n->told;
 	v = view(n);
 	source_end(&n->source, outcome, outcome == SOURCE_OK && head->more,
@@ -202,6 +222,18 @@
 	return true;
 }
 
+/*
+ * A peer brought what the first listing was to bring. The answer on its way
+ * would keep others from theirs, on the platform's link.
+ */
+static void give_up_listing(struct node *n)
+{
+	if (n->source.calling && n->step == SOURCE_LIST)
+		n->port.cancel(n->port.ctx);
+	source_needless(&n->source);
+	n->list_first = 0;
+}
+
 /**
  * node_fetched() - a call to a peer ended
  * @n: entry
@@ -224,8 +256,7 @@
 	documents_covered(n->documents, head->through);
 	documents_knows(n->documents, head->newest);
 	if (first && documents_through(n->documents)) {
-		source_needless(&n->source);
-		n->list_first = 0;
+		give_up_listing(n);
 	}
 	/* News from elsewhere: few others here have them yet. */
 	if (n->fetching_far && documents_newest(n->documents) > n->told) {
--- a/core/packet/node_published.c
+++ b/core/packet/node_published.c
@@ -60,6 +60,15 @@
 			    : "");
 }
 
+/*
+ * The first time all are new, and the line of readiness counts them: a line
+ * each kept a machine of 0.12 cores from serving for 60 ms longer, at 600.
+ */
+static bool young(const struct node *n)
+{
+	return !documents_through(n->documents);
+}
+
 static void take_target(struct node *n, const struct document *doc,
 			const struct target_news *news)
 {
@@ -83,7 +92,7 @@
 		log_target(n, doc, t, "restarted");
 		path_restarted(n->path, t);
 	}
-	if (t->stage != before)
+	if (t->stage != before && !(t->stage == TARGET_SERVING && young(n)))
 		log_target(n, doc, t, stage_names[t->stage]);
 }
 
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -22,6 +22,13 @@
  * Who stays alone is cut off, and asks no more often than others do. */
 #define ALONE_PERIOD_NS (20 * NS_PER_MS)
 #define ALONE_HURRY_NS (2 * NS_PER_S)
+/*
+ * The seeds after the first rounds less and less, up to ten times a second: 295
+ * VMs that start together, each asking 50 times a second, leave three seeds no
+ * time to read the platform.
+ */
+#define SEEDS_PART 4
+#define SEEDS_PERIOD_MAX_NS (100 * NS_PER_MS)
 /* A VM hears ten heartbeats a second from elsewhere, two where there are few:
  * with none for so long its data centre is cut off. */
 #define FAR_HEARD_NS NS_PER_S
@@ -36,8 +43,9 @@
 	uint32_t n;
 	uint64_t next_ns;
 	uint64_t alone_ns;
+	uint64_t seeds_ns;
 	uint32_t round;
-	struct claims claims;
+	struct read_claims claims;
 	uint64_t far_ns;
 	uint64_t trouble_ns;
 };
@@ -158,7 +166,7 @@
 		struct read_claim c = { k->zone, k->by, k->revision, k->number,
 					ago(now_ns, k->age_ms) };
 
-		claims_take(&f->claims, &c);
+		read_claims_take(&f->claims, &c);
 	}
 }
 
@@ -245,6 +253,15 @@
 	return some(f, false, FAR_MAX, now_ns, to, n, to_max);
 }
 
+static uint32_t put_seeds(const struct peer_set *f, uint64_t *to, uint32_t n,
+			  uint32_t to_max)
+{
+	for (uint32_t i = 0; i < f->conf.n_seeds; i++)
+		if (f->conf.seeds[i] != f->conf.self)
+			n = put(to, n, to_max, f->conf.seeds[i]);
+	return n;
+}
+
 /* Somebody not heard of lately, and a seed: partitions heal through these. */
 static uint32_t lost(struct peer_set *f, uint64_t now_ns, uint64_t *to,
 		     uint32_t n, uint32_t to_max)
@@ -272,15 +289,26 @@
 		}
 }
 
-static uint64_t period_ns(struct peer_set *f, bool settled, uint64_t now_ns)
+/* Whether this VM, which is alone or knows nothing, is in a hurry. */
+static bool hurries(struct peer_set *f, bool settled, uint64_t now_ns)
 {
 	if (settled)
 		f->alone_ns = 0;
 	else if (!f->alone_ns)
 		f->alone_ns = now_ns;
-	if (f->alone_ns && now_ns < f->alone_ns + ALONE_HURRY_NS)
-		return ALONE_PERIOD_NS;
-	return f->conf.period_ns;
+	return f->alone_ns && now_ns < f->alone_ns + ALONE_HURRY_NS;
+}
+
+static bool seeds_due(struct peer_set *f, uint64_t now_ns)
+{
+	uint64_t period_ns = (now_ns - f->alone_ns) / SEEDS_PART;
+
+	if (now_ns < f->seeds_ns)
+		return false;
+	if (period_ns > SEEDS_PERIOD_MAX_NS)
+		period_ns = SEEDS_PERIOD_MAX_NS;
+	f->seeds_ns = now_ns + period_ns;
+	return true;
 }
 
 /**
@@ -302,7 +330,11 @@
 		return 0;
 	drop_old(f, now_ns);
 	n = peer_set_neighbours(f, now_ns, to, to_max);
-	f->next_ns = now_ns + period_ns(f, n && !young, now_ns);
+	if (hurries(f, n && !young, now_ns)) {
+		f->next_ns = now_ns + ALONE_PERIOD_NS;
+		return seeds_due(f, now_ns) ? put_seeds(f, to, n, to_max) : n;
+	}
+	f->next_ns = now_ns + f->conf.period_ns;
 	if (!n || young || f->round++ % SEED_ROUNDS == 0)
 		n = lost(f, now_ns, to, n, to_max);
 	return n;
@@ -330,8 +362,8 @@
 			uint64_t now_ns)
 {
 	struct read_claim c[HELLO_CLAIMS_MAX];
-	uint32_t n =
-		claims_newest(&f->claims, f->conf.zone, c, HELLO_CLAIMS_MAX);
+	uint32_t n = read_claims_newest(&f->claims, f->conf.zone, c,
+					HELLO_CLAIMS_MAX);
 
 	for (uint32_t i = 0; i < n; i++)
 		h->claims[h->n_claims++] =
@@ -377,8 +409,8 @@
  */
 void peer_set_contact(struct peer_set *f, uint64_t revision, uint64_t now_ns)
 {
-	claims_contact(&f->claims, f->conf.zone, f->conf.self, revision,
-		       now_ns);
+	read_claims_contact(&f->claims, f->conf.zone, f->conf.self, revision,
+			    now_ns);
 }
 
 /**
@@ -391,7 +423,8 @@
 void peer_set_trouble(struct peer_set *f, uint64_t contact_ns, uint64_t now_ns)
 {
 	f->trouble_ns = now_ns;
-	claims_withdraw(&f->claims, f->conf.zone, f->conf.self, contact_ns);
+	read_claims_withdraw(&f->claims, f->conf.zone, f->conf.self,
+			     contact_ns);
 }
 
 uint64_t peer_set_trouble_ns(const struct peer_set *f)
@@ -399,6 +432,19 @@
 	return f->trouble_ns;
 }
 
+/*
+ * After which silence a VM of this data centre is taken for lost. Among many a VM is heard of
+ * less often: with the same 0.7 s for all, each of 57 took most others for lost
+ * at times, thought itself first in rank, and read the platform: 80 calls a
+ * second instead of 4.
+ */
+static uint64_t silence_ns(const struct peer_set *f)
+{
+	uint32_t near = f->n - count_far(f);
+
+	return LIVE_NS * (1 + near / NEAR_MAX);
+}
+
 /**
  * peer_set_others_contact_ns() - when the platform last answered another VM of
  *	this data centre that goes on reading
@@ -409,11 +455,11 @@
  */
 uint64_t peer_set_others_contact_ns(const struct peer_set *f, uint64_t now_ns)
 {
-	const struct read_claim *c = claims_of(&f->claims, f->conf.zone);
+	const struct read_claim *c = read_claims_of(&f->claims, f->conf.zone);
 	const struct peer_vm *p = c ? find(f, c->by) : NULL;
 
 	if (!c || c->by == f->conf.self ||
-	    (p && (p->leaving || !live(p, now_ns))))
+	    (p && (p->leaving || p->heard_ns + silence_ns(f) <= now_ns)))
 		return 0;
 	return c->contact_ns;
 }
@@ -427,7 +473,7 @@
  */
 uint64_t peer_set_last_contact_ns(const struct peer_set *f)
 {
-	return claims_latest_ns(&f->claims);
+	return read_claims_latest_ns(&f->claims);
 }
 
 /**
@@ -445,7 +491,7 @@
 {
 	if (f->far_ns + FAR_HEARD_NS < now_ns)
 		return 0;
-	return claims_before(&f->claims, f->conf.zone, since_ns);
+	return read_claims_before(&f->claims, f->conf.zone, since_ns);
 }
 
 /**
@@ -458,14 +504,15 @@
 uint32_t peer_set_rank(const struct peer_set *f, uint64_t now_ns)
 {
 	uint64_t mine = hash_u64(f->conf.self, RANK_SEED);
+	uint64_t lost_ns = silence_ns(f);
 	uint32_t rank = 0;
 
 	for (uint32_t i = 0; i < f->n; i++) {
 		const struct peer_vm *p = &f->peers[i];
 
-		if (p->zone == f->conf.zone && p->direct_ns &&
-		    live(p, now_ns) && !p->leaving &&
-		    hash_u64(p->addr, RANK_SEED) < mine)
+		if (p->zone == f->conf.zone && p->direct_ns && !p->leaving &&
+		    hash_u64(p->addr, RANK_SEED) < mine &&
+		    p->heard_ns + lost_ns > now_ns)
 			rank++;
 	}
 	return rank;
--- a/core/packet/peer_set.h
+++ b/core/packet/peer_set.h
@@ -6,7 +6,7 @@
 #ifndef CB_PEER_SET_H
 #define CB_PEER_SET_H
 
-#include "claims.h"
+#include "read_claims.h"
 #include "target.h"
 
 /* The VMs of one data centre and of those it exchanges news with. */
--- a/core/packet/claims.c
+++ b/core/packet/read_claims.c
@@ -1,9 +1,9 @@
-#include "claims.h"
+#include "read_claims.h"
 
 /* Another order of data centres than that of their names' hashes. */
 #define ORDER_SEED 0x6f72646572ULL
 
-static struct read_claim *find(const struct claims *c, uint32_t zone)
+static struct read_claim *find(const struct read_claims *c, uint32_t zone)
 {
 	for (uint32_t i = 0; i < c->n; i++)
 		if (c->all[i].zone == zone)
@@ -23,19 +23,19 @@
 }
 
 /**
- * claims_take() - take a claim that a peer passed on
+ * read_claims_take() - take a claim that a peer passed on
  * @c: claims
  * @news: claim
  *
  * Return: whether it was newer than what was known.
  */
-bool claims_take(struct claims *c, const struct read_claim *news)
+bool read_claims_take(struct read_claims *c, const struct read_claim *news)
 {
 	struct read_claim *known = find(c, news->zone);
 
 	if (known && !newer(news, known))
 		return false;
-	if (!known && c->n == CLAIMS_MAX)
+	if (!known && c->n == READ_CLAIMS_MAX)
 		return false;
 	if (!known)
 		known = &c->all[c->n++];
@@ -44,15 +44,15 @@
 }
 
 /**
- * claims_contact() - the platform answered this VM
+ * read_claims_contact() - the platform answered this VM
  * @c: claims
  * @zone: its data centre
  * @self: its address
  * @revision: of the platform; 0 when the answer told none
  * @now_ns: time
  */
-void claims_contact(struct claims *c, uint32_t zone, uint64_t self,
-		    uint64_t revision, uint64_t now_ns)
+void read_claims_contact(struct read_claims *c, uint32_t zone, uint64_t self,
+			 uint64_t revision, uint64_t now_ns)
 {
 	const struct read_claim *known = find(c, zone);
 	struct read_claim own = { zone, self, revision, 1, now_ns };
@@ -61,19 +61,19 @@
 		own.revision = known->revision;
 		own.number = known->number + 1;
 	}
-	claims_take(c, &own);
+	read_claims_take(c, &own);
 }
 
 /**
- * claims_withdraw() - the platform did not answer this VM: if it was the one
+ * read_claims_withdraw() - the platform did not answer this VM: if it was the one
  *	that claimed for its data centre, the next in rank has to read soon
  * @c: claims
  * @zone: its data centre
  * @self: its address
  * @contact_ns: no later contact is claimed from now on
  */
-void claims_withdraw(struct claims *c, uint32_t zone, uint64_t self,
-		     uint64_t contact_ns)
+void read_claims_withdraw(struct read_claims *c, uint32_t zone, uint64_t self,
+			  uint64_t contact_ns)
 {
 	struct read_claim *known = find(c, zone);
 
@@ -84,24 +84,25 @@
 }
 
 /**
- * claims_of() - the claim of a data centre
+ * read_claims_of() - the claim of a data centre
  * @c: claims
  * @zone: data centre
  *
  * Return: claim, or NULL.
  */
-const struct read_claim *claims_of(const struct claims *c, uint32_t zone)
+const struct read_claim *read_claims_of(const struct read_claims *c,
+					uint32_t zone)
 {
 	return find(c, zone);
 }
 
 /**
- * claims_latest_ns() - when the platform last answered anybody
+ * read_claims_latest_ns() - when the platform last answered anybody
  * @c: claims
  *
  * Return: time; 0 for never.
  */
-uint64_t claims_latest_ns(const struct claims *c)
+uint64_t read_claims_latest_ns(const struct read_claims *c)
 {
 	uint64_t latest_ns = 0;
 
@@ -112,14 +113,15 @@
 }
 
 /**
- * claims_before() - how many data centres read that come before one
+ * read_claims_before() - how many data centres read that come before one
  * @c: claims
  * @zone: that one
  * @since_ns: who was not answered since does not read
  *
  * Return: how many.
  */
-uint32_t claims_before(const struct claims *c, uint32_t zone, uint64_t since_ns)
+uint32_t read_claims_before(const struct read_claims *c, uint32_t zone,
+			    uint64_t since_ns)
 {
 	uint64_t own = hash_u64(zone, ORDER_SEED);
 	uint32_t n = 0;
@@ -138,8 +140,9 @@
 	return false;
 }
 
-static const struct read_claim *
-latest_untold(const struct claims *c, const struct read_claim *out, uint32_t n)
+static const struct read_claim *latest_untold(const struct read_claims *c,
+					      const struct read_claim *out,
+					      uint32_t n)
 {
 	const struct read_claim *best = NULL;
 
@@ -154,7 +157,7 @@
 }
 
 /**
- * claims_newest() - the claims worth passing on
+ * read_claims_newest() - the claims worth passing on
  * @c: claims
  * @zone: this one's first
  * @out: filled, then with the latest contacts
@@ -162,8 +165,8 @@
  *
  * Return: how many.
  */
-uint32_t claims_newest(const struct claims *c, uint32_t zone,
-		       struct read_claim *out, uint32_t out_max)
+uint32_t read_claims_newest(const struct read_claims *c, uint32_t zone,
+			    struct read_claim *out, uint32_t out_max)
 {
 	const struct read_claim *next = find(c, zone);
 	uint32_t n = 0;
--- a/core/packet/claims.h
+++ b/core/packet/read_claims.h
@@ -2,13 +2,13 @@
  * Which data centres are answered by the platform: claims of their readers,
  * passed on with heartbeats. Whoever hears of two others that read need not.
  */
-#ifndef CB_CLAIMS_H
-#define CB_CLAIMS_H
+#ifndef CB_READ_CLAIMS_H
+#define CB_READ_CLAIMS_H
 
 #include "types.h"
 
 /* Data centres that are kept in mind. */
-#define CLAIMS_MAX 32
+#define READ_CLAIMS_MAX 32
 
 /**
  * struct read_claim - that the platform answered a data centre's reader
@@ -31,25 +31,26 @@
 };
 
 /**
- * struct claims - the newest of each data centre
+ * struct read_claims - the newest of each data centre
  * @n: how many
  * @all: those
  */
-struct claims {
+struct read_claims {
 	uint32_t n;
-	struct read_claim all[CLAIMS_MAX];
+	struct read_claim all[READ_CLAIMS_MAX];
 };
 
-bool claims_take(struct claims *c, const struct read_claim *news);
-void claims_contact(struct claims *c, uint32_t zone, uint64_t self,
-		    uint64_t revision, uint64_t now_ns);
-void claims_withdraw(struct claims *c, uint32_t zone, uint64_t self,
-		     uint64_t contact_ns);
-const struct read_claim *claims_of(const struct claims *c, uint32_t zone);
-uint64_t claims_latest_ns(const struct claims *c);
-uint32_t claims_before(const struct claims *c, uint32_t zone,
-		       uint64_t since_ns);
-uint32_t claims_newest(const struct claims *c, uint32_t zone,
-		       struct read_claim *out, uint32_t out_max);
+bool read_claims_take(struct read_claims *c, const struct read_claim *news);
+void read_claims_contact(struct read_claims *c, uint32_t zone, uint64_t self,
+			 uint64_t revision, uint64_t now_ns);
+void read_claims_withdraw(struct read_claims *c, uint32_t zone, uint64_t self,
+			  uint64_t contact_ns);
+const struct read_claim *read_claims_of(const struct read_claims *c,
+					uint32_t zone);
+uint64_t read_claims_latest_ns(const struct read_claims *c);
+uint32_t read_claims_before(const struct read_claims *c, uint32_t zone,
+			    uint64_t since_ns);
+uint32_t read_claims_newest(const struct read_claims *c, uint32_t zone,
+			    struct read_claim *out, uint32_t out_max);
 
 #endif
--- a/core/packet/source.c
+++ b/core/packet/source.c
@@ -7,6 +7,14 @@
  */
 #define YOUNG_STEP_NS (60 * NS_PER_MS)
 #define YOUNG_WAIT_MAX_NS NS_PER_S
+/*
+ * Who hears of so many others before it has read anything waits for one of
+ * them: when all start together the first few have read before the rest could.
+ * 295 entries that each read 600 KB from a platform with a link of 1 Gbit/s were
+ * answered after 0.7 to 1.5 s, the first one alone after 38 ms.
+ */
+#define CROWD 12
+#define CROWD_WAIT_NS (400 * NS_PER_MS)
 /* A rank counts when heartbeats had time to tell of all that live. */
 #define RANK_KNOWN_NS (500 * NS_PER_MS)
 /* Ranks stand in one after the other, not all at once. */
@@ -29,15 +37,39 @@
 /* A process that knows nothing yet serves nobody, so it asks more often. */
 #define RETRY_DOUBLINGS_FIRST 1
 
+/*
+ * Answers of others stand in the way of a connection to the platform for as long
+ * as they will in the way of our answer. 295 VMs that start within 0.45 s and
+ * are to have 600 KB each over 1 Gbit/s connect after 2 ms at first and 109 ms
+ * later, and get their answers all together after 0.7 s or more. With the link
+ * left to some of them at a time, the first ones have theirs soon, and the rest
+ * have it from these. Where the way to the platform takes that long anyhow,
+ * nobody gives way more than a few times.
+ */
+#define BUSY_CONNECT_NS (12 * NS_PER_MS)
+#define GIVE_WAY_NS (50 * NS_PER_MS)
+#define GIVE_WAY_SPREAD_NS (200 * NS_PER_MS)
+#define GIVE_WAY_MOST 4
+
 static uint64_t young_wait_ns(const struct source_view *v)
 {
 	uint64_t wait_ns = v->rank * YOUNG_STEP_NS;
 
+	if (v->peers >= CROWD)
+		wait_ns += CROWD_WAIT_NS;
 	if (wait_ns > YOUNG_WAIT_MAX_NS)
 		wait_ns = YOUNG_WAIT_MAX_NS;
 	return v->policy->young_wait_ns + wait_ns;
 }
 
+/* A peer that is being asked answers sooner than the platform, or not at all. */
+static uint64_t first_ns(const struct source *s, const struct source_view *v)
+{
+	return s->start_ns +
+	       (v->fetching ? v->policy->young_wait_ns + YOUNG_WAIT_MAX_NS
+			    : young_wait_ns(v));
+}
+
 static bool wanted(const struct source *s, const struct source_view *v)
 {
 	uint64_t patience_ns = v->rank * RANK_STEP_NS;
@@ -45,9 +77,7 @@
 	if (s->listing)
 		return true;
 	if (!v->through)
-		return v->now_ns >= s->start_ns + (v->fetching
-							   ? YOUNG_WAIT_MAX_NS
-							   : young_wait_ns(v));
+		return v->now_ns >= first_ns(s, v);
 	if (!v->policy->one_reader)
 		return true;
 	if (v->readers_before >= READING_ZONES)
@@ -98,15 +128,31 @@
 	s->listing = step == SOURCE_LIST;
 }
 
+/**
+ * source_connected() - whether to ask over a connection that has just been made
+ * @s: state
+ * @v: what the decision goes by
+ * @took_ns: time that it took
+ *
+ * Return: whether; false when others are being answered, before a first
+ * listing. The call ends with SOURCE_BUSY then.
+ */
+bool source_connected(const struct source *s, const struct source_view *v,
+		      uint64_t took_ns)
+{
+	return v->known || took_ns < BUSY_CONNECT_NS ||
+	       s->gave_way >= GIVE_WAY_MOST;
+}
+
 /**
  * source_needless() - a peer brought what a first listing was to bring
  * @s: state
  *
- * A listing that is answered later than a peer goes on for pages otherwise: at
- * 600 targets 13 calls.
+ * The page on its way, if any, is not waited for.
  */
 void source_needless(struct source *s)
 {
+	s->calling = s->calling && !s->listing;
 	s->listing = false;
 }
 
@@ -135,6 +181,13 @@
 				v->readers_before ? SECOND_BATCH_NS : BATCH_NS;
 		return;
 	}
+	if (outcome == SOURCE_BUSY) {
+		s->listing = false;
+		s->gave_way++;
+		s->next_ns =
+			now_ns + GIVE_WAY_NS + v->chance % GIVE_WAY_SPREAD_NS;
+		return;
+	}
 	if (outcome == SOURCE_BEHIND) {
 		s->relist = true;
 		s->exact = true;
--- a/core/packet/source.h
+++ b/core/packet/source.h
@@ -15,8 +15,9 @@
  * @SOURCE_OK: answered and taken
  * @SOURCE_FAILED: no answer, refused, or not understood
  * @SOURCE_BEHIND: the history asked for is gone: list again
+ * @SOURCE_BUSY: not asked, since source_connected() said so
  */
-enum source_outcome { SOURCE_OK, SOURCE_FAILED, SOURCE_BEHIND };
+enum source_outcome { SOURCE_OK, SOURCE_FAILED, SOURCE_BEHIND, SOURCE_BUSY };
 
 /**
  * struct source_view - what the decision goes by
@@ -29,8 +30,10 @@
  *	asked last, 0 for nothing; less than @known after a listing that may be
  *	old
  * @others_ns: when the platform last answered another VM of the data centre
+ * @peers: live VMs known
  * @readers_before: data centres that read and come before this one
  * @fetching: a peer that knows more is being asked
+ * @chance: a random number, another one for each VM
  */
 struct source_view {
 	const struct policy *policy;
@@ -39,8 +42,10 @@
 	uint64_t known;
 	uint64_t through;
 	uint64_t others_ns;
+	uint32_t peers;
 	uint32_t readers_before;
 	bool fetching;
+	uint64_t chance;
 };
 
 /**
@@ -52,6 +57,7 @@
  * @relist: the next call has to list
  * @exact: all pages of a listing have to be of this moment, not only its first
  * @failures: calls in a row that failed
+ * @gave_way: times that a first listing was put off for others
  */
 struct source {
 	uint64_t start_ns;
@@ -61,6 +67,7 @@
 	bool relist;
 	bool exact;
 	uint32_t failures;
+	uint32_t gave_way;
 };
 
 /* Longest wait of a watch. It bounds how long a watch that went silent hides
@@ -73,6 +80,8 @@
 			     const struct source_view *v);
 uint64_t source_wait_ns(const struct source_view *v);
 void source_begin(struct source *s, enum source_step step);
+bool source_connected(const struct source *s, const struct source_view *v,
+		      uint64_t took_ns);
 void source_needless(struct source *s);
 void source_end(struct source *s, enum source_outcome outcome, bool more,
 		bool changed, const struct source_view *v);
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -113,6 +113,13 @@
 	node_fetched(s->node, &head, w->now_ns);
 }
 
+static void cancel(void *ctx)
+{
+	struct port_ctx *c = ctx;
+
+	c->e->list_due_ns = 0;
+}
+
 static void fetch(void *ctx, uint64_t peer, uint64_t after)
 {
 	struct port_ctx *c = ctx;
@@ -280,6 +287,7 @@
 		.ctx = &w->contexts[entry],
 		.list = store_list,
 		.watch = store_watch,
+		.cancel = cancel,
 		.fetch = fetch,
 		.hello = send_hello,
 		.probe = probe,
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -49,6 +49,7 @@
 	uint64_t disturbed_ns;
 	enum store_mode store;
 	uint64_t store_until_ns;
+	uint64_t list_due_ns;
 	bool watching;
 	uint64_t watch_after;
 };
--- a/sim/sim-soak/processes.c
+++ b/sim/sim-soak/processes.c
@@ -180,7 +180,7 @@
 
 	for (uint32_t i = 0; !err && i < s->world->n_entries; i++) {
 		struct soak_entry *e = &s->entries[i];
-		struct http_call_handler handler = { e, on_ready };
+		struct http_call_handler handler = { e, on_ready, NULL };
 
 		err = http_caller_open(&s->loop, handler, &e->caller);
 	}
--- /dev/null
+++ b/test/packet_slow_test.c
@@ -0,0 +1,34 @@
+/*
+ * Symptom: requests pass their deadlines for seconds after some targets turned
+ * seven times slower. Sequence: feeds stay open there; a request of long work
+ * fills a slot for a second and a half, and those behind it wait too long.
+ * Cause: an entry gives a slow target as many requests as the others, since it
+ * knows the work of a service's requests, not that of one target.
+ */
+#include "world_bed.h"
+
+static void test_slow_targets(void **state)
+{
+	const struct world_fault *f = world_fault_find("targets_crawl");
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= WORLD_SEEDS; seed++)
+		world_bed_play(f, seed, false);
+}
+
+static void test_slow_targets_with_flows_that_move(void **state)
+{
+	(void)state;
+	world_bed_play(world_fault_find("targets_crawl"), WORLD_SEED_MOVES,
+		       true);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_slow_targets),
+		cmocka_unit_test(test_slow_targets_with_flows_that_move),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/packet_source_test.c
+++ b/test/packet_source_test.c
@@ -97,6 +97,52 @@
 	assert_true(s.exact);
 }
 
+/*
+ * Symptom: after all VMs lost power hundreds serve nothing for a second.
+ * Sequence: all start at once and list the platform; its link carries all
+ * answers at the same time. Cause: each is answered last.
+ */
+static void test_first_listing_gives_way(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + 40 * MS, 0, 0, 0);
+
+	(void)state;
+	assert_true(source_connected(&s, &v, 4 * MS));
+	v.chance = UINT64_MAX;
+	for (uint32_t i = 0; i < 4; i++) {
+		assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+		source_begin(&s, SOURCE_LIST);
+		assert_false(source_connected(&s, &v, 30 * MS));
+		source_end(&s, SOURCE_BUSY, false, false, &v);
+		assert_int_equal(s.failures, 0);
+		assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+		assert_in_range(s.next_ns - v.now_ns, 50 * MS, 250 * MS);
+		v.now_ns = s.next_ns;
+	}
+	/* The platform may be far away, and no peer there. */
+	assert_true(source_connected(&s, &v, 30 * MS));
+	/* Who reads for others does not wait. */
+	s.gave_way = 0;
+	v.known = v.through = 9;
+	assert_true(source_connected(&s, &v, 30 * MS));
+}
+
+/* A VM that hears of many waits for what they read. */
+static void test_young_process_in_a_crowd_waits(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + 300 * MS, 0, 0, 0);
+
+	(void)state;
+	v.peers = 11;
+	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+	v.peers = 12;
+	assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+	v.now_ns += 120 * MS;
+	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+}
+
 /* A peer was faster: the other pages are not asked for. */
 static void test_listing_that_is_needless_ends(void **state)
 {
@@ -259,6 +305,8 @@
 		cmocka_unit_test(test_pages_until_the_last),
 		cmocka_unit_test(test_pages_follow_at_once),
 		cmocka_unit_test(test_after_lost_history_pages_are_of_now),
+		cmocka_unit_test(test_first_listing_gives_way),
+		cmocka_unit_test(test_young_process_in_a_crowd_waits),
 		cmocka_unit_test(test_listing_that_is_needless_ends),
 		cmocka_unit_test(test_one_reads_while_it_is_answered),
 		cmocka_unit_test(test_next_in_rank_stands_in),
--- /dev/null
+++ b/test/world_bed.h
@@ -0,0 +1,66 @@
+/* A deployment on a fake clock with one fault, and what must hold after it. */
+#ifndef CB_WORLD_BED_H
+#define CB_WORLD_BED_H
+
+#include "world.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#define WORLD_SEEDS 3
+/* Of the runs with routers that place flows by remainder. */
+#define WORLD_SEED_MOVES 11
+#define WORLD_WARM_UP_NS (5 * NS_PER_S)
+#define WORLD_AFTER_NS (12 * NS_PER_S)
+
+static inline struct world *world_bed_new(uint64_t seed, bool mod)
+{
+	struct site_size size = { 3, 3, 5, 90, 90, 25 };
+	struct world_conf conf = { .seed = seed };
+	struct world *w;
+
+	site_plain(&conf.site, &size);
+	conf.site.mod = mod;
+	w = world_new(&conf);
+	assert_non_null(w);
+	return w;
+}
+
+static inline void world_bed_play(const struct world_fault *f, uint64_t seed,
+				  bool mod)
+{
+	struct world *w = world_bed_new(seed, mod);
+	struct world_report r;
+	double served;
+
+	world_run(w, WORLD_WARM_UP_NS);
+	f->apply(w);
+	world_run(w, WORLD_AFTER_NS);
+	world_report(w, &r);
+	served = (double)(r.in_aim + r.late) / (double)r.requests;
+	if (world_broken_rules(&r) || served < f->served)
+		fail_msg("%s, seed %llu: served %.4f of %llu, misrouted %llu, "
+			 "broken %llu, late drain %llu, stale %llu, doubled "
+			 "%llu",
+			 f->name, (unsigned long long)seed, served,
+			 (unsigned long long)r.requests,
+			 (unsigned long long)r.misrouted,
+			 (unsigned long long)r.broken,
+			 (unsigned long long)r.late_drain,
+			 (unsigned long long)r.stale,
+			 (unsigned long long)r.doubled);
+	assert_int_equal(world_ready(w), world_entries(w));
+	world_free(w);
+}
+
+/* packet_slow_test has it, at the same seeds. */
+static inline bool slow_targets(const struct world_fault *f)
+{
+	return !strcmp(f->name, "targets_crawl");
+}
+
+#endif
