--- a/core/packet/policy.h
+++ b/core/packet/policy.h
@@ -113,8 +113,8 @@
  *	otherwise each does
  * @old_listing: the first listing's later pages may be seconds old, and a watch
  *	that waits for nothing brings what came since. They cost the platform a
- *	tenth, and do not count towards its rate: when 295 entries start over
- *	600 targets, each that finds no peer lists 13 pages.
+ *	tenth, and do not count towards its rate; 130,000 targets are hundreds
+ *	of pages for each entry that starts and finds no peer.
  * @young_wait_ns: a process that knows nothing reads after this; when all
  *	restart together no peer has anything, and each further wait is one of
  *	all clients
--- a/core/packet/source.c
+++ b/core/packet/source.c
@@ -21,8 +21,8 @@
 #define RANK_STEP_NS (300 * NS_PER_MS)
 /*
  * Changes that come in a row are read in one call. Pages of a listing follow
- * each other at once: with this pause after each that brought something new, a
- * listing of 13 pages took 0.3 to 0.4 s, for which its entry was not ready.
+ * each other at once: with a pause after each that brought something new, an
+ * entry with two pages to read was ready 40 to 60 ms later.
  */
 #define BATCH_NS (300 * NS_PER_MS)
 /* One data centre reads for all; another one reads as well, since a watch may
--- a/test/packet_source_test.c
+++ b/test/packet_source_test.c
@@ -49,10 +49,9 @@
 }
 
 /*
- * Symptom: of hundreds of VMs that start together some serve nothing for 0.4 s.
- * Sequence: a VM lists the platform over many pages, of which the first few
- * bring what is newer than the ones before. Cause: the pause that gathers
- * changes was made between pages, too.
+ * Symptom: a VM that starts is ready late. Sequence: it lists the platform over
+ * many pages, of which the first few bring what is newer than the ones before.
+ * Cause: the pause that gathers changes was made between pages, too.
  */
 static void test_pages_follow_at_once(void **state)
 {
