A leaving target that refuses a connection is asked once more

Logs: always a target that was leaving; at 17.92 to 17.94 s it refuses a connection attempt, is taken for ended, peers are told, and a flow that had its last packet there 20 to 60 ms before is reset. It listens no more some moments before it ends.

A refusal by a leaving target counts when it refuses again half a second later. It gets no new flows anyway. A flow of one that really ended is reset that much later.

Test: packet_path_test `leaving_target_refuses_before_it_ends`, seen to fail.

--- a/core/packet/directory.c
+++ b/core/packet/directory.c
@@ -165,6 +165,7 @@
 	t->alive_ns = 0;
 	t->successor_ns = 0;
 	t->probe_ns = 0;
+	t->refused_ns = 0;
 	t->misses = 0;
 	t->failures = 0;
 	t->ejected_until_ns = 0;
--- a/core/packet/health.c
+++ b/core/packet/health.c
@@ -29,6 +29,7 @@
 {
 	t->alive_ns = c->now_ns;
 	t->misses = 0;
+	t->refused_ns = 0;
 	set(t, c, HEALTH_GOOD);
 }
 
@@ -107,6 +108,20 @@
 		set(t, c, HEALTH_SILENT);
 }
 
+/*
+ * A target that leaves listens no more some moments before it ends, and serves
+ * the flows that it has: one was reset 20 ms after its last packet there. So it
+ * has to refuse once more, when its end is over.
+ */
+static bool about_to_end(struct target *t, const struct health_context *c)
+{
+	if (t->stage != TARGET_LEAVING)
+		return false;
+	if (!t->refused_ns)
+		t->refused_ns = c->now_ns;
+	return c->now_ns < t->refused_ns + c->policy->look_again_ns;
+}
+
 /**
  * health_probed() - outcome of a connection attempt
  * @t: target
@@ -127,6 +142,10 @@
 		t->probe_ns = c->now_ns + c->policy->look_again_ns;
 		if (t->health == HEALTH_DEAD)
 			break;
+		if (about_to_end(t, c)) {
+			set(t, c, HEALTH_GOOD);
+			break;
+		}
 		set(t, c, HEALTH_DEAD);
 		c->port->dead(c->port->ctx, t);
 		break;
--- a/core/packet/policy.h
+++ b/core/packet/policy.h
@@ -39,7 +39,8 @@
  *	answered by that one. At 14 targets and 8 entries at most 0.4 attempts a
  *	request.
  * @look_again_ns: a silent target may only be paused or cut off, and a dead one
- *	start again while nobody can publish it: asked again this often
+ *	start again while nobody can publish it: asked again this often. A
+ *	leaving one that refuses is asked again after this.
  * @silent_misses: one lost packet must not condemn a target with all its flows
  * @silent_misses_alone: with no other target to compare with
  * @silent_least_ns: shorter pauses of a target are a burst or a lost packet
--- a/core/packet/target.h
+++ b/core/packet/target.h
@@ -71,6 +71,8 @@
  * @health: enum target_health
  * @alive_ns: last sign of life
  * @successor_ns: when a later process at its address was published; 0 for never
+ * @refused_ns: when it first refused a connection while it was leaving; 0 for
+ *	not
  * @probe_ns: earliest time of the next probe
  * @probing: a probe is out
  * @probed_ns: when it, or the last one, went out
@@ -108,6 +110,7 @@
 	uint8_t health;
 	uint64_t alive_ns;
 	uint64_t successor_ns;
+	uint64_t refused_ns;
 	uint64_t probe_ns;
 	bool probing;
 	uint64_t probed_ns;
--- a/test/packet_path_test.c
+++ b/test/packet_path_test.c
@@ -230,6 +230,45 @@
 	bed_close(&b);
 }
 
+/*
+ * Symptom: an open flow is reset while its target still serves it. Sequence: the
+ * target leaves; an entry doubts it and tries to connect; the target, about to
+ * end, listens no more, and refuses. Cause: a refusal was taken for its end.
+ */
+static void test_leaving_target_refuses_before_it_ends(void **state)
+{
+	struct bed b;
+	struct target_news news;
+	struct path_verdict v;
+	uint32_t cookie;
+
+	(void)state;
+	bed_open(&b);
+	news = bed_target(&b, 1, SERVICE, ZONE)->news;
+	v = bed_open_flow(&b, CALLER, VIP);
+	cookie = v.target->cookie;
+	news.leaving = true;
+	news.sequence++;
+	bed_publish(&b, &news);
+	b.now_ns += 100 * MS;
+	bed_data(&b, CALLER, VIP, cookie, 2, 2, 100);
+	bed_pass(&b, 500 * MS);
+	assert_int_equal(bed_open_probes(&b), 1);
+	bed_answer(&b, 1, PROBE_REFUSED);
+	assert_int_equal(b.n_resets, 0);
+	assert_int_equal(b.n_dead, 0);
+	v = bed_data(&b, CALLER, VIP, cookie, 2, 2, 100);
+	assert_int_equal(v.action, PATH_FORWARD);
+	/* Refused again after half a second it has ended. */
+	bed_pass(&b, 500 * MS);
+	bed_data(&b, CALLER, VIP, cookie, 2, 2, 100);
+	assert_int_equal(bed_open_probes(&b), 1);
+	bed_answer(&b, 1, PROBE_REFUSED);
+	assert_int_equal(b.n_resets, 1);
+	assert_int_equal(b.n_dead, 1);
+	bed_close(&b);
+}
+
 /* What one entry found ends the flows at the others too. */
 static void test_told_dead_ends_the_flows(void **state)
 {
@@ -525,6 +564,7 @@
 		cmocka_unit_test(test_times_are_counted_by_class),
 		cmocka_unit_test(test_copy_of_a_syn_goes_elsewhere),
 		cmocka_unit_test(test_refused_probe_ends_the_flows),
+		cmocka_unit_test(test_leaving_target_refuses_before_it_ends),
 		cmocka_unit_test(test_told_dead_ends_the_flows),
 		cmocka_unit_test(test_full_link_here_condemns_nobody),
 		cmocka_unit_test(test_silence_beside_a_witness_ends_the_flows),
