--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -255,9 +255,8 @@
 		documents_list_end(n->documents, head->through, now_ns);
 	documents_covered(n->documents, head->through);
 	documents_knows(n->documents, head->newest);
-	if (first && documents_through(n->documents)) {
+	if (first && documents_through(n->documents))
 		give_up_listing(n);
-	}
 	/* News from elsewhere: few others here have them yet. */
 	if (n->fetching_far && documents_newest(n->documents) > n->told) {
 		n->told = documents_newest(n->documents);
--- a/core/packet/peer_set.c
+++ b/core/packet/peer_set.c
@@ -433,10 +433,10 @@
 }
 
 /*
- * After which silence a VM of this data centre is taken for lost. Among many a VM is heard of
- * less often: with the same 0.7 s for all, each of 57 took most others for lost
- * at times, thought itself first in rank, and read the platform: 80 calls a
- * second instead of 4.
+ * After which silence a VM of this data centre is taken for lost. Among many a
+ * VM is heard of less often: with the same 0.7 s for all, each of 57 took most
+ * others for lost at times, thought itself first in rank, and read the
+ * platform: 80 calls a second instead of 4.
  */
 static uint64_t silence_ns(const struct peer_set *f)
 {
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -169,7 +169,6 @@
 	if (m == STORE_SILENT)
 		wait_ns = LIST_TIMEOUT_NS;
 	c->w->report.store_calls++;
-	c->w->report.old_calls += !exact;
 	c->e->list_due_ns = c->w->now_ns + wait_ns;
 	world_at(c->w, wait_ns, on_listed, index_of(c->w, c->e), c->e->boot,
 		 from * LISTED_WAYS +
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -132,7 +132,6 @@
  * @swamped: requests that targets refused, since their queues were full
  * @probes: connection attempts of entries
  * @store_calls: calls to the store
- * @old_calls: of these, listings that may be old
  * @far_bytes: bytes between data centres
  * @owed: worth of all requests
  * @earned: worth of those that were answered
@@ -151,7 +150,6 @@
 	uint64_t swamped;
 	uint64_t probes;
 	uint64_t store_calls;
-	uint64_t old_calls;
 	uint64_t far_bytes;
 	double owed;
 	double earned;
