core/packet in rooms by subject: common, publish, target, peers, flow

46 files of one flat room, in which health and failing included the path that calls them, place and failing each other, the flow cache and the list of waiting packets each other.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,9 @@
 PKGS := libuv glib-2.0 argtable2 msgpack libxxhash jansson libzstd
 endif
 LIBPKGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-DIRS := $(patsubst %,-I%,$(sort $(dir $(wildcard core/*/)))) -Iadapters -Isim \
+# A room of core/ may hold rooms of its own.
+ROOMS := $(sort $(dir $(wildcard core/*/*.h core/*/*/*.h)))
+DIRS := $(patsubst %,-I%,$(ROOMS)) -Iadapters -Isim \
 	-Isim/sim-packets -Isim/sim-experiment -Iplatform
 CFLAGS := -std=gnu11 -O2 -g $(WARN) $(SANITIZE) $(DIRS) $(LIBPKGS)
 CXXFLAGS := -std=gnu++17 -O2 -g $(WARNXX) $(SANITIZE) $(DIRS) $(LIBPKGS)
@@ -26,7 +28,7 @@
 # Not what a program doesn't use: loading a library costs time and memory.
 LDFLAGS := $(SANITIZE) -Wl,--as-needed
 
-CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*/*.c))
+CORE := $(patsubst %.c,$(B)/%.o,$(wildcard core/*/*.c core/*/*/*.c))
 ADAPT := $(patsubst %.c,$(B)/%.o,$(wildcard adapters/*.c)) \
 	 $(patsubst %.cc,$(B)/%.o,$(wildcard adapters/*.cc))
 PLATFORM := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
@@ -139,7 +141,7 @@
 fuzz:
 	@scripts/fuzz
 
-SOURCES := $(wildcard core/*/*.[ch] platform/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
+SOURCES := $(wildcard core/*/*.[ch] core/*/*/*.[ch] platform/*.[ch] adapters/*.[ch] adapters/*.cc cmd/*/*.[ch] \
 	   sim/*.[ch] sim/*/*.[ch] bench/*/*.[ch] fuzz/*.[ch] \
 	   test/*.[ch] test/*.cc)
 fmt:
--- a/bench/slopes-packets/main.c
+++ b/bench/slopes-packets/main.c
@@ -96,12 +96,10 @@
 	struct path_conf conf = { .flows_max = FLOWS,
 				  .flow_lifetime_ns = 60 * NS_PER_S };
 	struct path_port port = {
-		.probe = no_target,
+		.health = { NULL, no_target, no_target, no_health },
 		.again = no_again,
 		.send = no_send,
 		.reset = no_flow,
-		.dead = no_target,
-		.health = no_health,
 		.eject = no_eject,
 	};
 
--- a/core/packet/path.c
+++ b/core/packet/flow/path.c
@@ -86,9 +86,9 @@
 
 struct health_context path_context(struct path *p, uint64_t now_ns)
 {
-	return (struct health_context){
-		p->policy, &p->port, now_ns, ask_witness, p, p->witnessed_ns
-	};
+	return (struct health_context){ p->policy, &p->port.health,
+					now_ns,	   ask_witness,
+					p,	   p->witnessed_ns };
 }
 
 static void alive(struct path *p, struct target *t, uint64_t now_ns)
--- a/core/packet/path.h
+++ b/core/packet/flow/path.h
@@ -7,6 +7,7 @@
 
 #include "directory.h"
 #include "flow_cache.h"
+#include "health.h"
 #include "histogram.h"
 #include "policy.h"
 
@@ -65,25 +66,20 @@
 /**
  * struct path_port - what the module needs from outside
  * @ctx: passed back
- * @probe: find out whether something listens at @t's address; the outcome
- *	goes to path_probed()
+ * @health: of the targets; the outcome of a probe goes to path_probed()
  * @again: hand the packet that is kept of a flow to its target, for a reason of
  *	enum path_reason
  * @send: hand a packet that has waited to its flow's target
  * @reset: end a flow that no packet asked about
- * @dead: a target was found dead here: tell the peers
- * @health: a target's health changed from @before
  * @eject: a target gets no new flows for a while, for its failures
  */
 struct path_port {
 	void *ctx;
-	void (*probe)(void *ctx, const struct target *t);
+	struct health_port health;
 	void (*again)(void *ctx, const struct flow_seen *f, uint8_t reason);
 	void (*send)(void *ctx, const struct flow_seen *f, const uint8_t *bytes,
 		     uint32_t n_bytes);
 	void (*reset)(void *ctx, const struct flow_seen *f);
-	void (*dead)(void *ctx, const struct target *t);
-	void (*health)(void *ctx, const struct target *t, uint8_t before);
 	void (*eject)(void *ctx, const struct target *t, float usual_failures);
 };
 
@@ -103,15 +99,6 @@
 	uint64_t start_ns;
 };
 
-/**
- * enum probe_outcome - what a connection attempt showed
- * @PROBE_OPEN: accepted
- * @PROBE_REFUSED: nobody listens: the process has ended
- * @PROBE_SILENT: no answer in time
- * @PROBE_VOID: this process was held up meanwhile: says nothing
- */
-enum probe_outcome { PROBE_OPEN, PROBE_REFUSED, PROBE_SILENT, PROBE_VOID };
-
 /**
  * struct path_times - how long things took, by kind of route
  * @open_us: from a flow's first opening packet to the client's answer to its
--- a/core/packet/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -2,7 +2,6 @@
 #ifndef CB_PATH_IMPL_H
 #define CB_PATH_IMPL_H
 
-#include "health.h"
 #include "outlier.h"
 #include "path.h"
 #include "window.h"
--- a/core/packet/waiting.c
+++ b/core/packet/flow/waiting.c
@@ -1,6 +1,6 @@
 #include "waiting.h"
 
-#include "flow_cache.h"
+#include "flow_seen.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -170,8 +170,14 @@
 	struct directory_conf dir = { conf->flow_lifetime_ns,
 				      n->policy->return_ns };
 	struct documents_port changed = { n, node_document_changed };
-	struct path_port port = { n,	 probe, again,	send_on,
-				  reset, dead,	health, eject };
+	struct path_port port = {
+		.ctx = n,
+		.health = { n, probe, dead, health },
+		.again = again,
+		.send = send_on,
+		.reset = reset,
+		.eject = eject,
+	};
 	struct path_conf path = {
 		.policy = n->policy,
 		.flows_max = conf->flows_max,
--- a/core/packet/directory.c
+++ b/core/packet/target/directory.c
@@ -395,3 +395,21 @@
 	*out = d->services[service].targets;
 	return d->services[service].n;
 }
+
+/**
+ * directory_serving() - whether a target may be given new flows at all
+ * @d: directory
+ * @t: target
+ *
+ * Return: whether it is published as serving, or presumed to be, and nothing
+ * says that its process has ended or that it never was one.
+ */
+bool directory_serving(const struct directory *d, const struct target *t)
+{
+	if (t->health == HEALTH_DEAD || t->successor_ns)
+		return false;
+	if (!t->news.started_ms && directory_starts_told(d))
+		return false;
+	return t->stage == TARGET_SERVING ||
+	       (t->stage == TARGET_ABSENT && t->presumed);
+}
--- a/core/packet/directory.h
+++ b/core/packet/target/directory.h
@@ -78,6 +78,7 @@
 
 void directory_tick(struct directory *d, const struct directory_clock *c);
 bool directory_starts_told(const struct directory *d);
+bool directory_serving(const struct directory *d, const struct target *t);
 
 struct target *directory_by_cookie(const struct directory *d, uint32_t cookie);
 struct target *directory_by_id(const struct directory *d, uint64_t id);
--- a/core/packet/health.c
+++ b/core/packet/target/health.c
@@ -8,7 +8,7 @@
 	if (before == health)
 		return;
 	t->health = health;
-	c->port->health(c->port->ctx, t, before);
+	c->port->changed(c->port->ctx, t, before);
 }
 
 /**
--- a/core/packet/health.h
+++ b/core/packet/target/health.h
@@ -6,12 +6,37 @@
 #ifndef CB_HEALTH_H
 #define CB_HEALTH_H
 
-#include "path.h"
+#include "policy.h"
+#include "target.h"
+
+/**
+ * enum probe_outcome - what a connection attempt showed
+ * @PROBE_OPEN: accepted
+ * @PROBE_REFUSED: nobody listens: the process has ended
+ * @PROBE_SILENT: no answer in time
+ * @PROBE_VOID: this process was held up meanwhile: says nothing
+ */
+enum probe_outcome { PROBE_OPEN, PROBE_REFUSED, PROBE_SILENT, PROBE_VOID };
+
+/**
+ * struct health_port - what the module needs from outside
+ * @ctx: passed back
+ * @probe: find out whether something listens at @t's address; the outcome
+ *	goes to health_probed()
+ * @dead: a target was found dead here: tell the peers
+ * @changed: a target's health changed from @before
+ */
+struct health_port {
+	void *ctx;
+	void (*probe)(void *ctx, const struct target *t);
+	void (*dead)(void *ctx, const struct target *t);
+	void (*changed)(void *ctx, const struct target *t, uint8_t before);
+};
 
 /**
  * struct health_context - what the decisions on one target go by
  * @policy: figures to go by
- * @port: port of the path
+ * @port: what is needed from outside
  * @now_ns: time
  * @witness: ask a target that should answer; false when there is none
  * @witness_ctx: passed to it
@@ -19,7 +44,7 @@
  */
 struct health_context {
 	const struct policy *policy;
-	const struct path_port *port;
+	const struct health_port *port;
 	uint64_t now_ns;
 	bool (*witness)(void *ctx, const struct target *t);
 	void *witness_ctx;
--- a/core/packet/outlier.c
+++ b/core/packet/target/outlier.c
@@ -1,7 +1,5 @@
 #include "outlier.h"
 
-#include "place.h"
-
 #include <math.h>
 
 #define PERCENT 100.0f
@@ -108,7 +106,7 @@
 	float sum = 0;
 
 	for (uint32_t i = 0; i < n; i++) {
-		if (all[i] == t || !place_serving(d, all[i]) ||
+		if (all[i] == t || !directory_serving(d, all[i]) ||
 		    outlier_ejected(all[i], now_ns))
 			continue;
 		sum += failures(all[i], policy, now_ns);
@@ -141,8 +139,8 @@
 	uint32_t serving = 0, ejected = 0;
 
 	for (uint32_t i = 0; i < n; i++) {
-		serving += place_serving(d, all[i]);
-		ejected += place_serving(d, all[i]) &&
+		serving += directory_serving(d, all[i]);
+		ejected += directory_serving(d, all[i]) &&
 			   outlier_ejected(all[i], now_ns);
 	}
 	return (ejected + 1) * policy->eject_part <= serving;
@@ -169,7 +167,7 @@
 	uint64_t last_ns = policy->eject_ns << t->ejections;
 
 	if (!policy->eject || sum < (float)policy->failures_min_trial ||
-	    !place_serving(d, t) || outlier_ejected(t, now_ns))
+	    !directory_serving(d, t) || outlier_ejected(t, now_ns))
 		return false;
 	*others = usual(d, t, policy, now_ns);
 	if (sum < limit(t, policy, *others, now_ns) ||
--- a/core/packet/outlier.h
+++ b/core/packet/target/outlier.h
@@ -8,7 +8,8 @@
 #ifndef CB_OUTLIER_H
 #define CB_OUTLIER_H
 
-#include "path.h"
+#include "directory.h"
+#include "policy.h"
 
 /**
  * struct answer_sizes - how large answers are, by kind of route
--- a/core/packet/place.c
+++ b/core/packet/target/place.c
@@ -6,24 +6,6 @@
 /* Room for the candidates of a draw. */
 #define CHOICES_MAX 16
 
-/**
- * place_serving() - whether a target may be given new flows at all
- * @d: directory
- * @t: target
- *
- * Return: whether it is published as serving, or presumed to be, and nothing
- * says that its process has ended or that it never was one.
- */
-bool place_serving(const struct directory *d, const struct target *t)
-{
-	if (t->health == HEALTH_DEAD || t->successor_ns)
-		return false;
-	if (!t->news.started_ms && directory_starts_told(d))
-		return false;
-	return t->stage == TARGET_SERVING ||
-	       (t->stage == TARGET_ABSENT && t->presumed);
-}
-
 /*
  * Long flows are spread by their number, since the load of one shows only over
  * many requests. What a target has to do this moment, feeds' requests too,
@@ -126,7 +108,7 @@
 
 static bool eligible(const struct directory *d, const struct target *t)
 {
-	return place_serving(d, t) && t->health != HEALTH_SILENT;
+	return directory_serving(d, t) && t->health != HEALTH_SILENT;
 }
 
 /**
--- a/core/packet/place.h
+++ b/core/packet/target/place.h
@@ -27,6 +27,5 @@
 
 struct target *place_target(const struct directory *d,
 			    const struct place_query *q, struct rng *rng);
-bool place_serving(const struct directory *d, const struct target *t);
 
 #endif
--- a/test/documents_prop.cc
+++ b/test/documents_prop.cc
@@ -219,9 +219,9 @@
 			directory_target(d, &news, 1, &change);
 		}
 		for (uint32_t i = 0; i < directory_slots(d); i++)
-			serving += place_serving(d, directory_slot(d, i));
+			serving += directory_serving(d, directory_slot(d, i));
 		RC_ASSERT(serving == 1u);
-		RC_ASSERT(place_serving(d, directory_by_id(d, n)));
+		RC_ASSERT(directory_serving(d, directory_by_id(d, n)));
 		directory_free(d);
 	});
 }
--- a/test/packet_bed.c
+++ b/test/packet_bed.c
@@ -74,12 +74,10 @@
 	struct directory_conf dir = { 60 * NS_PER_S, 2500 * MS };
 	struct path_port port = {
 		.ctx = b,
-		.probe = on_probe,
+		.health = { b, on_probe, on_dead, on_health },
 		.again = on_again,
 		.send = on_send,
 		.reset = on_reset,
-		.dead = on_dead,
-		.health = on_health,
 		.eject = on_eject,
 	};
 	struct path_conf conf = {
--- a/test/packet_incarnation_test.c
+++ b/test/packet_incarnation_test.c
@@ -255,13 +255,13 @@
 	other = entry(&b, 2, STARTED_MS + 5000, 1);
 	other.addr = t->news.addr;
 	bed_publish(&b, &other);
-	assert_false(place_serving(b.directory, t));
+	assert_false(directory_serving(b.directory, t));
 	/* It answers: whoever was published at its address is not there. */
 	b.now_ns += 10 * MS;
 	bed_data(&b, CALLER, VIP, t->cookie, 2, 2, 100);
 	b.now_ns += 10 * MS;
 	bed_data(&b, CALLER, VIP, t->cookie, 102, 300, 0);
-	assert_true(place_serving(b.directory, t));
+	assert_true(directory_serving(b.directory, t));
 	bed_pass(&b, NS_PER_S);
 	assert_int_equal(b.n_resets, 0);
 	assert_int_equal(t->health, HEALTH_GOOD);
@@ -281,7 +281,7 @@
 	other = entry(&b, 2, STARTED_MS - 5000, 1);
 	other.addr = t->news.addr;
 	bed_publish(&b, &other);
-	assert_true(place_serving(b.directory, t));
+	assert_true(directory_serving(b.directory, t));
 	for (uint32_t i = 0; i < 16; i++)
 		assert_int_equal(
 			bed_syn(&b, CALLER + i, VIP, 0).target->news.id, 1);
