An evacuated data centre's targets get no new flows

An evacuation is a document like the configuration: read with it, handed on by revision, in force before an entry is ready. Its targets count as not serving: new flows, repeats of opening packets and second tries go elsewhere, open flows stay, requests that wait for them go at once, and nobody probes one without flows. With no target left an opening packet is reset at once. A body that can't be read changes nothing: the key says it.

Weighed: a data centre that is evacuated and then cut off from all others could go on with its own targets. It does not: the operator's word holds until a newer one is known.

--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -84,6 +84,7 @@
 	gauge(out, "waiting", path_waiting(d->node->path));
 	gauge(out, "targets", directory_slots(d->node->directory));
 	gauge(out, "peers", peer_set_live(d->node->peers, now_ns));
+	gauge(out, "evacuated", directory_evacuations(d->node->directory)->n);
 	gauge(out, "revision", (double)documents_through(d->node->documents));
 	gauge(out, "feed_load", path_feed_load(d->node->path));
 	if (!usage_read(&use)) {
@@ -126,6 +127,14 @@
 	}
 }
 
+static void write_evacuations(const struct packet_daemon *d, GString *out)
+{
+	const struct evacuations *e = directory_evacuations(d->node->directory);
+
+	for (uint32_t i = 0; i < e->n; i++)
+		g_string_append_printf(out, "evacuated %s\n", e->all[i].name);
+}
+
 static void write_status(struct packet_daemon *d, GString *out)
 {
 	const struct route_table *table = directory_table(d->node->directory);
@@ -143,6 +152,7 @@
 				       (unsigned long long)p->newest,
 				       p->leaving);
 	}
+	write_evacuations(d, out);
 	write_limits(d, out);
 }
 
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -73,6 +73,7 @@
 
 		if (t == about || t->stage == TARGET_ABSENT ||
 		    t->health != HEALTH_GOOD || t->news.zone != p->conf.zone ||
+		    directory_evacuated(p->directory, t) ||
 		    (best && t->alive_ns <= best->alive_ns))
 			continue;
 		best = t;
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -226,7 +226,8 @@
 		struct target *t = directory_slot(p->directory, i);
 
 		average(t, p->policy, now_ns);
-		health_tick(t, &c);
+		if (t->flows || !directory_evacuated(p->directory, t))
+			health_tick(t, &c);
 		sweep_if_gone(p, t);
 		path_expire(p, t, now_ns);
 		p->loaded |= path_loaded(t);
--- a/core/packet/flow/path_wait.c
+++ b/core/packet/flow/path_wait.c
@@ -42,7 +42,8 @@
 		.left_ns = left_ns(f, now_ns),
 	};
 
-	if (t->stage != TARGET_SERVING || p->stopping)
+	if (p->stopping || t->stage != TARGET_SERVING ||
+	    directory_evacuated(p->directory, t))
 		return true;
 	if (!window_open(&p->windows[t->news.service],
 			 flow_cache_running(p->flows, t->news.service)))
--- a/core/packet/node_published.c
+++ b/core/packet/node_published.c
@@ -1,4 +1,4 @@
-/* What is published takes effect: routes and targets. */
+/* What is published takes effect: routes, targets, evacuations. */
 #include "node_impl.h"
 
 #include <errno.h>
@@ -142,6 +142,26 @@
 	take_absent(n, doc, &named, 0);
 }
 
+static void take_evacuation(struct node *n, const struct document *doc,
+			    const char *data_centre)
+{
+	int err = directory_evacuate(n->directory, data_centre, !doc->deleted);
+
+	if (err == -EALREADY)
+		return;
+	if (err)
+		n->port.log(n->port.ctx, NODE_ERROR, "evacuation", data_centre,
+			    "not taken, revision %llu: %s",
+			    (unsigned long long)doc->revision,
+			    err == -ENOSPC ? "too many data centres"
+					   : "name too long");
+	else
+		n->port.log(n->port.ctx, NODE_INFO, "evacuation", data_centre,
+			    "%s, revision %llu",
+			    doc->deleted ? "over" : "in force",
+			    (unsigned long long)doc->revision);
+}
+
 /**
  * node_document_changed() - a document is newer than what was known under its
  *	key
@@ -161,6 +181,8 @@
 		refuse(n, doc, &news, problem);
 	else if (news.kind == DOCUMENT_ROUTES && news.routes)
 		take_routes(n, doc, news.routes);
+	else if (news.kind == DOCUMENT_EVACUATION)
+		take_evacuation(n, doc, news.data_centre);
 	else if (news.kind == DOCUMENT_TARGET && doc->deleted)
 		take_absent(n, doc, &news.target,
 			    peer_set_trouble_ns(n->peers));
--- a/core/packet/platform_port.h
+++ b/core/packet/platform_port.h
@@ -41,8 +41,14 @@
  * @DOCUMENT_OTHER: nothing that this program uses
  * @DOCUMENT_ROUTES: a configuration
  * @DOCUMENT_TARGET: a target's entry
+ * @DOCUMENT_EVACUATION: a data centre is evacuated while it stands
  */
-enum document_kind { DOCUMENT_OTHER, DOCUMENT_ROUTES, DOCUMENT_TARGET };
+enum document_kind {
+	DOCUMENT_OTHER,
+	DOCUMENT_ROUTES,
+	DOCUMENT_TARGET,
+	DOCUMENT_EVACUATION,
+};
 
 /**
  * struct document_news - a decoded document
@@ -50,11 +56,13 @@
  * @routes: the configuration, owned by the caller, or NULL
  * @target: the target; only @target.id and @target.entry when the document was
  *	deleted without a value, or refused
+ * @data_centre: name of the one that is evacuated
  */
 struct document_news {
 	uint8_t kind;
 	struct route_table *routes;
 	struct target_news target;
+	char data_centre[NAME_MAX_BYTES];
 };
 
 /**
--- a/core/packet/target/directory.c
+++ b/core/packet/target/directory.c
@@ -401,12 +401,14 @@
  * @d: directory
  * @t: target
  *
- * Return: whether it is published as serving, or presumed to be, and nothing
- * says that its process has ended or that it never was one.
+ * Return: whether it is published as serving, or presumed to be, nothing says
+ * that its process has ended or that it never was one, and its data centre is
+ * not evacuated.
  */
 bool directory_serving(const struct directory *d, const struct target *t)
 {
-	if (t->health == HEALTH_DEAD || t->successor_ns)
+	if (t->health == HEALTH_DEAD || t->successor_ns ||
+	    directory_evacuated(d, t))
 		return false;
 	if (!t->news.started_ms && directory_starts_told(d))
 		return false;
--- a/core/packet/target/directory.h
+++ b/core/packet/target/directory.h
@@ -5,6 +5,7 @@
 #ifndef CB_DIRECTORY_H
 #define CB_DIRECTORY_H
 
+#include "evacuations.h"
 #include "route_table.h"
 #include "target.h"
 
@@ -38,6 +39,9 @@
 int directory_routes(struct directory *d, struct route_table *take,
 		     uint64_t now_ns);
 const struct route_table *directory_table(const struct directory *d);
+int directory_evacuate(struct directory *d, const char *data_centre, bool on);
+const struct evacuations *directory_evacuations(const struct directory *d);
+bool directory_evacuated(const struct directory *d, const struct target *t);
 
 /**
  * enum target_change - what an entry meant
--- a/core/packet/target/directory_impl.h
+++ b/core/packet/target/directory_impl.h
@@ -14,6 +14,7 @@
 struct directory {
 	struct directory_conf conf;
 	struct route_table *table;
+	struct evacuations evacuations;
 	struct target *slots[DIRECTORY_TARGETS_MAX];
 	uint32_t n_slots;
 	bool starts_told;
--- a/core/packet/target/directory_names.c
+++ b/core/packet/target/directory_names.c
@@ -1,4 +1,4 @@
-/* Names of services, and the routes in force. */
+/* Names of services, the routes in force, data centres that are evacuated. */
 #include "directory_impl.h"
 
 #include "index.h"
@@ -82,3 +82,36 @@
 {
 	return d->table;
 }
+
+/**
+ * directory_evacuate() - the targets of a data centre get no new flows, or get
+ *	them again
+ * @d: directory
+ * @data_centre: its name
+ * @on: which
+ *
+ * Return: 0, -EALREADY when it was so, or a negative error of
+ * evacuations_begin().
+ */
+int directory_evacuate(struct directory *d, const char *data_centre, bool on)
+{
+	return on ? evacuations_begin(&d->evacuations, data_centre)
+		  : evacuations_end(&d->evacuations, data_centre);
+}
+
+const struct evacuations *directory_evacuations(const struct directory *d)
+{
+	return &d->evacuations;
+}
+
+/**
+ * directory_evacuated() - whether a target's data centre is evacuated
+ * @d: directory
+ * @t: target
+ *
+ * Return: whether.
+ */
+bool directory_evacuated(const struct directory *d, const struct target *t)
+{
+	return evacuations_has(&d->evacuations, t->news.zone);
+}
--- a/sim/sim-packets/fault_table.c
+++ b/sim/sim-packets/fault_table.c
@@ -234,6 +234,90 @@
 	roll(w);
 }
 
+static uint32_t any_zone(struct world *w)
+{
+	return (uint32_t)(rng_next(&w->rng) % w->conf.site.n_zones);
+}
+
+static void on_evacuate(struct world *w, const struct event *e)
+{
+	world_evacuate(w, (uint32_t)e->a, e->b);
+}
+
+static void evacuate_for(struct world *w, uint32_t zone, uint64_t ns)
+{
+	world_evacuate(w, zone, true);
+	world_at(w, ns, on_evacuate, zone, false, 0);
+}
+
+static void evacuate(struct world *w)
+{
+	evacuate_for(w, any_zone(w), 8 * NS_PER_S);
+}
+
+/* Taken back before it is in force anywhere, and begun again. */
+static void evacuate_twice(struct world *w)
+{
+	uint32_t zone = any_zone(w);
+
+	evacuate_for(w, zone, 50 * NS_PER_MS);
+	world_at(w, 100 * NS_PER_MS, on_evacuate, zone, true, 0);
+	world_at(w, 3 * NS_PER_S, on_evacuate, zone, false, 0);
+	world_at(w, 3100 * NS_PER_MS, on_evacuate, zone, true, 0);
+}
+
+static void evacuate_and_roll(struct world *w)
+{
+	evacuate(w);
+	roll(w);
+}
+
+static void evacuate_and_release(struct world *w)
+{
+	evacuate(w);
+	release(w);
+}
+
+static void evacuate_and_kill_entries(struct world *w)
+{
+	evacuate(w);
+	kill_entries(w);
+}
+
+static void on_store_down(struct world *w, const struct event *e)
+{
+	world_store_down(w, e->a, e->b);
+}
+
+/* Some entries know of it, and nobody can ask. */
+static void evacuate_store_down(struct world *w)
+{
+	evacuate(w);
+	world_at(w, 100 * NS_PER_MS, on_store_down, 5 * NS_PER_S, true, 0);
+}
+
+static void evacuate_store_refuses_half(struct world *w)
+{
+	for (uint32_t i = 0; i < w->n_entries; i += 2)
+		world_store(w, i, STORE_REFUSES, 6 * NS_PER_S);
+	evacuate(w);
+}
+
+static void evacuate_other_zone_cut(struct world *w)
+{
+	uint32_t zone = any_zone(w);
+
+	evacuate_for(w, zone, 8 * NS_PER_S);
+	world_cut_zone(w, (zone + 1) % w->conf.site.n_zones, 5 * NS_PER_S);
+}
+
+static void evacuate_in_burst(struct world *w)
+{
+	for (uint32_t z = 0; z < w->conf.site.n_zones; z++)
+		world_load(w, z, 3, 4 * NS_PER_S);
+	evacuate(w);
+}
+
 static void store_down(struct world *w)
 {
 	world_store_down(w, 5 * NS_PER_S, false);
@@ -343,6 +427,24 @@
 	  foreign_entries, 0.999 },
 	{ "foreign_entries_in_place", "and in place of targets' entries",
 	  foreign_entries_in_place, 0.995 },
+	{ "evacuate", "a data centre is evacuated and taken back", evacuate,
+	  0.995 },
+	{ "evacuate_twice", "evacuated, taken back and evacuated at once",
+	  evacuate_twice, 0.995 },
+	{ "evacuate_and_roll", "and every entry stopped and started",
+	  evacuate_and_roll, 0.99 },
+	{ "evacuate_and_release", "and every target replaced",
+	  evacuate_and_release, 0.99 },
+	{ "evacuate_and_kill_entries", "and all entries are killed at once",
+	  evacuate_and_kill_entries, 0.98 },
+	{ "evacuate_store_down", "and the store is down", evacuate_store_down,
+	  0.99 },
+	{ "evacuate_store_refuses_half", "every other entry is refused",
+	  evacuate_store_refuses_half, 0.99 },
+	{ "evacuate_other_zone_cut", "and another is cut off",
+	  evacuate_other_zone_cut, 0.98 },
+	{ "evacuate_in_burst", "while three times as much is asked",
+	  evacuate_in_burst, 0.9 },
 	{ "store_down", "the store is down for 5 s", store_down, 0.999 },
 	{ "store_lapse", "and all entries of targets run out", store_lapse,
 	  0.999 },
--- a/sim/sim-packets/faults.c
+++ b/sim/sim-packets/faults.c
@@ -164,6 +164,19 @@
 	world_at(w, ns + 1500 * NS_PER_MS, on_renew, 0, 0, 0);
 }
 
+/**
+ * world_evacuate() - publish that a data centre's targets are to get nothing
+ * @w: world
+ * @zone: data centre
+ * @on: or that they may get flows again
+ */
+void world_evacuate(struct world *w, uint32_t zone, bool on)
+{
+	w->evacuated[zone] = on;
+	w->evacuated_ns[zone] = w->now_ns;
+	store_evacuate(w, zone, on);
+}
+
 /**
  * world_add_route() - publish a configuration with one route more
  * @w: world
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define EVACUATION_PREFIX "evacuated/"
 #define WATCH_NS (SOURCE_WATCH_MS * NS_PER_MS)
 #define LIST_TIMEOUT_NS (1500 * NS_PER_MS)
 /* Keys on a page of a listing. */
@@ -233,6 +234,21 @@
 	changed(w, key_of(w, "routes"), &v, sizeof(v));
 }
 
+/* The operator evacuates a data centre, or takes it back. */
+void store_evacuate(struct world *w, uint32_t zone, bool on)
+{
+	char key[sizeof(EVACUATION_PREFIX) + SITE_NAME_BYTES];
+	struct store_key *k;
+
+	snprintf(key, sizeof(key), EVACUATION_PREFIX "%s",
+		 w->conf.site.zones[zone].name);
+	k = key_of(w, key);
+	if (on)
+		changed(w, k, "", 0);
+	else if (!k->d.deleted)
+		changed(w, k, NULL, 0);
+}
+
 static void target_key(uint64_t id, char *out, size_t n)
 {
 	snprintf(out, n, "target/%llu", (unsigned long long)id);
@@ -322,6 +338,12 @@
 	if (!strcmp(d->key, "routes"))
 		return decode_routes((const struct routes_value *)d->value,
 				     names, out);
+	if (!strncmp(d->key, EVACUATION_PREFIX, strlen(EVACUATION_PREFIX))) {
+		out->kind = DOCUMENT_EVACUATION;
+		snprintf(out->data_centre, sizeof(out->data_centre), "%s",
+			 d->key + strlen(EVACUATION_PREFIX));
+		return 0;
+	}
 	out->kind = DOCUMENT_TARGET;
 	out->target.id = strtoull(strchr(d->key, '/') + 1, NULL, 10);
 	out->target.entry = hash_text(d->key);
--- a/sim/sim-packets/targets.c
+++ b/sim/sim-packets/targets.c
@@ -241,6 +241,9 @@
 		w->report.misrouted++;
 	if (calm && t->left_ns && w->now_ns > t->left_ns + FORCE_NS)
 		w->report.late_drain++;
+	if (calm && w->evacuated[t->zone] &&
+	    w->now_ns > w->evacuated_ns[t->zone] + EVACUATE_NS)
+		w->report.evacuated++;
 	if (calm && u->class == probe_route(w) && !w->extra_route &&
 	    w->extra_ns && w->now_ns > w->extra_ns + FORCE_NS)
 		w->report.stale++;
--- a/sim/sim-packets/world.c
+++ b/sim/sim-packets/world.c
@@ -87,6 +87,7 @@
 		.misrouted = r.misrouted,
 		.broken = r.broken,
 		.late_drain = r.late_drain,
+		.evacuated = r.evacuated,
 		.stale = r.stale,
 		.doubled = r.doubled,
 	};
@@ -329,7 +330,8 @@
  */
 uint64_t world_broken_rules(const struct world_report *r)
 {
-	return r->misrouted + r->broken + r->late_drain + r->stale + r->doubled;
+	return r->misrouted + r->broken + r->late_drain + r->evacuated +
+	       r->stale + r->doubled;
 }
 
 uint32_t world_entries(const struct world *w)
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -20,6 +20,8 @@
 #define SETTLE_NS (4 * NS_PER_S)
 /* Longest time until a publication is in force. */
 #define FORCE_NS (3 * NS_PER_S)
+/* The same of an evacuation, with a store that is well. */
+#define EVACUATE_NS (2 * NS_PER_S)
 
 struct world;
 
@@ -127,6 +129,8 @@
  *	allowed
  * @broken: open flows that an entry reset while their target served
  * @late_drain: flows that reached a target long after its leave was published
+ * @evacuated: flows that reached a target long after its data centre's
+ *	evacuation was published
  * @stale: flows handled as only an older configuration allows
  * @doubled: non-idempotent requests that ran twice
  * @swamped: requests that targets refused, since their queues were full
@@ -145,6 +149,7 @@
 	uint64_t misrouted;
 	uint64_t broken;
 	uint64_t late_drain;
+	uint64_t evacuated;
 	uint64_t stale;
 	uint64_t doubled;
 	uint64_t swamped;
@@ -230,6 +235,7 @@
 			 uint32_t target, bool under_its_key);
 void world_release_target(struct world *w, uint32_t target);
 void world_reuse_address(struct world *w, uint32_t target);
+void world_evacuate(struct world *w, uint32_t zone, bool on);
 void world_add_route(struct world *w);
 void world_drop_route(struct world *w);
 void world_load(struct world *w, uint32_t zone, double factor, uint64_t ns);
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -279,6 +279,8 @@
 	uint64_t revision;
 	uint64_t version;
 	bool extra_route;
+	bool evacuated[ZONES_MAX];
+	uint64_t evacuated_ns[ZONES_MAX];
 	uint64_t extra_ns;
 	uint64_t store_down_ns;
 	uint64_t store_slow_ns;
@@ -322,6 +324,7 @@
 		 struct target_value *v);
 void store_foreign(struct world *w, uint64_t id, const struct target_value *v);
 void store_delete(struct world *w, const struct sim_target *t);
+void store_evacuate(struct world *w, uint32_t zone, bool on);
 enum store_mode store_mode_of(const struct world *w, uint32_t entry);
 void store_list(void *ctx, const char *after_key, bool exact);
 void store_watch(void *ctx, uint64_t after, uint64_t wait_ns);
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -132,7 +132,10 @@
 	(void)format;
 }
 
-/* "routes" holds a version and a target latency as text, "t/ID" is a target of the one service. */
+/*
+ * "routes" holds a version and a target latency as text, "t/ID" is a target of
+ * the one service, "e/NAME" the evacuation of a data centre.
+ */
 static int decode(const struct document *d, struct directory *names,
 		  struct document_news *out, const char **problem)
 {
@@ -155,6 +158,11 @@
 		out->target.slots = 1;
 		return 0;
 	}
+	if (d->key[0] == 'e') {
+		out->kind = DOCUMENT_EVACUATION;
+		strcpy(out->data_centre, d->key + 2);
+		return 0;
+	}
 	if (d->value && !strcmp((char *)d->value, "bad"))
 		return -EPROTO;
 	t = calloc(1, sizeof(*t));
@@ -435,6 +443,62 @@
 			 TARGET_ABSENT);
 }
 
+static bool evacuated(const struct fixture *f, const char *data_centre)
+{
+	return evacuations_has(directory_evacuations(f->node->directory),
+			       (uint32_t)hash_text(data_centre));
+}
+
+/*
+ * Symptom: flows go to an evacuated data centre, or one that was taken back
+ * gets none. Sequence: an entry starts while both change; the later pages of
+ * its listing are from before, and show one that is over and lack one that was
+ * begun. Cause: it was ready, and told others, with the old pages.
+ */
+static void test_old_page_ends_and_hides_no_evacuation(void **state)
+{
+	struct fixture *f = *state;
+	struct answer_head head = { .revision = 20, .more = true };
+
+	strcpy(head.last_key, "routes");
+	pass(f, 40 * MS);
+	node_answering(f->node, f->now_ns);
+	fact(f, node_listed, "routes", 5, "3");
+	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
+	/* A peer tells of the one that was begun, at 18. */
+	fact(f, node_changed, "e/garda", 18, "{}");
+	head = (struct answer_head){ .revision = 12 };
+	node_answering(f->node, f->now_ns);
+	fact(f, node_listed, "e/como", 7, "{}");
+	fact(f, node_listed, "t/1", 6, "x");
+	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
+	assert_false(f->node->ready);
+	assert_true(evacuated(f, "garda"));
+	head.revision = 20;
+	node_answering(f->node, f->now_ns);
+	fact(f, node_changed, "e/como", 15, NULL);
+	fact(f, node_changed, "e/garda", 18, "{}");
+	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
+	assert_true(f->node->ready);
+	assert_true(evacuated(f, "garda"));
+	assert_false(evacuated(f, "como"));
+}
+
+/* A write that was held up, or a peer that is behind, begins none anew. */
+static void test_evacuation_that_is_over_stays_over(void **state)
+{
+	struct fixture *f = *state;
+
+	listed(f);
+	fact(f, node_changed, "e/garda", 11, "{}");
+	assert_true(evacuated(f, "garda"));
+	fact(f, node_changed, "e/garda", 13, NULL);
+	fact(f, node_changed, "e/garda", 12, "{}");
+	assert_false(evacuated(f, "garda"));
+	fact(f, node_changed, "e/garda", 14, "{}");
+	assert_true(evacuated(f, "garda"));
+}
+
 /* All pages as new as the first: there is nothing to wait for. */
 static void test_ready_with_pages_that_are_not_old(void **state)
 {
@@ -768,6 +832,8 @@
 		TEST(test_ready_though_a_peer_went_on),
 		TEST(test_an_answer_asks_for_none),
 		TEST(test_not_ready_with_pages_that_are_old),
+		TEST(test_old_page_ends_and_hides_no_evacuation),
+		TEST(test_evacuation_that_is_over_stays_over),
 		TEST(test_ready_with_pages_that_are_not_old),
 		TEST(test_listing_ends_when_a_peer_brings_all),
 		TEST(test_bad_document_leaves_the_old_one),
--- a/test/users_platform_test.c
+++ b/test/users_platform_test.c
@@ -516,6 +516,54 @@
 	directory_free(names);
 }
 
+/* The key says it, whatever stands under it. */
+static void test_reads_an_evacuation(void **state)
+{
+	static const char *const bodies[] = { "{}", "", "[1]", "not JSON" };
+	struct directory *names = names_open();
+	struct document_news n;
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+		assert_int_equal(read("op/evacuate/garda-hall", bodies[i],
+				      names, &n),
+				 0);
+		assert_int_equal(n.kind, DOCUMENT_EVACUATION);
+		assert_string_equal(n.data_centre, "garda-hall");
+	}
+	assert_int_equal(read("op/evacuate/garda-hall", NULL, names, &n), 0);
+	assert_int_equal(n.kind, DOCUMENT_EVACUATION);
+	directory_free(names);
+}
+
+static void test_refuses_an_evacuation_of_no_name(void **state)
+{
+	struct directory *names = names_open();
+	struct document_news n;
+	char key[128] = "op/evacuate/";
+
+	(void)state;
+	assert_int_equal(read(key, "{}", names, &n), -EPROTO);
+	memset(key + strlen(key), 'z', NAME_MAX_BYTES);
+	assert_int_equal(read(key, "{}", names, &n), -EPROTO);
+	directory_free(names);
+}
+
+/* Its listing and its watch bring it like any other key. */
+static void test_evacuations_are_taken_from_the_store(void **state)
+{
+	static const char body[] =
+		"{\"items\":[{\"key\":\"op/evacuate/como-hall\",\"value\":"
+		"\"e30=\",\"revision\":8}],\"store-revision\":9}";
+	struct answer_head head;
+	struct seen s;
+
+	(void)state;
+	assert_int_equal(list(body, &s, &head), 0);
+	assert_int_equal(s.n, 1);
+	assert_string_equal(s.last.key, "op/evacuate/como-hall");
+}
+
 static void test_paths(void **state)
 {
 	char path[PATH_MAX_BYTES];
@@ -552,6 +600,9 @@
 		cmocka_unit_test(test_reads_a_departed_target),
 		cmocka_unit_test(test_reads_a_configuration),
 		cmocka_unit_test(test_refuses_bad_documents_whole),
+		cmocka_unit_test(test_reads_an_evacuation),
+		cmocka_unit_test(test_refuses_an_evacuation_of_no_name),
+		cmocka_unit_test(test_evacuations_are_taken_from_the_store),
 		cmocka_unit_test(test_paths),
 	};
 
