--- a/adapters/http_call.c
+++ b/adapters/http_call.c
@@ -12,6 +12,8 @@
 /* A listing has at most 1 MB a page; base64 and JSON add to it. */
 #define BODY_MAX_BYTES (8U << 20)
 #define CHUNK_BYTES 65536
+/* Longest pause within an answer: of a link that others fill, too. */
+#define STALL_MS 1500
 
 struct connection {
 	uv_tcp_t tcp;
@@ -149,6 +151,7 @@
 	if (!c || n_read == 0)
 		return;
 	if (n_read > 0 && c->calling) {
+		uv_timer_start(&c->timer, on_timeout, STALL_MS, 0);
 		parse(c, buf->base, (size_t)n_read);
 		return;
 	}
@@ -261,7 +264,9 @@
  * @c: caller
  * @server: address; another one than before costs a new connection
  * @path: path and query
- * @timeout_ms: the whole call may take this long
+ * @timeout_ms: the answer has to begin within this time. It may take as long as
+ *	the link needs, while it goes on: given up and begun anew, a large one
+ *	would never come over a narrow link, and each try would fill it.
  *
  * Return: 0, and the handler is called later; -EBUSY; another negative error
  * when it could not be started.
--- a/adapters/http_call.h
+++ b/adapters/http_call.h
@@ -1,6 +1,6 @@
 /*
  * An HTTP/1.1 client on libuv: one connection to one server, kept open, one
- * GET at a time, each with a deadline of its own.
+ * GET at a time, each with a deadline for the beginning of its answer.
  */
 #ifndef CB_HTTP_CALL_H
 #define CB_HTTP_CALL_H
--- a/test/http_call_test.c
+++ b/test/http_call_test.c
@@ -18,6 +18,8 @@
 #define LONG_MS 5000
 #define SHORT_MS 50
 #define TURNS_MAX 20000
+/* Between two bytes of an answer that comes slowly. */
+#define PIECE_MS 150
 
 struct fixture {
 	uv_loop_t loop;
@@ -230,6 +232,60 @@
 	close(at);
 }
 
+/* A raw server sends "x" so often, with pauses, and stops. */
+static void trickle(struct fixture *f, uint32_t pieces, uint64_t timeout_ms)
+{
+	static const char head[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
+	uint32_t before = f->done, sent = 0;
+	uint64_t next_ns = 0;
+	int at = listener();
+	int fd = -1;
+
+	assert_int_equal(http_call(f->caller, NOBODY, "/a", timeout_ms), 0);
+	for (uint32_t i = 0; i < TURNS_MAX && f->done == before; i++) {
+		if (fd < 0)
+			fd = accept(at, NULL, NULL);
+		if (fd >= 0 && !next_ns) {
+			assert_true(write(fd, head, strlen(head)) > 0);
+			next_ns = uv_hrtime();
+		}
+		if (next_ns && uv_hrtime() >= next_ns && sent < pieces) {
+			assert_int_equal(write(fd, "x", 1), 1);
+			sent++;
+			next_ns += PIECE_MS * NS_PER_MS;
+		}
+		uv_run(&f->loop, UV_RUN_NOWAIT);
+		usleep(100);
+	}
+	assert_int_equal(f->done, before + 1);
+	close(fd);
+	close(at);
+}
+
+/*
+ * Symptom: a process that starts on a narrow link never has the configuration,
+ * and serves nobody. Sequence: an answer of 500 KB takes two seconds; it is
+ * given up after a second and a half and asked for again, for ever, which fills
+ * the link. Cause: the time limit was on the whole answer.
+ */
+static void test_long_answer_goes_on_while_it_comes(void **state)
+{
+	struct fixture *f = *state;
+
+	trickle(f, 8, 4 * PIECE_MS);
+	assert_int_equal(f->err, 0);
+	assert_string_equal(f->body, "xxxxxxxx");
+}
+
+static void test_answer_that_stops_halfway(void **state)
+{
+	struct fixture *f = *state;
+
+	trickle(f, 3, LONG_MS);
+	assert_int_equal(f->err, -ETIMEDOUT);
+}
+
 static void test_cut_and_garbled_answers_are_errors(void **state)
 {
 	struct fixture *f = *state;
@@ -248,6 +304,8 @@
 		TEST(test_silence_ends_with_the_deadline),
 		TEST(test_nobody_listens),
 		TEST(test_server_that_closed_in_between),
+		TEST(test_long_answer_goes_on_while_it_comes),
+		TEST(test_answer_that_stops_halfway),
 		TEST(test_cut_and_garbled_answers_are_errors),
 	};
 
