--- a/core/packet/node_cold.c
+++ b/core/packet/node_cold.c
@@ -44,7 +44,7 @@
 	bool seat;
 
 	presume_start(n, t, &cold);
-	if (!cold_limited(n->directory, t, n->now_ns))
+	if (!cold_limited(t, cold.per_s, n->now_ns))
 		return;
 	share = cold_share(cold.per_s, &n->conf.cold);
 	seat = may && t->news.zone == node_zone(n) &&
--- a/core/packet/target/place.c
+++ b/core/packet/target/place.c
@@ -112,7 +112,7 @@
 		     uint64_t now_ns)
 {
 	return directory_serving(d, t) && t->health != HEALTH_SILENT &&
-	       !cold_full(d, t, now_ns);
+	       !cold_full(t, directory_cold(d, t->news.service).per_s, now_ns);
 }
 
 /**
@@ -147,6 +147,7 @@
 	}
 	chosen = cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
 	if (chosen)
-		cold_opened(d, chosen, q->now_ns);
+		cold_opened(chosen, directory_cold(d, q->service).per_s,
+			    q->now_ns);
 	return chosen;
 }
