--- a/bench/pairs-fit/main.c
+++ b/bench/pairs-fit/main.c
@@ -1,8 +1,8 @@
 /*
- * Reads lines "BUILD SITE DAY SEED WORTH BROKEN" of two builds, pairs those of
- * one site, day and seed, and prints each pair, then by site and over all the
- * mean difference of the second to the first with its 95 % interval, by
- * Student's t. A play that failed has "-" for its worth, and makes no pair.
+ * pairs-fit FIRST SECOND: reads lines "BUILD SITE DAY SEED WORTH BROKEN" of these
+ * two builds, pairs those of one site, day and seed, and prints each pair, then
+ * by site and over all the mean difference of the second to the first with its
+ * 95 % interval, by Student's t. A play that failed has "-" for its worth, and makes no pair.
  */
 #include <glib.h>
 #include <gsl/gsl_cdf.h>
@@ -31,21 +31,17 @@
 };
 
 struct pairs {
-	char builds[2][WORD_MAX_BYTES];
-	guint n_builds;
+	const char *builds[2];
 	GPtrArray *all;
 };
 
 /* Number of a build: the first named is the one compared with. */
-static int build_of(struct pairs *p, const char *name)
+static int build_of(const struct pairs *p, const char *name)
 {
-	for (guint i = 0; i < p->n_builds; i++)
+	for (int i = 0; i < 2; i++)
 		if (!g_strcmp0(p->builds[i], name))
-			return (int)i;
-	if (p->n_builds == 2)
-		return -1;
-	g_strlcpy(p->builds[p->n_builds], name, WORD_MAX_BYTES);
-	return (int)p->n_builds++;
+			return i;
+	return -1;
 }
 
 static struct pair *pair_of(struct pairs *p, const char *site, const char *day,
@@ -160,12 +156,18 @@
 	g_hash_table_destroy(seen);
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
 	struct pairs p = { .all = g_ptr_array_new_with_free_func(g_free) };
 	char line[LINE_MAX_BYTES];
 	int bad = 0;
 
+	if (argc != 3) {
+		fprintf(stderr, "usage: pairs-fit FIRST SECOND\n");
+		return 2;
+	}
+	p.builds[0] = argv[1];
+	p.builds[1] = argv[2];
 	while (fgets(line, sizeof(line), stdin)) {
 		if (!read_line(&p, line))
 			continue;
