What an entry waits for follows what it sees: connection attempts, handshakes, witnesses

Logs: half of the targets silent in one tick, good again 30 ms later, while a configuration of 1,250 to 1,800 routes goes out to peers or comes in (answers then take 100 to 400 ms). Causes and mends, each a test seen to fail: - a late answer counted as one to the witness's latest attempt; now an answer witnesses what went out before it; - attempts were given up after 60 ms on any link; now after twice the longest of the last two seconds, 60 ms to 1 s, and one that was given up sooner than that is asked again without counting; - silence from before a sign of life is void; - with all targets doubted none was left as a witness, and each was condemned as if it were alone; now any that answers is a witness, and doubted ones count as others; - an opening packet went elsewhere after 40 ms on any link; now not before twice the mean time of handshakes.

--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -69,6 +69,7 @@
 	uv_connect_t connect;
 	struct packet_daemon *daemon;
 	struct incarnation who;
+	uint64_t since_ns;
 	uint64_t deadline_ns;
 	bool late;
 	bool judged;
--- a/cmd/cb-packet/probes.c
+++ b/cmd/cb-packet/probes.c
@@ -9,14 +9,6 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 
-/* Ten round trips between data centres and to spare; two silent ones in a row
- * condemn, which then takes 120 ms: with the 60 ms to the first doubt a client
- * with a deadline of 500 ms can still be served elsewhere. */
-#define PROBE_TIMEOUT_NS (60 * NS_PER_MS)
-/* Until then a late answer is waited for: it shows that the way there is slow,
- * not that nobody is. */
-#define PROBE_LATE_NS (400 * NS_PER_MS)
-
 static void on_closed(uv_handle_t *handle)
 {
 	free(handle->data);
@@ -32,11 +24,11 @@
 }
 
 static void tell(struct packet_daemon *d, const struct incarnation *who,
-		 enum probe_outcome outcome)
+		 enum probe_outcome outcome, uint64_t since_ns)
 {
 	d->counters.probes_refused += outcome == PROBE_REFUSED;
 	d->counters.probes_silent += outcome == PROBE_SILENT;
-	node_probed(d->node, who, outcome, daemon_turn(d));
+	node_probed(d->node, who, outcome, since_ns, daemon_turn(d));
 	clients_pace(d);
 }
 
@@ -44,22 +36,24 @@
 {
 	struct packet_daemon *d = p->daemon;
 	struct incarnation who = p->who;
+	uint64_t since_ns = p->since_ns;
 
 	if (p->judged)
 		return;
 	give_back(d, p);
-	tell(d, &who, outcome);
+	tell(d, &who, outcome, since_ns);
 }
 
 /* It takes too long: silent so far, and for good when it is over. */
-static void overdue(struct packet_daemon *d, struct probe *p, uint64_t now_ns)
+static void overdue(struct packet_daemon *d, struct probe *p)
 {
 	struct incarnation who = p->who;
 
 	if (!p->late) {
 		p->late = true;
-		p->deadline_ns = now_ns + PROBE_LATE_NS;
-		tell(d, &who, PROBE_SILENT);
+		p->deadline_ns =
+			p->since_ns + d->settings.policy.probe_wait_max_ns;
+		tell(d, &who, PROBE_SILENT, p->since_ns);
 	} else {
 		give_back(d, p);
 	}
@@ -110,14 +104,16 @@
 	int err;
 
 	if (!p) {
-		node_probed(d->node, &who, PROBE_VOID, uv_hrtime());
+		node_probed(d->node, &who, PROBE_VOID, d->now_ns, d->now_ns);
 		return;
 	}
 	d->counters.probes++;
 	d->probes[place] = p;
 	p->daemon = d;
 	p->who = who;
-	p->deadline_ns = uv_hrtime() + PROBE_TIMEOUT_NS;
+	p->since_ns = uv_hrtime();
+	p->deadline_ns =
+		p->since_ns + path_probe_wait_ns(d->node->path, p->since_ns);
 	uv_tcp_init(d->loop, &p->tcp);
 	p->tcp.data = p;
 	p->connect.data = p;
@@ -136,7 +132,7 @@
 {
 	for (uint32_t i = 0; i < PROBES_MAX; i++)
 		if (d->probes[i] && now_ns >= d->probes[i]->deadline_ns)
-			overdue(d, d->probes[i], now_ns);
+			overdue(d, d->probes[i]);
 }
 
 /**
--- a/core/packet/common/policy.c
+++ b/core/packet/common/policy.c
@@ -6,6 +6,7 @@
 	.trial_odds = 8,
 
 	.opening_due_ns = 40 * NS_PER_MS,
+	.opening_due_means = 2,
 	.opening_until_ns = 150 * NS_PER_MS,
 	.request_due_means = 4,
 	.request_due_min_ns = 60 * NS_PER_MS,
@@ -13,6 +14,8 @@
 	.repeat_quiet_ns = 100 * NS_PER_MS,
 
 	.probe = true,
+	.probe_wait_ns = 60 * NS_PER_MS,
+	.probe_wait_max_ns = NS_PER_S,
 	.witness = true,
 	.probe_pause_ns = 250 * NS_PER_MS,
 	.look_again_ns = 500 * NS_PER_MS,
--- a/core/packet/common/policy.h
+++ b/core/packet/common/policy.h
@@ -20,6 +20,9 @@
  * @opening_due_ns: a client answers a target's handshake at once; two trips to
  *	it and one to the target take under 12 ms, the rest is for queues. Later
  *	the opening packet goes to another target. 0 for never.
+ * @opening_due_means: nor before so many mean times that handshakes take: on a
+ *	link that others fill each would be sent twice, and if both targets
+ *	answer, one of them for nothing
  * @opening_until_ns: not after this, since the client's own copies come then
  *	and each further try is another handshake
  * @request_due_means: a request without an answer is doubted after so many
@@ -31,6 +34,11 @@
  *	overtaken on the way: packets of uploads are all the time, and each
  *	would be a doubt.
  * @probe: a doubted target is asked whether it lives, by a connection attempt
+ * @probe_wait_ns: an attempt that takes longer is told silent: ten round trips
+ *	between data centres and to spare. Longer where attempts took longer of
+ *	late.
+ * @probe_wait_max_ns: but no longer than this; until then a late answer is
+ *	heard all the same
  * @witness: silence counts only beside another target that answers
  * @probe_pause_ns: after an attempt that was answered; a doubt in between is
  *	answered by that one
@@ -119,6 +127,7 @@
 	uint32_t trial_odds;
 
 	uint64_t opening_due_ns;
+	uint32_t opening_due_means;
 	uint64_t opening_until_ns;
 	uint32_t request_due_means;
 	uint64_t request_due_min_ns;
@@ -126,6 +135,8 @@
 	uint64_t repeat_quiet_ns;
 
 	bool probe;
+	uint64_t probe_wait_ns;
+	uint64_t probe_wait_max_ns;
 	bool witness;
 	uint64_t probe_pause_ns;
 	uint64_t look_again_ns;
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -7,6 +7,8 @@
 
 /* Weight of one sample in the mean answer time. */
 #define ANSWER_WEIGHT 32
+/* And in the mean time of a handshake. */
+#define OPEN_WEIGHT 16
 /* Before any feed was seen: one request a second of 50 ms. */
 #define FEED_LOAD_FIRST 0.05f
 
@@ -59,27 +61,45 @@
 }
 
 /*
- * A target that should answer, for comparison with one that does not: of this
- * data centre, so that a cut between data centres isn't taken for a fault here.
+ * Which of two targets is the better one to compare with one that does not
+ * answer: of this data centre, since others may be cut off; then who was heard
+ * last.
+ */
+static bool better_witness(const struct path *p, const struct target *a,
+			   const struct target *b)
+{
+	bool a_near = a->news.zone == p->conf.zone;
+	bool b_near = b->news.zone == p->conf.zone;
+
+	return a_near != b_near ? a_near : a->alive_ns > b->alive_ns;
+}
+
+/*
+ * Ask a target that should answer. While all others are doubted as well, that is
+ * more likely this VM's own link than all of them at once; one of them that
+ * answers is a witness, too.
+ * Return: whether there is any other.
  */
 static bool ask_witness(void *ctx, const struct target *about)
 {
 	struct path *p = ctx;
 	struct target *best = NULL;
 	struct health_context c;
+	bool doubted = false;
 
 	for (uint32_t i = 0; i < directory_slots(p->directory); i++) {
 		struct target *t = directory_slot(p->directory, i);
 
 		if (t == about || t->stage == TARGET_ABSENT ||
-		    t->health != HEALTH_GOOD || t->news.zone != p->conf.zone ||
-		    directory_evacuated(p->directory, t) ||
-		    (best && t->alive_ns <= best->alive_ns))
+		    directory_evacuated(p->directory, t))
 			continue;
-		best = t;
+		doubted |= t->health == HEALTH_DOUBTED;
+		if (t->health == HEALTH_GOOD &&
+		    (!best || better_witness(p, t, best)))
+			best = t;
 	}
 	if (!best)
-		return false;
+		return doubted;
 	c = path_context(p, about->probed_ns);
 	health_probe(best, &c);
 	return true;
@@ -123,6 +143,15 @@
 	       (t->health == HEALTH_SILENT && p->policy->reset_silent);
 }
 
+/* After which a handshake that has not ended is begun elsewhere. */
+uint64_t path_opening_due_ns(const struct path *p)
+{
+	uint64_t due_ns = p->open_ns * p->policy->opening_due_means;
+
+	return due_ns > p->policy->opening_due_ns ? due_ns
+						  : p->policy->opening_due_ns;
+}
+
 uint64_t path_request_due_ns(const struct path *p, uint8_t kind)
 {
 	uint64_t due_ns = p->answer_ns[kind] * p->policy->request_due_means;
@@ -199,7 +228,7 @@
 	f->seq = k->seq;
 	keep(f, k);
 	if (p->policy->opening_due_ns)
-		f->due_ns = now_ns + p->policy->opening_due_ns;
+		f->due_ns = now_ns + path_opening_due_ns(p);
 	rule(p, out, PATH_FORWARD, avoid ? PATH_placed_copy : PATH_placed, t);
 }
 
@@ -289,8 +318,10 @@
 	if (f->stage == FLOW_CLOSED)
 		return false;
 	if (f->stage == FLOW_OPENING) {
-		histogram_add(&p->times[f->kind].open_us,
-			      (now_ns - f->opened_ns) / NS_PER_US);
+		uint64_t took_ns = now_ns - f->opened_ns;
+
+		histogram_add(&p->times[f->kind].open_us, took_ns / NS_PER_US);
+		p->open_ns += took_ns / OPEN_WEIGHT - p->open_ns / OPEN_WEIGHT;
 		f->stage = FLOW_OPEN;
 		f->trip_ns = now_ns - f->request_ns;
 		f->kept_bytes = 0;
--- a/core/packet/flow/path.h
+++ b/core/packet/flow/path.h
@@ -137,7 +137,9 @@
 void path_packet(struct path *p, const struct packet *packet, bool fresh,
 		 uint64_t now_ns, struct path_verdict *out);
 void path_probed(struct path *p, const struct incarnation *who,
-		 enum probe_outcome outcome, uint64_t now_ns);
+		 enum probe_outcome outcome, uint64_t since_ns,
+		 uint64_t now_ns);
+uint64_t path_probe_wait_ns(const struct path *p, uint64_t now_ns);
 void path_told_dead(struct path *p, const struct incarnation *who);
 void path_restarted(struct path *p, const struct target *t);
 void path_held_up(struct path *p, uint64_t now_ns);
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -4,6 +4,7 @@
 
 #include "outlier.h"
 #include "path.h"
+#include "trips.h"
 #include "window.h"
 #include "work.h"
 
@@ -27,8 +28,10 @@
  * @loaded: some target has as much to do as it has slots
  * @stopping: nothing waits here any more
  * @held_up_ns: when this process last stood still
- * @witnessed_ns: when the latest probe that a target of this data centre
- *	answered went out
+ * @trips: times that connection attempts took of late
+ * @open_ns: mean time that a handshake takes, as seen here
+ * @witnessed_ns: when the latest probe that was answered went out: this VM's own
+ *	link carried it
  */
 struct path {
 	struct path_conf conf;
@@ -49,9 +52,12 @@
 	bool loaded;
 	bool stopping;
 	uint64_t held_up_ns;
+	struct trips trips;
+	uint64_t open_ns;
 	uint64_t witnessed_ns;
 };
 
+uint64_t path_opening_due_ns(const struct path *p);
 uint64_t path_request_due_ns(const struct path *p, uint8_t kind);
 
 /* path_wait.c */
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -37,29 +37,62 @@
 		sweep(p, t);
 }
 
+/**
+ * path_probe_wait_ns() - how long an attempt may take before it is silent
+ * @p: state
+ * @now_ns: time
+ *
+ * Return: time.
+ */
+uint64_t path_probe_wait_ns(const struct path *p, uint64_t now_ns)
+{
+	return trips_wait_ns(&p->trips, p->policy, now_ns);
+}
+
+/*
+ * What it means that an attempt has no answer so far. One that failed at once
+ * was not given up too soon.
+ */
+static enum probe_outcome silence(const struct path *p, const struct target *t,
+				  uint64_t since_ns, uint64_t now_ns)
+{
+	uint64_t waited_ns = now_ns - since_ns;
+
+	if (t->alive_ns > since_ns)
+		return PROBE_VOID;
+	if (waited_ns >= p->policy->probe_wait_ns &&
+	    waited_ns < path_probe_wait_ns(p, now_ns))
+		return PROBE_EARLY;
+	return PROBE_SILENT;
+}
+
 /**
  * path_probed() - take the outcome of a connection attempt
  * @p: state
  * @who: target, and its process when the attempt began; what it shows of one
  *	process says nothing of the next
  * @outcome: what it showed
+ * @since_ns: when the attempt began
  * @now_ns: time
  */
 void path_probed(struct path *p, const struct incarnation *who,
-		 enum probe_outcome outcome, uint64_t now_ns)
+		 enum probe_outcome outcome, uint64_t since_ns, uint64_t now_ns)
 {
 	struct target *t = directory_by_id(p->directory, who->id);
 	struct health_context c;
 
+	if (outcome == PROBE_OPEN || outcome == PROBE_REFUSED)
+		trips_heard(&p->trips, now_ns - since_ns, now_ns);
 	if (!t)
 		return;
+	if (outcome == PROBE_SILENT)
+		outcome = silence(p, t, since_ns, now_ns);
 	if (who->started_ms != t->news.started_ms)
 		outcome = PROBE_VOID;
 	if (outcome == PROBE_SILENT && p->held_up_ns + NS_PER_S > now_ns)
 		outcome = PROBE_VOID;
-	if (outcome == PROBE_OPEN && t->news.zone == p->conf.zone &&
-	    t->probed_ns > p->witnessed_ns)
-		p->witnessed_ns = t->probed_ns;
+	if (outcome == PROBE_OPEN && since_ns > p->witnessed_ns)
+		p->witnessed_ns = since_ns;
 	c = path_context(p, now_ns);
 	health_probed(t, &c, outcome);
 	sweep_if_gone(p, t);
@@ -147,7 +180,7 @@
 		return;
 	flow_cache_move(p->flows, f, t);
 	f->request_ns = now_ns;
-	f->due_ns = now_ns + p->policy->opening_due_ns;
+	f->due_ns = now_ns + path_opening_due_ns(p);
 	p->counts[PATH_placed_again]++;
 	p->port.again(p->port.ctx, f, PATH_placed_again);
 }
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -369,13 +369,14 @@
  * @n: entry
  * @who: target, and its process when the attempt began
  * @outcome: what it showed
+ * @since_ns: when the attempt began
  * @now_ns: time
  */
 void node_probed(struct node *n, const struct incarnation *who,
-		 enum probe_outcome outcome, uint64_t now_ns)
+		 enum probe_outcome outcome, uint64_t since_ns, uint64_t now_ns)
 {
 	n->now_ns = now_ns;
-	path_probed(n->path, who, outcome, now_ns);
+	path_probed(n->path, who, outcome, since_ns, now_ns);
 }
 
 /**
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -196,7 +196,8 @@
 		  uint64_t now_ns);
 void node_hello(struct node *n, const struct hello *h, uint64_t now_ns);
 void node_probed(struct node *n, const struct incarnation *who,
-		 enum probe_outcome outcome, uint64_t now_ns);
+		 enum probe_outcome outcome, uint64_t since_ns,
+		 uint64_t now_ns);
 bool node_late(struct node *n, uint64_t gap_ns, uint64_t now_ns);
 void node_stop(struct node *n, uint64_t now_ns);
 bool node_stopped(const struct node *n, uint64_t now_ns);
--- a/core/packet/target/health.c
+++ b/core/packet/target/health.c
@@ -154,6 +154,12 @@
 	case PROBE_SILENT:
 		missed(t, c);
 		break;
+	case PROBE_EARLY:
+		if (t->health < HEALTH_SILENT)
+			health_probe(t, c);
+		else
+			t->probe_ns = c->now_ns + c->policy->look_again_ns;
+		break;
 	case PROBE_VOID:
 		if (t->health == HEALTH_DOUBTED)
 			set(t, c, HEALTH_GOOD);
--- a/core/packet/target/health.h
+++ b/core/packet/target/health.h
@@ -14,9 +14,16 @@
  * @PROBE_OPEN: accepted
  * @PROBE_REFUSED: nobody listens: the process has ended
  * @PROBE_SILENT: no answer in time
+ * @PROBE_EARLY: no answer, but others have since taken as long to come
  * @PROBE_VOID: this process was held up meanwhile: says nothing
  */
-enum probe_outcome { PROBE_OPEN, PROBE_REFUSED, PROBE_SILENT, PROBE_VOID };
+enum probe_outcome {
+	PROBE_OPEN,
+	PROBE_REFUSED,
+	PROBE_SILENT,
+	PROBE_EARLY,
+	PROBE_VOID,
+};
 
 /**
  * struct health_port - what the module needs from outside
@@ -38,7 +45,7 @@
  * @policy: figures to go by
  * @port: what is needed from outside
  * @now_ns: time
- * @witness: ask a target that should answer; false when there is none
+ * @witness: ask a target that should answer; false when there is no other
  * @witness_ctx: passed to it
  * @witnessed_ns: when the latest probe that was answered went out
  */
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #define TICK_NS (20 * NS_PER_MS)
-#define PROBE_TIMEOUT_NS (60 * NS_PER_MS)
 #define HEAD_BYTES 32
 /* Of the envelope, IP and UDP. */
 #define OUTER_BYTES 36
@@ -160,15 +159,25 @@
 		 on_fetched, (uint32_t)(c->e - c->w->entries), at, after);
 }
 
-static void on_probed(struct world *w, const struct event *e)
+/* A connection attempt under way; an event carries its number. */
+static uint32_t attempt_with(struct world *w, uint32_t entry,
+			     const struct target *t)
 {
-	struct sim_entry *s = &w->entries[e->a];
+	uint32_t i = w->next_attempt++ % ATTEMPTS_MAX;
 
-	struct incarnation who = { e->b, e->c >> 8 };
+	w->attempts[i] =
+		(struct sim_attempt){ entry, target_incarnation(t), w->now_ns };
+	return i;
+}
+
+static void on_probed(struct world *w, const struct event *e)
+{
+	const struct sim_attempt *a = &w->attempts[e->a];
+	struct sim_entry *s = &w->entries[a->entry];
 
 	if (runs(s))
-		node_probed(s->node, &who, (enum probe_outcome)(uint8_t)e->c,
-			    w->now_ns);
+		node_probed(s->node, &a->who, (enum probe_outcome)e->b,
+			    a->since_ns, w->now_ns);
 }
 
 static void probe(void *ctx, const struct target *t)
@@ -178,25 +187,24 @@
 	const struct sim_target *s = &c->w->targets[at];
 	enum probe_outcome outcome = PROBE_OPEN;
 	uint64_t way_ns = 2 * world_way_ns(c->w, c->e->zone, s->zone);
+	uint64_t wait_ns = path_probe_wait_ns(c->e->node->path, c->w->now_ns);
 	uint64_t link = link_ns(c->w, c->e, SYN_BYTES);
+	uint32_t number =
+		attempt_with(c->w, (uint32_t)(c->e - c->w->entries), t);
+	bool lost = s->dark || link == UINT64_MAX ||
+		    world_cut(c->w, c->e->zone, s->zone);
 
 	c->w->report.probes++;
-	if (s->dark || world_cut(c->w, c->e->zone, s->zone) ||
-	    link == UINT64_MAX) {
-		outcome = PROBE_SILENT;
-		way_ns = PROBE_TIMEOUT_NS;
-	} else if (!s->alive) {
-		outcome = PROBE_REFUSED;
-	}
-	if (link != UINT64_MAX)
+	if (!lost)
 		way_ns += link;
 	/* Silent at first; a late answer is heard all the same. */
-	if (way_ns > PROBE_TIMEOUT_NS)
-		world_at(c->w, PROBE_TIMEOUT_NS, on_probed,
-			 (uint32_t)(c->e - c->w->entries), t->news.id,
-			 t->news.started_ms << 8 | PROBE_SILENT);
-	world_at(c->w, way_ns, on_probed, (uint32_t)(c->e - c->w->entries),
-		 t->news.id, t->news.started_ms << 8 | outcome);
+	if (lost || way_ns > wait_ns)
+		world_at(c->w, wait_ns, on_probed, number, PROBE_SILENT, 0);
+	if (lost)
+		return;
+	if (!s->alive)
+		outcome = PROBE_REFUSED;
+	world_at(c->w, way_ns, on_probed, number, outcome, 0);
 }
 
 static uint32_t user_of(const struct world *w, const struct flow_key *flow)
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -233,6 +233,15 @@
 
 #define LETTERS_MAX 8192
 
+/* An entry's connection attempt. */
+struct sim_attempt {
+	uint32_t entry;
+	struct incarnation who;
+	uint64_t since_ns;
+};
+
+#define ATTEMPTS_MAX 65536
+
 /**
  * struct capacity_mark - slots of a service's living targets from a time on
  * @at_ns: when
@@ -298,6 +307,8 @@
 	struct port_ctx contexts[ENTRIES_MAX];
 	struct letter letters[LETTERS_MAX];
 	uint32_t spare_letter;
+	struct sim_attempt attempts[ATTEMPTS_MAX];
+	uint32_t next_attempt;
 	struct world_request *requests;
 	uint32_t n_requests;
 	uint32_t requests_room;
--- a/test/packet_bed.c
+++ b/test/packet_bed.c
@@ -15,7 +15,7 @@
 	struct bed *b = ctx;
 
 	b->probes[b->n_probes++ % BED_EVENTS_MAX] =
-		(struct bed_probe){ target_incarnation(t), false };
+		(struct bed_probe){ target_incarnation(t), b->now_ns, false };
 }
 
 static void on_again(void *ctx, const struct flow_seen *f, uint8_t reason)
@@ -242,7 +242,8 @@
 		if (b->probes[i].done || b->probes[i].who.id != id)
 			continue;
 		b->probes[i].done = true;
-		path_probed(b->path, &b->probes[i].who, outcome, b->now_ns);
+		path_probed(b->path, &b->probes[i].who, outcome,
+			    b->probes[i].since_ns, b->now_ns);
 	}
 }
 
@@ -252,7 +253,8 @@
 	for (uint32_t i = 0; i < b->n_probes; i++) {
 		if (b->probes[i].who.id != id)
 			continue;
-		path_probed(b->path, &b->probes[i].who, outcome, b->now_ns);
+		path_probed(b->path, &b->probes[i].who, outcome,
+			    b->probes[i].since_ns, b->now_ns);
 		return;
 	}
 }
--- a/test/packet_bed.h
+++ b/test/packet_bed.h
@@ -20,6 +20,7 @@
 
 struct bed_probe {
 	struct incarnation who;
+	uint64_t since_ns;
 	bool done;
 };
 
--- a/test/packet_path_test.c
+++ b/test/packet_path_test.c
@@ -377,6 +377,127 @@
 	bed_close(&b);
 }
 
+/*
+ * Symptom: half of all targets look silent at once, and their flows are reset.
+ * Sequence: the link is full; an attempt at the witness from before is answered
+ * late, while all that went out since is on its way. Cause: that answer counted
+ * as one to the attempt that was made last.
+ */
+static void test_late_answer_is_no_witness_for_what_came_after(void **state)
+{
+	struct bed b;
+	struct path_verdict v;
+	uint64_t target, witness;
+
+	(void)state;
+	bed_open(&b);
+	bed_target(&b, 1, SERVICE, ZONE);
+	bed_target(&b, 2, SERVICE, ZONE);
+	v = bed_open_flow(&b, CALLER, VIP);
+	target = v.target->news.id;
+	witness = 3 - target;
+	b.now_ns += 100 * MS;
+	bed_data(&b, CALLER, VIP, v.target->cookie, 2, 2, 100);
+	bed_pass(&b, 500 * MS);
+	b.now_ns += 60 * MS;
+	bed_answer(&b, target, PROBE_SILENT);
+	for (uint32_t i = 0; i < 3; i++) {
+		b.now_ns += 60 * MS;
+		bed_answer(&b, witness, PROBE_SILENT);
+		bed_answer_late(&b, witness, PROBE_OPEN);
+		bed_answer(&b, target, PROBE_SILENT);
+	}
+	assert_int_not_equal(v.target->health, HEALTH_SILENT);
+	assert_int_equal(b.n_resets, 0);
+	bed_close(&b);
+}
+
+/*
+ * Symptom: flows of most targets are reset at once. Sequence: the link is full
+ * for half a second; all targets are doubted within it, so that none is left to
+ * compare with. Cause: a target without any other to compare with is condemned
+ * after a few more attempts.
+ */
+static void test_all_doubted_at_once_condemns_nobody(void **state)
+{
+	struct bed b;
+	struct path_verdict v[2];
+
+	(void)state;
+	bed_open(&b);
+	bed_target(&b, 1, SERVICE, ZONE);
+	v[0] = bed_open_flow(&b, CALLER, VIP);
+	bed_target(&b, 2, SERVICE, ZONE);
+	while ((v[1] = bed_open_flow(&b, CALLER + 1, VIP)).target->news.id != 2)
+		;
+	b.now_ns += 100 * MS;
+	for (uint32_t i = 0; i < 2; i++)
+		bed_data(&b, CALLER + i, VIP, v[i].target->cookie, 2, 2, 100);
+	bed_pass(&b, 500 * MS);
+	assert_int_equal(v[0].target->health, HEALTH_DOUBTED);
+	assert_int_equal(v[1].target->health, HEALTH_DOUBTED);
+	for (uint32_t i = 0; i < 8; i++) {
+		b.now_ns += 60 * MS;
+		bed_answer(&b, 1, PROBE_SILENT);
+		bed_answer(&b, 2, PROBE_SILENT);
+	}
+	assert_int_equal(b.n_resets, 0);
+	bed_close(&b);
+}
+
+/* A sign of life after an attempt went out ends what that attempt says. */
+static void test_silence_before_a_sign_of_life_is_void(void **state)
+{
+	struct bed b;
+	struct path_verdict v;
+	uint64_t target;
+
+	(void)state;
+	bed_open(&b);
+	bed_target(&b, 1, SERVICE, ZONE);
+	bed_target(&b, 2, SERVICE, ZONE);
+	v = bed_open_flow(&b, CALLER, VIP);
+	target = v.target->news.id;
+	b.now_ns += 100 * MS;
+	bed_data(&b, CALLER, VIP, v.target->cookie, 2, 2, 100);
+	bed_pass(&b, 500 * MS);
+	bed_data(&b, CALLER, VIP, v.target->cookie, 102, 50, 0);
+	b.now_ns += 10 * MS;
+	bed_answer(&b, target, PROBE_SILENT);
+	assert_int_equal(v.target->misses, 0);
+	assert_int_equal(v.target->health, HEALTH_GOOD);
+	bed_close(&b);
+}
+
+/*
+ * Symptom: each opening packet goes to two targets. Sequence: a document fills
+ * the link, and handshakes take longer than the time after which they are begun
+ * elsewhere. Cause: that time was the same on any link.
+ */
+static void test_slow_handshakes_are_waited_for(void **state)
+{
+	struct bed b;
+	uint64_t caller = CALLER;
+	uint32_t again;
+
+	(void)state;
+	bed_open(&b);
+	bed_target(&b, 1, SERVICE, ZONE);
+	bed_target(&b, 2, SERVICE, ZONE);
+	for (uint32_t i = 0; i < 40; i++, caller++) {
+		struct path_verdict v = bed_syn(&b, caller, VIP, 0);
+
+		bed_pass(&b, 60 * MS);
+		bed_data(&b, caller, VIP, v.target->cookie, 1, 1, 0);
+	}
+	again = b.n_again;
+	assert_int_not_equal(again, 0);
+	bed_syn(&b, caller, VIP, 0);
+	bed_pass(&b, 80 * MS);
+	assert_int_equal(b.n_again, again);
+	bed_close(&b);
+}
+
 /*
  * Symptom: targets are doubted and connected to many times a second on a calm
  * day, and get no new flows meanwhile. Sequence: packets of an upload overtake
@@ -603,6 +724,11 @@
 		cmocka_unit_test(test_full_link_here_condemns_nobody),
 		cmocka_unit_test(test_silence_beside_a_witness_ends_the_flows),
 		cmocka_unit_test(test_late_answer_is_a_sign_of_life),
+		cmocka_unit_test(
+			test_late_answer_is_no_witness_for_what_came_after),
+		cmocka_unit_test(test_all_doubted_at_once_condemns_nobody),
+		cmocka_unit_test(test_silence_before_a_sign_of_life_is_void),
+		cmocka_unit_test(test_slow_handshakes_are_waited_for),
 		cmocka_unit_test(test_packets_that_were_overtaken_doubt_nobody),
 		cmocka_unit_test(test_own_pause_doubts_nobody),
 		cmocka_unit_test(test_leaving_target_keeps_flows_and_gets_none),
