--- a/sim/sim-packets/main.c
+++ b/sim/sim-packets/main.c
@@ -178,7 +178,8 @@
 	}
 	if (a->recovery->count)
 		return recovery_table(number(a->first_seed, 1),
-				      number(a->seeds, 1))
+				      number(a->seeds, 1),
+				      number(a->entries, 3))
 			       ? EXIT_BROKEN
 			       : EXIT_OK;
 	if (a->evacuation->count)
--- a/sim/sim-packets/recovery.c
+++ b/sim/sim-packets/recovery.c
@@ -11,7 +11,7 @@
 #define STEP_NS (2 * NS_PER_MS)
 #define GIVE_UP_NS (20 * NS_PER_S)
 #define ZONES 3
-#define ENTRIES RECOVERY_ENTRIES
+#define ENTRIES RECOVERY_ENTRIES_MAX
 
 static void healthy(struct world *w)
 {
@@ -104,12 +104,14 @@
 /**
  * recovery_run() - all entries lose power, once
  * @seed: of all chance
+ * @entries: in each of three data centres
  * @condition: index of the store's state
  * @r: filled
  */
-void recovery_run(uint64_t seed, uint32_t condition, struct recovery *r)
+void recovery_run(uint64_t seed, uint32_t entries, uint32_t condition,
+		  struct recovery *r)
 {
-	struct site_size size = { ZONES, ENTRIES / ZONES, 5, 0, 0, 0 };
+	struct site_size size = { ZONES, entries, 5, 0, 0, 0 };
 	struct world_conf conf = { .seed = seed };
 	struct world *w;
 	uint64_t started_ns[ENTRIES] = { 0 };
@@ -158,13 +160,15 @@
  * recovery_table() - play and print all conditions
  * @first_seed: seed of the first run
  * @seeds: runs of each condition
+ * @entries: in each of three data centres
  *
  * Return: how many runs did not recover, or -1 without memory.
  */
-int recovery_table(uint64_t first_seed, uint32_t seeds)
+int recovery_table(uint64_t first_seed, uint32_t seeds, uint32_t entries)
 {
+	uint32_t n = ZONES * entries;
 	uint64_t *first = calloc(seeds, sizeof(*first));
-	uint64_t *each = calloc((size_t)seeds * ENTRIES, sizeof(*each));
+	uint64_t *each = calloc((size_t)seeds * n, sizeof(*each));
 	uint64_t *all = calloc(seeds, sizeof(*all));
 	int lost = first && each && all ? 0 : -1;
 
@@ -176,16 +180,16 @@
 		for (uint32_t i = 0; i < seeds; i++) {
 			struct recovery r;
 
-			recovery_run(first_seed + i, c, &r);
+			recovery_run(first_seed + i, entries, c, &r);
 			lost += !r.agree_ns;
 			first[i] = r.first_ns;
 			all[i] = r.agree_ns;
-			for (uint32_t k = 0; k < ENTRIES; k++)
-				each[i * ENTRIES + k] = r.each_ns[k];
+			for (uint32_t k = 0; k < n; k++)
+				each[i * n + k] = r.each_ns[k];
 		}
 		printf("%-26s", conditions[c].name);
 		print(first, seeds);
-		print(each, seeds * ENTRIES);
+		print(each, seeds * n);
 		print(all, seeds);
 		printf("\n");
 	}
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -249,7 +249,7 @@
 
 /* The store answers, is slow, refuses half, is silent to half, is down. */
 #define RECOVERY_CONDITIONS 5
-#define RECOVERY_ENTRIES 9
+#define RECOVERY_ENTRIES_MAX ENTRIES_MAX
 
 /**
  * struct recovery - times of one run, 0 where it did not come to it
@@ -260,12 +260,13 @@
  */
 struct recovery {
 	uint64_t first_ns;
-	uint64_t each_ns[RECOVERY_ENTRIES];
+	uint64_t each_ns[RECOVERY_ENTRIES_MAX];
 	uint64_t agree_ns;
 };
 
-void recovery_run(uint64_t seed, uint32_t condition, struct recovery *r);
-int recovery_table(uint64_t first_seed, uint32_t seeds);
+void recovery_run(uint64_t seed, uint32_t entries, uint32_t condition,
+		  struct recovery *r);
+int recovery_table(uint64_t first_seed, uint32_t seeds, uint32_t entries);
 
 /* Nothing, targets publish, configurations change, a slow store, half refused. */
 #define EVACUATION_CONDITIONS 5
--- a/test/packet_world_test.c
+++ b/test/packet_world_test.c
@@ -75,8 +75,8 @@
 	(void)state;
 	for (uint32_t c = 0; c < RECOVERY_CONDITIONS; c++)
 		for (uint64_t seed = 1; seed <= WORLD_SEEDS; seed++) {
-			recovery_run(seed, c, &r);
-			for (uint32_t i = 0; i < RECOVERY_ENTRIES; i++)
+			recovery_run(seed, 3, c, &r);
+			for (uint32_t i = 0; i < 9; i++)
 				assert_in_range(r.each_ns[i], 1,
 						ready_ms[c] * NS_PER_MS);
 			assert_in_range(r.agree_ns, 1, ready_ms[c] * NS_PER_MS);
