--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -3,6 +3,8 @@
 
 /* Loads are averaged over a second: some twenty requests of a target. */
 #define LOAD_WINDOW_NS NS_PER_S
+/* A mean that has sunk below this is none. */
+#define LOAD_LEAST 0.001f
 /* Weight of one measurement in the mean load of a feed. */
 #define FEED_LOAD_WEIGHT 0.02f
 /* Failures are told with heartbeats, one in 200 ms. */
@@ -211,6 +213,8 @@
 	float part = (float)since_ns / (float)window_ns;
 
 	*mean += ((float)now - *mean) * (part < 1 ? part : 1);
+	if (!now && *mean < LOAD_LEAST)
+		*mean = 0;
 }
 
 static void average(struct target *t, const struct policy *policy,
@@ -231,10 +235,22 @@
 				FEED_LOAD_WEIGHT;
 }
 
+/*
+ * Whether time brings nothing to a target: of thousands most have no flow of
+ * this entry, and all are looked at in every tick.
+ */
+static bool at_rest(const struct target *t)
+{
+	return !t->held && t->health == HEALTH_GOOD && t->short_mean <= 0 &&
+	       t->running_mean <= 0;
+}
+
 static void judge(struct path *p, struct target *t, uint64_t now_ns)
 {
 	float others = 0;
 
+	if (t->failures <= 0 && t->peers_failures <= 0)
+		return;
 	if (outlier_judge(p->directory, t, p->policy, now_ns, &others))
 		p->port.eject(p->port.ctx, t, others);
 }
@@ -258,14 +274,18 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = directory_slot(p->directory, i);
 
+		if (judging)
+			judge(p, t, now_ns);
+		if (at_rest(t)) {
+			t->mean_ns = now_ns;
+			continue;
+		}
 		average(t, p->policy, now_ns);
 		if (t->flows || !directory_evacuated(p->directory, t))
 			health_tick(t, &c);
 		sweep_if_gone(p, t);
 		path_expire(p, t, now_ns);
 		p->loaded |= path_loaded(t);
-		if (judging)
-			judge(p, t, now_ns);
 		feeds += t->feeds;
 		busy += t->busy - t->busy_short;
 	}
--- a/core/packet/target/cold.c
+++ b/core/packet/target/cold.c
@@ -4,8 +4,6 @@
 
 /* More make no difference: each opens one flow at once, whatever its rate. */
 #define SEATS_MAX 3
-/* Flows that a seat may open at once. */
-#define CREDIT_MAX 1.0f
 
 /**
  * cold_share() - deal what a cold target bears among seats
@@ -23,31 +21,18 @@
 	float most = per_s * bound->overrun + bound->slack;
 	struct cold_share s = { 0 };
 
-	if (most < CREDIT_MAX)
+	if (most < COLD_CREDIT_MAX)
 		return s;
 	s.seats = SEATS_MAX;
-	while (s.seats > 1 && (float)(s.seats + 1) * CREDIT_MAX > most)
+	while (s.seats > 1 && (float)(s.seats + 1) * COLD_CREDIT_MAX > most)
 		s.seats--;
-	s.per_s = most / (float)(s.seats + 1) - CREDIT_MAX;
+	s.per_s = most / (float)(s.seats + 1) - COLD_CREDIT_MAX;
 	s.per_s = fminf(s.per_s, per_s / (float)s.seats);
 	if (s.per_s < 0)
 		s.per_s = 0;
 	return s;
 }
 
-/**
- * cold_limited() - whether a target bears few new flows now
- * @t: target
- * @per_s: rate of its service; 0 when none is told
- * @now_ns: time
- *
- * Return: whether it is cold, and what it bears is told.
- */
-bool cold_limited(const struct target *t, float per_s, uint64_t now_ns)
-{
-	return per_s > 0 && now_ns < t->cold_until_ns;
-}
-
 /**
  * cold_begin() - a target has started
  * @t: target
@@ -59,7 +44,7 @@
 void cold_begin(struct target *t, uint64_t until_ns, uint64_t now_ns)
 {
 	if (now_ns >= t->cold_until_ns) {
-		t->cold_credit = CREDIT_MAX;
+		t->cold_credit = COLD_CREDIT_MAX;
 		t->cold_seat = false;
 		t->credit_ns = now_ns;
 	}
@@ -78,26 +63,12 @@
 	float passed_s = (float)(now_ns - t->credit_ns) / (float)NS_PER_S;
 
 	if (t->cold_seat)
-		t->cold_credit =
-			fminf(CREDIT_MAX, t->cold_credit + passed_s * per_s);
+		t->cold_credit = fminf(COLD_CREDIT_MAX,
+				       t->cold_credit + passed_s * per_s);
 	t->cold_seat = seat;
 	t->credit_ns = now_ns;
 }
 
-/**
- * cold_full() - whether no new flow may go to a target, since it is cold
- * @t: target
- * @per_s: rate of its service; 0 when none is told
- * @now_ns: time
- *
- * Return: whether.
- */
-bool cold_full(const struct target *t, float per_s, uint64_t now_ns)
-{
-	return cold_limited(t, per_s, now_ns) &&
-	       (!t->cold_seat || t->cold_credit < CREDIT_MAX);
-}
-
 /**
  * cold_opened() - a new flow goes to a target
  * @t: target
@@ -107,5 +78,5 @@
 void cold_opened(struct target *t, float per_s, uint64_t now_ns)
 {
 	if (cold_limited(t, per_s, now_ns))
-		t->cold_credit -= CREDIT_MAX;
+		t->cold_credit -= COLD_CREDIT_MAX;
 }
--- a/core/packet/target/cold.h
+++ b/core/packet/target/cold.h
@@ -13,6 +13,9 @@
 
 #include "target.h"
 
+/* Flows that a seat may open at once. */
+#define COLD_CREDIT_MAX 1.0f
+
 /**
  * struct cold_bound - what a cold target may get in any second, of all entries
  *	together: its service's rate times @overrun, and @slack
@@ -35,10 +38,39 @@
 };
 
 struct cold_share cold_share(float per_s, const struct cold_bound *bound);
-bool cold_limited(const struct target *t, float per_s, uint64_t now_ns);
+
+/**
+ * cold_limited() - whether a target bears few new flows now
+ * @t: target
+ * @per_s: rate of its service; 0 when none is told
+ * @now_ns: time
+ *
+ * Return: whether it is cold, and what it bears is told.
+ */
+static inline bool cold_limited(const struct target *t, float per_s,
+				uint64_t now_ns)
+{
+	return per_s > 0 && now_ns < t->cold_until_ns;
+}
+
 void cold_begin(struct target *t, uint64_t until_ns, uint64_t now_ns);
 void cold_refill(struct target *t, bool seat, float per_s, uint64_t now_ns);
-bool cold_full(const struct target *t, float per_s, uint64_t now_ns);
+
+/**
+ * cold_full() - whether no new flow may go to a target, since it is cold
+ * @t: target
+ * @per_s: rate of its service; 0 when none is told
+ * @now_ns: time
+ *
+ * Return: whether.
+ */
+static inline bool cold_full(const struct target *t, float per_s,
+			     uint64_t now_ns)
+{
+	return cold_limited(t, per_s, now_ns) &&
+	       (!t->cold_seat || t->cold_credit < COLD_CREDIT_MAX);
+}
+
 void cold_opened(struct target *t, float per_s, uint64_t now_ns);
 
 #endif
--- a/core/packet/target/directory.c
+++ b/core/packet/target/directory.c
@@ -413,11 +413,5 @@
  */
 bool directory_serving(const struct directory *d, const struct target *t)
 {
-	if (t->health == HEALTH_DEAD || t->successor_ns ||
-	    directory_evacuated(d, t))
-		return false;
-	if (!t->news.started_ms && directory_starts_told(d))
-		return false;
-	return t->stage == TARGET_SERVING ||
-	       (t->stage == TARGET_ABSENT && t->presumed);
+	return target_serving(d, t);
 }
--- a/core/packet/target/directory_impl.h
+++ b/core/packet/target/directory_impl.h
@@ -29,6 +29,19 @@
 	struct index *by_name;
 };
 
+/* As directory_serving(): each opening packet asks it of every target. */
+static inline bool target_serving(const struct directory *d,
+				  const struct target *t)
+{
+	if (t->health == HEALTH_DEAD || t->successor_ns ||
+	    evacuations_has(&d->evacuations, t->news.zone))
+		return false;
+	if (!t->news.started_ms && d->starts_told)
+		return false;
+	return t->stage == TARGET_SERVING ||
+	       (t->stage == TARGET_ABSENT && t->presumed);
+}
+
 /* directory_cookie.c */
 bool target_older(const struct target *a, const struct target *b);
 void cookie_add(struct directory *d, struct target *t);
--- a/core/packet/target/place.c
+++ b/core/packet/target/place.c
@@ -1,6 +1,7 @@
 #include "place.h"
 
 #include "cold.h"
+#include "directory_impl.h"
 
 #include "outlier.h"
 
@@ -107,10 +108,12 @@
 }
 
 static bool eligible(const struct directory *d, const struct target *t,
-		     uint64_t now_ns)
+		     const struct place_query *q)
 {
-	return directory_serving(d, t) && t->health != HEALTH_SILENT &&
-	       !cold_full(t, directory_cold(d, t->news.service).per_s, now_ns);
+	float per_s = d->services[q->service].cold.per_s;
+
+	return t->health != HEALTH_SILENT && target_serving(d, t) &&
+	       !cold_full(t, per_s, q->now_ns);
 }
 
 /**
@@ -131,21 +134,20 @@
 	uint32_t best = UINT32_MAX;
 	struct target *chosen;
 
-	for (uint32_t i = 0; i < n; i++)
-		if (eligible(d, all[i], q->now_ns) &&
-		    rank(all[i], q, trial) < best)
-			best = rank(all[i], q, trial);
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
+		uint32_t its = rank(t, q, trial);
 
-		if (!eligible(d, t, q->now_ns) || rank(t, q, trial) != best ||
-		    !reachable(d, t))
+		if (its > best || !eligible(d, t, q) || !reachable(d, t))
 			continue;
+		if (its < best)
+			near.seen = far.seen = 0;
+		best = its;
 		draw(t->news.zone == q->zone ? &near : &far, t, q, rng);
 	}
 	chosen = cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
 	if (chosen)
-		cold_opened(chosen, directory_cold(d, q->service).per_s,
+		cold_opened(chosen, d->services[q->service].cold.per_s,
 			    q->now_ns);
 	return chosen;
 }
