cb-packet tells a store that came back from one that is late: epoch and lost history

Two hypotheses of the incident (revisions given out twice; stale answers) could not be told apart: the logs named neither the status that ended a watch nor the revision and era an answer was made at. Now logged: the store's epoch (Store-Era, decoded in platform/) when it changes, with the revision of the answer and the one known here, and the first of a row of watches for which the store has no history; counted by cb_packet_platform_behind_total. No decision goes by it.

--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -29,6 +29,8 @@
 		return SOURCE_BUSY;
 	if (r->err || r->status != HTTP_OK)
 		return SOURCE_FAILED;
+	if (d->platform->read_epoch(r->header, &head->epoch))
+		return SOURCE_FAILED;
 	err = list ? d->platform->read_list(r->body, r->size_bytes, to, head)
 		   : d->platform->read_changes(r->body, r->size_bytes, to,
 					       head);
@@ -64,7 +66,8 @@
 			    timeout_ms);
 
 	if (err)
-		on_platform(d, &(struct http_reply){ .err = err, .body = "" });
+		on_platform(d, &(struct http_reply){
+				       .err = err, .body = "", .header = "" });
 }
 
 /**
@@ -194,6 +197,9 @@
 	struct http_call_handler peer = { d, on_peer, NULL };
 	int err = http_caller_open(d->loop, platform, &d->platform_caller);
 
+	if (!err)
+		http_caller_header(d->platform_caller,
+				   d->platform->epoch_header);
 	return err ? err : http_caller_open(d->loop, peer, &d->peer_caller);
 }
 
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -91,6 +91,7 @@
 	X(platform_calls)        \
 	X(platform_calls_failed) \
 	X(platform_lists)        \
+	X(platform_behind)       \
 	X(peer_calls)            \
 	X(peer_calls_failed)     \
 	X(documents_refused)     \
@@ -129,6 +130,9 @@
  * @list_first: revision of the listing's first page, 0 before it
  * @list_revision: least revision of its pages
  * @list_after: last key of the page before
+ * @platform_epoch: epoch of the platform's last answer
+ * @behind_logged: the platform has no history after what is known here, and
+ *	that was logged
  * @told: newest revision that the neighbours were told of at once
  * @fetching: a peer is being asked
  * @fetching_far: and is of another data centre
@@ -159,6 +163,8 @@
 	uint64_t list_first;
 	uint64_t list_revision;
 	char list_after[DOCUMENT_KEY_MAX_BYTES + 1];
+	uint64_t platform_epoch;
+	bool behind_logged;
 	uint64_t told;
 	bool fetching;
 	bool fetching_far;
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -167,6 +167,38 @@
 	peer_set_trouble(n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns);
 }
 
+/*
+ * What tells a platform that came back from an older copy of itself from one
+ * that is late, or that has dropped its history.
+ */
+static void log_answer(struct node *n, enum source_outcome outcome,
+		       const struct answer_head *head)
+{
+	uint64_t known = documents_known(n->documents);
+
+	if (outcome == SOURCE_BEHIND) {
+		n->counters.platform_behind++;
+		if (!n->behind_logged)
+			n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
+				    "no changes to be had after revision %llu",
+				    (unsigned long long)known);
+		n->behind_logged = true;
+	}
+	if (outcome != SOURCE_OK)
+		return;
+	if (known && head->epoch != n->platform_epoch)
+		n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
+			    "epoch %llu, was %llu, at revision %llu; known "
+			    "here is %llu",
+			    (unsigned long long)head->epoch,
+			    (unsigned long long)n->platform_epoch,
+			    (unsigned long long)head->revision,
+			    (unsigned long long)known);
+	n->platform_epoch = head->epoch;
+	if (n->step == SOURCE_WATCH)
+		n->behind_logged = false;
+}
+
 /**
  * node_answer() - a call to the platform ended
  * @n: entry
@@ -181,6 +213,7 @@
 	bool changed;
 
 	n->now_ns = now_ns;
+	log_answer(n, outcome, head);
 	if (outcome == SOURCE_OK)
 		take_head(n, head);
 	if (outcome != SOURCE_BUSY)
--- a/test/users_platform_test.c
+++ b/test/users_platform_test.c
@@ -117,9 +117,25 @@
 			       (struct facts_port){ s, see }, head);
 }
 
+static void test_reads_the_epoch(void **state)
+{
+	uint64_t epoch = 7;
+
+	(void)state;
+	assert_int_equal(users_read_epoch("3", &epoch), 0);
+	assert_int_equal(epoch, 3);
+	/* A store that tells none. */
+	assert_int_equal(users_read_epoch("", &epoch), 0);
+	assert_int_equal(epoch, 0);
+	assert_int_equal(users_read_epoch("three", &epoch), -EPROTO);
+	assert_int_equal(users_read_epoch("-1", &epoch), -EPROTO);
+	assert_int_equal(users_read_epoch("18446744073709551616", &epoch),
+			 -EPROTO);
+}
+
 static void test_reads_a_listing(void **state)
 {
-	struct answer_head head;
+	struct answer_head head = { 0 };
 	struct seen s;
 
 	(void)state;
@@ -166,7 +182,7 @@
 		"{\"key\":\"servers/i-1\",\"value\":\"bm9k\",\"revision\":-3}",
 		"{\"key\":\"a\\u0000b\",\"value\":\"bm9k\",\"revision\":3}",
 	};
-	struct answer_head head;
+	struct answer_head head = { 0 };
 	struct seen s;
 	char body[512];
 
@@ -186,7 +202,7 @@
 static void test_value_that_cannot_be_read(void **state)
 {
 	static const char *const values[] = { "7", "null", "\"\"", "\"!\"" };
-	struct answer_head head;
+	struct answer_head head = { 0 };
 	struct seen s;
 	char body[512];
 
@@ -212,7 +228,7 @@
 		"\"revision\":4},{\"key\":\"servers/i-2\",\"value\":\"%s\","
 		"\"revision\":5}],\"store-revision\":5}",
 		big);
-	struct answer_head head;
+	struct answer_head head = { 0 };
 	struct seen s;
 
 	(void)state;
@@ -229,7 +245,7 @@
 	static const char body[] =
 		"{\"events\":[{\"key\":\"servers/i-7\",\"revision\":413,"
 		"\"deleted\":true}],\"store-revision\":413}";
-	struct answer_head head;
+	struct answer_head head = { 0 };
 	struct seen s = { 0 };
 
 	(void)state;
@@ -252,7 +268,7 @@
 		"{\"items\":[{}],\"more-pages\":true,\"store-revision\":5}",
 		"{\"items\":[],\"more-pages\":true,\"store-revision\":5}",
 	};
-	struct answer_head head;
+	struct answer_head head = { 0 };
 	struct seen s;
 
 	(void)state;
@@ -563,7 +579,7 @@
 	static const char body[] =
 		"{\"items\":[{\"key\":\"op/evacuate/como-hall\",\"value\":"
 		"\"e30=\",\"revision\":8}],\"store-revision\":9}";
-	struct answer_head head;
+	struct answer_head head = { 0 };
 	struct seen s;
 
 	(void)state;
@@ -595,6 +611,7 @@
 		cmocka_unit_test(test_only_the_echo_is_written),
 		cmocka_unit_test(test_envelope_names_the_target),
 		cmocka_unit_test(test_reset),
+		cmocka_unit_test(test_reads_the_epoch),
 		cmocka_unit_test(test_reads_a_listing),
 		cmocka_unit_test(test_other_items_of_a_page_hold),
 		cmocka_unit_test(test_value_that_cannot_be_read),
