Emulator: a flow on a route that was dropped is not counted as broken once the route is back

The check exempted flows of the route that comes and goes only while it was gone. A configuration has dropped its route, and such flows are not counted by the users' rule. Exempt now: dropped since the flow opened, or not published when it opened. All others are judged as before, also while the route is published.

--- a/sim/sim-packets/faults.c
+++ b/sim/sim-packets/faults.c
@@ -234,6 +234,7 @@
 {
 	w->extra_route = false;
 	w->extra_ns = w->now_ns;
+	w->dropped_ns = w->now_ns;
 	store_routes(w);
 }
 
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -141,6 +141,8 @@
  * @cookie: what the flow's target returned
  * @target: where the flow is open
  * @process: process of that target
+ * @opened_ns: when the flow opened
+ * @opened_in_force: the route that comes and goes was published then
  * @used_ns: last answer on the flow
  * @pending: requests asked that wait for this user
  * @n_pending: how many
@@ -169,6 +171,8 @@
 	uint32_t cookie;
 	uint32_t target;
 	uint32_t process;
+	uint64_t opened_ns;
+	bool opened_in_force;
 	uint64_t used_ns;
 	struct sim_ask pending[PENDING_MAX];
 	uint32_t n_pending;
@@ -303,6 +307,7 @@
 	bool evacuated[ZONES_MAX];
 	uint64_t evacuated_ns[ZONES_MAX];
 	uint64_t extra_ns;
+	uint64_t dropped_ns;
 	uint64_t store_down_ns;
 	uint64_t store_slow_ns;
 	uint64_t store_slow_until_ns;
