--- a/adapters/hello_codec.c
+++ b/adapters/hello_codec.c
@@ -7,13 +7,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HELLO_VERSION 4
-#define HELLO_FIELDS 12
+#define HELLO_VERSION 5
+#define HELLO_FIELDS 15
 #define HELLO_LEAVING 1
 #define HELLO_REPLY 2
 #define HELLO_LOADS 4
 #define LOAD_FIELDS 4
-#define CLAIM_FIELDS 5
+#define CLAIM_FIELDS 6
 
 static void put_numbers(msgpack_packer *p, uint32_t n, const uint64_t *v)
 {
@@ -49,7 +49,8 @@
 	for (uint32_t i = 0; i < h->n_claims; i++)
 		put_numbers(p, CLAIM_FIELDS,
 			    (uint64_t[]){ h->claims[i].zone, h->claims[i].by,
-					  h->claims[i].revision,
+					  h->claims[i].at.epoch,
+					  h->claims[i].at.revision,
 					  h->claims[i].number,
 					  h->claims[i].age_ms });
 }
@@ -77,7 +78,10 @@
 	msgpack_pack_uint64(&p, (h->leaving ? HELLO_LEAVING : 0) |
 					(h->reply ? HELLO_REPLY : 0) |
 					(h->has_loads ? HELLO_LOADS : 0));
-	msgpack_pack_uint64(&p, h->newest);
+	msgpack_pack_uint64(&p, h->newest.epoch);
+	msgpack_pack_uint64(&p, h->newest.revision);
+	msgpack_pack_uint64(&p, h->carried);
+	msgpack_pack_uint64(&p, h->epoch_age_ms);
 	msgpack_pack_uint64(&p, h->trouble_age_ms);
 	put_lists(&p, h);
 	if (buf.size <= HELLO_MAX_BYTES) {
@@ -165,16 +169,18 @@
 
 	for (int i = 0; i < n; i++)
 		h->claims[h->n_claims++] =
-			(struct hello_claim){ (uint32_t)v[i][0], v[i][1],
-					      v[i][2], (uint32_t)v[i][3],
-					      (uint32_t)v[i][4] };
+			(struct hello_claim){ (uint32_t)v[i][0],
+					      v[i][1],
+					      { v[i][2], v[i][3] },
+					      (uint32_t)v[i][4],
+					      (uint32_t)v[i][5] };
 	return n >= 0;
 }
 
 static bool get_hello(const msgpack_object *o, struct hello *h)
 {
 	const msgpack_object *f = o->via.array.ptr;
-	uint64_t version, zone, flags, trouble;
+	uint64_t version, zone, flags, age, trouble;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY ||
 	    o->via.array.size != HELLO_FIELDS ||
@@ -184,17 +190,21 @@
 	    !msgpack_number(&f[2], UINT32_MAX, &zone) ||
 	    !msgpack_number(&f[3], UINT64_MAX, &h->boot) ||
 	    !msgpack_number(&f[4], UINT32_MAX, &flags) ||
-	    !msgpack_number(&f[5], UINT64_MAX, &h->newest) ||
-	    !msgpack_number(&f[6], UINT32_MAX, &trouble))
+	    !msgpack_number(&f[5], UINT64_MAX, &h->newest.epoch) ||
+	    !msgpack_number(&f[6], UINT64_MAX, &h->newest.revision) ||
+	    !msgpack_number(&f[7], UINT64_MAX, &h->carried) ||
+	    !msgpack_number(&f[8], UINT32_MAX, &age) ||
+	    !msgpack_number(&f[9], UINT32_MAX, &trouble))
 		return false;
 	h->zone = (uint32_t)zone;
 	h->leaving = flags & HELLO_LEAVING;
 	h->reply = flags & HELLO_REPLY;
 	h->has_loads = flags & HELLO_LOADS;
+	h->epoch_age_ms = (uint32_t)age;
 	h->trouble_age_ms = (uint32_t)trouble;
-	return get_peers(&f[7], h) && get_loads(&f[8], h) &&
-	       get_dead(&f[9], h) && get_failing(&f[10], h) &&
-	       get_claims(&f[11], h);
+	return get_peers(&f[10], h) && get_loads(&f[11], h) &&
+	       get_dead(&f[12], h) && get_failing(&f[13], h) &&
+	       get_claims(&f[14], h);
 }
 
 /**
--- a/adapters/relay_codec.c
+++ b/adapters/relay_codec.c
@@ -8,9 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RELAY_VERSION 2
-#define RELAY_FIELDS 5
-#define ITEM_FIELDS 6
+#define RELAY_VERSION 3
+#define RELAY_FIELDS 6
+#define ITEM_FIELDS 9
 /* What all documents of a data centre may take; a configuration has 1 MB. */
 #define RELAY_MAX_BYTES (16U << 20)
 #define VALUE_MAX_BYTES (2U << 20)
@@ -19,7 +19,7 @@
  * relay_base() - the document that a peer need not send whole
  * @s: documents here
  *
- * Return: the largest one's key and revision.
+ * Return: the largest one's key and position.
  */
 struct relay_base relay_base(const struct documents *s)
 {
@@ -27,7 +27,7 @@
 
 	if (!d)
 		return (struct relay_base){ 0 };
-	return (struct relay_base){ hash_text(d->key), d->revision };
+	return (struct relay_base){ hash_text(d->key), document_position(d) };
 }
 
 static struct zstd_bytes bytes_of(struct document_value v)
@@ -37,7 +37,8 @@
 
 static bool same(const struct relay_base *a, const struct relay_base *b)
 {
-	return a->key_hash == b->key_hash && a->revision == b->revision;
+	return a->key_hash == b->key_hash &&
+	       !position_compare(a->since, b->since);
 }
 
 /*
@@ -49,26 +50,27 @@
 			       const struct relay_base *base,
 			       struct relay_delta *last)
 {
+	struct position to = document_position(d);
 	struct document_value from;
 
 	if (!base->key_hash || hash_text(d->key) != base->key_hash ||
-	    d->deleted || base->revision == d->revision)
+	    d->deleted || !position_compare(base->since, to))
 		return NULL;
 	if (last->bytes && same(&last->base, base) &&
-	    last->revision == d->revision)
+	    !position_compare(last->to, to))
 		return last->bytes;
-	from = document_value(d, base->revision);
+	from = document_value(d, base->since);
 	if (!from.bytes)
 		return NULL;
 	if (!last->bytes)
 		last->bytes = g_string_new(NULL);
 	last->base = *base;
-	last->revision = 0;
+	last->to = (struct position){ 0 };
 	if (!zstd_pack(bytes_of(from),
 		       (struct zstd_bytes){ d->value, d->size_bytes },
 		       last->bytes))
 		return NULL;
-	last->revision = d->revision;
+	last->to = to;
 	return last->bytes;
 }
 
@@ -80,10 +82,13 @@
 
 	msgpack_pack_array(p, ITEM_FIELDS);
 	msgpack_pack_str_with_body(p, d->key, strlen(d->key));
+	msgpack_pack_uint64(p, d->epoch);
 	msgpack_pack_uint64(p, d->revision);
 	msgpack_pack_uint64(p, d->created);
+	msgpack_pack_uint64(p, d->outdated_epoch);
 	msgpack_pack_uint64(p, d->deleted);
-	msgpack_pack_uint64(p, delta ? base->revision : 0);
+	msgpack_pack_uint64(p, delta ? base->since.epoch : 0);
+	msgpack_pack_uint64(p, delta ? base->since.revision : 0);
 	if (delta)
 		msgpack_pack_bin_with_body(p, delta->str, delta->len);
 	else
@@ -91,24 +96,24 @@
 }
 
 static void put_documents(msgpack_packer *p, const struct documents *s,
-			  uint64_t after, const struct relay_base *base,
+			  struct position after, const struct relay_base *base,
 			  struct relay_delta *last)
 {
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < documents_count(s); i++)
-		n += documents_at(s, i)->revision > after;
+		n += documents_lacks(s, after, documents_at(s, i));
 	msgpack_pack_array(p, n);
 	for (uint32_t i = 0; i < documents_count(s); i++)
-		if (documents_at(s, i)->revision > after)
+		if (documents_lacks(s, after, documents_at(s, i)))
 			put_document(p, documents_at(s, i), base, last);
 }
 
 /**
- * relay_encode() - encode what a peer that knows everything up to a revision
+ * relay_encode() - encode what a peer that knows everything up to a position
  *	lacks
  * @s: documents
- * @after: that revision
+ * @after: that position
  * @base: a large document that the peer has
  * @delta: kept between calls
  * @out: replaced; empty without memory
@@ -116,11 +121,12 @@
  * A deleted document keeps its last value: flows of a departed target are told
  * from forged ones by it, at young processes too.
  */
-void relay_encode(const struct documents *s, uint64_t after,
+void relay_encode(const struct documents *s, struct position after,
 		  const struct relay_base *base, struct relay_delta *delta,
 		  GString *out)
 {
-	bool whole = after < documents_floor(s);
+	bool whole = documents_needs_all(s, after);
+	struct position through = documents_through(s);
 	msgpack_sbuffer buf;
 	msgpack_packer p;
 
@@ -128,10 +134,13 @@
 	msgpack_packer_init(&p, &buf, msgpack_sbuffer_write);
 	msgpack_pack_array(&p, RELAY_FIELDS);
 	msgpack_pack_uint64(&p, RELAY_VERSION);
-	msgpack_pack_uint64(&p, documents_through(s));
-	msgpack_pack_uint64(&p, documents_newest(s));
+	msgpack_pack_uint64(&p, through.epoch);
+	msgpack_pack_uint64(&p, through.revision);
+	msgpack_pack_uint64(&p, documents_newest(s).revision);
 	msgpack_pack_uint64(&p, whole);
-	put_documents(&p, s, whole ? 0 : after, base, delta);
+	if (whole)
+		after = (struct position){ 0 };
+	put_documents(&p, s, after, base, delta);
 	zstd_pack((struct zstd_bytes){ 0 },
 		  (struct zstd_bytes){ (uint8_t *)buf.data,
 				       (uint32_t)buf.size },
@@ -140,7 +149,7 @@
 }
 
 static bool get_document(const msgpack_object *o, struct document *d,
-			 uint64_t *base)
+			 struct position *base)
 {
 	const msgpack_object *f = o->via.array.ptr;
 	uint64_t deleted;
@@ -149,22 +158,25 @@
 	    o->via.array.size != ITEM_FIELDS ||
 	    f[0].type != MSGPACK_OBJECT_STR ||
 	    f[0].via.str.size > DOCUMENT_KEY_MAX_BYTES ||
-	    !msgpack_number(&f[1], UINT64_MAX, &d->revision) ||
-	    !msgpack_number(&f[2], UINT64_MAX, &d->created) ||
-	    !msgpack_number(&f[3], 1, &deleted) ||
-	    !msgpack_number(&f[4], UINT64_MAX, base) ||
-	    f[5].type != MSGPACK_OBJECT_BIN)
+	    !msgpack_number(&f[1], UINT64_MAX, &d->epoch) ||
+	    !msgpack_number(&f[2], UINT64_MAX, &d->revision) ||
+	    !msgpack_number(&f[3], UINT64_MAX, &d->created) ||
+	    !msgpack_number(&f[4], UINT64_MAX, &d->outdated_epoch) ||
+	    !msgpack_number(&f[5], 1, &deleted) ||
+	    !msgpack_number(&f[6], UINT64_MAX, &base->epoch) ||
+	    !msgpack_number(&f[7], UINT64_MAX, &base->revision) ||
+	    f[8].type != MSGPACK_OBJECT_BIN)
 		return false;
 	memcpy(d->key, f[0].via.str.ptr, f[0].via.str.size);
 	d->deleted = deleted;
-	d->value = (uint8_t *)f[5].via.bin.ptr;
-	d->size_bytes = f[5].via.bin.size;
+	d->value = (uint8_t *)f[8].via.bin.ptr;
+	d->size_bytes = f[8].via.bin.size;
 	return true;
 }
 
 /* Return: 0; -ESTALE when the value that the change goes from is not here. */
-static int take_delta(struct document *d, uint64_t base, struct relay_port port,
-		      struct facts_port to)
+static int take_delta(struct document *d, struct position base,
+		      struct relay_port port, struct facts_port to)
 {
 	struct document_value from =
 		port.known(port.ctx, hash_text(d->key), base);
@@ -190,11 +202,13 @@
 	    o->via.array.size != RELAY_FIELDS ||
 	    !msgpack_number(&f[0], UINT64_MAX, &version) ||
 	    version != RELAY_VERSION ||
-	    !msgpack_number(&f[1], UINT64_MAX, &head->through) ||
-	    !msgpack_number(&f[2], UINT64_MAX, &head->newest) ||
-	    !msgpack_number(&f[3], 1, &whole) ||
-	    !msgpack_list(&f[4], DOCUMENTS_MAX))
+	    !msgpack_number(&f[1], UINT64_MAX, &head->through.epoch) ||
+	    !msgpack_number(&f[2], UINT64_MAX, &head->through.revision) ||
+	    !msgpack_number(&f[3], UINT64_MAX, &head->newest.revision) ||
+	    !msgpack_number(&f[4], 1, &whole) ||
+	    !msgpack_list(&f[5], DOCUMENTS_MAX))
 		return false;
+	head->newest.epoch = head->through.epoch;
 	head->whole = whole;
 	return true;
 }
@@ -202,16 +216,16 @@
 static int get_documents(const msgpack_object *o, struct relay_port port,
 			 struct facts_port to)
 {
-	const msgpack_object_array *all = &o->via.array.ptr[4].via.array;
+	const msgpack_object_array *all = &o->via.array.ptr[5].via.array;
 	int err = 0;
 
 	for (uint32_t i = 0; !err && i < all->size; i++) {
 		struct document d = { 0 };
-		uint64_t base;
+		struct position base;
 
 		if (!get_document(&all->ptr[i], &d, &base))
 			return -EPROTO;
-		if (base)
+		if (base.revision)
 			err = take_delta(&d, base, port, to);
 		else
 			to.fact(to.ctx, &d);
--- a/adapters/relay_codec.h
+++ b/adapters/relay_codec.h
@@ -12,23 +12,23 @@
 /**
  * struct relay_base - a large document that the asking peer has
  * @key_hash: hash of its key; 0 for none
- * @revision: its revision there
+ * @since: its position there
  */
 struct relay_base {
 	uint64_t key_hash;
-	uint64_t revision;
+	struct position since;
 };
 
 /**
  * struct relay_delta - what changed in a document, as it was encoded last: most
  *	peers ask for the same
  * @base: from which value
- * @revision: to the one of this revision
+ * @to: to the one of this position
  * @bytes: NULL before the first
  */
 struct relay_delta {
 	struct relay_base base;
-	uint64_t revision;
+	struct position to;
 	GString *bytes;
 };
 
@@ -36,7 +36,7 @@
  * struct relay_port - takes a peer's documents
  * @ctx: passed back
  * @begin: what they come with; sets who takes them, or returns false to refuse
- * @known: value that a document had here at a revision; without bytes when it
+ * @known: value that a document had here since a position; without bytes when it
  *	is not known
  */
 struct relay_port {
@@ -44,11 +44,11 @@
 	bool (*begin)(void *ctx, const struct relay_head *head,
 		      struct facts_port *to);
 	struct document_value (*known)(void *ctx, uint64_t key_hash,
-				       uint64_t revision);
+				       struct position since);
 };
 
 struct relay_base relay_base(const struct documents *s);
-void relay_encode(const struct documents *s, uint64_t after,
+void relay_encode(const struct documents *s, struct position after,
 		  const struct relay_base *base, struct relay_delta *delta,
 		  GString *out);
 int relay_decode(const uint8_t *data, uint32_t size_bytes,
--- a/bench/slopes-packets/main.c
+++ b/bench/slopes-packets/main.c
@@ -113,7 +113,7 @@
 			.addr = ADDR(i, 80),
 			.service = directory_name(f->directory, "s"),
 			.slots = 3,
-			.created = i,
+			.created = { 0, i },
 		};
 
 		enum target_change change;
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -59,8 +59,7 @@
  */
 struct relay_cache {
 	GString *body;
-	uint64_t newest;
-	uint64_t floor;
+	uint64_t changes;
 	struct relay_delta delta;
 };
 
@@ -156,7 +155,7 @@
 void reading_list(void *ctx, const char *after_key, bool exact);
 void reading_watch(void *ctx, uint64_t after, uint64_t wait_ns);
 void reading_cancel(void *ctx);
-void reading_fetch(void *ctx, uint64_t peer, uint64_t after);
+void reading_fetch(void *ctx, uint64_t peer, struct position after);
 
 /* probes.c: connection attempts to targets. */
 void probes_start(void *ctx, const struct target *t);
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -85,7 +85,10 @@
 	gauge(out, "targets", directory_slots(d->node->directory));
 	gauge(out, "peers", peer_set_live(d->node->peers, now_ns));
 	gauge(out, "evacuated", directory_evacuations(d->node->directory)->n);
-	gauge(out, "revision", (double)documents_through(d->node->documents));
+	gauge(out, "revision",
+	      (double)documents_through(d->node->documents).revision);
+	gauge(out, "epoch",
+	      (double)documents_through(d->node->documents).epoch);
 	gauge(out, "feed_load", path_feed_load(d->node->path));
 	if (!usage_read(&use)) {
 		gauge(out, "resident_bytes", (double)use.resident_bytes);
@@ -142,19 +145,22 @@
 static void write_status(struct packet_daemon *d, GString *out)
 {
 	const struct route_table *table = directory_table(d->node->directory);
+	struct position through = documents_through(d->node->documents);
 	char addr[32];
 
 	g_string_append_printf(
-		out, "ready %u configuration %llu revision %llu\n",
+		out, "ready %u configuration %llu epoch %llu revision %llu\n",
 		d->node->ready, table ? (unsigned long long)table->version : 0,
-		(unsigned long long)documents_through(d->node->documents));
+		(unsigned long long)through.epoch,
+		(unsigned long long)through.revision);
 	for (uint32_t i = 0; i < peer_set_count(d->node->peers); i++) {
 		const struct peer_vm *p = peer_set_at(d->node->peers, i);
 
-		g_string_append_printf(out, "peer %s newest %llu leaving %u\n",
-				       addr_text(p->addr, addr, sizeof(addr)),
-				       (unsigned long long)p->newest,
-				       p->leaving);
+		g_string_append_printf(
+			out, "peer %s epoch %llu newest %llu leaving %u\n",
+			addr_text(p->addr, addr, sizeof(addr)),
+			(unsigned long long)p->newest.epoch,
+			(unsigned long long)p->newest.revision, p->leaving);
 	}
 	write_evacuations(d, out);
 	write_limits(d, out);
@@ -232,23 +238,23 @@
 static void write_documents(struct packet_daemon *d, const char *query,
 			    GString *out)
 {
-	uint64_t after = asked_number(query, "after");
+	struct position after = { asked_number(query, "epoch"),
+				  asked_number(query, "after") };
 	struct relay_base base = { asked_number(query, "key"),
-				   asked_number(query, "revision") };
+				   { asked_number(query, "since_epoch"),
+				     asked_number(query, "since") } };
 	const struct documents *s = d->node->documents;
 	struct relay_cache *c = &d->relay;
 
-	if (after || base.key_hash) {
+	if (after.revision || base.key_hash) {
 		relay_encode(s, after, &base, &c->delta, out);
 		return;
 	}
-	if (!c->body || c->newest != documents_newest(s) ||
-	    c->floor != documents_floor(s)) {
+	if (!c->body || c->changes != documents_changes(s)) {
 		if (!c->body)
 			c->body = g_string_new(NULL);
-		relay_encode(s, 0, &base, &c->delta, c->body);
-		c->newest = documents_newest(s);
-		c->floor = documents_floor(s);
+		relay_encode(s, after, &base, &c->delta, c->body);
+		c->changes = documents_changes(s);
 	}
 	g_string_append_len(out, c->body->str, (gssize)c->body->len);
 }
--- a/cmd/cb-packet/reading.c
+++ b/cmd/cb-packet/reading.c
@@ -16,11 +16,12 @@
 #define HTTP_GONE 410
 
 static enum source_outcome take(struct packet_daemon *d,
-				const struct http_reply *r,
+				const struct http_reply *r, uint64_t now_ns,
 				struct answer_head *head)
 {
 	bool list = d->node->step == SOURCE_LIST;
 	struct facts_port to = { d->node, list ? node_listed : node_changed };
+	uint64_t epoch;
 	int err;
 
 	if (!r->err && r->status == HTTP_GONE)
@@ -29,8 +30,10 @@
 		return SOURCE_BUSY;
 	if (r->err || r->status != HTTP_OK)
 		return SOURCE_FAILED;
-	if (d->platform->read_epoch(r->header, &head->epoch))
+	if (d->platform->read_epoch(r->header, &epoch))
 		return SOURCE_FAILED;
+	if (!node_answering(d->node, epoch, now_ns))
+		return SOURCE_BEHIND;
 	err = list ? d->platform->read_list(r->body, r->size_bytes, to, head)
 		   : d->platform->read_changes(r->body, r->size_bytes, to,
 					       head);
@@ -44,8 +47,7 @@
 	struct answer_head head = { 0 };
 	enum source_outcome outcome;
 
-	node_answering(d->node, now_ns);
-	outcome = take(d, r, &head);
+	outcome = take(d, r, now_ns, &head);
 	head.came_ns = r->came_ns;
 	if (outcome == SOURCE_FAILED && !d->node->source.failures)
 		log_line(LOG_WARNING, "platform", NULL, "lost: %s, status %d",
@@ -117,17 +119,17 @@
 {
 	struct packet_daemon *d = ctx;
 
-	*to = (struct facts_port){ d->node,
-				   head->whole ? node_listed : node_changed };
+	*to = (struct facts_port){ d->node, head->whole ? node_relay_listed
+							: node_relayed };
 	return node_fetching(d->node, head, uv_hrtime());
 }
 
 static struct document_value known_value(void *ctx, uint64_t key_hash,
-					 uint64_t revision)
+					 struct position since)
 {
 	struct packet_daemon *d = ctx;
 
-	return documents_value(d->node->documents, key_hash, revision);
+	return documents_value(d->node->documents, key_hash, since);
 }
 
 /* Return: 0 when the documents were taken. */
@@ -164,9 +166,9 @@
  * reading_fetch() - ask a peer for documents
  * @ctx: process
  * @peer: its address for peers; its HTTP is on the same port as here
- * @after: revision up to which everything is known here
+ * @after: position up to which everything is known here
  */
-void reading_fetch(void *ctx, uint64_t peer, uint64_t after)
+void reading_fetch(void *ctx, uint64_t peer, struct position after)
 {
 	struct packet_daemon *d = ctx;
 	struct relay_base base = relay_base(d->node->documents);
@@ -174,9 +176,12 @@
 	int err;
 
 	g_snprintf(path, sizeof(path),
-		   "/documents?after=%" G_GUINT64_FORMAT
-		   "&key=%" G_GUINT64_FORMAT "&revision=%" G_GUINT64_FORMAT,
-		   after, base.key_hash, base.revision);
+		   "/documents?epoch=%" G_GUINT64_FORMAT
+		   "&after=%" G_GUINT64_FORMAT "&key=%" G_GUINT64_FORMAT
+		   "&since_epoch=%" G_GUINT64_FORMAT
+		   "&since=%" G_GUINT64_FORMAT,
+		   after.epoch, after.revision, base.key_hash, base.since.epoch,
+		   base.since.revision);
 	d->peer_call_from = peer;
 	err = http_call(d->peer_caller,
 			ADDR(ADDR_IP(peer), ADDR_PORT(d->settings.http)), path,
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -61,6 +61,35 @@
 	peer_set_hurry(n->peers, next_ns > n->loads_ns ? next_ns : n->loads_ns);
 }
 
+/* Whether anything is known that was of the moment when it was read. */
+bool node_knows(const struct node *n)
+{
+	return documents_through(n->documents).revision;
+}
+
+struct knowledge node_knowledge(const struct node *n)
+{
+	return (struct knowledge){
+		documents_newest(n->documents),
+		documents_carried(n->documents),
+		n->carried_taken,
+	};
+}
+
+/* Longer than anybody carries over what the platform lost. */
+#define EPOCH_TOLD_NS (60 * NS_PER_S)
+
+static void tell_knowledge(const struct node *n, struct hello *h)
+{
+	uint64_t age_ns = n->now_ns - documents_began_ns(n->documents);
+
+	h->newest = documents_newest(n->documents);
+	h->carried = documents_carried(n->documents);
+	h->epoch_age_ms = age_ns < EPOCH_TOLD_NS
+				  ? (uint32_t)(age_ns / NS_PER_MS)
+				  : UINT32_MAX;
+}
+
 enum hello_reason { HELLO_NEWS, HELLO_ANSWER };
 
 static void send_hello(struct node *n, const uint64_t *to, uint32_t count,
@@ -73,8 +102,8 @@
 	peer_set_fill(n->peers, &h, n->now_ns);
 	h.leaving = n->stop_ns;
 	/* Nobody is to take for new what may be seconds old. */
-	if (documents_through(n->documents))
-		h.newest = documents_newest(n->documents);
+	if (node_knows(n))
+		tell_knowledge(n, &h);
 	else
 		h.reply = true; /* who knows something is to say so at once */
 	/* Two that know nothing would answer each other without end. */
@@ -167,7 +196,10 @@
 	const struct node_conf *conf = &n->conf;
 	struct directory_conf dir = { conf->flow_lifetime_ns,
 				      n->policy->return_ns };
-	struct documents_port changed = { n, node_document_changed };
+	struct documents_port changed = { n, node_document_changed,
+					  node_document_compare };
+	struct documents_times kept = { conf->flow_lifetime_ns,
+					n->policy->return_ns };
 	struct path_port port = {
 		.ctx = n,
 		.health = { n, probe, dead, health },
@@ -193,7 +225,7 @@
 	memcpy(peers.seeds, conf->seeds, sizeof(conf->seeds));
 	peers.zone = node_zone(n);
 	n->directory = directory_new(&dir);
-	n->documents = documents_new(changed, conf->flow_lifetime_ns);
+	n->documents = documents_new(changed, kept);
 	n->peers = peer_set_new(&peers, rng);
 	if (!n->directory || !n->documents || !n->peers)
 		return -ENOMEM;
@@ -251,11 +283,16 @@
  */
 static void judge_fresh(struct node *n)
 {
-	uint64_t newest = documents_newest(n->documents);
-	const struct peer_vm *p = peer_set_ahead(n->peers, newest, n->now_ns);
-
-	n->fresh = documents_through(n->documents) && !p;
-	if (newest >= n->behind)
+	struct knowledge own = node_knowledge(n);
+	const struct peer_vm *p = peer_set_ahead(n->peers, &own, n->now_ns);
+	bool missing = p && !position_after(p->newest, own.newest);
+
+	n->fresh = node_knows(n) && !p;
+	if (!missing)
+		n->missing_ns = 0;
+	else if (!n->missing_ns)
+		n->missing_ns = n->now_ns;
+	if (!position_after(n->behind, own.newest))
 		n->behind_ns = 0;
 	if (p && !n->behind_ns) {
 		n->behind_ns = n->now_ns;
@@ -280,12 +317,15 @@
 
 /*
  * A peer that knows more since a moment ago is no reason to wait: while targets
- * publish themselves all the time there always is one.
+ * publish themselves all the time there always is one. One that carries over
+ * what the platform lost is: a configuration may be among it. If it does not
+ * answer, that is no reason to wait for long.
  */
 static bool nearly_fresh(const struct node *n)
 {
-	return documents_through(n->documents) &&
-	       n->behind_ns + BEHIND_MAX_NS > n->now_ns;
+	if (n->missing_ns && n->missing_ns + BEHIND_MAX_NS > n->now_ns)
+		return false;
+	return node_knows(n) && n->behind_ns + BEHIND_MAX_NS > n->now_ns;
 }
 
 void node_judge_ready(struct node *n)
@@ -301,13 +341,14 @@
 	if (ready == n->ready)
 		return;
 	n->ready = ready;
-	n->port.log(n->port.ctx, NODE_INFO, "ready", NULL,
-		    "%s, configuration %llu, revision %llu, %u targets, "
-		    "%u peers",
-		    ready ? "yes" : "no", (unsigned long long)node_version(n),
-		    (unsigned long long)documents_through(n->documents),
-		    directory_slots(n->directory),
-		    peer_set_live(n->peers, n->now_ns));
+	n->port.log(
+		n->port.ctx, NODE_INFO, "ready", NULL,
+		"%s, configuration %llu, revision %llu, %u targets, "
+		"%u peers",
+		ready ? "yes" : "no", (unsigned long long)node_version(n),
+		(unsigned long long)documents_through(n->documents).revision,
+		directory_slots(n->directory),
+		peer_set_live(n->peers, n->now_ns));
 }
 
 /**
@@ -323,8 +364,7 @@
 
 	n->now_ns = now_ns;
 	path_tick(n->path, now_ns);
-	count = peer_set_due(n->peers, !documents_through(n->documents), now_ns,
-			     to, ROUND_MAX);
+	count = peer_set_due(n->peers, !node_knows(n), now_ns, to, ROUND_MAX);
 	if (count) {
 		send_hello(n, to, count, NULL, HELLO_NEWS);
 		hurry(n);
@@ -342,6 +382,15 @@
 	node_judge_ready(n);
 }
 
+static void hear_epoch(struct node *n, const struct hello *h)
+{
+	uint64_t age_ns = h->epoch_age_ms * NS_PER_MS;
+
+	if (h->newest.revision)
+		documents_began(n->documents, h->newest.epoch,
+				n->now_ns > age_ns ? n->now_ns - age_ns : 0);
+}
+
 /**
  * node_hello() - a heartbeat came
  * @n: entry
@@ -352,13 +401,14 @@
 {
 	n->now_ns = now_ns;
 	peer_set_hear(n->peers, h, now_ns);
+	hear_epoch(n, h);
 	for (uint32_t i = 0; i < h->n_dead; i++)
 		path_told_dead(n->path, &h->dead[i]);
 	if (h->reply)
 		send_hello(n, &h->from, 1, NULL, HELLO_ANSWER);
 	/* Both walk all peers; hundreds of heartbeats a second come when all
 	 * start at once, and the tick does the rest. */
-	if (h->newest > documents_newest(n->documents)) {
+	if (position_after(h->newest, documents_newest(n->documents))) {
 		node_call(n);
 		node_judge_ready(n);
 	}
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -70,7 +70,7 @@
 	void (*list)(void *ctx, const char *after_key, bool exact);
 	void (*watch)(void *ctx, uint64_t after, uint64_t wait_ns);
 	void (*cancel)(void *ctx);
-	void (*fetch)(void *ctx, uint64_t peer, uint64_t after);
+	void (*fetch)(void *ctx, uint64_t peer, struct position after);
 	void (*hello)(void *ctx, const uint64_t *to, uint32_t n,
 		      const struct hello *h);
 	void (*probe)(void *ctx, const struct target *t);
@@ -107,13 +107,13 @@
 
 /**
  * struct relay_head - what a peer's documents come with
- * @through: revision up to which the peer knows everything
- * @newest: newest revision it knows
+ * @through: position up to which the peer knows everything
+ * @newest: newest position it knows
  * @whole: everything it knows: what is missing was deleted
  */
 struct relay_head {
-	uint64_t through;
-	uint64_t newest;
+	struct position through;
+	struct position newest;
 	bool whole;
 };
 
@@ -130,16 +130,22 @@
  * @list_first: revision of the listing's first page, 0 before it
  * @list_revision: least revision of its pages
  * @list_after: last key of the page before
- * @platform_epoch: epoch of the platform's last answer
+ * @asked: position after which the watch under way asks for changes
+ * @answer_epoch: epoch of the answer that is being taken
+ * @list_epoch: epoch of the listing's first page
  * @behind_logged: the platform has no history after what is known here, and
  *	that was logged
- * @told: newest revision that the neighbours were told of at once
+ * @told: newest position that the neighbours were told of at once
  * @fetching: a peer is being asked
  * @fetching_far: and is of another data centre
+ * @fetching_carried: what it carries over from earlier epochs
+ * @carried_taken: what the peer asked last carried
+ * @missing_ns: since when a peer is known to carry what is not known here; 0 for
+ *	none
  * @loads_ns: when loads may be told next
  * @fresh: no peer is known to know more
  * @behind_ns: since when @behind is not known here; 0 when no peer knows more
- * @behind: newest revision that a peer told then
+ * @behind: newest position that a peer told then
  * @ready: whether the platform may send packets here
  * @start_ns: when this process began
  * @paused_ns: when it last stood still for long; 0 for never
@@ -163,16 +169,21 @@
 	uint64_t list_first;
 	uint64_t list_revision;
 	char list_after[DOCUMENT_KEY_MAX_BYTES + 1];
-	uint64_t platform_epoch;
+	struct position asked;
+	uint64_t answer_epoch;
+	uint64_t list_epoch;
 	bool behind_logged;
-	uint64_t told;
+	struct position told;
 	bool fetching;
 	bool fetching_far;
+	uint64_t fetching_carried;
+	uint64_t carried_taken;
+	uint64_t missing_ns;
 	uint64_t now_ns;
 	uint64_t loads_ns;
 	bool fresh;
 	uint64_t behind_ns;
-	uint64_t behind;
+	struct position behind;
 	bool ready;
 	uint64_t start_ns;
 	uint64_t paused_ns;
@@ -192,8 +203,10 @@
 void node_tick(struct node *n, uint64_t now_ns);
 void node_listed(void *ctx, const struct document *d);
 void node_changed(void *ctx, const struct document *d);
+void node_relay_listed(void *ctx, const struct document *d);
+void node_relayed(void *ctx, const struct document *d);
 bool node_connected(struct node *n, uint64_t took_ns, uint64_t now_ns);
-void node_answering(struct node *n, uint64_t now_ns);
+bool node_answering(struct node *n, uint64_t epoch, uint64_t now_ns);
 void node_answer(struct node *n, enum source_outcome outcome,
 		 const struct answer_head *head, uint64_t now_ns);
 bool node_fetching(struct node *n, const struct relay_head *head,
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -10,8 +10,8 @@
 		.policy = n->policy,
 		.now_ns = n->now_ns,
 		.rank = peer_set_rank(n->peers, n->now_ns),
-		.known = documents_known(n->documents),
-		.through = documents_through(n->documents),
+		.known = documents_known(n->documents).revision,
+		.through = documents_through(n->documents).revision,
 		.others_ns = peer_set_others_contact_ns(n->peers, n->now_ns),
 		.readers_before = peer_set_readers_before(
 			n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns),
@@ -23,19 +23,27 @@
 
 static void fetch(struct node *n)
 {
+	struct knowledge own = node_knowledge(n);
 	const struct peer_vm *p;
 
 	if (n->fetching || !n->policy->relay)
 		return;
-	p = peer_set_ahead(n->peers, documents_newest(n->documents), n->now_ns);
+	p = peer_set_ahead(n->peers, &own, n->now_ns);
 	if (!p)
 		return;
 	n->fetching = true;
+	n->fetching_carried = p->carried;
 	n->fetching_far = p->zone != node_zone(n);
 	n->counters.peer_calls++;
 	n->port.fetch(n->port.ctx, p->addr, documents_through(n->documents));
 }
 
+static void watch(struct node *n, const struct source_view *v)
+{
+	n->asked = documents_known(n->documents);
+	n->port.watch(n->port.ctx, v->known, source_wait_ns(v));
+}
+
 /* Start the calls that are due. */
 void node_call(struct node *n)
 {
@@ -56,7 +64,7 @@
 		n->port.list(n->port.ctx, n->list_first ? n->list_after : NULL,
 			     n->source.exact || !n->list_first);
 	else
-		n->port.watch(n->port.ctx, v.known, source_wait_ns(&v));
+		watch(n, &v);
 }
 
 static void take(struct node *n, const struct document *d,
@@ -68,22 +76,52 @@
 			    (unsigned long long)d->revision);
 }
 
+/* The platform tells the epoch once an answer. */
+static void take_published(struct node *n, const struct document *d,
+			   enum document_origin origin)
+{
+	struct document dated = *d;
+
+	dated.epoch = n->answer_epoch;
+	take(n, &dated, origin);
+}
+
 /**
- * node_listed() - a document of a listing or of a peer's whole state
+ * node_listed() - a document of a listing
  * @ctx: entry
- * @d: document
+ * @d: document, its epoch left out
  */
 void node_listed(void *ctx, const struct document *d)
+{
+	take_published(ctx, d, DOCUMENT_LISTED);
+}
+
+/**
+ * node_changed() - a document that changed
+ * @ctx: entry
+ * @d: document, its epoch left out
+ */
+void node_changed(void *ctx, const struct document *d)
+{
+	take_published(ctx, d, DOCUMENT_CHANGED);
+}
+
+/**
+ * node_relay_listed() - a document of a peer's whole state
+ * @ctx: entry
+ * @d: document
+ */
+void node_relay_listed(void *ctx, const struct document *d)
 {
 	take(ctx, d, DOCUMENT_LISTED);
 }
 
 /**
- * node_changed() - a document that changed, or that a peer sent
+ * node_relayed() - a document that a peer sent
  * @ctx: entry
  * @d: document
  */
-void node_changed(void *ctx, const struct document *d)
+void node_relayed(void *ctx, const struct document *d)
 {
 	take(ctx, d, DOCUMENT_CHANGED);
 }
@@ -105,23 +143,55 @@
 	return source_connected(&n->source, &v, took_ns);
 }
 
+/*
+ * Whether an answer may be joined with what is known. Its revisions are of its
+ * epoch: a watch that asked in another one misses what came before, and pages of
+ * two epochs make no listing.
+ */
+static bool joins(const struct node *n, uint64_t epoch)
+{
+	uint64_t known = documents_known(n->documents).epoch;
+
+	if (n->step == SOURCE_WATCH)
+		return epoch == known && epoch == n->asked.epoch;
+	return epoch >= known && (!n->list_first || epoch == n->list_epoch);
+}
+
 /**
  * node_answering() - the platform's answer is about to be taken, by
  *	node_listed() or node_changed()
  * @n: entry
+ * @epoch: epoch that it tells
  * @now_ns: time
+ *
+ * Return: whether to take it; if not, the call ends with SOURCE_BEHIND.
  */
-void node_answering(struct node *n, uint64_t now_ns)
+bool node_answering(struct node *n, uint64_t epoch, uint64_t now_ns)
 {
+	uint64_t known = documents_known(n->documents).epoch;
+
 	n->now_ns = now_ns;
-	if (n->step == SOURCE_LIST && !n->list_first)
+	if (epoch != known && node_knows(n))
+		n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
+			    "answer of epoch %llu, known is epoch %llu",
+			    (unsigned long long)epoch,
+			    (unsigned long long)known);
+	if (!joins(n, epoch))
+		return false;
+	n->answer_epoch = epoch;
+	if (n->step == SOURCE_LIST && !n->list_first) {
+		n->list_epoch = epoch;
 		documents_list_begin(n->documents);
+	}
+	return true;
 }
 
 static void take_head(struct node *n, const struct answer_head *head)
 {
+	struct position at = { n->answer_epoch, head->revision };
+
 	if (n->step == SOURCE_WATCH) {
-		documents_covered(n->documents, head->revision);
+		documents_covered(n->documents, at, n->now_ns);
 		return;
 	}
 	if (!n->source.listing)
@@ -134,9 +204,10 @@
 	memcpy(n->list_after, head->last_key, sizeof(n->list_after));
 	if (head->more)
 		return;
-	documents_list_end(n->documents, n->list_revision, n->now_ns);
+	at.revision = n->list_revision;
+	documents_list_end(n->documents, at, n->now_ns);
 	if (n->list_revision == n->list_first)
-		documents_covered(n->documents, n->list_first);
+		documents_covered(n->documents, at, n->now_ns);
 }
 
 /*
@@ -150,13 +221,13 @@
 	return v.rank && v.others_ns + SOURCE_CONTACT_NS > v.now_ns;
 }
 
-static void note_contact(struct node *n, bool ok, uint64_t revision)
+static void note_contact(struct node *n, bool ok, struct position at)
 {
 	uint32_t failures = n->source.failures;
 
 	if (ok) {
 		if (!needless_claim(n))
-			peer_set_contact(n->peers, revision, n->now_ns);
+			peer_set_contact(n->peers, at, n->now_ns);
 		if (failures)
 			n->port.log(n->port.ctx, NODE_INFO, "platform", NULL,
 				    "answers again after %u failures",
@@ -167,35 +238,18 @@
 	peer_set_trouble(n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns);
 }
 
-/*
- * What tells a platform that came back from an older copy of itself from one
- * that is late, or that has dropped its history.
- */
-static void log_answer(struct node *n, enum source_outcome outcome,
-		       const struct answer_head *head)
+static void log_behind(struct node *n, enum source_outcome outcome)
 {
-	uint64_t known = documents_known(n->documents);
-
-	if (outcome == SOURCE_BEHIND) {
-		n->counters.platform_behind++;
-		if (!n->behind_logged)
-			n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
-				    "no changes to be had after revision %llu",
-				    (unsigned long long)known);
-		n->behind_logged = true;
-	}
-	if (outcome != SOURCE_OK)
-		return;
-	if (known && head->epoch != n->platform_epoch)
+	n->counters.platform_behind += outcome == SOURCE_BEHIND;
+	if (outcome == SOURCE_BEHIND && !n->behind_logged)
 		n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
-			    "epoch %llu, was %llu, at revision %llu; known "
-			    "here is %llu",
-			    (unsigned long long)head->epoch,
-			    (unsigned long long)n->platform_epoch,
-			    (unsigned long long)head->revision,
-			    (unsigned long long)known);
-	n->platform_epoch = head->epoch;
-	if (n->step == SOURCE_WATCH)
+			    "no changes to be had after revision %llu, epoch "
+			    "%llu",
+			    (unsigned long long)n->asked.revision,
+			    (unsigned long long)n->asked.epoch);
+	if (outcome == SOURCE_BEHIND)
+		n->behind_logged = true;
+	else if (outcome == SOURCE_OK && n->step == SOURCE_WATCH)
 		n->behind_logged = false;
 }
 
@@ -209,17 +263,19 @@
 void node_answer(struct node *n, enum source_outcome outcome,
 		 const struct answer_head *head, uint64_t now_ns)
 {
+	struct position at = { 0 };
 	struct source_view v;
 	bool changed;
 
 	n->now_ns = now_ns;
-	log_answer(n, outcome, head);
-	if (outcome == SOURCE_OK)
+	log_behind(n, outcome);
+	if (outcome == SOURCE_OK) {
 		take_head(n, head);
+		at = (struct position){ n->answer_epoch, head->revision };
+	}
 	if (outcome != SOURCE_BUSY)
-		note_contact(n, outcome != SOURCE_FAILED,
-			     outcome == SOURCE_OK ? head->revision : 0);
-	changed = documents_newest(n->documents) > n->told;
+		note_contact(n, outcome != SOURCE_FAILED, at);
+	changed = position_after(documents_newest(n->documents), n->told);
 	v = view(n);
 	n->source.came_ns = outcome == SOURCE_OK ? head->came_ns : 0;
 	source_end(&n->source, outcome, outcome == SOURCE_OK && head->more,
@@ -240,7 +296,8 @@
  * @head: what they come with
  * @now_ns: time
  *
- * Two listings at a time would each miss what the other names.
+ * Two listings at a time would each miss what the other names. Who knows an
+ * earlier epoch has nothing that was not carried over from there.
  *
  * Return: whether to take them.
  */
@@ -248,6 +305,8 @@
 		   uint64_t now_ns)
 {
 	n->now_ns = now_ns;
+	if (head->through.epoch < documents_known(n->documents).epoch)
+		return false;
 	if (!head->whole)
 		return true;
 	if (n->source.listing)
@@ -277,7 +336,7 @@
 void node_fetched(struct node *n, const struct relay_head *head,
 		  uint64_t now_ns)
 {
-	bool first = !documents_through(n->documents);
+	bool first = !node_knows(n);
 
 	n->now_ns = now_ns;
 	n->fetching = false;
@@ -287,12 +346,14 @@
 	}
 	if (head->whole)
 		documents_list_end(n->documents, head->through, now_ns);
-	documents_covered(n->documents, head->through);
+	documents_covered(n->documents, head->through, now_ns);
 	documents_knows(n->documents, head->newest);
-	if (first && documents_through(n->documents))
+	n->carried_taken = n->fetching_carried;
+	if (first && node_knows(n))
 		give_up_listing(n);
 	/* News from elsewhere: few others here have them yet. */
-	if (n->fetching_far && documents_newest(n->documents) > n->told) {
+	if (n->fetching_far &&
+	    position_after(documents_newest(n->documents), n->told)) {
 		n->told = documents_newest(n->documents);
 		node_tell(n, NULL);
 	}
--- a/core/packet/node_published.c
+++ b/core/packet/node_published.c
@@ -66,7 +66,7 @@
  */
 static bool young(const struct node *n)
 {
-	return !documents_through(n->documents);
+	return !node_knows(n);
 }
 
 static void take_target(struct node *n, const struct document *doc,
@@ -164,6 +164,36 @@
 			    (unsigned long long)doc->revision);
 }
 
+/**
+ * node_document_compare() - the order of a document and what is known under its
+ *	key, by what they say themselves
+ * @ctx: entry
+ * @doc: document
+ *
+ * Versions of the configuration and the numbers of targets' entries grow, also
+ * while the platform goes back.
+ *
+ * Return: above 0 when @doc is the later one, below 0 when it is the earlier
+ * one, 0 when that cannot be told.
+ */
+int node_document_compare(void *ctx, const struct document *doc)
+{
+	struct node *n = ctx;
+	struct document_news news;
+	const char *problem = "";
+	uint64_t version;
+
+	if (n->port.decode(doc, n->directory, &news, &problem))
+		return 0;
+	if (news.kind == DOCUMENT_TARGET)
+		return directory_compare(n->directory, &news.target);
+	if (news.kind != DOCUMENT_ROUTES || !news.routes)
+		return 0;
+	version = news.routes->version;
+	route_table_free(news.routes);
+	return (version > node_version(n)) - (version < node_version(n));
+}
+
 /**
  * node_document_changed() - a document is newer than what was known under its
  *	key
--- a/core/packet/peers/peer_set.c
+++ b/core/packet/peers/peer_set.c
@@ -163,7 +163,7 @@
 {
 	for (uint32_t i = 0; i < h->n_claims; i++) {
 		const struct hello_claim *k = &h->claims[i];
-		struct read_claim c = { k->zone, k->by, k->revision, k->number,
+		struct read_claim c = { k->zone, k->by, k->at, k->number,
 					ago(now_ns, k->age_ms) };
 
 		read_claims_take(&f->claims, &c);
@@ -186,12 +186,13 @@
 
 	if (!p)
 		return false;
-	newer = h->newest > p->newest;
+	newer = position_after(h->newest, p->newest);
 	p->zone = h->zone;
 	p->boot = h->boot;
 	p->heard_ns = p->direct_ns = now_ns;
 	p->leaving = h->leaving;
 	p->newest = h->newest;
+	p->carried = h->carried;
 	if (h->zone != f->conf.zone)
 		f->far_ns = now_ns;
 	if (h->has_loads)
@@ -367,7 +368,7 @@
 
 	for (uint32_t i = 0; i < n; i++)
 		h->claims[h->n_claims++] =
-			(struct hello_claim){ c[i].zone, c[i].by, c[i].revision,
+			(struct hello_claim){ c[i].zone, c[i].by, c[i].at,
 					      c[i].number,
 					      age_ms(now_ns, c[i].contact_ns) };
 }
@@ -404,13 +405,12 @@
 /**
  * peer_set_contact() - the platform answered this VM
  * @f: set
- * @revision: of the platform; 0 when the answer told none
+ * @at: position of the platform; of revision 0 when the answer told none
  * @now_ns: time
  */
-void peer_set_contact(struct peer_set *f, uint64_t revision, uint64_t now_ns)
+void peer_set_contact(struct peer_set *f, struct position at, uint64_t now_ns)
 {
-	read_claims_contact(&f->claims, f->conf.zone, f->conf.self, revision,
-			    now_ns);
+	read_claims_contact(&f->claims, f->conf.zone, f->conf.self, at, now_ns);
 }
 
 /**
@@ -554,17 +554,26 @@
 	return false;
 }
 
+/* Two that carry different documents over ask each other once. */
+static bool ahead(const struct peer_vm *p, const struct knowledge *own)
+{
+	if (position_after(p->newest, own->newest))
+		return true;
+	return p->newest.epoch == own->newest.epoch && p->carried &&
+	       p->carried != own->carried && p->carried != own->carried_taken;
+}
+
 /**
  * peer_set_ahead() - a peer to fetch from
  * @f: set
- * @newest: newest revision known here
+ * @own: what is known here
  * @now_ns: time
  *
- * Return: a live peer that knows a newer one, of this data centre if there is
- * one; or NULL.
+ * Return: a live peer that knows something newer, of this data centre if there
+ * is one; or NULL.
  */
-const struct peer_vm *peer_set_ahead(struct peer_set *f, uint64_t newest,
-				     uint64_t now_ns)
+const struct peer_vm *
+peer_set_ahead(struct peer_set *f, const struct knowledge *own, uint64_t now_ns)
 {
 	uint32_t from = f->n ? (uint32_t)(rng_next(&f->rng) % f->n) : 0;
 	const struct peer_vm *far = NULL;
@@ -572,7 +581,7 @@
 	for (uint32_t i = 0; i < f->n; i++) {
 		const struct peer_vm *p = &f->peers[(from + i) % f->n];
 
-		if (!live(p, now_ns) || p->newest <= newest)
+		if (!live(p, now_ns) || !ahead(p, own))
 			continue;
 		if (p->zone == f->conf.zone)
 			return p;
--- a/core/packet/peers/peer_set.h
+++ b/core/packet/peers/peer_set.h
@@ -61,14 +61,14 @@
  * struct hello_claim - a claim to read the platform, as struct read_claim
  * @zone: hash of the data centre's name
  * @by: the reader's address for peers
- * @revision: of the platform
- * @number: tells claims at one revision apart
+ * @at: position of the platform
+ * @number: tells claims at one position apart
  * @age_ms: how long ago it was answered
  */
 struct hello_claim {
 	uint32_t zone;
 	uint64_t by;
-	uint64_t revision;
+	struct position at;
 	uint32_t number;
 	uint32_t age_ms;
 };
@@ -80,7 +80,10 @@
  * @boot: number of the sender's process
  * @leaving: it is about to end
  * @reply: an answer to this is wanted: the sender knows few others
- * @newest: newest revision that it knows
+ * @newest: newest position that it knows
+ * @carried: what it carries over from earlier epochs, as documents_carried()
+ * @epoch_age_ms: how long ago anybody heard first of the epoch of @newest;
+ *	UINT32_MAX for longer than that matters
  * @trouble_age_ms: how long ago anybody found the platform in trouble;
  *	UINT32_MAX for not lately
  * @n_peers: third VMs named
@@ -101,7 +104,9 @@
 	uint64_t boot;
 	bool leaving;
 	bool reply;
-	uint64_t newest;
+	struct position newest;
+	uint64_t carried;
+	uint32_t epoch_age_ms;
 	uint32_t trouble_age_ms;
 	uint32_t n_peers;
 	struct hello_peer peers[HELLO_PEERS_MAX];
@@ -124,7 +129,8 @@
  * @heard_ns: last sign of life, its own or told by others
  * @direct_ns: last hello of its own; 0 for none
  * @leaving: it is about to end
- * @newest: newest revision that it knows
+ * @newest: newest position that it knows
+ * @carried: what it carries over from earlier epochs
  * @n_loads: loads it told
  * @loads: those; apart, since the rest is walked often
  * @n_failing: targets that it saw fail requests
@@ -137,7 +143,8 @@
 	uint64_t heard_ns;
 	uint64_t direct_ns;
 	bool leaving;
-	uint64_t newest;
+	struct position newest;
+	uint64_t carried;
 	uint32_t n_loads;
 	struct hello_load *loads;
 	uint32_t n_failing;
@@ -164,6 +171,18 @@
 
 struct peer_set;
 
+/**
+ * struct knowledge - what an entry has of what is published
+ * @newest: newest position that it knows
+ * @carried: what it carries over from earlier epochs
+ * @carried_taken: what a peer carried that was asked last
+ */
+struct knowledge {
+	struct position newest;
+	uint64_t carried;
+	uint64_t carried_taken;
+};
+
 struct peer_set *peer_set_new(const struct peer_set_conf *conf, struct rng rng);
 void peer_set_free(struct peer_set *f);
 void peer_set_seeds(struct peer_set *f, const uint64_t *seeds, uint32_t n);
@@ -174,7 +193,7 @@
 uint32_t peer_set_neighbours(struct peer_set *f, uint64_t now_ns, uint64_t *to,
 			     uint32_t to_max);
 void peer_set_fill(struct peer_set *f, struct hello *h, uint64_t now_ns);
-void peer_set_contact(struct peer_set *f, uint64_t revision, uint64_t now_ns);
+void peer_set_contact(struct peer_set *f, struct position at, uint64_t now_ns);
 void peer_set_trouble(struct peer_set *f, uint64_t contact_ns, uint64_t now_ns);
 uint32_t peer_set_readers_before(const struct peer_set *f, uint64_t since_ns,
 				 uint64_t now_ns);
@@ -184,7 +203,8 @@
 uint32_t peer_set_seat(const struct peer_set *f, uint64_t what);
 bool peer_set_lone(const struct peer_set *f);
 uint32_t peer_set_rank(const struct peer_set *f, uint64_t now_ns);
-const struct peer_vm *peer_set_ahead(struct peer_set *f, uint64_t newest,
+const struct peer_vm *peer_set_ahead(struct peer_set *f,
+				     const struct knowledge *own,
 				     uint64_t now_ns);
 uint32_t peer_set_live(const struct peer_set *f, uint64_t now_ns);
 uint32_t peer_set_count(const struct peer_set *f);
--- a/core/packet/platform_port.h
+++ b/core/packet/platform_port.h
@@ -26,15 +26,12 @@
 
 /**
  * struct answer_head - what an answer says beside its documents
- * @epoch: grows by one each time the platform comes back from an older copy of
- *	itself, with revisions that it gives out again; 0 when it tells none
  * @revision: everything up to it was covered when the answer was made
  * @more: the listing goes on after @last_key
  * @last_key: last key of a page
  * @came_ns: time that it took from its first byte to its last
  */
 struct answer_head {
-	uint64_t epoch;
 	uint64_t revision;
 	bool more;
 	char last_key[DOCUMENT_KEY_MAX_BYTES + 1];
@@ -79,7 +76,8 @@
  * @list_path: path that lists everything, after a key or from the start; not
  *	@exact, the answer may be seconds old and costs the platform less
  * @watch_path: path that waits for changes after a revision
- * @epoch_header: header of all its answers that tells the epoch
+ * @epoch_header: header of all its answers that tells how often it has come back
+ *	from an older copy of itself, with revisions that it gives out again
  * @read_epoch: decode that header, "" when an answer has none; 0 or -EPROTO
  * @read_list: decode a page; 0 or a negative error
  * @read_changes: decode an answer to @watch_path; 0 or a negative error
--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -6,35 +6,45 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * @known, @through, @newest and @floor are revisions of @epoch; @carried is up
+ * to date as of @carried_changes.
+ */
 struct documents {
 	struct documents_port port;
-	uint64_t keep_ns;
+	struct documents_times times;
 	struct document **all;
 	uint32_t n;
 	uint32_t capacity;
 	struct index *by_key;
+	uint64_t epoch;
+	uint64_t began_ns;
 	uint64_t known;
 	uint64_t through;
 	uint64_t newest;
 	uint64_t floor;
+	uint64_t changes;
+	uint64_t carried;
+	uint64_t carried_changes;
 	uint32_t listing;
 };
 
 /**
  * documents_new() - an empty store
  * @port: who is told of changes
- * @keep_ns: deleted ones are kept for this long
+ * @times: how long what is kept
  *
  * Return: store, or NULL without memory.
  */
-struct documents *documents_new(struct documents_port port, uint64_t keep_ns)
+struct documents *documents_new(struct documents_port port,
+				struct documents_times times)
 {
 	struct documents *s = calloc(1, sizeof(*s));
 
 	if (!s)
 		return NULL;
 	s->port = port;
-	s->keep_ns = keep_ns;
+	s->times = times;
 	s->by_key = index_new(DOCUMENTS_MAX);
 	if (s->by_key)
 		return s;
@@ -113,9 +123,9 @@
 	free(last->bytes);
 	memmove(d->earlier + 1, d->earlier,
 		(DOCUMENT_EARLIER_MAX - 1) * sizeof(*d->earlier));
-	d->earlier[0] =
-		(struct document_value){ d->revision, now_ns + EARLIER_KEEP_NS,
-					 d->value, d->size_bytes };
+	d->earlier[0] = (struct document_value){ document_position(d),
+						 now_ns + EARLIER_KEEP_NS,
+						 d->value, d->size_bytes };
 }
 
 static int keep_value(struct document *d, const struct document *news,
@@ -139,9 +149,79 @@
 
 static void show(struct documents *s, struct document *d)
 {
+	s->changes++;
 	d->held = !s->port.changed(s->port.ctx, d);
 }
 
+static void delete_at(struct documents *s, struct document *d,
+		      struct position at, uint64_t now_ns)
+{
+	d->epoch = at.epoch;
+	d->revision = at.revision;
+	d->outdated_epoch = 0;
+	d->deleted = true;
+	d->forget_ns = now_ns + s->times.deleted_ns;
+	show(s, d);
+}
+
+static bool same_value(const struct document *a, const struct document *b)
+{
+	return a->deleted == b->deleted && a->size_bytes == b->size_bytes &&
+	       (!a->size_bytes || !memcmp(a->value, b->value, a->size_bytes));
+}
+
+/* Revisions known are of an epoch: those of the one before end. */
+static void enter(struct documents *s, uint64_t epoch, uint64_t now_ns)
+{
+	if (epoch <= s->epoch)
+		return;
+	s->epoch = epoch;
+	s->began_ns = now_ns;
+	s->known = 0;
+	s->through = 0;
+	s->newest = 0;
+	s->floor = 0;
+	s->changes++;
+	for (uint32_t i = 0; i < s->n; i++)
+		if (s->all[i]->epoch == epoch &&
+		    s->all[i]->revision > s->newest)
+			s->newest = s->all[i]->revision;
+}
+
+static bool carries(const struct documents *s, uint64_t now_ns)
+{
+	return now_ns < s->began_ns + s->times.carried_ns;
+}
+
+/*
+ * A fact of another epoch than what is known under its key. A later epoch's
+ * copy may have less than what is known, and a peer may have carried over what
+ * the copy lacks: then contents tell which is later.
+ */
+static bool wins(struct documents *s, struct document *d,
+		 const struct document *news)
+{
+	int order = news->deleted ? 0 : s->port.compare(s->port.ctx, news);
+
+	if (news->epoch < d->epoch)
+		return order > 0;
+	if (order >= 0)
+		return true;
+	d->outdated_epoch = news->epoch;
+	return false;
+}
+
+/*
+ * Whether @news may be taken under a new key. Of an epoch that is over, what a
+ * peer still carries may, and what was deleted: that names departed targets.
+ */
+static bool may_add(const struct documents *s, const struct document *news,
+		    uint64_t now_ns)
+{
+	return news->epoch >= s->epoch || news->deleted ||
+	       news->outdated_epoch == s->epoch || carries(s, now_ns);
+}
+
 /**
  * documents_put() - take a fact
  * @s: store
@@ -149,36 +229,49 @@
  * @origin: how it came
  * @now_ns: time
  *
- * Return: 0 when it was taken; -EALREADY when as new a one is known;
+ * Return: 0 when it was taken; -EALREADY when as late a one is known;
  * -ENOMEM, also when there are too many.
  */
 int documents_put(struct documents *s, const struct document *news,
 		  enum document_origin origin, uint64_t now_ns)
 {
 	struct document *d = find(s, news->key);
+	bool same = false;
 	int err;
 
 	if (d && origin == DOCUMENT_LISTED)
 		d->seen = s->listing;
-	if (d && news->revision <= d->revision)
+	if (d && news->epoch == d->epoch && news->revision <= d->revision)
 		return -EALREADY;
-	if (!d)
+	if (d ? news->epoch != d->epoch && !wins(s, d, news)
+	      : !may_add(s, news, now_ns))
+		return -EALREADY;
+	if (!s->known && !s->through)
+		enter(s, news->epoch, now_ns);
+	if (d)
+		same = news->epoch > d->epoch && same_value(d, news);
+	else
 		d = add(s, news->key);
 	if (!d)
 		return -ENOMEM;
-	err = keep_value(d, news, now_ns);
+	err = same ? 0 : keep_value(d, news, now_ns);
 	if (err)
 		return err;
+	/* What gives way is less than @news, and the platform has it. */
+	d->outdated_epoch =
+		news->epoch < d->epoch ? d->epoch : news->outdated_epoch;
+	d->epoch = news->epoch;
 	d->revision = news->revision;
 	if (news->created)
 		d->created = news->created;
 	d->deleted = news->deleted;
-	d->forget_ns = now_ns + s->keep_ns;
+	d->forget_ns = now_ns + s->times.deleted_ns;
 	if (origin == DOCUMENT_LISTED)
 		d->seen = s->listing;
-	if (d->revision > s->newest)
-		s->newest = d->revision;
-	show(s, d);
+	documents_knows(s, document_position(d));
+	s->changes++;
+	if (!same)
+		show(s, d);
 	return 0;
 }
 
@@ -205,52 +298,75 @@
 /**
  * documents_list_end() - every page of the listing was put
  * @s: store
- * @revision: least revision that one of its pages shows
+ * @at: least position that one of its pages shows
  * @now_ns: time
  *
- * What it lacks was deleted, unless it came after that revision.
+ * What it lacks was deleted, unless it came after that position, or is carried
+ * over from an earlier epoch.
  */
-void documents_list_end(struct documents *s, uint64_t revision, uint64_t now_ns)
+void documents_list_end(struct documents *s, struct position at,
+			uint64_t now_ns)
 {
+	enter(s, at.epoch, now_ns);
+	if (at.epoch < s->epoch)
+		return;
 	for (uint32_t i = 0; i < s->n; i++) {
 		struct document *d = s->all[i];
 
 		if (d->seen == s->listing || d->deleted ||
-		    d->revision > revision)
+		    position_after(document_position(d), at))
 			continue;
-		d->revision = revision;
-		d->deleted = true;
-		d->forget_ns = now_ns + s->keep_ns;
-		show(s, d);
+		d->outdated_epoch = 0;
+		if (d->epoch == at.epoch || !carries(s, now_ns))
+			delete_at(s, d, at, now_ns);
 	}
-	documents_knows(s, revision);
-	if (revision > s->known)
-		s->known = revision;
+	documents_knows(s, at);
+	if (at.revision > s->known)
+		s->known = at.revision;
 }
 
 /**
- * documents_covered() - everything up to a revision is known, and that was all
+ * documents_covered() - everything up to a position is known, and that was all
  *	there was when the platform was asked
  * @s: store
- * @revision: revision
+ * @at: position
+ * @now_ns: time
+ */
+void documents_covered(struct documents *s, struct position at, uint64_t now_ns)
+{
+	enter(s, at.epoch, now_ns);
+	if (at.epoch < s->epoch)
+		return;
+	if (at.revision > s->through)
+		s->through = at.revision;
+	if (at.revision > s->known)
+		s->known = at.revision;
+}
+
+/**
+ * documents_knows() - a peer with this newest position told all it knows
+ * @s: store
+ * @newest: its newest position, also when that was a deletion since forgotten
  */
-void documents_covered(struct documents *s, uint64_t revision)
+void documents_knows(struct documents *s, struct position newest)
 {
-	if (revision > s->through)
-		s->through = revision;
-	if (revision > s->known)
-		s->known = revision;
+	if (newest.epoch == s->epoch && newest.revision > s->newest)
+		s->newest = newest.revision;
 }
 
 /**
- * documents_knows() - a peer with this newest revision told all it knows
+ * documents_began() - a peer tells when it heard of an epoch
  * @s: store
- * @newest: its newest revision, also when that was a deletion since forgotten
+ * @epoch: epoch
+ * @began_ns: when
+ *
+ * What is carried over ends at the same time everywhere; by the time at which
+ * each entry heard of the epoch, peers would hand it on for ever.
  */
-void documents_knows(struct documents *s, uint64_t newest)
+void documents_began(struct documents *s, uint64_t epoch, uint64_t began_ns)
 {
-	if (newest > s->newest)
-		s->newest = newest;
+	if (epoch == s->epoch && began_ns < s->began_ns)
+		s->began_ns = began_ns;
 }
 
 static void forget(struct documents *s, uint32_t i)
@@ -258,8 +374,9 @@
 	struct document *d = s->all[i];
 
 	index_del(s->by_key, hash_text(d->key), i);
-	if (d->revision > s->floor)
+	if (d->epoch == s->epoch && d->revision > s->floor)
 		s->floor = d->revision;
+	s->changes++;
 	s->n--;
 	if (i != s->n) {
 		struct document *last = s->all[s->n];
@@ -282,6 +399,19 @@
 	}
 }
 
+/* Nobody has written again what the platform lost: it is gone. */
+static void end_carried(struct documents *s, uint64_t now_ns)
+{
+	struct position at = { s->epoch, s->known };
+
+	for (uint32_t i = 0; i < s->n; i++) {
+		struct document *d = s->all[i];
+
+		if (documents_is_carried(s, d) && d->outdated_epoch != s->epoch)
+			delete_at(s, d, at, now_ns);
+	}
+}
+
 /**
  * documents_tick() - forget what was deleted, or changed, long ago
  * @s: store
@@ -289,6 +419,8 @@
  */
 void documents_tick(struct documents *s, uint64_t now_ns)
 {
+	if (documents_carried(s) && !carries(s, now_ns))
+		end_carried(s, now_ns);
 	for (uint32_t i = s->n; i-- > 0;) {
 		forget_earlier(s->all[i], now_ns);
 		if (s->all[i]->deleted && now_ns >= s->all[i]->forget_ns)
@@ -297,50 +429,138 @@
 }
 
 /**
- * documents_known() - revision up to which everything is known, though there
+ * documents_known() - position up to which everything is known, though there
  *	may have been more for seconds
  * @s: store
  *
- * Return: revision, 0 before the first listing.
+ * Return: position, of revision 0 before the first listing of its epoch.
  */
-uint64_t documents_known(const struct documents *s)
+struct position documents_known(const struct documents *s)
 {
-	return s->known;
+	return (struct position){ s->epoch, s->known };
 }
 
 /**
- * documents_through() - revision up to which everything is known, of an answer
+ * documents_through() - position up to which everything is known, of an answer
  *	that was not old
  * @s: store
  *
- * Return: revision, 0 before the first such answer.
+ * Return: position, of revision 0 before the first such answer.
  */
-uint64_t documents_through(const struct documents *s)
+struct position documents_through(const struct documents *s)
 {
-	return s->through;
+	return (struct position){ s->epoch, s->through };
 }
 
 /**
- * documents_newest() - highest revision of a document known
+ * documents_newest() - latest position of a document known
  * @s: store
  *
- * Return: revision; it tells peers whether there is anything to fetch, which
+ * Return: position; it tells peers whether there is anything to fetch, which
  * @documents_through doesn't: that grows with every heartbeat of a target.
  */
-uint64_t documents_newest(const struct documents *s)
+struct position documents_newest(const struct documents *s)
+{
+	return (struct position){ s->epoch, s->newest };
+}
+
+/**
+ * documents_floor() - latest position of a forgotten deletion
+ * @s: store
+ *
+ * Return: position; who knows less than this needs everything.
+ */
+struct position documents_floor(const struct documents *s)
+{
+	return (struct position){ s->epoch, s->floor };
+}
+
+/**
+ * documents_began_ns() - when the present epoch was first heard of
+ * @s: store
+ *
+ * Return: time.
+ */
+uint64_t documents_began_ns(const struct documents *s)
+{
+	return s->began_ns;
+}
+
+/**
+ * documents_changes() - how often anything changed here
+ * @s: store
+ *
+ * Return: a count that is greater after each change.
+ */
+uint64_t documents_changes(const struct documents *s)
+{
+	return s->changes;
+}
+
+/**
+ * documents_is_carried() - whether a document is of an epoch before this one
+ * @s: store
+ * @d: document
+ *
+ * Return: whether it stands, and the platform has nothing as late under its key.
+ */
+bool documents_is_carried(const struct documents *s, const struct document *d)
+{
+	return !d->deleted && d->epoch < s->epoch;
+}
+
+/**
+ * documents_carried() - tells apart what two entries carry over
+ * @s: store
+ *
+ * Return: a number that is the same for the same documents; 0 for none.
+ */
+uint64_t documents_carried(struct documents *s)
+{
+	if (s->carried_changes == s->changes)
+		return s->carried;
+	s->carried_changes = s->changes;
+	s->carried = 0;
+	for (uint32_t i = 0; i < s->n; i++) {
+		const struct document *d = s->all[i];
+
+		if (documents_is_carried(s, d))
+			s->carried += hash_u64(hash_text(d->key) ^ d->revision,
+					       d->epoch);
+	}
+	return s->carried;
+}
+
+/**
+ * documents_lacks() - whether a peer lacks a document
+ * @s: store
+ * @after: position up to which it knows everything; of this epoch
+ * @d: document
+ *
+ * Return: whether. What is carried over has no place in this epoch, so each
+ * peer is sent it.
+ */
+bool documents_lacks(const struct documents *s, struct position after,
+		     const struct document *d)
 {
-	return s->newest;
+	return documents_is_carried(s, d) ||
+	       position_after(document_position(d), after);
 }
 
 /**
- * documents_floor() - highest revision of a forgotten deletion
+ * documents_needs_all() - whether a peer needs everything that stands
  * @s: store
+ * @after: position up to which it knows everything
  *
- * Return: revision; who knows less than this needs everything.
+ * Return: whether deletions since may be forgotten here, or it knows an earlier
+ * epoch.
  */
-uint64_t documents_floor(const struct documents *s)
+bool documents_needs_all(const struct documents *s, struct position after)
 {
-	return s->floor;
+	if (!after.revision)
+		return s->floor > 0;
+	return after.epoch < s->epoch ||
+	       (after.epoch == s->epoch && after.revision < s->floor);
 }
 
 const struct document *documents_at(const struct documents *s, uint32_t i)
@@ -375,20 +595,21 @@
 }
 
 /**
- * document_value() - value that a document had at a revision of its own
+ * document_value() - value that a document had since a position
  * @d: document
- * @revision: that revision
+ * @since: that position
  *
  * Return: value, not owned; without bytes when it is not known any more.
  */
 struct document_value document_value(const struct document *d,
-				     uint64_t revision)
+				     struct position since)
 {
-	if (d->revision == revision && !d->deleted)
-		return (struct document_value){ revision, 0, d->value,
+	if (!position_compare(document_position(d), since) && !d->deleted)
+		return (struct document_value){ since, 0, d->value,
 						d->size_bytes };
 	for (uint32_t i = 0; d->earlier && i < DOCUMENT_EARLIER_MAX; i++)
-		if (d->earlier[i].bytes && d->earlier[i].revision == revision)
+		if (d->earlier[i].bytes &&
+		    !position_compare(d->earlier[i].since, since))
 			return d->earlier[i];
 	return (struct document_value){ 0 };
 }
@@ -397,16 +618,16 @@
  * documents_value() - the same by the hash of the document's key
  * @s: store
  * @key_hash: hash
- * @revision: revision of the document
+ * @since: position of the document
  *
  * Return: as document_value().
  */
 struct document_value documents_value(const struct documents *s,
-				      uint64_t key_hash, uint64_t revision)
+				      uint64_t key_hash, struct position since)
 {
 	uint32_t i = index_get(s->by_key, key_hash);
 
 	if (i == INDEX_NONE)
 		return (struct document_value){ 0 };
-	return document_value(s->all[i], revision);
+	return document_value(s->all[i], since);
 }
--- a/core/packet/publish/documents.h
+++ b/core/packet/publish/documents.h
@@ -1,12 +1,17 @@
 /*
  * What the platform publishes, as it stands there, by key. Facts from the
- * platform and from peers join by revision: a newer one wins whatever way and
+ * platform and from peers join by position: a later one wins whatever way and
  * in whatever order it came, so nothing ever moves back.
+ *
+ * When the platform comes back from an older copy of itself, a new epoch
+ * begins. What was known before and is not in the copy is carried over: it was
+ * acknowledged, and whoever wrote it writes it again. It ends when the new
+ * epoch says something later of it, or has said nothing for long enough.
  */
 #ifndef CB_DOCUMENTS_H
 #define CB_DOCUMENTS_H
 
-#include "types.h"
+#include "position.h"
 
 #define DOCUMENT_KEY_MAX_BYTES 200
 #define DOCUMENTS_MAX 32768
@@ -18,13 +23,13 @@
 
 /**
  * struct document_value - a value that a document had
- * @revision: since which revision
+ * @since: since which position
  * @forget_ns: when it is forgotten
  * @bytes: value, owned
  * @size_bytes: its size
  */
 struct document_value {
-	uint64_t revision;
+	struct position since;
 	uint64_t forget_ns;
 	uint8_t *bytes;
 	uint32_t size_bytes;
@@ -33,8 +38,11 @@
 /**
  * struct document - one key
  * @key: key
+ * @epoch: epoch of its last change
  * @revision: revision of its last change
  * @created: revision of its creation
+ * @outdated_epoch: in that epoch the platform has less than @value under the
+ *	key; 0 for none
  * @deleted: it is gone; its last value is kept for late flows
  * @forget_ns: when a deleted one is forgotten
  * @seen: mark of the listing that named it last
@@ -45,8 +53,10 @@
  */
 struct document {
 	char key[DOCUMENT_KEY_MAX_BYTES + 1];
+	uint64_t epoch;
 	uint64_t revision;
 	uint64_t created;
+	uint64_t outdated_epoch;
 	bool deleted;
 	uint64_t forget_ns;
 	uint32_t seen;
@@ -69,35 +79,64 @@
  * @ctx: passed back
  * @changed: @d is new, changed or deleted. Return: whether it was taken; if not,
  *	documents_again() shows it once more
+ * @compare: the order of @d and what is known under its key, by their contents:
+ *	above 0 when @d is the later one, below 0 when it is the earlier one, 0
+ *	when contents do not tell
  */
 struct documents_port {
 	void *ctx;
 	bool (*changed)(void *ctx, const struct document *d);
+	int (*compare)(void *ctx, const struct document *d);
+};
+
+/**
+ * struct documents_times - how long what is kept
+ * @deleted_ns: deleted documents
+ * @carried_ns: what the platform lost, from the beginning of an epoch
+ */
+struct documents_times {
+	uint64_t deleted_ns;
+	uint64_t carried_ns;
 };
 
 struct documents;
 
-struct documents *documents_new(struct documents_port port, uint64_t keep_ns);
+struct documents *documents_new(struct documents_port port,
+				struct documents_times times);
 void documents_free(struct documents *s);
 int documents_put(struct documents *s, const struct document *news,
 		  enum document_origin origin, uint64_t now_ns);
 void documents_again(struct documents *s);
 void documents_list_begin(struct documents *s);
-void documents_list_end(struct documents *s, uint64_t revision,
+void documents_list_end(struct documents *s, struct position at,
 			uint64_t now_ns);
-void documents_covered(struct documents *s, uint64_t revision);
-void documents_knows(struct documents *s, uint64_t newest);
+void documents_covered(struct documents *s, struct position at,
+		       uint64_t now_ns);
+void documents_knows(struct documents *s, struct position newest);
+void documents_began(struct documents *s, uint64_t epoch, uint64_t began_ns);
 void documents_tick(struct documents *s, uint64_t now_ns);
-uint64_t documents_known(const struct documents *s);
-uint64_t documents_through(const struct documents *s);
-uint64_t documents_newest(const struct documents *s);
-uint64_t documents_floor(const struct documents *s);
+struct position documents_known(const struct documents *s);
+struct position documents_through(const struct documents *s);
+struct position documents_newest(const struct documents *s);
+struct position documents_floor(const struct documents *s);
+uint64_t documents_began_ns(const struct documents *s);
+uint64_t documents_changes(const struct documents *s);
+uint64_t documents_carried(struct documents *s);
+bool documents_is_carried(const struct documents *s, const struct document *d);
+bool documents_lacks(const struct documents *s, struct position after,
+		     const struct document *d);
+bool documents_needs_all(const struct documents *s, struct position after);
 const struct document *documents_at(const struct documents *s, uint32_t i);
 uint32_t documents_count(const struct documents *s);
 const struct document *documents_largest(const struct documents *s);
 struct document_value documents_value(const struct documents *s,
-				      uint64_t key_hash, uint64_t revision);
+				      uint64_t key_hash, struct position since);
 struct document_value document_value(const struct document *d,
-				     uint64_t revision);
+				     struct position since);
+
+static inline struct position document_position(const struct document *d)
+{
+	return (struct position){ d->epoch, d->revision };
+}
 
 #endif
--- a/core/packet/publish/read_claims.c
+++ b/core/packet/publish/read_claims.c
@@ -13,8 +13,10 @@
 
 static bool newer(const struct read_claim *a, const struct read_claim *b)
 {
-	if (a->revision != b->revision)
-		return a->revision > b->revision;
+	int order = position_compare(a->at, b->at);
+
+	if (order)
+		return order > 0;
 	if (a->number != b->number)
 		return a->number > b->number;
 	/* Two that began together: otherwise each goes on, and neither hears
@@ -48,17 +50,17 @@
  * @c: claims
  * @zone: its data centre
  * @self: its address
- * @revision: of the platform; 0 when the answer told none
+ * @at: position of the platform; of revision 0 when the answer told none
  * @now_ns: time
  */
 void read_claims_contact(struct read_claims *c, uint32_t zone, uint64_t self,
-			 uint64_t revision, uint64_t now_ns)
+			 struct position at, uint64_t now_ns)
 {
 	const struct read_claim *known = find(c, zone);
-	struct read_claim own = { zone, self, revision, 1, now_ns };
+	struct read_claim own = { zone, self, at, 1, now_ns };
 
-	if (known && known->revision >= revision) {
-		own.revision = known->revision;
+	if (known && !position_after(at, known->at)) {
+		own.at = known->at;
 		own.number = known->number + 1;
 	}
 	read_claims_take(c, &own);
--- a/core/packet/publish/read_claims.h
+++ b/core/packet/publish/read_claims.h
@@ -5,7 +5,7 @@
 #ifndef CB_READ_CLAIMS_H
 #define CB_READ_CLAIMS_H
 
-#include "types.h"
+#include "position.h"
 
 /* Data centres that are kept in mind. */
 #define READ_CLAIMS_MAX 32
@@ -14,18 +14,18 @@
  * struct read_claim - that the platform answered a data centre's reader
  * @zone: hash of the data centre's name
  * @by: the reader's address for peers
- * @revision: of the platform, in its last answer
+ * @at: position of the platform, in its last answer
  * @number: tells claims at one revision apart; the later one is greater
  * @contact_ns: when it was answered
  *
- * What is newer is told by @revision and @number, which are the same wherever
+ * What is newer is told by @at and @number, which are the same wherever
  * the claim is heard. By time it would look newer after each hop, and one that
  * goes round would never grow old.
  */
 struct read_claim {
 	uint32_t zone;
 	uint64_t by;
-	uint64_t revision;
+	struct position at;
 	uint32_t number;
 	uint64_t contact_ns;
 };
@@ -42,7 +42,7 @@
 
 bool read_claims_take(struct read_claims *c, const struct read_claim *news);
 void read_claims_contact(struct read_claims *c, uint32_t zone, uint64_t self,
-			 uint64_t revision, uint64_t now_ns);
+			 struct position at, uint64_t now_ns);
 void read_claims_withdraw(struct read_claims *c, uint32_t zone, uint64_t self,
 			  uint64_t contact_ns);
 const struct read_claim *read_claims_of(const struct read_claims *c,
--- a/core/packet/target/directory.c
+++ b/core/packet/target/directory.c
@@ -176,15 +176,24 @@
 	t->returned_ns = 0;
 }
 
+/* Above 0 when @news is later than what is known of the target. */
+static int compare(const struct target *t, const struct target_news *news)
+{
+	const struct target_news *known = &t->news;
+
+	if (news->started_ms != known->started_ms)
+		return news->started_ms > known->started_ms ? 1 : -1;
+	return (news->sequence > known->sequence) -
+	       (news->sequence < known->sequence);
+}
+
 /*
  * Whether an entry is older than what is known: a write that was held up may
  * be done after the one that followed it, by the same process or the next.
  */
 static bool outdated(const struct target *t, const struct target_news *news)
 {
-	if (news->started_ms != t->news.started_ms)
-		return news->started_ms < t->news.started_ms;
-	return news->sequence < t->news.sequence;
+	return compare(t, news) < 0;
 }
 
 /* Two keys may name one id; the entry that was created first has it. */
@@ -192,7 +201,7 @@
 {
 	if (news->entry == t->news.entry || t->stage == TARGET_ABSENT)
 		return false;
-	return news->created > t->news.created;
+	return position_after(news->created, t->news.created);
 }
 
 static enum target_change take(struct directory *d, struct target *t,
@@ -200,7 +209,7 @@
 {
 	bool restarted = news->started_ms != t->news.started_ms;
 	bool same_entry = news->entry == t->news.entry;
-	uint64_t created = t->news.created;
+	struct position created = t->news.created;
 
 	if (!move_service(d, t, news->service))
 		return TARGET_NO_ROOM;
@@ -253,6 +262,21 @@
 	return t;
 }
 
+/**
+ * directory_compare() - the order of an entry and what is known of its target
+ * @d: directory
+ * @news: entry
+ *
+ * Return: above 0 when @news is the later one, below 0 when it is the earlier
+ * one, 0 for the same, an unknown target, and another key's entry.
+ */
+int directory_compare(const struct directory *d, const struct target_news *news)
+{
+	const struct target *t = directory_by_id(d, news->id);
+
+	return t && t->news.entry == news->entry ? compare(t, news) : 0;
+}
+
 /**
  * directory_absent() - a target's entry vanished from the platform, or names
  *	no target any more
--- a/core/packet/target/directory.h
+++ b/core/packet/target/directory.h
@@ -66,6 +66,8 @@
 struct target *directory_target(struct directory *d,
 				const struct target_news *news, uint64_t now_ns,
 				enum target_change *change);
+int directory_compare(const struct directory *d,
+		      const struct target_news *news);
 struct target *directory_absent(struct directory *d,
 				const struct target_news *news, uint64_t now_ns,
 				uint64_t trouble_ns);
--- a/core/packet/target/directory_cookie.c
+++ b/core/packet/target/directory_cookie.c
@@ -26,8 +26,8 @@
 {
 	if (a->news.started_ms != b->news.started_ms)
 		return a->news.started_ms < b->news.started_ms;
-	if (a->news.created != b->news.created)
-		return a->news.created < b->news.created;
+	if (position_compare(a->news.created, b->news.created))
+		return position_after(b->news.created, a->news.created);
 	return a->news.id < b->news.id;
 }
 
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -2,7 +2,7 @@
 #ifndef CB_TARGET_H
 #define CB_TARGET_H
 
-#include "types.h"
+#include "position.h"
 
 /**
  * enum target_stage - what was published of a target
@@ -44,7 +44,8 @@
  * @slots: requests it runs at once
  * @cold_ms: how much longer it is slow after its start
  * @leaving: takes no new flows
- * @created: revision of the entry's creation, the same at every reader
+ * @created: position of the entry's creation; what is created later is later
+ *	at every reader
  */
 struct target_news {
 	uint64_t id;
@@ -57,7 +58,7 @@
 	uint16_t slots;
 	uint32_t cold_ms;
 	bool leaving;
-	uint64_t created;
+	struct position created;
 };
 
 /**
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -16,6 +16,8 @@
 /* A heartbeat among a few others, with IP and UDP. */
 #define HELLO_BYTES 150
 #define PEER_TIMEOUT_NS (800 * NS_PER_MS)
+/* An event carries a position as one number. */
+#define EPOCH_SHIFT 48
 
 static uint64_t entry_addr(uint32_t i)
 {
@@ -113,8 +115,10 @@
 {
 	struct sim_entry *s = &w->entries[e->a];
 	struct sim_entry *peer = &w->entries[e->b];
+	struct position after = { e->c >> EPOCH_SHIFT,
+				  e->c & ((1ULL << EPOCH_SHIFT) - 1) };
+	const struct documents *from = peer->node->documents;
 	struct relay_head head;
-	uint64_t after = e->c;
 
 	if (!runs(s))
 		return;
@@ -122,21 +126,20 @@
 		node_fetched(s->node, NULL, w->now_ns);
 		return;
 	}
-	head.through = documents_through(peer->node->documents);
-	head.newest = documents_newest(peer->node->documents);
-	head.whole = after < documents_floor(peer->node->documents);
+	head.through = documents_through(from);
+	head.newest = documents_newest(from);
+	head.whole = documents_needs_all(from, after);
 	if (!node_fetching(s->node, &head, w->now_ns)) {
 		node_fetched(s->node, NULL, w->now_ns);
 		return;
 	}
-	for (uint32_t i = 0; i < documents_count(peer->node->documents); i++) {
-		const struct document *d =
-			documents_at(peer->node->documents, i);
+	for (uint32_t i = 0; i < documents_count(from); i++) {
+		const struct document *d = documents_at(from, i);
 
 		if (head.whole)
-			node_listed(s->node, d);
-		else if (d->revision > after)
-			node_changed(s->node, d);
+			node_relay_listed(s->node, d);
+		else if (documents_lacks(from, after, d))
+			node_relayed(s->node, d);
 	}
 	node_fetched(s->node, &head, w->now_ns);
 }
@@ -148,7 +151,7 @@
 	c->e->list_due_ns = 0;
 }
 
-static void fetch(void *ctx, uint64_t peer, uint64_t after)
+static void fetch(void *ctx, uint64_t peer, struct position after)
 {
 	struct port_ctx *c = ctx;
 	uint32_t at = entry_at(peer);
@@ -156,7 +159,8 @@
 		     !world_cut(c->w, c->e->zone, c->w->entries[at].zone);
 
 	world_at(c->w, there ? 2 * c->w->conf.site.far_ns : PEER_TIMEOUT_NS,
-		 on_fetched, (uint32_t)(c->e - c->w->entries), at, after);
+		 on_fetched, (uint32_t)(c->e - c->w->entries), at,
+		 after.epoch << EPOCH_SHIFT | after.revision);
 }
 
 /* A connection attempt under way; an event carries its number. */
--- a/sim/sim-packets/fault_table.c
+++ b/sim/sim-packets/fault_table.c
@@ -436,7 +436,7 @@
 /* All list the store when it goes away. */
 static void store_restored_mid_listing(struct world *w)
 {
-	world_at(w, LOST_CHANGES * LOST_GAP_NS - 510 * NS_PER_MS,
+	world_at(w, LOST_CHANGES * LOST_GAP_NS - 650 * NS_PER_MS,
 		 on_kill_entries, 0, 0, 0);
 	store_restored(w);
 }
--- a/sim/sim-packets/recovery.c
+++ b/sim/sim-packets/recovery.c
@@ -58,7 +58,7 @@
 		const struct sim_entry *e = &w->entries[i];
 
 		if (!e->up || !e->node->ready ||
-		    documents_newest(e->node->documents) < w->revision)
+		    documents_newest(e->node->documents).revision < w->revision)
 			return false;
 	}
 	return true;
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -108,12 +108,15 @@
 	const struct store_key *keys = old ? w->old_keys : w->keys;
 	uint32_t n = old ? w->n_old_keys : w->n_keys;
 	struct answer_head head = {
-		.epoch = old ? w->old_epoch : w->epoch,
 		.revision = old ? w->old_revision : w->revision,
 		.more = from + PAGE_KEYS < n,
 	};
 
-	node_answering(e->node, w->now_ns);
+	if (!node_answering(e->node, old ? w->old_epoch : w->epoch,
+			    w->now_ns)) {
+		node_answer(e->node, SOURCE_BEHIND, &head, w->now_ns);
+		return;
+	}
 	for (uint32_t i = from; i < n && i < from + PAGE_KEYS; i++) {
 		struct document d = keys[i].d;
 
@@ -130,11 +133,12 @@
 		   enum source_outcome outcome)
 {
 	struct sim_entry *e = &w->entries[entry];
-	struct answer_head head = { .epoch = w->epoch,
-				    .revision = w->revision };
+	struct answer_head head = { .revision = w->revision };
 
 	e->watching = false;
-	node_answering(e->node, w->now_ns);
+	if (outcome == SOURCE_OK &&
+	    !node_answering(e->node, w->epoch, w->now_ns))
+		outcome = SOURCE_BEHIND;
 	for (uint32_t i = 0; outcome == SOURCE_OK && i < w->n_keys; i++) {
 		const struct document *d = &w->keys[i].d;
 
@@ -467,6 +471,6 @@
 	out->target = v.news;
 	out->target.service = directory_known(names, v.service);
 	out->target.zone = (uint32_t)hash_text(v.zone);
-	out->target.created = d->created;
+	out->target.created = (struct position){ d->epoch, d->created };
 	return 0;
 }
--- a/sim/sim-soak/publish.c
+++ b/sim/sim-soak/publish.c
@@ -5,6 +5,7 @@
 
 #define OK 200
 #define BUSY 503
+#define GONE 410
 /* A revision that is never reached: such a call is not answered. */
 #define NEVER UINT64_MAX
 
@@ -126,6 +127,14 @@
 			       (unsigned long long)w->revision);
 }
 
+static void put_epoch(const struct world *w, struct http_request *req)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, w->epoch);
+	http_header(req, "Store-Era", text);
+}
+
 static int wait_for(struct soak_entry *e, struct http_request *req,
 		    uint64_t after, uint64_t wait_ms)
 {
@@ -162,15 +171,19 @@
 		break;
 	}
 	if (!strcmp(path, "/kv-range")) {
+		put_epoch(w, req);
 		put_answer(w, 0, "items", body);
 		return OK;
 	}
 	http_query(query, "after", after, sizeof(after));
 	http_query(query, "wait-ms", wait_ms, sizeof(wait_ms));
 	from = g_ascii_strtoull(after, NULL, 10);
-	if (w->revision <= from)
+	if (w->revision == from)
 		return wait_for(e, req, from,
 				g_ascii_strtoull(wait_ms, NULL, 10));
+	put_epoch(w, req);
+	if (w->revision < from)
+		return GONE;
 	put_answer(w, from, "events", body);
 	return OK;
 }
@@ -182,11 +195,13 @@
 
 	if (store_mode_of(w, e->index) != STORE_ANSWERS || i->after == NEVER)
 		return; /* falls silent; the caller's deadline tells */
-	if (w->revision <= i->after && uv_hrtime() < i->deadline_ns)
+	if (w->revision == i->after && uv_hrtime() < i->deadline_ns)
 		return;
 	body = g_string_new(NULL);
-	put_answer(w, i->after, "events", body);
-	http_answer(i->req, OK, body);
+	put_epoch(w, i->req);
+	if (w->revision >= i->after)
+		put_answer(w, i->after, "events", body);
+	http_answer(i->req, w->revision >= i->after ? OK : GONE, body);
 	g_string_free(body, TRUE);
 	i->req = NULL;
 }
--- a/test/documents_prop.cc
+++ b/test/documents_prop.cc
@@ -76,6 +76,11 @@
 	return true;
 }
 
+int no_order(void *, const document *)
+{
+	return 0;
+}
+
 std::map<std::string, std::string> state(const documents *s)
 {
 	std::map<std::string, std::string> out;
@@ -132,7 +137,7 @@
 		if (!k.second.deleted)
 			documents_put(s, &d, DOCUMENT_LISTED, 1);
 	}
-	documents_list_end(s, upto, 1);
+	documents_list_end(s, { 0, upto }, 1);
 }
 
 bool any_order()
@@ -148,7 +153,8 @@
 					order[*rc::gen::inRange<size_t>(0, i)]);
 			Listener l;
 			documents *s =
-				documents_new({ &l, on_change }, KEEP_NS);
+				documents_new({ &l, on_change, no_order },
+					      { KEEP_NS, KEEP_NS });
 
 			for (const Fact &f : order) {
 				put(s, f);
@@ -174,7 +180,8 @@
 			std::vector<Fact> between;
 			Listener l;
 			documents *s =
-				documents_new({ &l, on_change }, KEEP_NS);
+				documents_new({ &l, on_change, no_order },
+					      { KEEP_NS, KEEP_NS });
 
 			for (size_t i = 0; i < known; i++)
 				put(s, facts[i]);
@@ -213,7 +220,7 @@
 			news.addr = ADDR(7, 7);
 			news.service = directory_name(d, "s");
 			news.slots = 1;
-			news.created = id;
+			news.created.revision = id;
 			target_change change;
 
 			directory_target(d, &news, 1, &change);
--- a/test/packet_bed.c
+++ b/test/packet_bed.c
@@ -150,7 +150,7 @@
 		.service = directory_name(b->directory, service),
 		.zone = (uint32_t)hash_text(zone),
 		.slots = 3,
-		.created = id,
+		.created = { 0, id },
 	};
 
 	return bed_publish(b, &news);
--- a/test/packet_incarnation_test.c
+++ b/test/packet_incarnation_test.c
@@ -28,7 +28,7 @@
 		.service = directory_name(b->directory, SERVICE),
 		.zone = (uint32_t)hash_text(ZONE),
 		.slots = 3,
-		.created = id,
+		.created = { 0, id },
 	};
 }
 
@@ -335,7 +335,7 @@
 		first = entry(&b, 1, STARTED_MS, 7);
 		second = entry(&b, 1, STARTED_MS + 900, 1);
 		second.entry = 2;
-		second.created = 50;
+		second.created.revision = 50;
 		second.addr = ADDR(9, 9);
 		bed_publish(&b, order ? &first : &second);
 		bed_publish(&b, order ? &second : &first);
@@ -349,6 +349,26 @@
 	}
 }
 
+/* Guards against a successor taken for the earlier one: its entry's creation has
+ * a lower revision when the store has come back from an older copy. */
+static void test_successor_created_in_a_later_epoch(void **state)
+{
+	struct target_news first, second;
+	struct bed b;
+
+	(void)state;
+	bed_open(&b);
+	first = entry(&b, 1, 0, 7);
+	first.created = (struct position){ 1, 30 };
+	second = entry(&b, 2, 0, 1);
+	second.addr = first.addr;
+	second.created = (struct position){ 2, 26 };
+	bed_publish(&b, &first);
+	bed_publish(&b, &second);
+	assert_int_equal(bed_syn(&b, CALLER, VIP, 0).target->news.id, 2);
+	bed_close(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -365,6 +385,7 @@
 		cmocka_unit_test(test_entry_without_a_start_among_others),
 		cmocka_unit_test(test_start_told_by_one_alone),
 		cmocka_unit_test(test_second_key_of_an_id),
+		cmocka_unit_test(test_successor_created_in_a_later_epoch),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -65,7 +65,7 @@
 	f->calls.cancels++;
 }
 
-static void on_fetch(void *ctx, uint64_t peer, uint64_t after)
+static void on_fetch(void *ctx, uint64_t peer, struct position after)
 {
 	struct fixture *f = ctx;
 
@@ -259,7 +259,7 @@
 
 	pass(f, 40 * MS);
 	assert_int_equal(f->calls.lists, 1);
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "routes", 5, "3");
 	fact(f, node_listed, "t/1", 6, "x");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
@@ -303,8 +303,8 @@
 static void test_not_ready_before_it_knows_what_peers_do(void **state)
 {
 	struct fixture *f = *state;
-	struct hello h = { .from = PEER, .newest = 50, .boot = 1 };
-	struct relay_head head = { .through = 60, .newest = 50 };
+	struct hello h = { .from = PEER, .newest = { 0, 50 }, .boot = 1 };
+	struct relay_head head = { .through = { 0, 60 }, .newest = { 0, 50 } };
 
 	node_hello(f->node, &h, f->now_ns);
 	assert_int_equal(f->calls.fetches, 1);
@@ -325,7 +325,7 @@
 	/* A peer that is ahead later is no reason to leave; but what is missing
 	 * here may be there. */
 	assert_int_equal(opening(f, NO_VIP), PATH_RESET);
-	h.newest = 70;
+	h.newest.revision = 70;
 	node_hello(f->node, &h, f->now_ns);
 	assert_int_equal(opening(f, NO_VIP), PATH_DROP);
 	pass(f, 40 * MS);
@@ -340,12 +340,12 @@
 static void test_ready_though_a_peer_went_on(void **state)
 {
 	struct fixture *f = *state;
-	struct hello h = { .from = PEER, .newest = 50, .boot = 1 };
-	struct relay_head head = { .through = 60, .newest = 50 };
+	struct hello h = { .from = PEER, .newest = { 0, 50 }, .boot = 1 };
+	struct relay_head head = { .through = { 0, 60 }, .newest = { 0, 50 } };
 
 	node_hello(f->node, &h, f->now_ns);
 	f->now_ns += 100 * MS;
-	h.newest = 55;
+	h.newest.revision = 55;
 	node_hello(f->node, &h, f->now_ns);
 	assert_true(node_fetching(f->node, &head, f->now_ns));
 	fact(f, node_changed, "routes", 50, "9");
@@ -380,17 +380,19 @@
 {
 	struct fixture *f = *state;
 	struct answer_head more = { .revision = 10, .more = true };
-	struct relay_head whole = { .through = 8, .newest = 8, .whole = true };
+	struct relay_head whole = { .through = { 0, 8 },
+				    .newest = { 0, 8 },
+				    .whole = true };
 
 	strcpy(more.last_key, "t/1");
 	pass(f, 40 * MS);
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "routes", 5, "3");
 	fact(f, node_listed, "t/1", 6, "x");
 	node_answer(f->node, SOURCE_OK, &more, f->now_ns);
 	assert_false(node_fetching(f->node, &whole, f->now_ns));
 	node_fetched(f->node, NULL, f->now_ns);
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "t/2", 7, "x");
 	more.more = false;
 	node_answer(f->node, SOURCE_OK, &more, f->now_ns);
@@ -414,27 +416,27 @@
 	strcpy(head.last_key, "t/1");
 	pass(f, 40 * MS);
 	assert_true(f->calls.list_exact);
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "routes", 5, "3");
 	fact(f, node_listed, "t/1", 6, "x");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	assert_int_equal(f->calls.lists, 2);
 	assert_false(f->calls.list_exact);
 	head = (struct answer_head){ .revision = 12 };
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "t/2", 7, "x");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	assert_false(f->node->ready);
 	node_hello(f->node, &h, f->now_ns);
 	node_stop(f->node, f->now_ns);
-	assert_int_equal(f->calls.last.newest, 0);
+	assert_int_equal(f->calls.last.newest.revision, 0);
 	f->node->stop_ns = 0;
 	/* What came since is asked for at once. */
 	assert_int_equal(f->calls.watches, 1);
 	assert_int_equal(f->calls.watch_after, 12);
 	assert_int_equal(f->calls.watch_wait_ns, 0);
 	head.revision = 20;
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_changed, "t/2", 15, NULL);
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	assert_true(f->node->ready);
@@ -463,20 +465,20 @@
 
 	strcpy(head.last_key, "routes");
 	pass(f, 40 * MS);
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "routes", 5, "3");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	/* A peer tells of the one that was begun, at 18. */
 	fact(f, node_changed, "e/garda", 18, "{}");
 	head = (struct answer_head){ .revision = 12 };
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "e/como", 7, "{}");
 	fact(f, node_listed, "t/1", 6, "x");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	assert_false(f->node->ready);
 	assert_true(evacuated(f, "garda"));
 	head.revision = 20;
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_changed, "e/como", 15, NULL);
 	fact(f, node_changed, "e/garda", 18, "{}");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
@@ -508,11 +510,11 @@
 
 	strcpy(head.last_key, "t/1");
 	pass(f, 40 * MS);
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "routes", 5, "3");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	head = (struct answer_head){ .revision = 21 };
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "t/2", 7, "x");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	assert_true(f->node->ready);
@@ -526,12 +528,12 @@
 {
 	struct fixture *f = *state;
 	struct answer_head head = { .revision = 20, .more = true };
-	struct relay_head relay = { .through = 60, .newest = 50 };
-	struct hello h = { .from = PEER, .newest = 50, .boot = 1 };
+	struct relay_head relay = { .through = { 0, 60 }, .newest = { 0, 50 } };
+	struct hello h = { .from = PEER, .newest = { 0, 50 }, .boot = 1 };
 
 	strcpy(head.last_key, "t/1");
 	pass(f, 40 * MS);
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "routes", 5, "3");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	assert_int_equal(f->calls.lists, 2);
@@ -570,11 +572,11 @@
 	listed(f);
 	node_hello(f->node, &h, f->now_ns);
 	before = f->calls.hellos;
-	node_answering(f->node, f->now_ns);
+	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_changed, "routes", 20, "4");
 	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
 	assert_int_equal(f->calls.hellos, before + 1);
-	assert_int_equal(f->calls.last.newest, 20);
+	assert_int_equal(f->calls.last.newest.revision, 20);
 }
 
 /*
@@ -811,6 +813,142 @@
 	assert_int_equal(t->stage, TARGET_SERVING);
 }
 
+/* The platform's answer to the call under way, of an epoch. */
+static bool answered_in(struct fixture *f, uint64_t epoch, uint64_t revision,
+			const char *version)
+{
+	struct answer_head head = { .revision = revision };
+	bool joined = node_answering(f->node, epoch, f->now_ns);
+
+	if (joined)
+		fact(f,
+		     f->node->step == SOURCE_LIST ? node_listed : node_changed,
+		     "routes", revision, version);
+	node_answer(f->node, joined ? SOURCE_OK : SOURCE_BEHIND, &head,
+		    f->now_ns);
+	return joined;
+}
+
+static uint64_t version_of(const struct fixture *f)
+{
+	return directory_table(f->node->directory)->version;
+}
+
+/* It knows version 24 at revision 26 of epoch 1, and watches. */
+static void before_restore(struct fixture *f)
+{
+	pass(f, 40 * MS);
+	assert_true(answered_in(f, 1, 26, "24"));
+	pass(f, 400 * MS);
+	assert_int_equal(f->calls.watches, 1);
+	assert_int_equal(f->calls.watch_after, 26);
+}
+
+/* Guards against a watch that misses what came before its revision. */
+static void test_watch_of_another_epoch_is_no_answer(void **state)
+{
+	struct fixture *f = *state;
+
+	before_restore(f);
+	assert_false(answered_in(f, 2, 30, "32"));
+	assert_int_equal(version_of(f), 24);
+	pass(f, 40 * MS);
+	assert_int_equal(f->calls.lists, 2);
+	assert_true(f->calls.list_exact);
+	assert_true(answered_in(f, 2, 30, "32"));
+	assert_int_equal(version_of(f), 32);
+	pass(f, 400 * MS);
+	assert_int_equal(f->calls.watch_after, 30);
+}
+
+/* Guards against a configuration that is late: its revision was used before. */
+static void test_lower_revision_of_a_later_epoch_is_in_force(void **state)
+{
+	struct fixture *f = *state;
+
+	before_restore(f);
+	answered_in(f, 2, 23, "14");
+	pass(f, 40 * MS);
+	assert_true(answered_in(f, 2, 23, "14"));
+	assert_int_equal(version_of(f), 24);
+	pass(f, 400 * MS);
+	assert_int_equal(f->calls.watch_after, 23);
+	assert_true(answered_in(f, 2, 26, "28"));
+	assert_int_equal(version_of(f), 28);
+}
+
+/* Guards against answers that were under way while a peer told of the epoch. */
+static void test_watch_asked_before_a_peer_told_of_the_epoch(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .newest = { 2, 23 }, .boot = 1 };
+	struct relay_head head = { { 2, 23 }, { 2, 23 }, true };
+
+	before_restore(f);
+	node_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.fetches, 1);
+	assert_true(node_fetching(f->node, &head, f->now_ns));
+	node_fetched(f->node, &head, f->now_ns);
+	/* It asked after 26, and would miss 24 to 26. */
+	assert_false(answered_in(f, 2, 30, "32"));
+}
+
+/* Guards against a listing of two halves that were never there together. */
+static void test_pages_of_two_epochs_make_no_listing(void **state)
+{
+	struct fixture *f = *state;
+	struct answer_head more = { .revision = 26, .more = true };
+
+	strcpy(more.last_key, "t/1");
+	pass(f, 40 * MS);
+	assert_true(node_answering(f->node, 1, f->now_ns));
+	fact(f, node_listed, "routes", 5, "3");
+	node_answer(f->node, SOURCE_OK, &more, f->now_ns);
+	assert_false(answered_in(f, 2, 23, "14"));
+	assert_false(f->node->ready);
+	pass(f, 40 * MS);
+	assert_true(answered_in(f, 2, 23, "14"));
+	assert_true(f->node->ready);
+}
+
+/* Guards against a replica that lags, and a peer that has not heard of it. */
+static void test_earlier_epoch_takes_nothing_back(void **state)
+{
+	struct fixture *f = *state;
+	struct relay_head head = { { 1, 90 }, { 1, 90 }, true };
+
+	pass(f, 40 * MS);
+	assert_true(answered_in(f, 2, 23, "28"));
+	pass(f, 400 * MS);
+	assert_false(answered_in(f, 1, 80, "30"));
+	assert_false(node_fetching(f->node, &head, f->now_ns));
+	assert_int_equal(version_of(f), 28);
+}
+
+/* Guards against a newcomer that serves what only the older copy says. */
+static void test_not_ready_before_it_has_what_peers_carry(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = {
+		.from = PEER, .newest = { 2, 23 }, .carried = 77, .boot = 1
+	};
+	struct relay_head head = { { 2, 23 }, { 2, 23 }, false };
+	struct document kept = doc("routes", 26, "24");
+
+	pass(f, 40 * MS);
+	/* Its first heartbeat comes while the listing is on its way. */
+	node_hello(f->node, &h, f->now_ns);
+	node_fetched(f->node, NULL, f->now_ns);
+	assert_true(answered_in(f, 2, 23, "14"));
+	assert_false(f->node->ready);
+	assert_true(node_fetching(f->node, &head, f->now_ns));
+	kept.epoch = 1;
+	node_relayed(f->node, &kept);
+	node_fetched(f->node, &head, f->now_ns);
+	assert_true(f->node->ready);
+	assert_int_equal(version_of(f), 24);
+}
+
 static void test_pause_drops_what_waited(void **state)
 {
 	struct fixture *f = *state;
@@ -848,6 +986,12 @@
 		TEST(test_many_heartbeats_under_load_stay_within_it),
 		TEST(test_targets_before_their_configuration),
 		TEST(test_entry_written_over_names_no_target),
+		TEST(test_watch_of_another_epoch_is_no_answer),
+		TEST(test_lower_revision_of_a_later_epoch_is_in_force),
+		TEST(test_watch_asked_before_a_peer_told_of_the_epoch),
+		TEST(test_pages_of_two_epochs_make_no_listing),
+		TEST(test_earlier_epoch_takes_nothing_back),
+		TEST(test_not_ready_before_it_has_what_peers_carry),
 		TEST(test_pause_drops_what_waited),
 	};
 
--- a/test/packet_path_test.c
+++ b/test/packet_path_test.c
@@ -658,7 +658,7 @@
 	cookie = t->cookie;
 	news = t->news;
 	news.id = news.entry = 9;
-	news.created = 9;
+	news.created.revision = 9;
 	news.service = directory_name(b.directory, OTHER_SERVICE);
 	bed_publish(&b, &news);
 	assert_int_equal(bed_syn(&b, CALLER + 2, VIP, 0).action, PATH_RESET);
--- a/test/packet_peers_test.c
+++ b/test/packet_peers_test.c
@@ -18,6 +18,11 @@
 #define ROOM 16
 #define CROWD 57
 
+static struct position at(uint64_t revision)
+{
+	return (struct position){ 0, revision };
+}
+
 static uint64_t address(uint32_t i)
 {
 	return ADDR(0x0a000001 + i, 7720);
@@ -151,7 +156,7 @@
 		}
 		for (uint32_t i = 0; i < CROWD && step % 100 == 50; i++)
 			if (!peer_set_rank(vm[i], now_ns))
-				peer_set_contact(vm[i], step + 1, now_ns);
+				peer_set_contact(vm[i], at(step + 1), now_ns);
 		if (step < 250 || step % 50)
 			continue;
 		for (uint32_t i = 0; i < CROWD; i++) {
@@ -182,7 +187,7 @@
 	net_open(&n);
 	net_pass(&n, 2 * NS_PER_S);
 	for (uint32_t i = 0; i < ZONES; i++)
-		peer_set_contact(n.vm[i], 50, n.now_ns);
+		peer_set_contact(n.vm[i], at(50), n.now_ns);
 	net_pass(&n, NS_PER_S);
 	for (uint32_t i = 0; i < VMS; i++)
 		before += peer_set_readers_before(
@@ -242,17 +247,59 @@
 
 static void test_peer_ahead_is_found(void **state)
 {
+	struct knowledge older = { { 0, 49 }, 0, 0 };
+	struct knowledge same = { { 0, 50 }, 0, 0 };
 	struct net n;
-	struct hello h = { .from = address(4), .zone = 1, .newest = 50 };
+	struct hello h = { .from = address(4), .zone = 1, .newest = { 0, 50 } };
 
 	(void)state;
 	net_open(&n);
 	peer_set_hear(n.vm[0], &h, n.now_ns);
-	assert_int_equal(peer_set_ahead(n.vm[0], 49, n.now_ns)->addr,
+	assert_int_equal(peer_set_ahead(n.vm[0], &older, n.now_ns)->addr,
 			 address(4));
-	assert_null(peer_set_ahead(n.vm[0], 50, n.now_ns));
+	assert_null(peer_set_ahead(n.vm[0], &same, n.now_ns));
 	/* Not one that fell silent. */
-	assert_null(peer_set_ahead(n.vm[0], 49, n.now_ns + NS_PER_S));
+	assert_null(peer_set_ahead(n.vm[0], &older, n.now_ns + NS_PER_S));
+	net_close(&n);
+}
+
+/* Guards against entries that never ask who has read the restored store. */
+static void test_peer_of_a_later_epoch_is_ahead(void **state)
+{
+	struct knowledge before = { { 1, 50 }, 0, 0 };
+	struct knowledge later = { { 3, 1 }, 0, 0 };
+	struct net n;
+	struct hello h = { .from = address(4), .zone = 1, .newest = { 2, 40 } };
+
+	(void)state;
+	net_open(&n);
+	peer_set_hear(n.vm[0], &h, n.now_ns);
+	assert_non_null(peer_set_ahead(n.vm[0], &before, n.now_ns));
+	assert_null(peer_set_ahead(n.vm[0], &later, n.now_ns));
+	net_close(&n);
+}
+
+/* Guards against two that ask each other for what they carry without end. */
+static void test_who_carries_more_is_asked_once(void **state)
+{
+	struct knowledge own = { { 2, 40 }, 0, 0 };
+	struct net n;
+	struct hello h = { .from = address(4),
+			   .zone = 1,
+			   .newest = { 2, 40 },
+			   .carried = 77 };
+
+	(void)state;
+	net_open(&n);
+	peer_set_hear(n.vm[0], &h, n.now_ns);
+	assert_non_null(peer_set_ahead(n.vm[0], &own, n.now_ns));
+	own.carried_taken = 77;
+	assert_null(peer_set_ahead(n.vm[0], &own, n.now_ns));
+	own = (struct knowledge){ { 2, 40 }, 77, 0 };
+	assert_null(peer_set_ahead(n.vm[0], &own, n.now_ns));
+	/* Of another epoch it is not what is missing here. */
+	own = (struct knowledge){ { 3, 1 }, 0, 0 };
+	assert_null(peer_set_ahead(n.vm[0], &own, n.now_ns));
 	net_close(&n);
 }
 
@@ -352,7 +399,9 @@
 		.boot = UINT64_MAX,
 		.leaving = true,
 		.reply = true,
-		.newest = UINT64_MAX,
+		.newest = { UINT64_MAX, UINT64_MAX },
+		.carried = UINT64_MAX,
+		.epoch_age_ms = UINT32_MAX,
 		.trouble_age_ms = UINT32_MAX,
 		.n_peers = HELLO_PEERS_MAX,
 		.has_loads = true,
@@ -373,16 +422,22 @@
 		h.failing[i] =
 			(struct hello_failing){ UINT32_MAX - i, UINT16_MAX };
 	for (uint32_t i = 0; i < HELLO_CLAIMS_MAX; i++)
-		h.claims[i] = (struct hello_claim){ UINT32_MAX, UINT64_MAX,
-						    UINT64_MAX - i, UINT32_MAX,
-						    UINT32_MAX };
+		h.claims[i] =
+			(struct hello_claim){ UINT32_MAX,
+					      UINT64_MAX,
+					      { UINT64_MAX, UINT64_MAX - i },
+					      UINT32_MAX,
+					      UINT32_MAX };
 	n = hello_encode(&h, data);
 	assert_in_range(n, 1000, HELLO_MAX_BYTES);
 	assert_int_equal(hello_decode(data, n, &got), 0);
 	assert_int_equal(got.n_loads, HELLO_LOADS_MAX);
 	assert_int_equal(got.n_failing, HELLO_FAILING_MAX);
 	assert_int_equal(got.n_claims, HELLO_CLAIMS_MAX);
-	assert_int_equal(got.claims[2].revision, UINT64_MAX - 2);
+	assert_int_equal(got.claims[2].at.epoch, UINT64_MAX);
+	assert_int_equal(got.claims[2].at.revision, UINT64_MAX - 2);
+	assert_int_equal(got.newest.epoch, UINT64_MAX);
+	assert_int_equal(got.carried, UINT64_MAX);
 	assert_int_equal(got.failing[3].cookie, UINT32_MAX - 3);
 	assert_int_equal(got.failing[3].failures_centi, UINT16_MAX);
 }
@@ -409,6 +464,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_peer_of_a_later_epoch_is_ahead),
+		cmocka_unit_test(test_who_carries_more_is_asked_once),
 		cmocka_unit_test(test_all_find_each_other),
 		cmocka_unit_test(test_one_reader_a_data_centre),
 		cmocka_unit_test(test_one_reader_among_many),
--- a/test/packet_relay_test.c
+++ b/test/packet_relay_test.c
@@ -20,6 +20,20 @@
 	return true;
 }
 
+static int no_order(void *ctx, const struct document *d)
+{
+	(void)ctx;
+	(void)d;
+	return 0;
+}
+
+static const struct documents_times kept = { NS_PER_S, NS_PER_S };
+
+static struct position at(uint64_t revision)
+{
+	return (struct position){ 0, revision };
+}
+
 static void collect(void *ctx, const struct document *d)
 {
 	documents_put(ctx, d, DOCUMENT_CHANGED, NOW_NS);
@@ -43,16 +57,16 @@
 }
 
 static struct document_value known(void *ctx, uint64_t key_hash,
-				   uint64_t revision)
+				   struct position since)
 {
-	return documents_value(ctx, key_hash, revision);
+	return documents_value(ctx, key_hash, since);
 }
 
 static void test_relay_brings_what_is_missing(void **state)
 {
-	struct documents_port nobody = { NULL, ignore };
-	struct documents *from = documents_new(nobody, NS_PER_S);
-	struct documents *to = documents_new(nobody, NS_PER_S);
+	struct documents_port nobody = { NULL, ignore, no_order };
+	struct documents *from = documents_new(nobody, kept);
+	struct documents *to = documents_new(nobody, kept);
 	struct document d = { .key = "a", .revision = 3, .created = 3 };
 	GString *body = g_string_new(NULL);
 	struct relay_base none = { 0 };
@@ -66,8 +80,8 @@
 	strcpy(d.key, "b");
 	d.revision = 5;
 	documents_put(from, &d, DOCUMENT_CHANGED, 1);
-	documents_covered(from, 6);
-	relay_encode(from, 3, &none, &delta, body);
+	documents_covered(from, at(6), NOW_NS);
+	relay_encode(from, at(3), &none, &delta, body);
 	assert_int_equal(relay_decode((uint8_t *)body->str, (uint32_t)body->len,
 				      (struct relay_port){ to, refuse, known },
 				      &head),
@@ -77,8 +91,8 @@
 				      (struct relay_port){ to, begin, known },
 				      &head),
 			 0);
-	assert_int_equal(head.through, 6);
-	assert_int_equal(head.newest, 5);
+	assert_int_equal(head.through.revision, 6);
+	assert_int_equal(head.newest.revision, 5);
 	assert_false(head.whole);
 	assert_int_equal(documents_count(to), 1);
 	assert_string_equal(documents_at(to, 0)->key, "b");
@@ -107,7 +121,7 @@
 		d.value[i] = (uint8_t)rng_next(&rng);
 	memcpy(d.value + LARGE_BYTES / 2, &revision, sizeof(revision));
 	documents_put(s, &d, DOCUMENT_CHANGED, NOW_NS);
-	documents_covered(s, revision);
+	documents_covered(s, at(revision), NOW_NS);
 	free(d.value);
 }
 
@@ -120,11 +134,11 @@
 
 static int setup(void **state)
 {
-	struct documents_port nobody = { NULL, ignore };
+	struct documents_port nobody = { NULL, ignore, no_order };
 	struct pair *p = g_new0(struct pair, 1);
 
-	p->from = documents_new(nobody, NS_PER_S);
-	p->to = documents_new(nobody, NS_PER_S);
+	p->from = documents_new(nobody, kept);
+	p->to = documents_new(nobody, kept);
 	p->body = g_string_new(NULL);
 	*state = p;
 	return 0;
@@ -155,7 +169,7 @@
 	err = relay_decode((uint8_t *)p->body->str, (uint32_t)p->body->len,
 			   (struct relay_port){ p->to, begin, known }, &head);
 	if (!err)
-		documents_covered(p->to, head.through);
+		documents_covered(p->to, head.through, NOW_NS);
 	return err;
 }
 
@@ -258,7 +272,7 @@
 	put_large(p->from, 5);
 	base = relay_base(p->from);
 	put_large(p->from, 9);
-	relay_encode(p->from, 5, &base, &p->delta, p->body);
+	relay_encode(p->from, at(5), &base, &p->delta, p->body);
 	assert_int_equal(
 		relay_decode((uint8_t *)p->body->str, (uint32_t)p->body->len,
 			     (struct relay_port){ p->to, begin, known }, &head),
@@ -266,6 +280,21 @@
 	assert_int_equal(documents_count(p->to), 0);
 }
 
+/* Guards against a change applied to a value that only shares its revision. */
+static void test_base_of_another_epoch_is_no_base(void **state)
+{
+	struct pair *p = *state;
+	struct relay_base base;
+
+	put_large(p->from, 5);
+	base = relay_base(p->from);
+	base.since.epoch = 1;
+	put_large(p->from, 9);
+	relay_encode(p->from, (struct position){ 0, 5 }, &base, &p->delta,
+		     p->body);
+	assert_true(p->body->len > LARGE_BYTES / 2);
+}
+
 /* The same change asked for by many is encoded once. */
 static void test_change_is_kept(void **state)
 {
@@ -276,15 +305,15 @@
 	put_large(p->from, 5);
 	base = relay_base(p->from);
 	put_large(p->from, 9);
-	relay_encode(p->from, 5, &base, &p->delta, p->body);
+	relay_encode(p->from, at(5), &base, &p->delta, p->body);
 	first = p->delta.bytes;
-	assert_int_equal(p->delta.revision, 9);
+	assert_int_equal(p->delta.to.revision, 9);
 	p->delta.bytes->str[0] ^= 1;
-	relay_encode(p->from, 5, &base, &p->delta, p->body);
+	relay_encode(p->from, at(5), &base, &p->delta, p->body);
 	assert_ptr_equal(p->delta.bytes, first);
 	put_large(p->from, 11);
-	relay_encode(p->from, 5, &base, &p->delta, p->body);
-	assert_int_equal(p->delta.revision, 11);
+	relay_encode(p->from, at(5), &base, &p->delta, p->body);
+	assert_int_equal(p->delta.to.revision, 11);
 	put_large(p->to, 5);
 	assert_int_equal(fetch(p), 0);
 	assert_same(p);
@@ -312,6 +341,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_base_of_another_epoch_is_no_base, setup, teardown),
 		cmocka_unit_test(test_relay_brings_what_is_missing),
 		TEST(test_a_change_is_small),
 		TEST(test_two_changes_at_once),
--- a/test/read_claims_test.c
+++ b/test/read_claims_test.c
@@ -10,6 +10,11 @@
 #define SELF 100
 #define OTHER 200
 
+static struct position at(uint64_t revision)
+{
+	return (struct position){ 0, revision };
+}
+
 /*
  * Symptom: a reader that died is believed to read for ever. Sequence: its last
  * claim goes from peer to peer in a circle, each a little later than told.
@@ -18,7 +23,7 @@
 static void test_a_claim_that_goes_round_grows_old(void **state)
 {
 	struct read_claims a = { 0 }, b = { 0 };
-	struct read_claim c = { HERE, OTHER, 50, 1, NS_PER_S };
+	struct read_claim c = { HERE, OTHER, { 0, 50 }, 1, NS_PER_S };
 
 	(void)state;
 	assert_true(read_claims_take(&a, &c));
@@ -38,13 +43,13 @@
 static void test_later_answers_are_newer(void **state)
 {
 	struct read_claims a = { 0 };
-	struct read_claim old = { HERE, OTHER, 50, 9, 3 * NS_PER_S };
+	struct read_claim old = { HERE, OTHER, { 0, 50 }, 9, 3 * NS_PER_S };
 
 	(void)state;
-	read_claims_contact(&a, HERE, SELF, 60, NS_PER_S);
+	read_claims_contact(&a, HERE, SELF, at(60), NS_PER_S);
 	assert_false(read_claims_take(&a, &old));
 	/* Nothing was published since. */
-	read_claims_contact(&a, HERE, SELF, 60, 2 * NS_PER_S);
+	read_claims_contact(&a, HERE, SELF, at(60), 2 * NS_PER_S);
 	assert_int_equal(read_claims_of(&a, HERE)->number, 2);
 	assert_int_equal(read_claims_latest_ns(&a), 2 * NS_PER_S);
 }
@@ -56,8 +61,8 @@
 	struct read_claim of_a, of_b;
 
 	(void)state;
-	read_claims_contact(&a, HERE, SELF, 5, 1);
-	read_claims_contact(&b, HERE, OTHER, 5, 1);
+	read_claims_contact(&a, HERE, SELF, at(5), 1);
+	read_claims_contact(&b, HERE, OTHER, at(5), 1);
 	of_a = *read_claims_of(&a, HERE);
 	of_b = *read_claims_of(&b, HERE);
 	assert_true(read_claims_take(&a, &of_b) != read_claims_take(&b, &of_a));
@@ -76,7 +81,7 @@
 	struct read_claim before;
 
 	(void)state;
-	read_claims_contact(&a, HERE, SELF, 5, 4 * NS_PER_S);
+	read_claims_contact(&a, HERE, SELF, at(5), 4 * NS_PER_S);
 	before = *read_claims_of(&a, HERE);
 	read_claims_withdraw(&a, HERE, OTHER, NS_PER_S);
 	assert_int_equal(read_claims_of(&a, HERE)->contact_ns, 4 * NS_PER_S);
@@ -92,7 +97,7 @@
 
 	(void)state;
 	for (uint32_t zone = 1; zone <= 5; zone++) {
-		struct read_claim c = { zone, zone, 5, 1, 4 * NS_PER_S };
+		struct read_claim c = { zone, zone, { 0, 5 }, 1, 4 * NS_PER_S };
 
 		read_claims_take(&a, &c);
 	}
@@ -111,7 +116,9 @@
 
 	(void)state;
 	for (uint32_t zone = 1; zone <= 5; zone++) {
-		struct read_claim c = { zone, zone, 5, 1, zone * NS_PER_S };
+		struct read_claim c = {
+			zone, zone, { 0, 5 }, 1, zone * NS_PER_S
+		};
 
 		read_claims_take(&a, &c);
 	}
@@ -123,9 +130,25 @@
 	assert_int_equal(out[0].zone, 5);
 }
 
+/* Guards against a claim of before the store went back, believed for ever. */
+static void test_claim_of_a_later_epoch_is_newer(void **state)
+{
+	struct read_claims a = { 0 };
+	struct read_claim old = { HERE, OTHER, { 1, 50 }, 9, 3 * NS_PER_S };
+	struct position back = { 2, 40 };
+
+	(void)state;
+	read_claims_take(&a, &old);
+	read_claims_contact(&a, HERE, SELF, back, 4 * NS_PER_S);
+	assert_int_equal(read_claims_of(&a, HERE)->by, SELF);
+	assert_int_equal(read_claims_of(&a, HERE)->at.revision, 40);
+	assert_false(read_claims_take(&a, &old));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_claim_of_a_later_epoch_is_newer),
 		cmocka_unit_test(test_a_claim_that_goes_round_grows_old),
 		cmocka_unit_test(test_later_answers_are_newer),
 		cmocka_unit_test(test_of_two_alike_one_is_newer),
--- a/test/users_platform_test.c
+++ b/test/users_platform_test.c
@@ -318,7 +318,7 @@
 	assert_int_equal(n.target.addr, ADDR(0x0a800009, 8080));
 	assert_int_equal(n.target.slots, 3);
 	assert_true(n.target.leaving);
-	assert_int_equal(n.target.created, 4);
+	assert_int_equal(n.target.created.revision, 4);
 	assert_int_equal(n.target.sequence, 4);
 	assert_int_equal(n.target.cold_ms, 1500);
 	assert_int_equal(n.target.started_ms, 0);
