Tests of single comparisons by epoch, and the soak's restored store

sim-soak plays seven of the restored stores against real processes, with Store-Era and 410 in its store.

--- a/sim/sim-soak/main.c
+++ b/sim/sim-soak/main.c
@@ -15,7 +15,8 @@
 #define TICK_MS 5
 #define ASK_NS (250 * NS_PER_MS)
 #define WARM_UP_NS (4 * NS_PER_S)
-#define CALM_NS (6 * NS_PER_S)
+/* A restored store is judged once all has settled: 10 s after the fault. */
+#define CALM_NS (11 * NS_PER_S)
 #define FAULT_GAP_NS (1500 * NS_PER_MS)
 /* Least part of the requests that is served over a run, all faults in it. */
 #define SERVED_LEAST 0.80
@@ -39,6 +40,13 @@
 	"store_lapse",
 	"store_refuses_half",
 	"store_silent_release",
+	"store_restored",
+	"store_restored_few_see",
+	"store_restored_twice",
+	"store_restored_mid_listing",
+	"store_restored_and_kill_entries",
+	"store_restored_and_roll",
+	"store_restored_and_release",
 	"storm",
 	"add_route",
 	"targets_fail",
--- a/test/packet_documents_test.c
+++ b/test/packet_documents_test.c
@@ -318,7 +318,12 @@
 
 	(void)state;
 	assert_false(documents_needs_all(s, (struct position){ 1, 26 }));
+	put_in(s, 1, "b", 27, "x", DOCUMENT_CHANGED);
+	put_in(s, 1, "b", 28, NULL, DOCUMENT_CHANGED);
+	documents_tick(s, NS_PER_S + KEEP_NS);
+	assert_true(documents_needs_all(s, (struct position){ 1, 26 }));
 	list_restored(s, "24");
+	assert_int_equal(documents_floor(s).revision, 0);
 	assert_true(documents_needs_all(s, (struct position){ 1, 26 }));
 	assert_false(documents_needs_all(s, (struct position){ 2, 23 }));
 	assert_false(documents_needs_all(s, (struct position){ 3, 1 }));
@@ -338,6 +343,19 @@
 	documents_free(s);
 }
 
+/* Guards against a change applied to a value that only shares its revision. */
+static void test_value_is_found_by_epoch_and_revision(void **state)
+{
+	struct documents_port port = { NULL, on_change, no_order };
+	struct documents *s = open_before_restore(port);
+	struct position same = { 1, 26 }, other = { 2, 26 };
+
+	(void)state;
+	assert_non_null(documents_value(s, hash_text("a"), same).bytes);
+	assert_null(documents_value(s, hash_text("a"), other).bytes);
+	documents_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -352,6 +370,7 @@
 		cmocka_unit_test(
 			test_carried_ends_as_the_first_heard_of_the_epoch),
 		cmocka_unit_test(test_older_copy_takes_nothing_back),
+		cmocka_unit_test(test_value_is_found_by_epoch_and_revision),
 		cmocka_unit_test(test_newcomer_takes_what_a_peer_carries),
 		cmocka_unit_test(test_peer_of_an_earlier_epoch_needs_all),
 		cmocka_unit_test(test_deletion_of_an_earlier_epoch_gives_way),
--- a/test/packet_incarnation_test.c
+++ b/test/packet_incarnation_test.c
@@ -369,6 +369,53 @@
 	bed_close(&b);
 }
 
+/* Guards against a second key that has the id since its creation has a lower
+ * revision, of a later epoch. */
+static void test_second_key_of_an_id_in_a_later_epoch(void **state)
+{
+	struct target_news first, second;
+	struct bed b;
+
+	(void)state;
+	bed_open(&b);
+	first = entry(&b, 1, STARTED_MS, 7);
+	first.created = (struct position){ 1, 30 };
+	second = entry(&b, 1, STARTED_MS + 900, 1);
+	second.entry = 2;
+	second.created = (struct position){ 2, 26 };
+	second.addr = ADDR(9, 9);
+	bed_publish(&b, &first);
+	bed_publish(&b, &second);
+	assert_int_equal(b.change, TARGET_FOREIGN);
+	bed_close(&b);
+}
+
+/* Guards against an older copy's entry that ends a target's leaving. */
+static void test_entries_are_ordered_by_start_and_number(void **state)
+{
+	struct target_news news, other;
+	struct bed b;
+
+	(void)state;
+	bed_open(&b);
+	publish(&b, 1, STARTED_MS, 7);
+	news = entry(&b, 1, STARTED_MS, 6);
+	assert_true(directory_compare(b.directory, &news) < 0);
+	news.sequence = 7;
+	assert_int_equal(directory_compare(b.directory, &news), 0);
+	news.sequence = 8;
+	assert_true(directory_compare(b.directory, &news) > 0);
+	news = entry(&b, 1, STARTED_MS - 1, 9);
+	assert_true(directory_compare(b.directory, &news) < 0);
+	/* Nothing orders another key's entry, nor an unknown target's. */
+	other = entry(&b, 1, STARTED_MS + 1, 1);
+	other.entry = 2;
+	assert_int_equal(directory_compare(b.directory, &other), 0);
+	other = entry(&b, 5, STARTED_MS, 1);
+	assert_int_equal(directory_compare(b.directory, &other), 0);
+	bed_close(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -385,6 +432,8 @@
 		cmocka_unit_test(test_entry_without_a_start_among_others),
 		cmocka_unit_test(test_start_told_by_one_alone),
 		cmocka_unit_test(test_second_key_of_an_id),
+		cmocka_unit_test(test_second_key_of_an_id_in_a_later_epoch),
+		cmocka_unit_test(test_entries_are_ordered_by_start_and_number),
 		cmocka_unit_test(test_successor_created_in_a_later_epoch),
 	};
 
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -921,6 +921,11 @@
 	assert_true(answered_in(f, 2, 23, "28"));
 	pass(f, 400 * MS);
 	assert_false(answered_in(f, 1, 80, "30"));
+	pass(f, 40 * MS);
+	assert_int_equal(f->calls.lists, 2);
+	assert_false(answered_in(f, 1, 80, "30"));
+	assert_false(node_fetching(f->node, &head, f->now_ns));
+	head.whole = false;
 	assert_false(node_fetching(f->node, &head, f->now_ns));
 	assert_int_equal(version_of(f), 28);
 }
--- a/test/packet_relay_test.c
+++ b/test/packet_relay_test.c
@@ -290,11 +290,30 @@
 	base = relay_base(p->from);
 	base.since.epoch = 1;
 	put_large(p->from, 9);
-	relay_encode(p->from, (struct position){ 0, 5 }, &base, &p->delta,
-		     p->body);
+	relay_encode(p->from, at(5), &base, &p->delta, p->body);
 	assert_true(p->body->len > LARGE_BYTES / 2);
 }
 
+/* Guards against a newcomer that ends what a copy has less of. */
+static void test_relay_tells_what_is_outdated_at_the_platform(void **state)
+{
+	struct document d = { .key = "a",
+			      .epoch = 1,
+			      .revision = 26,
+			      .outdated_epoch = 2,
+			      .value = (uint8_t *)"24",
+			      .size_bytes = 2 };
+	struct pair *p = *state;
+
+	documents_put(p->from, &d, DOCUMENT_CHANGED, NOW_NS);
+	documents_covered(p->from, (struct position){ 2, 23 }, NOW_NS);
+	assert_int_equal(fetch(p), 0);
+	assert_int_equal(documents_at(p->to, 0)->epoch, 1);
+	assert_int_equal(documents_at(p->to, 0)->outdated_epoch, 2);
+	documents_tick(p->to, NOW_NS + 60 * NS_PER_S);
+	assert_false(documents_at(p->to, 0)->deleted);
+}
+
 /* The same change asked for by many is encoded once. */
 static void test_change_is_kept(void **state)
 {
@@ -341,6 +360,9 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_relay_tells_what_is_outdated_at_the_platform,
+			setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_base_of_another_epoch_is_no_base, setup, teardown),
 		cmocka_unit_test(test_relay_brings_what_is_missing),
--- a/test/process/soak_test.sh
+++ b/test/process/soak_test.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Real cb-packet processes through three random faults of a fixed seed, then
-# through faults of their connections to the store.
+# Real cb-packet processes through faults of a fixed seed: of all kinds, of their
+# connections to the store, and of a store that comes back from an older copy.
 set -eu
 # Its addresses are fixed: one run at a time on a machine.
 exec 9>>"${TMPDIR:-/tmp}/cactusbeam-cb-packet.lock"
@@ -14,6 +14,7 @@
 		exit 1
 	}
 }
-soak --faults 3
+soak --fault add_route --fault reload --fault requests_lost
 soak --fault links_silent --fault answers_lost --fault targets_fail \
 	--fault links_reset
+soak --fault store_restored_few_see --fault kill_entry --fault store_restored
