A new epoch of the store counts as trouble of it: entries that lapse then are presumed to live

In a copy the entries of targets are as old as the copy is, so they may run out before they are renewed. If nobody saw the store away, no trouble was on record, and their ends were taken for the targets' ends: all targets of a service absent until they are renewed, up to two seconds. Test fails before the change (presumed is false), passes after.

--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -157,6 +157,19 @@
 	return epoch >= known && (!n->list_first || epoch == n->list_epoch);
 }
 
+/*
+ * Entries of targets are as old as the copy, and may run out before they are
+ * renewed: as after any other trouble of the platform, they are not gone.
+ */
+static void note_epoch(struct node *n, uint64_t epoch, uint64_t known)
+{
+	n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
+		    "answer of epoch %llu, known is epoch %llu",
+		    (unsigned long long)epoch, (unsigned long long)known);
+	if (epoch > known)
+		peer_set_trouble(n->peers, n->now_ns, n->now_ns);
+}
+
 /**
  * node_answering() - the platform's answer is about to be taken, by
  *	node_listed() or node_changed()
@@ -172,10 +185,7 @@
 
 	n->now_ns = now_ns;
 	if (epoch != known && node_knows(n))
-		n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
-			    "answer of epoch %llu, known is epoch %llu",
-			    (unsigned long long)epoch,
-			    (unsigned long long)known);
+		note_epoch(n, epoch, known);
 	if (!joins(n, epoch))
 		return false;
 	n->answer_epoch = epoch;
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -930,6 +930,30 @@
 	assert_int_equal(version_of(f), 28);
 }
 
+/* Guards against targets taken for gone: in a copy their entries are as old as it
+ * is, and run out before they are renewed. */
+static void test_entries_that_lapse_in_a_restored_store(void **state)
+{
+	struct fixture *f = *state;
+	struct answer_head head = { .revision = 12 };
+
+	listed(f);
+	pass(f, 400 * MS);
+	assert_int_equal(f->calls.watches, 1);
+	/* Nobody has seen the store away. */
+	assert_false(node_answering(f->node, 1, f->now_ns));
+	node_answer(f->node, SOURCE_BEHIND, &head, f->now_ns);
+	pass(f, 20 * MS);
+	assert_true(node_answering(f->node, 1, f->now_ns));
+	fact(f, node_listed, "routes", 5, "3");
+	fact(f, node_listed, "t/1", 6, "x");
+	node_answer(f->node, SOURCE_OK, &head, f->now_ns);
+	fact(f, node_changed, "t/1", 13, NULL);
+	assert_int_equal(directory_by_id(f->node->directory, 1)->stage,
+			 TARGET_ABSENT);
+	assert_true(directory_by_id(f->node->directory, 1)->presumed);
+}
+
 /* Guards against a newcomer that serves what only the older copy says. */
 static void test_not_ready_before_it_has_what_peers_carry(void **state)
 {
@@ -991,6 +1015,7 @@
 		TEST(test_many_heartbeats_under_load_stay_within_it),
 		TEST(test_targets_before_their_configuration),
 		TEST(test_entry_written_over_names_no_target),
+		TEST(test_entries_that_lapse_in_a_restored_store),
 		TEST(test_watch_of_another_epoch_is_no_answer),
 		TEST(test_lower_revision_of_a_later_epoch_is_in_force),
 		TEST(test_watch_asked_before_a_peer_told_of_the_epoch),
