cb-watch reads a key that is listed below its known revision

Once a platform that came back from an older copy had passed the old revisions, a new generation written meanwhile was skipped for good. In one listing a key's revision can be below the known one only if the platform went back: it is read once, and its generation decides. Test fails before (a watch follows, nothing is read).

Withdrawals and vms/DATA_CENTRE still wait for the revisions to pass the old ones: that interface has no epoch.

--- a/core/spread/reader.c
+++ b/core/spread/reader.c
@@ -135,9 +135,9 @@
 
 /*
  * A revision up to the known one is old news, unless the platform is behind
- * what is known: it is stale, or lost its memory and counts from 0 again.
- * Its publications would then be skipped for good, so each is read once;
- * their generations decide.
+ * what is known: it is stale, or lost its memory and counts from 0 again, or
+ * lists a key below the revision that it had. Its publications would then be
+ * skipped for good, so each is read once; their generations decide.
  */
 static bool is_old(const struct reader *r, const char *key,
 		   const struct version *known, uint64_t revision)
@@ -146,9 +146,12 @@
 				  ? known->revision
 				  : known->withdrawn_revision;
 
+	bool back = newest > r->platform_revision ||
+		    (r->step == STEP_LIST && revision < known->revision);
+
 	if (revision > newest)
 		return false;
-	return newest <= r->platform_revision || was_seen(r, key, revision);
+	return !back || was_seen(r, key, revision);
 }
 
 /* Queue a key unless what is known of it is as new. */
--- a/test/reader_test.c
+++ b/test/reader_test.c
@@ -171,12 +171,53 @@
 	reader_free(b.reader);
 }
 
+static const struct version *known_at_26(void *ctx, const char *key)
+{
+	static const struct version v = { .generation = 3, .revision = 26 };
+
+	(void)ctx;
+	(void)key;
+	return &v;
+}
+
+/* Guards against a publication that is passed over for good: the platform came
+ * back from an older copy, and its revisions have passed the known one again. */
+static void test_listed_below_the_known_revision_is_read(void **unused)
+{
+	struct platform_book b;
+	struct reader_port port = { .ctx = &b,
+				    .call = note_call,
+				    .cancel = cancel,
+				    .known = known_at_26,
+				    .document = document,
+				    .each = each,
+				    .state = state };
+
+	(void)unused;
+	b = (struct platform_book){ 0 };
+	b.reader = reader_new("garda", port, (struct rng){ 7 }, 1);
+	reader_mode(b.reader, READER_ALL, 10);
+	reader_tick(b.reader, 10);
+	answer(&b, "24 account/a\n26 account/b\n30 template/t\n", 20);
+	assert_int_equal(b.last, CALL_GET);
+	assert_string_equal(b.key, "account/a");
+	answer(&b, "", 30);
+	assert_int_equal(b.last, CALL_WATCH);
+	/* A watch repeats what peers have told already. */
+	answer(&b, "25 account/a\n31 account/z\n", 40);
+	assert_string_equal(b.key, "account/z");
+	answer(&b, "", 50);
+	assert_int_equal(b.last, CALL_WATCH);
+	reader_free(b.reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_reader_that_stops_waits),
 		cmocka_unit_test(test_a_list_is_read_by_name),
 		cmocka_unit_test(test_a_relist_comes_before_the_watch),
+		cmocka_unit_test(test_listed_below_the_known_revision_is_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
