After a restore peers do not send the configuration whole

Read off the mend: a document that is carried over went with every answer to a peer, also to one that had it (a configuration of 250 KB on each change, for as long as the operator had not written it again); and what the copy has unchanged got a new position, of which no peer had the base, so that the whole configuration went to every entry at once.

Now the base that a peer names is not sent again but in a whole state, and a large value is kept at its earlier position as well, so that the peer's base is found and some bytes go. Three tests; each fails without its line (250 KB where 100 and 1,000 bytes are the bounds; a whole state that leaves the document out).

--- a/adapters/relay_codec.c
+++ b/adapters/relay_codec.c
@@ -95,6 +95,19 @@
 		msgpack_pack_bin_with_body(p, d->value, d->size_bytes);
 }
 
+/*
+ * The asking peer has its base, also when it is carried over. Of a whole state
+ * it is a part all the same: what that lacks was deleted.
+ */
+static bool lacks(const struct documents *s, struct position after,
+		  const struct relay_base *base, const struct document *d)
+{
+	if (after.revision && hash_text(d->key) == base->key_hash &&
+	    !position_compare(document_position(d), base->since))
+		return false;
+	return documents_lacks(s, after, d);
+}
+
 static void put_documents(msgpack_packer *p, const struct documents *s,
 			  struct position after, const struct relay_base *base,
 			  struct relay_delta *last)
@@ -102,10 +115,10 @@
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < documents_count(s); i++)
-		n += documents_lacks(s, after, documents_at(s, i));
+		n += lacks(s, after, base, documents_at(s, i));
 	msgpack_pack_array(p, n);
 	for (uint32_t i = 0; i < documents_count(s); i++)
-		if (documents_lacks(s, after, documents_at(s, i)))
+		if (lacks(s, after, base, documents_at(s, i)))
 			put_document(p, documents_at(s, i), base, last);
 }
 
--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -254,7 +254,10 @@
 		d = add(s, news->key);
 	if (!d)
 		return -ENOMEM;
-	err = same ? 0 : keep_value(d, news, now_ns);
+	/* Peers that have a large value at its earlier position need no other. */
+	err = same && d->size_bytes < DOCUMENT_LARGE_BYTES
+		      ? 0
+		      : keep_value(d, news, now_ns);
 	if (err)
 		return err;
 	/* What gives way is less than @news, and the platform has it. */
--- a/test/packet_relay_test.c
+++ b/test/packet_relay_test.c
@@ -294,6 +294,66 @@
 	assert_true(p->body->len > LARGE_BYTES / 2);
 }
 
+/* Guards against links filled with a configuration that the peer has already. */
+static void test_carried_document_that_the_peer_has_is_not_sent(void **state)
+{
+	struct pair *p = *state;
+
+	put_large(p->from, 5);
+	assert_int_equal(fetch(p), 0);
+	documents_covered(p->from, (struct position){ 2, 23 }, NOW_NS);
+	documents_covered(p->to, (struct position){ 2, 23 }, NOW_NS);
+	assert_int_equal(fetch(p), 0);
+	assert_true(p->body->len < 100);
+	assert_same(p);
+}
+
+/* Guards against every link filled with the configuration after a restore. */
+static void test_unchanged_document_of_a_later_epoch_is_small(void **state)
+{
+	struct position restored = { 2, 4 };
+	struct pair *p = *state;
+	struct document d;
+
+	put_large(p->from, 5);
+	assert_int_equal(fetch(p), 0);
+	d = *documents_at(p->from, 0);
+	d.epoch = restored.epoch;
+	d.revision = restored.revision;
+	documents_list_begin(p->from);
+	documents_put(p->from, &d, DOCUMENT_LISTED, NOW_NS);
+	documents_list_end(p->from, restored, NOW_NS);
+	documents_covered(p->from, restored, NOW_NS);
+	assert_int_equal(fetch(p), 0);
+	assert_true(p->body->len < 1000);
+	assert_same(p);
+	assert_int_equal(documents_at(p->to, 0)->epoch, 2);
+}
+
+/* Guards against a configuration that a peer's whole state leaves out. */
+static void test_whole_state_names_what_the_peer_has(void **state)
+{
+	struct pair *p = *state;
+	struct relay_base base;
+	struct relay_head head;
+
+	put_large(p->from, 5);
+	assert_int_equal(fetch(p), 0);
+	base = relay_base(p->to);
+	documents_covered(p->from, (struct position){ 2, 23 }, NOW_NS);
+	relay_encode(p->from, documents_through(p->to), &base, &p->delta,
+		     p->body);
+	documents_free(p->to);
+	p->to = documents_new((struct documents_port){ NULL, ignore, no_order },
+			      kept);
+	assert_int_equal(
+		relay_decode((uint8_t *)p->body->str, (uint32_t)p->body->len,
+			     (struct relay_port){ p->to, begin, known }, &head),
+		0);
+	assert_true(head.whole);
+	assert_int_equal(documents_count(p->to), 1);
+}
+
 /* Guards against a newcomer that ends what a copy has less of. */
 static void test_relay_tells_what_is_outdated_at_the_platform(void **state)
 {
@@ -360,6 +420,15 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			test_carried_document_that_the_peer_has_is_not_sent,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_unchanged_document_of_a_later_epoch_is_small,
+			setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_whole_state_names_what_the_peer_has, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(
 			test_relay_tells_what_is_outdated_at_the_platform,
 			setup, teardown),
