What ended in this epoch is not carried back by a peer that has not heard of it

Found by reading the mend: a target's end, known at (2, 25), gave way to a peer's (1, 26) of the same target with a later number, since contents order facts of two epochs. The entry would have kept it as leaving for good: its end is below what it knows, so it does not come again. An end in the later epoch is final now. And what is found outdated at the platform counts as a change, so that the state kept for newcomers says so. Two tests, both fail before.

--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -204,10 +204,11 @@
 	int order = news->deleted ? 0 : s->port.compare(s->port.ctx, news);
 
 	if (news->epoch < d->epoch)
-		return order > 0;
+		return order > 0 && !d->deleted;
 	if (order >= 0)
 		return true;
 	d->outdated_epoch = news->epoch;
+	s->changes++;
 	return false;
 }
 
--- a/test/packet_documents_test.c
+++ b/test/packet_documents_test.c
@@ -310,6 +310,42 @@
 	documents_free(peer);
 }
 
+/* Guards against a target that is back for good after it left: a peer has not
+ * heard of its end, and carries over what it said before. */
+static void test_end_in_this_epoch_is_not_undone_by_a_peer(void **state)
+{
+	struct documents *s = open_before_restore(
+		(struct documents_port){ &known, on_change, by_number });
+	struct document carried = fact("a", 27, "25");
+
+	(void)state;
+	known = s;
+	list_restored(s, "24");
+	put_in(s, 2, "a", 25, NULL, DOCUMENT_CHANGED);
+	carried.epoch = 1;
+	assert_int_equal(documents_put(s, &carried, DOCUMENT_CHANGED, NS_PER_S),
+			 -EALREADY);
+	assert_true(find(s, "a")->deleted);
+	documents_free(s);
+}
+
+/* Guards against newcomers that are told less than is known of the copy. */
+static void test_what_is_outdated_counts_as_a_change(void **state)
+{
+	struct documents *s = open_before_restore(
+		(struct documents_port){ &known, on_change, by_number });
+	uint64_t before;
+
+	(void)state;
+	known = s;
+	list_restored(s, NULL);
+	before = documents_changes(s);
+	assert_int_equal(put_in(s, 2, "a", 20, "14", DOCUMENT_CHANGED),
+			 -EALREADY);
+	assert_true(documents_changes(s) > before);
+	documents_free(s);
+}
+
 /* Guards against a peer that is told only what is new in its own epoch. */
 static void test_peer_of_an_earlier_epoch_needs_all(void **state)
 {
@@ -371,6 +407,9 @@
 			test_carried_ends_as_the_first_heard_of_the_epoch),
 		cmocka_unit_test(test_older_copy_takes_nothing_back),
 		cmocka_unit_test(test_value_is_found_by_epoch_and_revision),
+		cmocka_unit_test(
+			test_end_in_this_epoch_is_not_undone_by_a_peer),
+		cmocka_unit_test(test_what_is_outdated_counts_as_a_change),
 		cmocka_unit_test(test_newcomer_takes_what_a_peer_carries),
 		cmocka_unit_test(test_peer_of_an_earlier_epoch_needs_all),
 		cmocka_unit_test(test_deletion_of_an_earlier_epoch_gives_way),
