No end of a document is lost on its way from an entry that has listed the store

restore_prop plays entries that list, watch, ask each other and start anew while the store is written to, copied and comes back, and asks that all agree once all is written again. It failed on:

1. write a, A lists, delete a, B lists, A asks B: B never knew of a, so it sends no end of it, and A believes to know everything up to B's position. A keeps a for good: an evacuation that is over, a crashed target. No restored store is needed; it is as old as the relay between entries. 2. a whole state names what a peer remembers as ended, or carries over from an earlier epoch: both counted as named, so that a later write under the key that had ended stood on. 3. that the platform has less under a key was handed on without saying as of when: an entry that had listed the key's end carried it over for good.

An entry does not know what ended before its last listing: that is its floor now, and who knows less is sent the whole state, with the peer's floor. A young entry that lists gives its listing up for it: what one of its pages named and has ended since would have stayed (test_whole_state_of_a_peer_ends_ the_first_listing; the test that refused a whole state while listing holds for entries that know something, where two listings are still kept apart). What a peer has under its own base goes as nothing, so a whole state costs no configuration.

--- a/adapters/relay_codec.c
+++ b/adapters/relay_codec.c
@@ -9,8 +9,8 @@
 #include <string.h>
 
 #define RELAY_VERSION 3
-#define RELAY_FIELDS 6
-#define ITEM_FIELDS 9
+#define RELAY_FIELDS 7
+#define ITEM_FIELDS 10
 /* What all documents of a data centre may take; a configuration has 1 MB. */
 #define RELAY_MAX_BYTES (16U << 20)
 #define VALUE_MAX_BYTES (2U << 20)
@@ -41,6 +41,13 @@
 	       !position_compare(a->since, b->since);
 }
 
+/* Whether the asking peer has a document as it is. */
+static bool is_base(const struct document *d, const struct relay_base *base)
+{
+	return base->key_hash && hash_text(d->key) == base->key_hash &&
+	       !position_compare(document_position(d), base->since);
+}
+
 /*
  * What changed in a document since the asking peer's value of it. Whole, each
  * change of a large configuration would go to every VM, and a row of changes
@@ -79,20 +86,26 @@
 			 struct relay_delta *last)
 {
 	const GString *delta = delta_of(d, base, last);
+	bool same = is_base(d, base) && !d->deleted;
+	struct position from = { 0 };
 
+	if (delta || same)
+		from = base->since;
 	msgpack_pack_array(p, ITEM_FIELDS);
 	msgpack_pack_str_with_body(p, d->key, strlen(d->key));
 	msgpack_pack_uint64(p, d->epoch);
 	msgpack_pack_uint64(p, d->revision);
 	msgpack_pack_uint64(p, d->created);
-	msgpack_pack_uint64(p, d->outdated_epoch);
+	msgpack_pack_uint64(p, d->outdated.epoch);
+	msgpack_pack_uint64(p, d->outdated.revision);
 	msgpack_pack_uint64(p, d->deleted);
-	msgpack_pack_uint64(p, delta ? base->since.epoch : 0);
-	msgpack_pack_uint64(p, delta ? base->since.revision : 0);
+	msgpack_pack_uint64(p, from.epoch);
+	msgpack_pack_uint64(p, from.revision);
 	if (delta)
 		msgpack_pack_bin_with_body(p, delta->str, delta->len);
 	else
-		msgpack_pack_bin_with_body(p, d->value, d->size_bytes);
+		msgpack_pack_bin_with_body(p, d->value,
+					   same ? 0 : d->size_bytes);
 }
 
 /*
@@ -102,8 +115,7 @@
 static bool lacks(const struct documents *s, struct position after,
 		  const struct relay_base *base, const struct document *d)
 {
-	if (after.revision && hash_text(d->key) == base->key_hash &&
-	    !position_compare(document_position(d), base->since))
+	if (after.revision && is_base(d, base))
 		return false;
 	return documents_lacks(s, after, d);
 }
@@ -150,6 +162,7 @@
 	msgpack_pack_uint64(&p, through.epoch);
 	msgpack_pack_uint64(&p, through.revision);
 	msgpack_pack_uint64(&p, documents_newest(s).revision);
+	msgpack_pack_uint64(&p, documents_floor(s).revision);
 	msgpack_pack_uint64(&p, whole);
 	if (whole)
 		after = (struct position){ 0 };
@@ -174,20 +187,22 @@
 	    !msgpack_number(&f[1], UINT64_MAX, &d->epoch) ||
 	    !msgpack_number(&f[2], UINT64_MAX, &d->revision) ||
 	    !msgpack_number(&f[3], UINT64_MAX, &d->created) ||
-	    !msgpack_number(&f[4], UINT64_MAX, &d->outdated_epoch) ||
-	    !msgpack_number(&f[5], 1, &deleted) ||
-	    !msgpack_number(&f[6], UINT64_MAX, &base->epoch) ||
-	    !msgpack_number(&f[7], UINT64_MAX, &base->revision) ||
-	    f[8].type != MSGPACK_OBJECT_BIN)
+	    !msgpack_number(&f[4], UINT64_MAX, &d->outdated.epoch) ||
+	    !msgpack_number(&f[5], UINT64_MAX, &d->outdated.revision) ||
+	    !msgpack_number(&f[6], 1, &deleted) ||
+	    !msgpack_number(&f[7], UINT64_MAX, &base->epoch) ||
+	    !msgpack_number(&f[8], UINT64_MAX, &base->revision) ||
+	    f[9].type != MSGPACK_OBJECT_BIN)
 		return false;
 	memcpy(d->key, f[0].via.str.ptr, f[0].via.str.size);
 	d->deleted = deleted;
-	d->value = (uint8_t *)f[8].via.bin.ptr;
-	d->size_bytes = f[8].via.bin.size;
+	d->value = (uint8_t *)f[9].via.bin.ptr;
+	d->size_bytes = f[9].via.bin.size;
 	return true;
 }
 
-/* Return: 0; -ESTALE when the value that the change goes from is not here. */
+/* Nothing changed when the change is empty. Return: 0; -ESTALE when the value
+ * that it goes from is not here. */
 static int take_delta(struct document *d, struct position base,
 		      struct relay_port port, struct facts_port to)
 {
@@ -197,6 +212,12 @@
 
 	if (!from.bytes)
 		return -ESTALE;
+	if (!delta.size_bytes) {
+		d->value = from.bytes;
+		d->size_bytes = from.size_bytes;
+		to.fact(to.ctx, d);
+		return 0;
+	}
 	d->value = zstd_unpack(bytes_of(from), delta, VALUE_MAX_BYTES,
 			       &d->size_bytes);
 	if (!d->value)
@@ -218,10 +239,11 @@
 	    !msgpack_number(&f[1], UINT64_MAX, &head->through.epoch) ||
 	    !msgpack_number(&f[2], UINT64_MAX, &head->through.revision) ||
 	    !msgpack_number(&f[3], UINT64_MAX, &head->newest.revision) ||
-	    !msgpack_number(&f[4], 1, &whole) ||
-	    !msgpack_list(&f[5], DOCUMENTS_MAX))
+	    !msgpack_number(&f[4], UINT64_MAX, &head->floor.revision) ||
+	    !msgpack_number(&f[5], 1, &whole) ||
+	    !msgpack_list(&f[6], DOCUMENTS_MAX))
 		return false;
-	head->newest.epoch = head->through.epoch;
+	head->newest.epoch = head->floor.epoch = head->through.epoch;
 	head->whole = whole;
 	return true;
 }
@@ -229,7 +251,7 @@
 static int get_documents(const msgpack_object *o, struct relay_port port,
 			 struct facts_port to)
 {
-	const msgpack_object_array *all = &o->via.array.ptr[5].via.array;
+	const msgpack_object_array *all = &o->via.array.ptr[6].via.array;
 	int err = 0;
 
 	for (uint32_t i = 0; !err && i < all->size; i++) {
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -109,11 +109,13 @@
  * struct relay_head - what a peer's documents come with
  * @through: position up to which the peer knows everything
  * @newest: newest position it knows
+ * @floor: what was deleted up to there it may not know
  * @whole: everything it knows: what is missing was deleted
  */
 struct relay_head {
 	struct position through;
 	struct position newest;
+	struct position floor;
 	bool whole;
 };
 
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -215,7 +215,7 @@
 	if (head->more)
 		return;
 	at.revision = n->list_revision;
-	documents_list_end(n->documents, at, n->now_ns);
+	documents_list_end(n->documents, at, at, n->now_ns);
 	if (n->list_revision == n->list_first)
 		documents_covered(n->documents, at, n->now_ns);
 }
@@ -299,6 +299,18 @@
 	node_judge_ready(n);
 }
 
+/*
+ * A peer brought what the first listing was to bring. The answer on its way
+ * would keep others from theirs, on the platform's link.
+ */
+static void give_up_listing(struct node *n)
+{
+	if (n->source.calling && n->step == SOURCE_LIST)
+		n->port.cancel(n->port.ctx);
+	source_needless(&n->source);
+	n->list_first = 0;
+}
+
 /**
  * node_fetching() - a peer's documents are about to be taken, by node_listed()
  *	when they are its whole state, else by node_changed()
@@ -306,8 +318,8 @@
  * @head: what they come with
  * @now_ns: time
  *
- * Two listings at a time would each miss what the other names. Who knows an
- * earlier epoch has nothing that was not carried over from there.
+ * Two listings at a time would each miss what the other names: an entry that
+ * knows nothing yet gives its own up. Who knows an earlier epoch has nothing that was not carried over from there.
  *
  * Return: whether to take them.
  */
@@ -319,24 +331,13 @@
 		return false;
 	if (!head->whole)
 		return true;
-	if (n->source.listing)
+	if (n->source.listing && node_knows(n))
 		return false;
+	give_up_listing(n);
 	documents_list_begin(n->documents);
 	return true;
 }
 
-/*
- * A peer brought what the first listing was to bring. The answer on its way
- * would keep others from theirs, on the platform's link.
- */
-static void give_up_listing(struct node *n)
-{
-	if (n->source.calling && n->step == SOURCE_LIST)
-		n->port.cancel(n->port.ctx);
-	source_needless(&n->source);
-	n->list_first = 0;
-}
-
 /**
  * node_fetched() - a call to a peer ended
  * @n: entry
@@ -355,7 +356,8 @@
 		return;
 	}
 	if (head->whole)
-		documents_list_end(n->documents, head->through, now_ns);
+		documents_list_end(n->documents, head->through, head->floor,
+				   now_ns);
 	documents_covered(n->documents, head->through, now_ns);
 	documents_knows(n->documents, head->newest);
 	n->carried_taken = n->fetching_carried;
--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -158,7 +158,7 @@
 {
 	d->epoch = at.epoch;
 	d->revision = at.revision;
-	d->outdated_epoch = 0;
+	d->outdated = (struct position){ 0 };
 	d->deleted = true;
 	d->forget_ns = now_ns + s->times.deleted_ns;
 	show(s, d);
@@ -207,11 +207,34 @@
 		return order > 0 && !d->deleted;
 	if (order >= 0)
 		return true;
-	d->outdated_epoch = news->epoch;
+	d->outdated = document_position(news);
 	s->changes++;
 	return false;
 }
 
+/*
+ * What a peer says that the platform has less of: of no account when more is
+ * known here, and the platform has nothing under the key.
+ */
+static struct position outdated_by_peer(const struct documents *s,
+					const struct document *news)
+{
+	struct position none = { 0 };
+
+	return position_after(news->outdated, documents_known(s))
+		       ? news->outdated
+		       : none;
+}
+
+/* What gives way to @news is less, and the platform has it. */
+static struct position outdated_now(const struct documents *s,
+				    const struct document *d,
+				    const struct document *news)
+{
+	return news->epoch < d->epoch ? document_position(d)
+				      : outdated_by_peer(s, news);
+}
+
 /*
  * Whether @news may be taken under a new key. Of an epoch that is over, what a
  * peer still carries may, and what was deleted: that names departed targets.
@@ -220,7 +243,7 @@
 		    uint64_t now_ns)
 {
 	return news->epoch >= s->epoch || news->deleted ||
-	       news->outdated_epoch == s->epoch || carries(s, now_ns);
+	       outdated_by_peer(s, news).revision || carries(s, now_ns);
 }
 
 /**
@@ -240,10 +263,16 @@
 	bool same = false;
 	int err;
 
-	if (d && origin == DOCUMENT_LISTED)
+	/* Neither an end that a peer remembers nor what it carries over shows
+	 * that a later one stands. */
+	if (d && origin == DOCUMENT_LISTED && !news->deleted &&
+	    news->epoch >= d->epoch)
 		d->seen = s->listing;
-	if (d && news->epoch == d->epoch && news->revision <= d->revision)
+	if (d && news->epoch == d->epoch && news->revision <= d->revision) {
+		if (origin == DOCUMENT_LISTED)
+			d->outdated = news->outdated;
 		return -EALREADY;
+	}
 	if (d ? news->epoch != d->epoch && !wins(s, d, news)
 	      : !may_add(s, news, now_ns))
 		return -EALREADY;
@@ -261,9 +290,8 @@
 		      : keep_value(d, news, now_ns);
 	if (err)
 		return err;
-	/* What gives way is less than @news, and the platform has it. */
-	d->outdated_epoch =
-		news->epoch < d->epoch ? d->epoch : news->outdated_epoch;
+	d->outdated = origin == DOCUMENT_LISTED ? news->outdated
+						: outdated_now(s, d, news);
 	d->epoch = news->epoch;
 	d->revision = news->revision;
 	if (news->created)
@@ -303,13 +331,15 @@
  * documents_list_end() - every page of the listing was put
  * @s: store
  * @at: least position that one of its pages shows
+ * @floor: what was deleted up to there it does not name; of the platform's
+ *	listing @at, of a peer's whole state that peer's documents_floor()
  * @now_ns: time
  *
  * What it lacks was deleted, unless it came after that position, or is carried
  * over from an earlier epoch.
  */
 void documents_list_end(struct documents *s, struct position at,
-			uint64_t now_ns)
+			struct position floor, uint64_t now_ns)
 {
 	enter(s, at.epoch, now_ns);
 	if (at.epoch < s->epoch)
@@ -320,11 +350,12 @@
 		if (d->seen == s->listing || d->deleted ||
 		    position_after(document_position(d), at))
 			continue;
-		d->outdated_epoch = 0;
+		d->outdated = (struct position){ 0 };
 		if (d->epoch == at.epoch || !carries(s, now_ns))
 			delete_at(s, d, at, now_ns);
 	}
 	documents_knows(s, at);
+	s->floor = floor.revision;
 	if (at.revision > s->known)
 		s->known = at.revision;
 }
@@ -411,7 +442,7 @@
 	for (uint32_t i = 0; i < s->n; i++) {
 		struct document *d = s->all[i];
 
-		if (documents_is_carried(s, d) && d->outdated_epoch != s->epoch)
+		if (documents_is_carried(s, d) && d->outdated.epoch != s->epoch)
 			delete_at(s, d, at, now_ns);
 	}
 }
@@ -469,7 +500,8 @@
 }
 
 /**
- * documents_floor() - latest position of a forgotten deletion
+ * documents_floor() - what was deleted up to there may not be known here: it was
+ *	forgotten, or happened before a listing, which names what stands
  * @s: store
  *
  * Return: position; who knows less than this needs everything.
@@ -556,13 +588,13 @@
  * @s: store
  * @after: position up to which it knows everything
  *
- * Return: whether deletions since may be forgotten here, or it knows an earlier
- * epoch.
+ * Return: whether deletions since may not be known here, or it knows an earlier
+ * epoch, or nothing.
  */
 bool documents_needs_all(const struct documents *s, struct position after)
 {
 	if (!after.revision)
-		return s->floor > 0;
+		return true;
 	return after.epoch < s->epoch ||
 	       (after.epoch == s->epoch && after.revision < s->floor);
 }
--- a/core/packet/publish/documents.h
+++ b/core/packet/publish/documents.h
@@ -41,8 +41,8 @@
  * @epoch: epoch of its last change
  * @revision: revision of its last change
  * @created: revision of its creation
- * @outdated_epoch: in that epoch the platform has less than @value under the
- *	key; 0 for none
+ * @outdated: position at which the platform has less than @value under the key,
+ *	in a later epoch; of revision 0 for none
  * @deleted: it is gone; its last value is kept for late flows
  * @forget_ns: when a deleted one is forgotten
  * @seen: mark of the listing that named it last
@@ -56,7 +56,7 @@
 	uint64_t epoch;
 	uint64_t revision;
 	uint64_t created;
-	uint64_t outdated_epoch;
+	struct position outdated;
 	bool deleted;
 	uint64_t forget_ns;
 	uint32_t seen;
@@ -109,7 +109,7 @@
 void documents_again(struct documents *s);
 void documents_list_begin(struct documents *s);
 void documents_list_end(struct documents *s, struct position at,
-			uint64_t now_ns);
+			struct position floor, uint64_t now_ns);
 void documents_covered(struct documents *s, struct position at,
 		       uint64_t now_ns);
 void documents_knows(struct documents *s, struct position newest);
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -128,6 +128,7 @@
 	}
 	head.through = documents_through(from);
 	head.newest = documents_newest(from);
+	head.floor = documents_floor(from);
 	head.whole = documents_needs_all(from, after);
 	if (!node_fetching(s->node, &head, w->now_ns)) {
 		node_fetched(s->node, NULL, w->now_ns);
--- a/test/documents_prop.cc
+++ b/test/documents_prop.cc
@@ -137,7 +137,7 @@
 		if (!k.second.deleted)
 			documents_put(s, &d, DOCUMENT_LISTED, 1);
 	}
-	documents_list_end(s, { 0, upto }, 1);
+	documents_list_end(s, { 0, upto }, { 0, upto }, 1);
 }
 
 bool any_order()
--- a/test/packet_documents_test.c
+++ b/test/packet_documents_test.c
@@ -99,7 +99,7 @@
 	put(s, "new", 12, "x", DOCUMENT_CHANGED);
 	documents_list_begin(s);
 	put(s, "a", 2, "x", DOCUMENT_LISTED);
-	documents_list_end(s, at(10), NS_PER_S);
+	documents_list_end(s, at(10), at(10), NS_PER_S);
 	assert_false(find(s, "a")->deleted);
 	assert_true(find(s, "b")->deleted);
 	/* Written after the first page was read. */
@@ -128,7 +128,7 @@
 	documents_list_begin(s);
 	put(s, "a", 2, "x", DOCUMENT_LISTED);
 	put(s, "b", 3, "x", DOCUMENT_CHANGED);
-	documents_list_end(s, at(10), NS_PER_S);
+	documents_list_end(s, at(10), at(10), NS_PER_S);
 	assert_true(find(s, "b")->deleted);
 	documents_free(s);
 }
@@ -189,7 +189,8 @@
 	documents_list_begin(s);
 	if (value)
 		put_in(s, 2, "a", 20, value, DOCUMENT_LISTED);
-	documents_list_end(s, (struct position){ 2, 23 }, NS_PER_S);
+	documents_list_end(s, (struct position){ 2, 23 },
+			   (struct position){ 2, 23 }, NS_PER_S);
 	documents_covered(s, (struct position){ 2, 23 }, NS_PER_S);
 }
 
@@ -359,13 +360,49 @@
 	documents_tick(s, NS_PER_S + KEEP_NS);
 	assert_true(documents_needs_all(s, (struct position){ 1, 26 }));
 	list_restored(s, "24");
-	assert_int_equal(documents_floor(s).revision, 0);
+	assert_int_equal(documents_floor(s).revision, 23);
 	assert_true(documents_needs_all(s, (struct position){ 1, 26 }));
 	assert_false(documents_needs_all(s, (struct position){ 2, 23 }));
 	assert_false(documents_needs_all(s, (struct position){ 3, 1 }));
 	documents_free(s);
 }
 
+/* Guards against an end that some entries never hear of: who lists what stands
+ * cannot tell a peer what ended before. */
+static void test_who_lists_knows_no_ends_before(void **state)
+{
+	struct documents *s = open_store();
+
+	(void)state;
+	documents_list_begin(s);
+	put(s, "a", 2, "x", DOCUMENT_LISTED);
+	documents_list_end(s, at(10), at(10), NS_PER_S);
+	documents_covered(s, at(10), NS_PER_S);
+	assert_true(documents_needs_all(s, at(9)));
+	assert_false(documents_needs_all(s, at(10)));
+	/* A peer that has always followed hands its own on. */
+	documents_list_begin(s);
+	put(s, "a", 2, "x", DOCUMENT_LISTED);
+	documents_list_end(s, at(12), at(4), NS_PER_S);
+	documents_covered(s, at(12), NS_PER_S);
+	assert_false(documents_needs_all(s, at(5)));
+	documents_free(s);
+}
+
+/* Guards against an end that a peer remembers, taken for what stands. */
+static void test_end_in_a_whole_state_ends_what_came_later(void **state)
+{
+	struct documents *s = open_store();
+
+	(void)state;
+	put(s, "a", 4, "x", DOCUMENT_CHANGED);
+	documents_list_begin(s);
+	put(s, "a", 3, NULL, DOCUMENT_LISTED);
+	documents_list_end(s, at(10), at(1), NS_PER_S);
+	assert_true(find(s, "a")->deleted);
+	documents_free(s);
+}
+
 /* Guards against what an earlier epoch deleted hiding what is there again. */
 static void test_deletion_of_an_earlier_epoch_gives_way(void **state)
 {
@@ -413,6 +450,9 @@
 		cmocka_unit_test(test_newcomer_takes_what_a_peer_carries),
 		cmocka_unit_test(test_peer_of_an_earlier_epoch_needs_all),
 		cmocka_unit_test(test_deletion_of_an_earlier_epoch_gives_way),
+		cmocka_unit_test(test_who_lists_knows_no_ends_before),
+		cmocka_unit_test(
+			test_end_in_a_whole_state_ends_what_came_later),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -379,13 +379,17 @@
 static void test_no_whole_state_of_a_peer_while_listing(void **state)
 {
 	struct fixture *f = *state;
-	struct answer_head more = { .revision = 10, .more = true };
-	struct relay_head whole = { .through = { 0, 8 },
-				    .newest = { 0, 8 },
+	struct answer_head more = { .revision = 20, .more = true };
+	struct relay_head whole = { .through = { 0, 18 },
+				    .newest = { 0, 18 },
 				    .whole = true };
 
-	strcpy(more.last_key, "t/1");
+	/* What it had asked for is gone: it lists anew. */
+	listed(f);
+	pass(f, 400 * MS);
+	node_answer(f->node, SOURCE_BEHIND, &more, f->now_ns);
 	pass(f, 40 * MS);
+	strcpy(more.last_key, "t/1");
 	node_answering(f->node, 0, f->now_ns);
 	fact(f, node_listed, "routes", 5, "3");
 	fact(f, node_listed, "t/1", 6, "x");
@@ -402,6 +406,42 @@
 			 TARGET_SERVING);
 }
 
+/* The same of an entry that knows nothing yet: the peer is sooner, so the listing
+ * is what ends, and the peer's state alone says what stands. */
+static void test_whole_state_of_a_peer_ends_the_first_listing(void **state)
+{
+	struct fixture *f = *state;
+	struct answer_head more = { .revision = 10, .more = true };
+	struct relay_head whole = { .through = { 0, 18 },
+				    .newest = { 0, 18 },
+				    .floor = { 0, 18 },
+				    .whole = true };
+
+	strcpy(more.last_key, "t/1");
+	pass(f, 40 * MS);
+	node_answering(f->node, 0, f->now_ns);
+	fact(f, node_listed, "routes", 5, "3");
+	fact(f, node_listed, "t/1", 6, "x");
+	node_answer(f->node, SOURCE_OK, &more, f->now_ns);
+	assert_int_equal(f->calls.cancels, 0);
+	assert_true(node_fetching(f->node, &whole, f->now_ns));
+	assert_int_equal(f->calls.cancels, 1);
+	fact(f, node_relay_listed, "routes", 5, "3");
+	fact(f, node_relay_listed, "t/2", 7, "x");
+	node_fetched(f->node, &whole, f->now_ns);
+	/* Target 1 left after the page that named it. */
+	assert_int_equal(directory_by_id(f->node->directory, 1)->stage,
+			 TARGET_ABSENT);
+	assert_int_equal(directory_by_id(f->node->directory, 2)->stage,
+			 TARGET_SERVING);
+	assert_true(f->node->ready);
+	/* The page on its way is of the listing that was given up. */
+	pass(f, 400 * MS);
+	assert_int_equal(f->calls.lists, 2);
+	assert_int_equal(f->calls.watches, 1);
+	assert_int_equal(f->calls.watch_after, 18);
+}
+
 /*
  * Symptom: an entry opens flows at targets that are gone, and refuses routes
  * that are in force. Sequence: it starts and lists the platform; the pages
@@ -882,7 +922,9 @@
 {
 	struct fixture *f = *state;
 	struct hello h = { .from = PEER, .newest = { 2, 23 }, .boot = 1 };
-	struct relay_head head = { { 2, 23 }, { 2, 23 }, true };
+	struct relay_head head = { .through = { 2, 23 },
+				   .newest = { 2, 23 },
+				   .whole = true };
 
 	before_restore(f);
 	node_hello(f->node, &h, f->now_ns);
@@ -915,7 +957,9 @@
 static void test_earlier_epoch_takes_nothing_back(void **state)
 {
 	struct fixture *f = *state;
-	struct relay_head head = { { 1, 90 }, { 1, 90 }, true };
+	struct relay_head head = { .through = { 1, 90 },
+				   .newest = { 1, 90 },
+				   .whole = true };
 
 	pass(f, 40 * MS);
 	assert_true(answered_in(f, 2, 23, "28"));
@@ -961,7 +1005,9 @@
 	struct hello h = {
 		.from = PEER, .newest = { 2, 23 }, .carried = 77, .boot = 1
 	};
-	struct relay_head head = { { 2, 23 }, { 2, 23 }, false };
+	struct relay_head head = { .through = { 2, 23 },
+				   .newest = { 2, 23 },
+				   .whole = false };
 	struct document kept = doc("routes", 26, "24");
 
 	pass(f, 40 * MS);
@@ -997,6 +1043,7 @@
 		TEST(test_ready_once_it_knows),
 		TEST(test_not_ready_before_it_knows_what_peers_do),
 		TEST(test_no_whole_state_of_a_peer_while_listing),
+		TEST(test_whole_state_of_a_peer_ends_the_first_listing),
 		TEST(test_ready_though_a_peer_went_on),
 		TEST(test_an_answer_asks_for_none),
 		TEST(test_not_ready_with_pages_that_are_old),
--- a/test/packet_relay_test.c
+++ b/test/packet_relay_test.c
@@ -322,7 +322,7 @@
 	d.revision = restored.revision;
 	documents_list_begin(p->from);
 	documents_put(p->from, &d, DOCUMENT_LISTED, NOW_NS);
-	documents_list_end(p->from, restored, NOW_NS);
+	documents_list_end(p->from, restored, restored, NOW_NS);
 	documents_covered(p->from, restored, NOW_NS);
 	assert_int_equal(fetch(p), 0);
 	assert_true(p->body->len < 1000);
@@ -330,12 +330,36 @@
 	assert_int_equal(documents_at(p->to, 0)->epoch, 2);
 }
 
-/* Guards against a configuration that a peer's whole state leaves out. */
+static void count_large(void *ctx, const struct document *d)
+{
+	*(uint32_t *)ctx += d->size_bytes == LARGE_BYTES;
+}
+
+static struct documents *asking;
+
+static struct document_value asking_knows(void *ctx, uint64_t key_hash,
+					  struct position since)
+{
+	(void)ctx;
+	return documents_value(asking, key_hash, since);
+}
+
+static bool begin_count(void *ctx, const struct relay_head *head,
+			struct facts_port *to)
+{
+	(void)head;
+	*to = (struct facts_port){ ctx, count_large };
+	return true;
+}
+
+/* Guards against a configuration that a peer's whole state leaves out, and
+ * against links filled with one that the peer has. */
 static void test_whole_state_names_what_the_peer_has(void **state)
 {
 	struct pair *p = *state;
 	struct relay_base base;
 	struct relay_head head;
+	uint32_t named = 0;
 
 	put_large(p->from, 5);
 	assert_int_equal(fetch(p), 0);
@@ -343,15 +367,16 @@
 	documents_covered(p->from, (struct position){ 2, 23 }, NOW_NS);
 	relay_encode(p->from, documents_through(p->to), &base, &p->delta,
 		     p->body);
-	documents_free(p->to);
-	p->to = documents_new((struct documents_port){ NULL, ignore, no_order },
-			      kept);
-	assert_int_equal(
-		relay_decode((uint8_t *)p->body->str, (uint32_t)p->body->len,
-			     (struct relay_port){ p->to, begin, known }, &head),
-		0);
+	asking = p->to;
+	assert_int_equal(relay_decode((uint8_t *)p->body->str,
+				      (uint32_t)p->body->len,
+				      (struct relay_port){ &named, begin_count,
+							   asking_knows },
+				      &head),
+			 0);
 	assert_true(head.whole);
-	assert_int_equal(documents_count(p->to), 1);
+	assert_int_equal(named, 1);
+	assert_true(p->body->len < 1000);
 }
 
 /* Guards against a newcomer that ends what a copy has less of. */
@@ -360,7 +385,7 @@
 	struct document d = { .key = "a",
 			      .epoch = 1,
 			      .revision = 26,
-			      .outdated_epoch = 2,
+			      .outdated = { 2, 20 },
 			      .value = (uint8_t *)"24",
 			      .size_bytes = 2 };
 	struct pair *p = *state;
@@ -369,7 +394,7 @@
 	documents_covered(p->from, (struct position){ 2, 23 }, NOW_NS);
 	assert_int_equal(fetch(p), 0);
 	assert_int_equal(documents_at(p->to, 0)->epoch, 1);
-	assert_int_equal(documents_at(p->to, 0)->outdated_epoch, 2);
+	assert_int_equal(documents_at(p->to, 0)->outdated.epoch, 2);
 	documents_tick(p->to, NOW_NS + 60 * NS_PER_S);
 	assert_false(documents_at(p->to, 0)->deleted);
 }
--- /dev/null
+++ b/test/restore_prop.cc
@@ -0,0 +1,409 @@
+/*
+ * What is published, through entries that list, watch, ask each other and start
+ * anew, while the platform comes back from older copies: no configuration goes
+ * back, and all agree with what was written last once it has been written again.
+ */
+#include <rapidcheck.h>
+
+#include <map>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "documents.h"
+}
+
+namespace
+{
+
+constexpr uint64_t KEEP_NS = 60 * NS_PER_S;
+constexpr uint64_t CARRY_NS = 2 * NS_PER_S;
+constexpr uint64_t STEP_NS = NS_PER_S / 2;
+constexpr unsigned ENTRIES = 3;
+/* Key 0 is the configuration; the last one has contents without an order. */
+constexpr unsigned KEYS = 4;
+
+struct Value {
+	uint64_t number = 0;
+	bool deleted = true;
+	uint64_t revision = 0;
+	uint64_t created = 0;
+};
+
+struct Store {
+	std::map<unsigned, Value> keys;
+	uint64_t revision = 0;
+	uint64_t epoch = 1;
+
+	void write(unsigned key, uint64_t number, bool deleted)
+	{
+		Value &v = keys[key];
+
+		v.revision = ++revision;
+		if (v.deleted)
+			v.created = revision;
+		v.deleted = deleted;
+		if (!deleted)
+			v.number = number;
+	}
+};
+
+std::string key_name(unsigned key)
+{
+	return "key-" + std::to_string(key);
+}
+
+struct Entry {
+	documents *docs = nullptr;
+	uint64_t in_force = 0;
+	uint64_t taken = 0;
+	std::map<std::string, uint64_t> shown;
+	bool fell = false;
+
+	Entry();
+	~Entry()
+	{
+		documents_free(docs);
+	}
+	Entry(const Entry &) = delete;
+	Entry &operator=(const Entry &) = delete;
+};
+
+uint64_t number_of(const document *d)
+{
+	return d->value ? std::stoull(std::string((const char *)d->value,
+						  d->size_bytes))
+			: 0;
+}
+
+bool on_change(void *ctx, const document *d)
+{
+	auto *e = static_cast<Entry *>(ctx);
+	uint64_t number = number_of(d);
+
+	if (d->key == key_name(0)) {
+		e->fell = e->fell || number < e->in_force;
+		e->in_force = number;
+	}
+	if (number)
+		e->shown[d->key] = number;
+	return true;
+}
+
+/* As the directory of targets and routes tells it. */
+int compare(void *ctx, const document *d)
+{
+	auto *e = static_cast<Entry *>(ctx);
+	auto known = e->shown.find(d->key);
+	uint64_t number = number_of(d);
+
+	if (d->key == key_name(KEYS - 1) || known == e->shown.end())
+		return 0;
+	return (number > known->second) - (number < known->second);
+}
+
+Entry::Entry()
+{
+	docs = documents_new({ this, on_change, compare },
+			     { KEEP_NS, CARRY_NS });
+}
+
+struct World {
+	Store store;
+	Store copy;
+	std::map<unsigned, Value> last; /* what was written last */
+	uint64_t number = 0;
+	uint64_t now_ns = 100 * NS_PER_S;
+	std::unique_ptr<Entry> entries[ENTRIES];
+
+	World()
+	{
+		for (auto &e : entries)
+			e = std::make_unique<Entry>();
+		write(0, false);
+		copy = store;
+	}
+
+	void write(unsigned key, bool deleted)
+	{
+		last[key].number = ++number;
+		last[key].deleted = deleted;
+		store.write(key, number, deleted);
+	}
+
+	void restore()
+	{
+		uint64_t epoch = store.epoch + 1;
+
+		store = copy;
+		store.epoch = epoch;
+	}
+
+	void rewrite()
+	{
+		for (const auto &k : last) {
+			const Value &v = store.keys[k.first];
+
+			if (k.second.deleted
+				    ? !v.deleted
+				    : v.deleted || v.number != k.second.number)
+				store.write(k.first, k.second.number,
+					    k.second.deleted);
+		}
+	}
+
+	void put(Entry &e, unsigned key, document_origin origin)
+	{
+		const Value &v = store.keys[key];
+		std::string text = std::to_string(v.number);
+		document d = {};
+
+		snprintf(d.key, sizeof(d.key), "%s", key_name(key).c_str());
+		d.epoch = store.epoch;
+		d.revision = v.revision;
+		d.created = v.created;
+		d.deleted = v.deleted;
+		d.value = v.deleted ? nullptr : (uint8_t *)&text[0];
+		d.size_bytes = v.deleted ? 0 : (uint32_t)text.size();
+		documents_put(e.docs, &d, origin, now_ns);
+	}
+
+	void list(Entry &e)
+	{
+		position at = { store.epoch, store.revision };
+
+		if (store.epoch < documents_known(e.docs).epoch)
+			return;
+		documents_list_begin(e.docs);
+		for (const auto &k : store.keys)
+			if (!k.second.deleted)
+				put(e, k.first, DOCUMENT_LISTED);
+		documents_list_end(e.docs, at, at, now_ns);
+		documents_covered(e.docs, at, now_ns);
+	}
+
+	/* A watch of another epoch, or after what is not there, is a listing. */
+	void read(Entry &e)
+	{
+		position known = documents_known(e.docs);
+		position at = { store.epoch, store.revision };
+
+		if (known.epoch != store.epoch || !known.revision) {
+			list(e);
+			return;
+		}
+		for (const auto &k : store.keys)
+			if (k.second.revision > known.revision)
+				put(e, k.first, DOCUMENT_CHANGED);
+		documents_covered(e.docs, at, now_ns);
+	}
+
+	bool ahead(const Entry &e, const Entry &peer)
+	{
+		position own = documents_newest(e.docs);
+		position its = documents_newest(peer.docs);
+		uint64_t carried = documents_carried(peer.docs);
+
+		if (!documents_through(peer.docs).revision)
+			return false;
+		if (position_after(its, own))
+			return true;
+		return its.epoch == own.epoch && carried &&
+		       carried != documents_carried(e.docs) &&
+		       carried != e.taken;
+	}
+
+	void hand(Entry &e, const document *d, document_origin origin)
+	{
+		documents_put(e.docs, d, origin, now_ns);
+	}
+
+	/* A heartbeat of @peer, and what @e asks it for. */
+	void hear(Entry &e, const Entry &peer)
+	{
+		position after = documents_through(e.docs);
+		position through = documents_through(peer.docs);
+		bool whole = documents_needs_all(peer.docs, after);
+
+		if (through.revision)
+			documents_began(e.docs, through.epoch,
+					documents_began_ns(peer.docs));
+		if (!ahead(e, peer) || through.epoch < after.epoch)
+			return;
+		e.taken = documents_carried(peer.docs);
+		if (whole)
+			documents_list_begin(e.docs);
+		for (uint32_t i = 0; i < documents_count(peer.docs); i++) {
+			const document *d = documents_at(peer.docs, i);
+
+			if (whole)
+				hand(e, d, DOCUMENT_LISTED);
+			else if (documents_lacks(peer.docs, after, d))
+				hand(e, d, DOCUMENT_CHANGED);
+		}
+		if (whole)
+			documents_list_end(e.docs, through,
+					   documents_floor(peer.docs), now_ns);
+		documents_covered(e.docs, through, now_ns);
+		documents_knows(e.docs, documents_newest(peer.docs));
+	}
+
+	void pass(uint64_t ns)
+	{
+		for (uint64_t end_ns = now_ns + ns; now_ns < end_ns;) {
+			now_ns += STEP_NS;
+			for (auto &e : entries)
+				documents_tick(e->docs, now_ns);
+		}
+	}
+
+	void all_hear()
+	{
+		for (unsigned round = 0; round < ENTRIES; round++)
+			for (auto &e : entries)
+				for (auto &peer : entries)
+					if (e != peer)
+						hear(*e, *peer);
+	}
+};
+
+enum Op {
+	WRITE,
+	DELETE,
+	COPY,
+	RESTORE,
+	REWRITE,
+	LIST,
+	READ,
+	HEAR,
+	PASS,
+	START,
+	OPS
+};
+
+struct Step {
+	unsigned op;
+	unsigned a;
+	unsigned b;
+};
+
+std::ostream &operator<<(std::ostream &out, const Step &s)
+{
+	static const char *const names[OPS] = { "write",   "delete",  "copy",
+						"restore", "rewrite", "list",
+						"read",	   "hear",    "pass",
+						"start" };
+
+	return out << names[s.op] << ' ' << s.a << ' ' << s.b;
+}
+
+void play(World &w, const Step &s)
+{
+	Entry &e = *w.entries[s.a % ENTRIES];
+
+	switch (s.op) {
+	case WRITE:
+		w.write(s.a % KEYS, false);
+		break;
+	case DELETE: /* a configuration is only replaced */
+		if (s.a % KEYS && !w.last[s.a % KEYS].deleted)
+			w.write(s.a % KEYS, true);
+		break;
+	case COPY:
+		w.copy = w.store;
+		break;
+	case RESTORE:
+		w.restore();
+		break;
+	case REWRITE:
+		w.rewrite();
+		break;
+	case LIST:
+		w.list(e);
+		break;
+	case READ:
+		w.read(e);
+		break;
+	case HEAR:
+		if (s.a % ENTRIES != s.b % ENTRIES)
+			w.hear(e, *w.entries[s.b % ENTRIES]);
+		break;
+	case PASS:
+		w.pass(STEP_NS);
+		break;
+	case START:
+		w.entries[s.a % ENTRIES] = std::make_unique<Entry>();
+		break;
+	}
+}
+
+std::map<std::string, uint64_t> state(const documents *docs)
+{
+	std::map<std::string, uint64_t> out;
+
+	for (uint32_t i = 0; i < documents_count(docs); i++) {
+		const document *d = documents_at(docs, i);
+
+		if (!d->deleted)
+			out[d->key] = number_of(d);
+	}
+	return out;
+}
+
+std::map<std::string, uint64_t> truth(const World &w)
+{
+	std::map<std::string, uint64_t> out;
+
+	for (const auto &k : w.last)
+		if (!k.second.deleted)
+			out[key_name(k.first)] = k.second.number;
+	return out;
+}
+
+rc::Gen<std::vector<Step>> steps()
+{
+	return rc::gen::container<std::vector<Step>>(rc::gen::map(
+		rc::gen::tuple(rc::gen::inRange<unsigned>(0, OPS),
+			       rc::gen::inRange<unsigned>(0, 12),
+			       rc::gen::inRange<unsigned>(0, 12)),
+		[](const std::tuple<unsigned, unsigned, unsigned> &t) {
+			return Step{ std::get<0>(t), std::get<1>(t),
+				     std::get<2>(t) };
+		}));
+}
+
+/* One of them reads in the end; the others have it from peers alone. */
+bool agree_after_restores()
+{
+	return rc::check("all agree with what was written last", [] {
+		const auto plan = *steps();
+		const auto reader = *rc::gen::inRange<unsigned>(0, ENTRIES);
+		World w;
+
+		for (const Step &s : plan) {
+			play(w, s);
+			for (const auto &e : w.entries)
+				RC_ASSERT(!e->fell);
+		}
+		w.rewrite();
+		w.read(*w.entries[reader]);
+		w.all_hear();
+		w.pass(2 * CARRY_NS);
+		w.read(*w.entries[reader]);
+		w.all_hear();
+		for (const auto &e : w.entries) {
+			RC_ASSERT(!e->fell);
+			RC_ASSERT(state(e->docs) == truth(w));
+			RC_ASSERT(!documents_carried(e->docs));
+		}
+	});
+}
+
+} // namespace
+
+int main()
+{
+	return agree_after_restores() ? 0 : 1;
+}
