--- a/test/world_bed.h
+++ b/test/world_bed.h
@@ -30,10 +30,29 @@
 	return w;
 }
 
+#define WORLD_RULES_BYTES 256
+
+/* What must never happen, how often it did, as text. */
+static inline const char *world_bed_rules(const struct world_report *r,
+					  char out[WORLD_RULES_BYTES])
+{
+	snprintf(out, WORLD_RULES_BYTES,
+		 "misrouted %llu, broken %llu, late drain %llu, evacuated "
+		 "%llu, overrun %llu, stale %llu, doubled %llu",
+		 (unsigned long long)r->misrouted,
+		 (unsigned long long)r->broken,
+		 (unsigned long long)r->late_drain,
+		 (unsigned long long)r->evacuated,
+		 (unsigned long long)r->overrun, (unsigned long long)r->stale,
+		 (unsigned long long)r->doubled);
+	return out;
+}
+
 static inline void world_bed_play(const struct world_fault *f, uint64_t seed,
 				  bool mod)
 {
 	struct world *w = world_bed_new(seed, mod);
+	char rules[WORLD_RULES_BYTES];
 	struct world_report r;
 	double served;
 
@@ -43,20 +62,10 @@
 	world_report(w, &r);
 	served = (double)(r.in_aim + r.late) / (double)r.requests;
 	if (world_broken_rules(&r) || served < f->served)
-		fail_msg("%s, seed %llu: served %.4f of %llu, misrouted %llu, "
-			 "broken %llu, late drain %llu, evacuated %llu, "
-			 "overrun %llu, stale "
-			 "%llu, doubled "
-			 "%llu",
-			 f->name, (unsigned long long)seed, served,
+		fail_msg("%s, seed %llu: served %.4f of %llu, %s", f->name,
+			 (unsigned long long)seed, served,
 			 (unsigned long long)r.requests,
-			 (unsigned long long)r.misrouted,
-			 (unsigned long long)r.broken,
-			 (unsigned long long)r.late_drain,
-			 (unsigned long long)r.evacuated,
-			 (unsigned long long)r.overrun,
-			 (unsigned long long)r.stale,
-			 (unsigned long long)r.doubled);
+			 world_bed_rules(&r, rules));
 	assert_int_equal(world_ready(w), world_entries(w));
 	world_free(w);
 }
@@ -67,6 +76,7 @@
 				  uint64_t seed, bool mod)
 {
 	struct world *w = world_bed_new(seed, mod);
+	char rules[WORLD_RULES_BYTES];
 	struct world_report r;
 
 	world_run(w, WORLD_WARM_UP_NS);
@@ -76,17 +86,8 @@
 	world_run(w, WORLD_AFTER_NS);
 	world_report(w, &r);
 	if (world_broken_rules(&r))
-		fail_msg("%s then %s: misrouted %llu, broken %llu, late drain "
-			 "%llu, evacuated %llu, overrun %llu, stale %llu, "
-			 "doubled %llu",
-			 first->name, second->name,
-			 (unsigned long long)r.misrouted,
-			 (unsigned long long)r.broken,
-			 (unsigned long long)r.late_drain,
-			 (unsigned long long)r.evacuated,
-			 (unsigned long long)r.overrun,
-			 (unsigned long long)r.stale,
-			 (unsigned long long)r.doubled);
+		fail_msg("%s then %s: %s", first->name, second->name,
+			 world_bed_rules(&r, rules));
 	world_free(w);
 }
 
