--- a/fuzz/users_fuzz.c
+++ b/fuzz/users_fuzz.c
@@ -59,12 +59,21 @@
 	free(copy);
 }
 
+static void epoch(const uint8_t *data, uint32_t size)
+{
+	char text[64] = "";
+	uint64_t read;
+
+	memcpy(text, data, size < sizeof(text) ? size : sizeof(text) - 1);
+	users_read_epoch(text, &read);
+}
+
 static struct document_value nothing_known(void *ctx, uint64_t key_hash,
-					   uint64_t revision)
+					   struct position since)
 {
 	(void)ctx;
 	(void)key_hash;
-	(void)revision;
+	(void)since;
 	return (struct document_value){ 0 };
 }
 
@@ -77,7 +86,7 @@
 	struct relay_head relay;
 	struct hello hello;
 
-	switch (what % 6) {
+	switch (what % 7) {
 	case 0:
 		packet(data, size);
 		break;
@@ -91,6 +100,9 @@
 		document(data, size, "servers/i-12", names);
 		break;
 	case 4:
+		epoch(data, size);
+		break;
+	case 5:
 		hello_decode(data, size, &hello);
 		break;
 	default:
