--- a/test/packet_documents_test.c
+++ b/test/packet_documents_test.c
@@ -380,6 +380,7 @@
 	documents_covered(s, at(10), NS_PER_S);
 	assert_true(documents_needs_all(s, at(9)));
 	assert_false(documents_needs_all(s, at(10)));
+	assert_true(documents_needs_all(s, at(0)));
 	/* A peer that has always followed hands its own on. */
 	documents_list_begin(s);
 	put(s, "a", 2, "x", DOCUMENT_LISTED);
