Emulator: what a restored store lost is written again also when it is away once more

The writing was dropped when the store was away at its time, or had come back a second time meanwhile: targets stayed unpublished for the rest of the run.

--- a/sim/sim-packets/faults.c
+++ b/sim/sim-packets/faults.c
@@ -172,10 +172,15 @@
 	store_restore(w);
 }
 
+/* Whoever finds the store away writes once it is back. */
 static void on_rewrite(struct world *w, const struct event *e)
 {
-	if (e->a == w->epoch && w->now_ns >= w->store_down_ns)
+	(void)e;
+	if (w->now_ns >= w->store_down_ns)
 		store_rewrite(w);
+	else
+		world_at(w, w->store_down_ns - w->now_ns + REWRITE_NS,
+			 on_rewrite, 0, 0, 0);
 }
 
 /**
@@ -190,7 +195,7 @@
 {
 	world_store_down(w, ns, false);
 	world_at(w, ns - 1, on_restore, 0, 0, 0);
-	world_at(w, ns + REWRITE_NS, on_rewrite, w->epoch + 1, 0, 0);
+	world_at(w, ns + REWRITE_NS, on_rewrite, 0, 0, 0);
 }
 
 /**
