Two fields of an entry that could be derived are gone

Read over: that lost history was logged already is what source.behind counts; the epoch of a listing's first page is that of the answer taken last, since no other call is under way. A peer's base is told by its position before its key is hashed, for each document of an answer. One comment wrapped.

--- a/adapters/relay_codec.c
+++ b/adapters/relay_codec.c
@@ -44,8 +44,9 @@
 /* Whether the asking peer has a document as it is. */
 static bool is_base(const struct document *d, const struct relay_base *base)
 {
-	return base->key_hash && hash_text(d->key) == base->key_hash &&
-	       !position_compare(document_position(d), base->since);
+	return base->key_hash &&
+	       !position_compare(document_position(d), base->since) &&
+	       hash_text(d->key) == base->key_hash;
 }
 
 /*
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -133,10 +133,7 @@
  * @list_revision: least revision of its pages
  * @list_after: last key of the page before
  * @asked: position after which the watch under way asks for changes
- * @answer_epoch: epoch of the answer that is being taken
- * @list_epoch: epoch of the listing's first page
- * @behind_logged: the platform has no history after what is known here, and
- *	that was logged
+ * @answer_epoch: epoch of the answer that was taken last
  * @told: newest position that the neighbours were told of at once
  * @fetching: a peer is being asked
  * @fetching_far: and is of another data centre
@@ -173,8 +170,6 @@
 	char list_after[DOCUMENT_KEY_MAX_BYTES + 1];
 	struct position asked;
 	uint64_t answer_epoch;
-	uint64_t list_epoch;
-	bool behind_logged;
 	struct position told;
 	bool fetching;
 	bool fetching_far;
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -154,7 +154,7 @@
 
 	if (n->step == SOURCE_WATCH)
 		return epoch == known && epoch == n->asked.epoch;
-	return epoch >= known && (!n->list_first || epoch == n->list_epoch);
+	return epoch >= known && (!n->list_first || epoch == n->answer_epoch);
 }
 
 /*
@@ -189,10 +189,8 @@
 	if (!joins(n, epoch))
 		return false;
 	n->answer_epoch = epoch;
-	if (n->step == SOURCE_LIST && !n->list_first) {
-		n->list_epoch = epoch;
+	if (n->step == SOURCE_LIST && !n->list_first)
 		documents_list_begin(n->documents);
-	}
 	return true;
 }
 
@@ -248,19 +246,16 @@
 	peer_set_trouble(n->peers, n->now_ns - SOURCE_CONTACT_NS, n->now_ns);
 }
 
-static void log_behind(struct node *n, enum source_outcome outcome)
+/* The first of a row is logged. */
+static void note_behind(struct node *n)
 {
-	n->counters.platform_behind += outcome == SOURCE_BEHIND;
-	if (outcome == SOURCE_BEHIND && !n->behind_logged)
+	n->counters.platform_behind++;
+	if (!n->source.behind)
 		n->port.log(n->port.ctx, NODE_WARNING, "platform", NULL,
 			    "no changes to be had after revision %llu, epoch "
 			    "%llu",
 			    (unsigned long long)n->asked.revision,
 			    (unsigned long long)n->asked.epoch);
-	if (outcome == SOURCE_BEHIND)
-		n->behind_logged = true;
-	else if (outcome == SOURCE_OK && n->step == SOURCE_WATCH)
-		n->behind_logged = false;
 }
 
 /**
@@ -278,7 +273,8 @@
 	bool changed;
 
 	n->now_ns = now_ns;
-	log_behind(n, outcome);
+	if (outcome == SOURCE_BEHIND)
+		note_behind(n);
 	if (outcome == SOURCE_OK) {
 		take_head(n, head);
 		at = (struct position){ n->answer_epoch, head->revision };
@@ -319,7 +315,8 @@
  * @now_ns: time
  *
  * Two listings at a time would each miss what the other names: an entry that
- * knows nothing yet gives its own up. Who knows an earlier epoch has nothing that was not carried over from there.
+ * knows nothing yet gives its own up. Who knows an earlier epoch has nothing
+ * that was not carried over from there.
  *
  * Return: whether to take them.
  */
