Kinds, switch and counters that the parts of load control share

Cause: two deployments have requests whose kind says nothing about how clients use flows, and downloads were taken for requests that must not be repeated. The parts of docs/design/load-parts.md need common types first. Change: route kind "download"; route_table.load_control, set by a configuration with downloads; policy load_control (auto, on, off); flow_state.is_long in place of tests for the kind; counters by service, kind and event. Measured: unit tests of the touched modules pass; decisions without downloads are unchanged (packet_world_test, packet_wait_test).

--- a/adapters/policy_settings.c
+++ b/adapters/policy_settings.c
@@ -13,7 +13,12 @@
 #define SWITCH(name) \
 	FIELD(policy, #name, FIELD_BOOL, name, .keep_if_missing = true)
 
+/* In the order of enum load_control. */
+static const char *const load_control_words[] = { "auto", "on", "off", NULL };
+
 const struct field policy_fields[] = {
+	FIELD(policy, "load_control", FIELD_CHOICE, load_control,
+	      .keep_if_missing = true, .choices = load_control_words),
 	NUMBER(choices, 0, 16),
 	NUMBER(zone_penalty_percent, 0, PERCENT_MAX),
 	NUMBER(trial_odds, 1, COUNT_MAX),
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -48,6 +48,7 @@
 		[ROUTE_FEED] = "class=\"feed\"",
 		[ROUTE_REPORT] = "class=\"report\"",
 		[ROUTE_UPLOAD] = "class=\"upload\"",
+		[ROUTE_DOWNLOAD] = "class=\"download\"",
 	};
 
 	for (uint8_t kind = 0; kind < ROUTE_KINDS; kind++) {
--- a/core/packet/common/policy.c
+++ b/core/packet/common/policy.c
@@ -1,6 +1,7 @@
 #include "policy.h"
 
 const struct policy policy_default = {
+	.load_control = LOAD_CONTROL_AUTO,
 	.choices = 2,
 	.zone_penalty_percent = 40,
 	.trial_odds = 8,
--- a/core/packet/common/policy.h
+++ b/core/packet/common/policy.h
@@ -4,8 +4,17 @@
 
 #include "types.h"
 
+/**
+ * enum load_control - when the decisions of docs/design/load-parts.md apply
+ * @LOAD_CONTROL_AUTO: when the published configuration calls for them
+ * @LOAD_CONTROL_ON: always
+ * @LOAD_CONTROL_OFF: never
+ */
+enum load_control { LOAD_CONTROL_AUTO, LOAD_CONTROL_ON, LOAD_CONTROL_OFF };
+
 /**
  * struct policy - limits and switches; policy_default has the defaults
+ * @load_control: enum load_control
  * @choices: a new flow goes to the least loaded of this many targets drawn at
  *	random; 0 for all targets. With all of them, every entry chooses the
  *	same target until the next heartbeat: one that has just started gets
@@ -147,6 +156,7 @@
  *	clients wait for as long as the entries do.
  */
 struct policy {
+	uint8_t load_control;
 	uint32_t choices;
 	uint32_t zone_penalty_percent;
 	uint32_t trial_odds;
--- a/core/packet/flow/flow_cache.c
+++ b/core/packet/flow/flow_cache.c
@@ -114,7 +114,7 @@
 	struct target *target = flow->target;
 
 	target->flows += (uint32_t)by;
-	if (flow->kind == ROUTE_FEED)
+	if (flow->is_long)
 		target->feeds += (uint32_t)by;
 }
 
@@ -167,7 +167,7 @@
 		return;
 	flow->busy = busy;
 	flow->target->busy += busy ? 1U : -1U;
-	if (flow->kind != ROUTE_FEED)
+	if (!flow->is_long)
 		flow->target->busy_short += busy ? 1U : -1U;
 	if (busy)
 		return;
@@ -251,6 +251,7 @@
  * @key: client address and VIP; must not be in the cache
  * @target: target that the flow is assigned to
  * @kind: enum route_kind
+ * @is_long: the flow will carry many requests
  * @stage: enum flow_stage, not FLOW_CLOSED
  * @now_ns: current time
  *
@@ -259,7 +260,7 @@
 struct flow_state *flow_cache_add(struct flow_cache *cache,
 				  const struct flow_key *key,
 				  struct target *target, uint8_t kind,
-				  uint8_t stage, uint64_t now_ns)
+				  bool is_long, uint8_t stage, uint64_t now_ns)
 {
 	struct flow_state *flow = alloc_flow(cache);
 
@@ -268,6 +269,7 @@
 		.target = target,
 		.stage = stage,
 		.kind = kind,
+		.is_long = is_long,
 		.seen_ns = now_ns,
 		.opened_ns = now_ns,
 	};
--- a/core/packet/flow/flow_cache.h
+++ b/core/packet/flow/flow_cache.h
@@ -21,7 +21,7 @@
 struct flow_state *flow_cache_add(struct flow_cache *cache,
 				  const struct flow_key *key,
 				  struct target *target, uint8_t kind,
-				  uint8_t stage, uint64_t now_ns);
+				  bool is_long, uint8_t stage, uint64_t now_ns);
 void flow_cache_touch(struct flow_cache *cache, struct flow_state *flow,
 		      uint64_t now_ns);
 void flow_cache_set_target(struct flow_cache *cache, struct flow_state *flow,
--- a/core/packet/flow/flow_state.h
+++ b/core/packet/flow/flow_state.h
@@ -26,6 +26,8 @@
  * @busy: a request is in progress, queued at this entry or at the target
  * @running: the request was forwarded and is neither answered nor overdue;
  *	implies @busy
+ * @is_long: the flow carries many requests; set when the flow is added to the
+ *	cache
  * @found_free_slot: when the request was forwarded, the known load of the
  *	target was below its number of slots, so that the time to the answer
  *	contains no queueing at the target
@@ -64,6 +66,7 @@
 	uint8_t kind;
 	bool busy;
 	bool running;
+	bool is_long;
 	bool found_free_slot;
 	uint8_t priority;
 	uint32_t service;
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -44,7 +44,8 @@
 				     path->policy->request_due_means;
 	path->wait_queue = wait_queue_new(path->policy->waiting_max);
 	path->flows = flow_cache_new(conf->flows_max, path->wait_queue);
-	if (path->wait_queue && path->flows)
+	path->stats = load_stats_new();
+	if (path->wait_queue && path->flows && path->stats)
 		return path;
 	path_free(path);
 	return NULL;
@@ -56,6 +57,7 @@
 		return;
 	flow_cache_free(path->flows);
 	wait_queue_free(path->wait_queue);
+	load_stats_free(path->stats);
 	free(path);
 }
 
@@ -169,6 +171,24 @@
 	return due_ns;
 }
 
+/* Whether the decisions of docs/design/load-parts.md apply. */
+bool path_load_control(const struct path *path)
+{
+	const struct route_table *table =
+		directory_route_table(path->directory);
+
+	if (path->policy->load_control == LOAD_CONTROL_AUTO)
+		return table && table->load_control;
+	return path->policy->load_control == LOAD_CONTROL_ON;
+}
+
+/* Whether new flows of a route will carry many requests. */
+bool path_route_is_long(const struct path *path, const struct route *route)
+{
+	(void)path;
+	return route->kind == ROUTE_FEED;
+}
+
 struct target *path_assign_target(struct path *path, const struct flow_key *key,
 				  const struct route *route,
 				  const struct target *avoid, uint64_t now_ns)
@@ -178,6 +198,7 @@
 		.service = route_select_service(route, flow_hash(key)),
 		.zone = path->conf.zone,
 		.kind = route->kind,
+		.is_long = path_route_is_long(path, route),
 		.avoid = avoid,
 		.feed_load = path->feed_load,
 		.now_ns = now_ns,
@@ -231,7 +252,9 @@
 		flow_cache_set_target(path->flows, flow, target);
 	else
 		flow = flow_cache_add(path->flows, &packet->flow, target,
-				      route->kind, FLOW_OPENING, now_ns);
+				      route->kind,
+				      path_route_is_long(path, route),
+				      FLOW_OPENING, now_ns);
 	flow_cache_touch(path->flows, flow, now_ns);
 	flow->forwarded_ns = now_ns;
 	flow->seq = packet->seq;
@@ -374,13 +397,16 @@
 
 static struct flow_state *find_or_add_flow(struct path *path,
 					   const struct packet *packet,
-					   struct target *target, uint8_t kind,
+					   struct target *target,
+					   const struct route *route,
 					   uint64_t now_ns)
 {
 	struct flow_state *flow = flow_cache_find(path->flows, &packet->flow);
 
 	if (!flow) {
-		flow = flow_cache_add(path->flows, &packet->flow, target, kind,
+		flow = flow_cache_add(path->flows, &packet->flow, target,
+				      route->kind,
+				      path_route_is_long(path, route),
 				      FLOW_OPEN, now_ns);
 		flow->seq = packet->seq - 1;
 		flow->ack = packet->ack;
@@ -437,8 +463,7 @@
 		return;
 	}
 	if (track_packet(path,
-			 find_or_add_flow(path, packet, target, route->kind,
-					  now_ns),
+			 find_or_add_flow(path, packet, target, route, now_ns),
 			 packet, route, now_ns))
 		set_verdict(path, out, PATH_WAIT, PATH_waits, target);
 	else
@@ -501,6 +526,17 @@
 	return &path->latencies[kind];
 }
 
+/**
+ * path_load_stats() - get the counters of requests
+ * @path: state of the decisions on packets
+ *
+ * Return: counters, owned by @path.
+ */
+const struct load_stats *path_load_stats(const struct path *path)
+{
+	return path->stats;
+}
+
 uint32_t path_flow_count(const struct path *path)
 {
 	return flow_cache_count(path->flows);
--- a/core/packet/flow/path.h
+++ b/core/packet/flow/path.h
@@ -10,6 +10,7 @@
 #include "flow_cache.h"
 #include "health.h"
 #include "histogram.h"
+#include "load_stats.h"
 #include "policy.h"
 
 /**
@@ -164,6 +165,7 @@
 const uint64_t *path_verdict_counts(const struct path *path);
 const struct path_latencies *path_latencies(const struct path *path,
 					    uint8_t kind);
+const struct load_stats *path_load_stats(const struct path *path);
 uint32_t path_flow_count(const struct path *path);
 uint32_t path_queued_count(const struct path *path);
 struct path_limits path_limits(const struct path *path, uint32_t service);
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -19,6 +19,7 @@
  * @answer_ns: mean time to an answer, by kind of route
  * @counts: decisions, by reason
  * @latencies: durations, by kind of route
+ * @stats: counters of requests by service, kind and event; owned
  * @sizes: mean sizes of answers
  * @outliers_checked_ns: when targets were last checked for an excess of
  *	failures
@@ -46,6 +47,7 @@
 	uint64_t answer_ns[ROUTE_KINDS];
 	uint64_t counts[PATH_REASON_COUNT];
 	struct path_latencies latencies[ROUTE_KINDS];
+	struct load_stats *stats;
 	struct answer_sizes sizes;
 	uint64_t outliers_checked_ns;
 	float feed_load;
@@ -82,6 +84,8 @@
 struct health_context path_health_context(struct path *path, uint64_t now_ns);
 void path_suspect(struct path *path, struct target *target, uint64_t since_ns,
 		  uint64_t now_ns);
+bool path_load_control(const struct path *path);
+bool path_route_is_long(const struct path *path, const struct route *route);
 struct target *path_assign_target(struct path *path, const struct flow_key *key,
 				  const struct route *route,
 				  const struct target *avoid, uint64_t now_ns);
--- a/core/packet/publish/route_table.c
+++ b/core/packet/publish/route_table.c
@@ -128,6 +128,17 @@
 	return route->shares[0].service;
 }
 
+/**
+ * route_kind_is_idempotent() - whether requests of a kind may be repeated
+ * @kind: enum route_kind
+ *
+ * Return: true when a client sends a request again after any failure.
+ */
+bool route_kind_is_idempotent(uint8_t kind)
+{
+	return kind == ROUTE_FEED || kind == ROUTE_DOWNLOAD;
+}
+
 void route_table_free(struct route_table *table)
 {
 	if (!table)
--- a/core/packet/publish/route_table.h
+++ b/core/packet/publish/route_table.h
@@ -13,9 +13,19 @@
  * @ROUTE_FEED: many idempotent requests on a long flow
  * @ROUTE_REPORT: one non-idempotent request per flow
  * @ROUTE_UPLOAD: one large non-idempotent request per flow
+ * @ROUTE_DOWNLOAD: one idempotent request per flow, with a large answer
  * @ROUTE_KINDS: number of kinds
+ *
+ * A kind tells whether requests may be repeated. The uses of flows that are
+ * given here hold where struct route_table's load_control is off.
  */
-enum route_kind { ROUTE_FEED, ROUTE_REPORT, ROUTE_UPLOAD, ROUTE_KINDS };
+enum route_kind {
+	ROUTE_FEED,
+	ROUTE_REPORT,
+	ROUTE_UPLOAD,
+	ROUTE_DOWNLOAD,
+	ROUTE_KINDS
+};
 
 /**
  * struct route_share - a service and its part of the new flows of a route
@@ -70,6 +80,8 @@
  * struct route_table - a configuration
  * @version: version that the operator gave it
  * @idle_timeout_ns: a flow that is idle for longer may be dropped
+ * @load_control: the configuration calls for the decisions that are described
+ *	in docs/design/load-parts.md
  * @routes: routes, owned
  * @n_routes: number of routes
  * @cold: services with their limits after a start, owned
@@ -79,6 +91,7 @@
 struct route_table {
 	uint64_t version;
 	uint64_t idle_timeout_ns;
+	bool load_control;
 	struct route *routes;
 	uint32_t n_routes;
 	struct service_cold *cold;
@@ -93,6 +106,7 @@
 struct route *route_table_find(const struct route_table *table, uint64_t vip);
 bool route_allows(const struct route *route, uint32_t service, uint64_t now_ns);
 uint32_t route_select_service(const struct route *route, uint64_t hash);
+bool route_kind_is_idempotent(uint8_t kind);
 void route_table_free(struct route_table *table);
 
 #endif
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -10,13 +10,13 @@
 #define CANDIDATES_MAX 16
 
 /*
- * Load of a target in slots. Long flows (feeds) are spread by their number,
+ * Load of a target in slots. Long flows are spread by their number,
  * since the load of one shows only over many requests. Short flows are spread
- * by the requests that the target runs at the moment, those of feeds included.
+ * by the requests that the target runs at the moment, those of long flows included.
  */
 static float load(const struct target *t, const struct assign_query *q)
 {
-	if (q->kind == ROUTE_FEED)
+	if (q->is_long)
 		return ((float)t->feeds + t->peers_feeds) * q->feed_load +
 		       t->short_mean + t->peers_short;
 	return (float)t->running + t->peers_running;
--- a/core/packet/target/assign.h
+++ b/core/packet/target/assign.h
@@ -11,6 +11,7 @@
  * @service: number of the service that it goes to
  * @zone: data centre of this VM, as in struct target_advertisement
  * @kind: enum route_kind
+ * @is_long: the flow will carry many requests
  * @avoid: target that did not answer an earlier SYN of the flow, or NULL
  * @feed_load: mean number of slots that an open feed occupies
  * @now_ns: current time
@@ -20,6 +21,7 @@
 	uint32_t service;
 	uint32_t zone;
 	uint8_t kind;
+	bool is_long;
 	const struct target *avoid;
 	float feed_load;
 	uint64_t now_ns;
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -93,9 +93,9 @@
  * @probe_misses: consecutive probes without an answer
  * @cached_flows: flows in the flow cache that refer to it, closed ones included
  * @flows: of @cached_flows, those that are open or opening
- * @feeds: of @flows, the feeds
+ * @feeds: of @flows, the long ones (struct flow_state's is_long)
  * @busy: flows with a request in progress
- * @busy_short: of @busy, those that are no feeds
+ * @busy_short: of @busy, those of short flows
  * @running: of @busy, those whose request was sent to the target and is neither
  *	answered nor overdue; the others are queued at this entry or presumed
  *	lost
--- a/sim/sim-experiment/read_site.c
+++ b/sim/sim-experiment/read_site.c
@@ -8,7 +8,8 @@
 #include <glib.h>
 #include <string.h>
 
-static const char *const kinds[] = { "feed", "report", "upload", NULL };
+static const char *const kinds[] = { "feed", "report", "upload", "download",
+				     NULL };
 
 /* Fields of a class that struct site_class holds in another form. */
 struct class_strings {
--- a/sim/sim-soak/store_server.c
+++ b/sim/sim-soak/store_server.c
@@ -23,6 +23,7 @@
 		[ROUTE_FEED] = "safe",
 		[ROUTE_REPORT] = "unsafe",
 		[ROUTE_UPLOAD] = "upload",
+		[ROUTE_DOWNLOAD] = "download",
 	};
 	const struct route_value *r = &v->routes[i];
 	uint64_t vip = route_vip(i);
--- a/test/packet_assign_test.c
+++ b/test/packet_assign_test.c
@@ -17,6 +17,7 @@
 		.service = directory_add_service(b->directory, SERVICE),
 		.zone = (uint32_t)hash_text(ZONE),
 		.kind = kind,
+		.is_long = kind == ROUTE_FEED,
 		.feed_load = 0.05f,
 		.now_ns = b->now_ns,
 	};
--- a/test/packet_settings_test.c
+++ b/test/packet_settings_test.c
@@ -93,9 +93,11 @@
 	(void)state;
 	assert_int_equal(read_settings(COMPLETE "[policy]\nchoices = 3\n"
 						"opening_due_ms = 80\n"
-						"witness = false\n",
+						"witness = false\n"
+						"load_control = \"on\"\n",
 				       0, &s),
 			 0);
+	assert_int_equal(s.policy.load_control, LOAD_CONTROL_ON);
 	assert_int_equal(s.policy.choices, 3);
 	assert_int_equal(s.policy.opening_due_ns, 80 * NS_PER_MS);
 	assert_false(s.policy.witness);
@@ -103,9 +105,10 @@
 	assert_true(s.policy.eject);
 	assert_int_equal(count_mistakes(COMPLETE "[policy]\nchoices = -1\n"
 						 "heartbeat_ms = 1\n"
-						 "witness = 1\nwitnes = true\n",
+						 "witness = 1\nwitnes = true\n"
+						 "load_control = \"yes\"\n",
 					-EINVAL),
-			 4);
+			 5);
 	assert_int_equal(count_mistakes("policy = 3\n" COMPLETE, -EINVAL), 1);
 }
 
--- a/test/users_platform_test.c
+++ b/test/users_platform_test.c
@@ -521,6 +521,36 @@
 	directory_free(names);
 }
 
+#define DOWNLOAD_ROUTE                                                         \
+	"{\"host\":\"198.18.0.2\",\"prefix\":\"/443/\",\"kind\":\"download\"," \
+	"\"timeout-ms\":4000,\"priority\":2,\"service\":\"s\"}"
+
+/* Guards against downloads taken for requests that must not be repeated, and
+ * against load control for deployments that don't call for it. */
+static void test_downloads_call_for_load_control(void **state)
+{
+	struct directory *names = new_names();
+	struct decoded_document doc;
+
+	(void)state;
+	assert_int_equal(decode("op/config",
+				"{\"version\":7,\"routes\":[" ROUTE
+				"," DOWNLOAD_ROUTE "]}",
+				names, &doc),
+			 0);
+	assert_int_equal(doc.routes->routes[1].kind, ROUTE_DOWNLOAD);
+	assert_true(route_kind_is_idempotent(doc.routes->routes[1].kind));
+	assert_true(doc.routes->load_control);
+	route_table_free(doc.routes);
+	assert_int_equal(decode("op/config",
+				"{\"version\":8,\"routes\":[" ROUTE "]}", names,
+				&doc),
+			 0);
+	assert_false(doc.routes->load_control);
+	route_table_free(doc.routes);
+	directory_free(names);
+}
+
 /* Taking the valid part of a bad configuration would drop routes. */
 static void test_bad_document_is_rejected_as_a_whole(void **state)
 {
@@ -639,6 +669,7 @@
 		cmocka_unit_test(
 			test_last_value_of_a_deleted_target_is_decoded),
 		cmocka_unit_test(test_configuration_is_decoded),
+		cmocka_unit_test(test_downloads_call_for_load_control),
 		cmocka_unit_test(test_bad_document_is_rejected_as_a_whole),
 		cmocka_unit_test(test_evacuation_is_taken_with_any_value),
 		cmocka_unit_test(
