Requests that may not be repeated avoid targets that failed lately

Cause: a target that goes down and up by turns completes handshakes and resets each request; its reset goes to the client, so the entry sees only that no answer comes. Requests there leave "running", so the target looks idle and attracts the requests of short flows. Ejections come after 1 to 3 s, end after 3 s, and by then the failures are forgotten. Change: core/packet/target/track_record: the time for which a target is avoided after its end, an ejection, or a suspicion (fewer failures than an ejection takes), doubled each time; recent failures count as load for unsafe requests; relative service time of each target in its load and limit. Only with load control.

--- a/core/packet/flow/path.h
+++ b/core/packet/flow/path.h
@@ -156,7 +156,8 @@
 		      enum probe_outcome outcome, uint64_t since_ns,
 		      uint64_t now_ns);
 uint64_t path_probe_timeout_ns(const struct path *path, uint64_t now_ns);
-void path_peer_reported_dead(struct path *path, const struct incarnation *who);
+void path_peer_reported_dead(struct path *path, const struct incarnation *who,
+			     uint64_t now_ns);
 void path_target_restarted(struct path *path, const struct target *target);
 void path_process_stalled(struct path *path, uint64_t now_ns);
 void path_stop(struct path *path, uint64_t now_ns);
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -4,6 +4,8 @@
  */
 #include "path_impl.h"
 
+#include "track_record.h"
+
 /* Window of the mean loads, in which a target serves some 20 requests. */
 #define LOAD_WINDOW_NS NS_PER_S
 /* A lower mean load of a target without requests is set to 0. */
@@ -114,11 +116,13 @@
  * @who: target and process. A report about an earlier process than the
  *	published one is late and is ignored; the end of a later process implies
  *	the end of the published one.
+ * @now_ns: current time
  */
-void path_peer_reported_dead(struct path *path, const struct incarnation *who)
+void path_peer_reported_dead(struct path *path, const struct incarnation *who,
+			     uint64_t now_ns)
 {
 	struct target *target = directory_by_id(path->directory, who->id);
-	struct health_context c = path_health_context(path, 0);
+	struct health_context c = path_health_context(path, now_ns);
 
 	if (!target || who->started_ms < target->advertised.started_ms)
 		return;
@@ -218,6 +222,9 @@
 		}
 		path_suspect(path, flow->target, flow->forwarded_ns, now_ns);
 		outlier_record_failure(flow->target, path->policy, now_ns);
+		track_record_service_time(flow->target,
+					  now_ns - flow->forwarded_ns,
+					  path->answer_ns[flow->kind], now_ns);
 		flow_cache_set_running(path->flows, flow, false);
 	}
 }
@@ -269,9 +276,14 @@
 
 	if (target->failures <= 0 && target->peers_failures <= 0)
 		return;
+	if (outlier_is_suspicious(path->directory, target, path->policy,
+				  now_ns))
+		track_record_end(target, now_ns);
 	if (outlier_eject_if_failing(path->directory, target, path->policy,
-				     now_ns, &others_failures))
+				     now_ns, &others_failures)) {
+		track_record_end(target, target->ejected_until_ns);
 		path->port.eject(path->port.ctx, target, others_failures);
+	}
 }
 
 /**
--- a/core/packet/flow/path_wait.c
+++ b/core/packet/flow/path_wait.c
@@ -10,6 +10,8 @@
  */
 #include "path_impl.h"
 
+#include "track_record.h"
+
 #define PERCENT 100
 
 /* Requests of all entries at a target; the share of the peers is as old as
@@ -38,6 +40,9 @@
 	struct work_query q = {
 		.kind = flow->kind,
 		.slots = target->advertised.slots,
+		.slowness = path_load_control(path)
+				    ? track_record_slowness(target, now_ns)
+				    : 1,
 		.objective_ns = (int64_t)(flow->objective_deadline_ns -
 					  flow->arrived_ns),
 		.remaining_ns = time_left_ns(flow, now_ns),
@@ -128,8 +133,12 @@
 		return;
 	}
 	window_record_answer(&path->windows[service], running);
-	if (flow->found_free_slot && flow->rtt_ns && elapsed_ns > flow->rtt_ns)
-		work_record(w, flow->kind, elapsed_ns - flow->rtt_ns);
+	if (!flow->found_free_slot || !flow->rtt_ns ||
+	    elapsed_ns <= flow->rtt_ns)
+		return;
+	track_record_service_time(flow->target, elapsed_ns - flow->rtt_ns,
+				  w->by_kind[flow->kind].mean_ns, now_ns);
+	work_record(w, flow->kind, elapsed_ns - flow->rtt_ns);
 }
 
 static void forward_queued(struct path *path, struct flow_state *flow,
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -434,7 +434,7 @@
 	peer_set_receive(node->peers, hello, now_ns);
 	record_epoch(node, hello);
 	for (uint32_t i = 0; i < hello->n_dead; i++)
-		path_peer_reported_dead(node->path, &hello->dead[i]);
+		path_peer_reported_dead(node->path, &hello->dead[i], now_ns);
 	if (hello->reply)
 		send_hello(node, &hello->from, 1, NULL, HELLO_REPLY);
 	/* Both calls walk all peers, and hundreds of heartbeats a second come
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -4,6 +4,7 @@
 #include "directory_impl.h"
 
 #include "outlier.h"
+#include "track_record.h"
 
 #define PERCENT 100.0f
 /* Upper bound of policy's choices. */
@@ -22,15 +23,28 @@
 	return (float)t->running + t->peers_running;
 }
 
+static float slots_of(const struct target *t)
+{
+	return t->advertised.slots ? t->advertised.slots : 1;
+}
+
+static bool may_repeat(const struct assign_query *q)
+{
+	return !q->load_control || route_kind_is_idempotent(q->kind);
+}
+
 /* Load relative to the slots, with a penalty for another data centre. */
 static float cost(const struct target *t, const struct assign_query *q)
 {
-	float slots = t->advertised.slots ? t->advertised.slots : 1;
+	float cost = load(t, q) / slots_of(t);
 
+	if (q->load_control)
+		cost *= track_record_slowness(t, q->now_ns);
+	if (!may_repeat(q))
+		cost += track_record_failure_cost(t, q->policy, q->now_ns);
 	if (t->advertised.zone == q->zone)
-		return load(t, q) / slots;
-	return load(t, q) / slots +
-	       (float)q->policy->zone_penalty_percent / PERCENT;
+		return cost;
+	return cost + (float)q->policy->zone_penalty_percent / PERCENT;
 }
 
 /* Whether @t is the target that its cookie leads to. */
@@ -39,10 +53,15 @@
 	return directory_by_cookie(d, t->cookie) == t;
 }
 
+static bool is_doubtful(const struct target *t, const struct assign_query *q)
+{
+	return !may_repeat(q) && track_record_is_doubtful(t, q->now_ns);
+}
+
 /*
  * Targets with a lower rank are selected first, whatever their load. The rank
- * is the health; a target that is avoided, ejected or on trial ranks one step
- * worse.
+ * is the health; a target that is avoided, ejected, on trial or doubtful for the
+ * request ranks one step worse.
  */
 static uint32_t rank(const struct target *t, const struct assign_query *q,
 		     bool allow_trial)
@@ -50,11 +69,27 @@
 	uint32_t rank = t->health;
 
 	if (t == q->avoid || outlier_is_ejected(t, q->now_ns) ||
-	    (outlier_is_on_trial(t, q->policy, q->now_ns) && !allow_trial))
+	    (outlier_is_on_trial(t, q->policy, q->now_ns) && !allow_trial) ||
+	    is_doubtful(t, q))
 		rank++;
 	return rank;
 }
 
+static bool has_free_slot(const struct target *t)
+{
+	return (float)t->running + t->peers_running < slots_of(t);
+}
+
+/*
+ * Whether @t is better than none of the others having a free slot: a doubtful
+ * target that shows no other sign of failure.
+ */
+static bool is_spare(const struct target *t, const struct assign_query *q)
+{
+	return is_doubtful(t, q) && t->health == HEALTH_GOOD && t != q->avoid &&
+	       !outlier_is_ejected(t, q->now_ns) && has_free_slot(t);
+}
+
 /**
  * struct sample - random sample of the targets of a group
  * @candidates: sampled targets
@@ -148,7 +183,7 @@
 {
 	struct target *const *all = NULL;
 	uint32_t n = directory_service_targets(d, q->service, &all);
-	struct sample near = { 0 }, far = { 0 };
+	struct sample near = { 0 }, far = { 0 }, spare = { 0 };
 	bool allow_trial = rng_next(rng) % q->policy->trial_odds == 0;
 	uint32_t best_rank = UINT32_MAX;
 	struct target *selected;
@@ -156,9 +191,14 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
 		uint32_t t_rank = rank(t, q, allow_trial);
+		bool t_is_spare = is_spare(t, q);
 
-		if (t_rank > best_rank || !is_eligible(d, t, q) ||
-		    !is_reachable(d, t))
+		if ((t_rank > best_rank && !t_is_spare) ||
+		    !is_eligible(d, t, q) || !is_reachable(d, t))
+			continue;
+		if (t_is_spare)
+			sample_add(&spare, t, q, rng);
+		if (t_rank > best_rank)
 			continue;
 		if (t_rank < best_rank)
 			near.seen = far.seen = 0;
@@ -167,6 +207,8 @@
 			   rng);
 	}
 	selected = cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
+	if (spare.seen && selected && !has_free_slot(selected))
+		selected = cheapest(&spare, q, NULL, rng);
 	if (selected)
 		cold_spend_credit(selected,
 				  d->services[q->service].cold.flows_per_s,
--- a/core/packet/target/assign.h
+++ b/core/packet/target/assign.h
@@ -11,6 +11,7 @@
  * @service: number of the service that it goes to
  * @zone: data centre of this VM, as in struct target_advertisement
  * @kind: enum route_kind
+ * @load_control: the decisions of docs/design/load-parts.md apply
  * @is_long: the flow will carry many requests
  * @avoid: target that did not answer an earlier SYN of the flow, or NULL
  * @feed_load: mean number of slots that an open feed occupies
@@ -21,6 +22,7 @@
 	uint32_t service;
 	uint32_t zone;
 	uint8_t kind;
+	bool load_control;
 	bool is_long;
 	const struct target *avoid;
 	float feed_load;
--- a/core/packet/target/health.c
+++ b/core/packet/target/health.c
@@ -1,5 +1,7 @@
 #include "health.h"
 
+#include "track_record.h"
+
 static void set_health(struct target *t, const struct health_context *c,
 		       uint8_t health)
 {
@@ -8,6 +10,8 @@
 	if (before == health)
 		return;
 	t->health = health;
+	if (health >= HEALTH_SILENT && before < HEALTH_SILENT)
+		track_record_end(t, c->now_ns);
 	c->port->changed(c->port->ctx, t, before);
 }
 
--- a/core/packet/target/outlier.c
+++ b/core/packet/target/outlier.c
@@ -3,6 +3,9 @@
 #include <math.h>
 
 #define PERCENT 100.0f
+/* A suspicious target only gets no requests that may not be repeated, so that
+ * chance may rule out more good targets than by ejection. */
+#define SUSPICIOUS_DEVIATIONS 3.0f
 /* Weight of one answer in the moving average of sizes. */
 #define SIZE_WEIGHT 0.03f
 
@@ -144,6 +147,29 @@
 	return random_max > minimum ? random_max : minimum;
 }
 
+/**
+ * outlier_is_suspicious() - whether a target fails more requests than the others
+ *	of its service, by less evidence than an ejection takes
+ * @d: directory
+ * @t: target
+ * @policy: limits and switches
+ * @now_ns: current time
+ *
+ * Return: true from as many failures as eject a target on trial, or
+ * SUSPICIOUS_DEVIATIONS standard deviations above the mean of the others.
+ */
+bool outlier_is_suspicious(const struct directory *d, const struct target *t,
+			   const struct policy *policy, uint64_t now_ns)
+{
+	float failures = total_failures(t, policy, now_ns);
+	float others;
+
+	if (failures < (float)policy->failures_min_trial)
+		return false;
+	others = mean_failures_of_others(d, t, policy, now_ns);
+	return failures > others + SUSPICIOUS_DEVIATIONS * sqrtf(others);
+}
+
 /* Whether the limit of ejected targets allows one more in the service of @t. */
 static bool may_eject_another(const struct directory *d, const struct target *t,
 			      const struct policy *policy, uint64_t now_ns)
--- a/core/packet/target/outlier.h
+++ b/core/packet/target/outlier.h
@@ -29,6 +29,8 @@
 bool outlier_is_ejected(const struct target *t, uint64_t now_ns);
 bool outlier_is_on_trial(const struct target *t, const struct policy *policy,
 			 uint64_t now_ns);
+bool outlier_is_suspicious(const struct directory *d, const struct target *t,
+			   const struct policy *policy, uint64_t now_ns);
 bool outlier_eject_if_failing(const struct directory *d, struct target *t,
 			      const struct policy *policy, uint64_t now_ns,
 			      float *others_mean);
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -113,6 +113,14 @@
  * @ejected_until_ns: gets no new flows until then because of its failures; 0
  *	when it was never ejected
  * @ejections: consecutive ejections after the first one
+ * @end_noticed_ns: when its process was last seen to end, or its last ejection
+ *	was over; 0 for never
+ * @ends: consecutive ends after the first one
+ * @avoid_until_ns: gets no requests that may not be repeated until then, unless
+ *	others have no free slot
+ * @slowness: excess of its service time over the mean of its service, as a part
+ *	of that mean, decaying over time
+ * @slowness_updated_ns: when @slowness was last updated
  * @cold_until_ns: end of the period after its start in which it serves slowly
  * @cold_presumed: that period was inferred from a recovery; its record does not
  *	have it
@@ -159,6 +167,11 @@
 	float peers_failures;
 	uint64_t ejected_until_ns;
 	uint8_t ejections;
+	uint64_t end_noticed_ns;
+	uint8_t ends;
+	uint64_t avoid_until_ns;
+	float slowness;
+	uint64_t slowness_updated_ns;
 	uint64_t cold_until_ns;
 	bool cold_presumed;
 	bool has_cold_permit;
--- a/core/packet/target/work.c
+++ b/core/packet/target/work.c
@@ -74,8 +74,8 @@
 	int64_t all_ns = w->all.n ? (int64_t)w->all.mean_ns : guess_ns;
 	bool is_late = !work_meets_objective(w, q->kind, q->remaining_ns);
 	float percent = (float)policy->limit_percent;
-	int64_t spare_ns =
-		(is_late ? q->objective_ns : q->remaining_ns) - own_ns;
+	int64_t spare_ns = (is_late ? q->objective_ns : q->remaining_ns) -
+			   (int64_t)((double)own_ns * q->slowness);
 
 	if (!own->n && !policy->guess_percent)
 		return INFINITY;
@@ -84,5 +84,6 @@
 	if (is_late)
 		percent *= (float)policy->late_percent / PERCENT;
 	return q->slots *
-	       (1 + (float)spare_ns / (float)all_ns * percent / PERCENT);
+	       (1 + (float)spare_ns / (float)((double)all_ns * q->slowness) *
+			    percent / PERCENT);
 }
--- a/core/packet/target/work.h
+++ b/core/packet/target/work.h
@@ -34,12 +34,15 @@
  * @slots: requests that the target runs concurrently
  * @objective_ns: latency objective of the request
  * @remaining_ns: rest of @objective_ns; negative when it has been missed
+ * @slowness: time that the target needs for a request, relative to the mean of
+ *	its service
  */
 struct work_query {
 	uint8_t kind;
 	uint16_t slots;
 	int64_t objective_ns;
 	int64_t remaining_ns;
+	double slowness;
 };
 
 void work_record(struct service_work *w, uint8_t kind, uint64_t service_ns);
--- a/test/packet_incarnation_test.c
+++ b/test/packet_incarnation_test.c
@@ -60,7 +60,8 @@
 	(void)state;
 	bed_open(&b);
 	t = publish(&b, 1, STARTED_MS, 7);
-	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS });
+	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS },
+				b.now_ns);
 	t->failures = 9;
 	t->ejected_until_ns = b.now_ns + NS_PER_S;
 	assert_int_equal(bed_syn(&b, CALLER, VIP, 0).action, PATH_RESET);
@@ -84,7 +85,8 @@
 	(void)state;
 	bed_open(&b);
 	t = publish(&b, 1, STARTED_MS, 7);
-	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS });
+	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS },
+				b.now_ns);
 	bed_advance(&b, 600 * MS);
 	assert_int_equal(bed_pending_probes(&b), 1);
 	bed_end_probes(&b, 1, PROBE_REFUSED);
@@ -104,7 +106,8 @@
 	bed_open(&b);
 	publish(&b, 1, STARTED_MS, 7);
 	bed_remove_entry(&b, 1, b.now_ns);
-	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS });
+	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS },
+				b.now_ns);
 	bed_advance(&b, 600 * MS);
 	bed_end_probes(&b, 1, PROBE_ACCEPTED);
 	assert_int_equal(bed_syn(&b, CALLER, VIP, 0).action, PATH_FORWARD);
@@ -132,12 +135,14 @@
 	publish(&b, 1, STARTED_MS + 900, 1);
 	bed_end_probes(&b, 1, PROBE_REFUSED);
 	assert_int_equal(t->health, HEALTH_GOOD);
-	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS });
+	path_peer_reported_dead(b.path, &(struct incarnation){ 1, STARTED_MS },
+				b.now_ns);
 	assert_int_equal(t->health, HEALTH_GOOD);
 	/* A later process than the published one has ended, so this one has
 	 * too. */
 	path_peer_reported_dead(b.path,
-				&(struct incarnation){ 1, STARTED_MS + 2000 });
+				&(struct incarnation){ 1, STARTED_MS + 2000 },
+				b.now_ns);
 	assert_int_equal(t->health, HEALTH_DEAD);
 	bed_close(&b);
 }
--- a/test/packet_path_test.c
+++ b/test/packet_path_test.c
@@ -282,11 +282,13 @@
 	bed_open(&b);
 	bed_target(&b, 1, SERVICE, ZONE);
 	bed_open_flow(&b, CALLER, VIP);
-	path_peer_reported_dead(b.path, &(struct incarnation){ 1, 0 });
+	path_peer_reported_dead(b.path, &(struct incarnation){ 1, 0 },
+				b.now_ns);
 	assert_int_equal(b.n_resets, 1);
 	assert_int_equal(bed_syn(&b, CALLER + 1, VIP, 0).reason,
 			 PATH_no_target);
-	path_peer_reported_dead(b.path, &(struct incarnation){ 99, 0 });
+	path_peer_reported_dead(b.path, &(struct incarnation){ 99, 0 },
+				b.now_ns);
 	bed_close(&b);
 }
 
--- a/test/packet_wait_prop.cc
+++ b/test/packet_wait_prop.cc
@@ -203,7 +203,7 @@
 	{
 		struct incarnation who = target_incarnation(t);
 
-		path_peer_reported_dead(bed.path, &who);
+		path_peer_reported_dead(bed.path, &who, bed.now_ns);
 		for (Flow &f : flows)
 			if (f.target == t)
 				f = Flow();
--- a/test/packet_wait_test.c
+++ b/test/packet_wait_test.c
@@ -339,7 +339,7 @@
 
 	fill_target(f, LIMIT);
 	send_request(f, VIP);
-	path_peer_reported_dead(f->bed.path, &who);
+	path_peer_reported_dead(f->bed.path, &who, f->bed.now_ns);
 	bed_advance(&f->bed, 3 * NS_PER_S);
 	assert_int_equal(f->bed.n_sent, 0);
 	assert_int_equal(path_queued_count(f->bed.path), 0);
--- a/test/packet_work_test.c
+++ b/test/packet_work_test.c
@@ -13,7 +13,7 @@
 		   int64_t remaining_ns)
 {
 	struct policy policy = { .limit_percent = 100, .late_percent = 50 };
-	struct work_query q = { kind, 3, 300 * MS, remaining_ns };
+	struct work_query q = { kind, 3, 300 * MS, remaining_ns, 1 };
 
 	return work_request_limit(w, &policy, &q);
 }
@@ -41,7 +41,7 @@
 static void test_guessed_service_time_before_the_first_answer(void **state)
 {
 	struct policy policy = { .limit_percent = 100, .guess_percent = 25 };
-	struct work_query q = { ROUTE_FEED, 3, 300 * MS, 300 * MS };
+	struct work_query q = { ROUTE_FEED, 3, 300 * MS, 300 * MS, 1 };
 	struct service_work w = { 0 };
 
 	(void)state;
