Openings wait at the entry until a target has room, or are refused in time

Cause: an opening went to a target whatever its load; its request then waited bound to that target, was rejected by a full one, or was lost with one that ended. Nobody was refused before the deadline. Change: core/packet/flow/admission (the decision), opening_queue (what is held and in which order) and path_admit (both in the path of a SYN). Order: priority, in time, routes in turn, newest. Refusals when the predicted wait exceeds what a client waits for a handshake, and end at 80 % of it. The number of requests a slot that targets take is learned from rejections. Only with load control.

--- a/core/packet/flow/flow_cache.c
+++ b/core/packet/flow/flow_cache.c
@@ -118,6 +118,21 @@
 		target->feeds += (uint32_t)by;
 }
 
+/**
+ * flow_cache_set_opening() - set whether the flow's target is about to get its
+ *	first request
+ * @flow: flow
+ * @opening: true when the opening is forwarded, false when the request is, or
+ *	when the handshake is overdue
+ */
+void flow_cache_set_opening(struct flow_state *flow, bool opening)
+{
+	if (flow->is_opening == opening)
+		return;
+	flow->is_opening = opening;
+	flow->target->openings += opening ? 1U : -1U;
+}
+
 /**
  * flow_cache_set_running() - set whether the target has the flow's request, and
  *	update the counts of running requests
@@ -133,8 +148,10 @@
 
 	if (flow->running == running)
 		return;
-	if (running)
+	if (running) {
 		flow->service = flow->target->advertised.service;
+		flow_cache_set_opening(flow, false);
+	}
 	flow->running = running;
 	flow->target->running += by;
 	cache->running[flow->service] += by;
@@ -187,6 +204,7 @@
 	if (flow->stage == FLOW_CLOSED)
 		return;
 	flow_cache_set_busy(cache, flow, false);
+	flow_cache_set_opening(flow, false);
 	add_to_target_counts(flow, -1);
 	flow->stage = FLOW_CLOSED;
 	flow->answer_due_ns = 0;
@@ -206,6 +224,7 @@
 	if (flow->target == to)
 		return;
 	flow_cache_set_busy(cache, flow, false);
+	flow_cache_set_opening(flow, false);
 	if (flow->stage != FLOW_CLOSED)
 		add_to_target_counts(flow, -1);
 	flow->target->cached_flows--;
@@ -213,6 +232,8 @@
 	to->cached_flows++;
 	if (flow->stage != FLOW_CLOSED)
 		add_to_target_counts(flow, 1);
+	if (flow->stage == FLOW_OPENING)
+		flow_cache_set_opening(flow, true);
 }
 
 /**
@@ -275,6 +296,7 @@
 	};
 	target->cached_flows++;
 	add_to_target_counts(flow, 1);
+	flow_cache_set_opening(flow, stage == FLOW_OPENING);
 	link_newest(cache, flow);
 	index_put(cache->by_key, flow_hash(key), slot_of(cache, flow));
 	cache->count++;
--- a/core/packet/flow/flow_cache.h
+++ b/core/packet/flow/flow_cache.h
@@ -28,6 +28,7 @@
 			   struct target *to);
 void flow_cache_set_busy(struct flow_cache *cache, struct flow_state *flow,
 			 bool busy);
+void flow_cache_set_opening(struct flow_state *flow, bool opening);
 void flow_cache_set_running(struct flow_cache *cache, struct flow_state *flow,
 			    bool running);
 uint32_t flow_cache_running_count(const struct flow_cache *cache,
--- a/core/packet/flow/flow_state.h
+++ b/core/packet/flow/flow_state.h
@@ -28,6 +28,9 @@
  *	implies @busy
  * @is_long: the flow carries many requests; set when the flow is added to the
  *	cache
+ * @is_opening: counted in the target's openings
+ * @was_held: the opening waited at this entry, so that @arrived_ns is already
+ *	that of its first request
  * @found_free_slot: when the request was forwarded, the known load of the
  *	target was below its number of slots, so that the time to the answer
  *	contains no queueing at the target
@@ -67,6 +70,8 @@
 	bool busy;
 	bool running;
 	bool is_long;
+	bool is_opening;
+	bool was_held;
 	bool found_free_slot;
 	uint8_t priority;
 	uint32_t service;
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -45,7 +45,8 @@
 	path->wait_queue = wait_queue_new(path->policy->waiting_max);
 	path->flows = flow_cache_new(conf->flows_max, path->wait_queue);
 	path->stats = load_stats_new();
-	if (path->wait_queue && path->flows && path->stats)
+	path->openings = opening_queue_new();
+	if (path->wait_queue && path->flows && path->stats && path->openings)
 		return path;
 	path_free(path);
 	return NULL;
@@ -57,6 +58,7 @@
 		return;
 	flow_cache_free(path->flows);
 	wait_queue_free(path->wait_queue);
+	opening_queue_free(path->openings);
 	load_stats_free(path->stats);
 	free(path);
 }
@@ -132,9 +134,9 @@
 	health_suspect(target, &c, since_ns);
 }
 
-static void set_verdict(struct path *path, struct path_verdict *out,
-			uint8_t action, uint8_t reason,
-			const struct target *target)
+void path_set_verdict(struct path *path, struct path_verdict *out,
+		      uint8_t action, uint8_t reason,
+		      const struct target *target)
 {
 	out->action = action;
 	out->reason = reason;
@@ -191,7 +193,8 @@
 
 struct target *path_assign_target(struct path *path, const struct flow_key *key,
 				  const struct route *route,
-				  const struct target *avoid, uint64_t now_ns)
+				  const struct target *avoid, bool of_all,
+				  uint64_t now_ns)
 {
 	struct assign_query q = {
 		.policy = path->policy,
@@ -201,6 +204,7 @@
 		.load_control = path_load_control(path),
 		.is_long = path_route_is_long(path, route),
 		.avoid = avoid,
+		.of_all = of_all,
 		.feed_load = path->feed_load,
 		.now_ns = now_ns,
 	};
@@ -232,7 +236,8 @@
 	struct target *target;
 
 	if (flow && flow->stage == FLOW_OPEN) {
-		set_verdict(path, out, PATH_FORWARD, PATH_pinned, flow->target);
+		path_set_verdict(path, out, PATH_FORWARD, PATH_pinned,
+				 flow->target);
 		return;
 	}
 	if (flow &&
@@ -244,9 +249,13 @@
 		path_suspect(path, flow->target, flow->opened_ns, now_ns);
 		avoid = flow->target;
 	}
-	target = path_assign_target(path, &packet->flow, route, avoid, now_ns);
+	if (flow || !path_load_control(path))
+		target = path_assign_target(path, &packet->flow, route, avoid,
+					    false, now_ns);
+	else if (!path_admit(path, packet, route, now_ns, &target, out))
+		return;
 	if (!target) {
-		set_verdict(path, out, PATH_RESET, PATH_no_target, NULL);
+		path_set_verdict(path, out, PATH_RESET, PATH_no_target, NULL);
 		return;
 	}
 	if (flow)
@@ -262,8 +271,8 @@
 	keep_for_resend(flow, packet);
 	if (path->policy->opening_due_ns)
 		flow->answer_due_ns = now_ns + path_handshake_timeout_ns(path);
-	set_verdict(path, out, PATH_FORWARD,
-		    avoid ? PATH_placed_copy : PATH_placed, target);
+	path_set_verdict(path, out, PATH_FORWARD,
+			 avoid ? PATH_placed_copy : PATH_placed, target);
 }
 
 static void handle_answer(struct path *path, struct flow_state *flow,
@@ -286,6 +295,7 @@
 	*mean_ns += elapsed_ns / ANSWER_DIVISOR - *mean_ns / ANSWER_DIVISOR;
 	flow_cache_set_busy(path->flows, flow, false);
 	path_release_queued(path, flow->target->advertised.service, now_ns);
+	path_release_openings(path, flow->target->advertised.service, now_ns);
 }
 
 /*
@@ -309,14 +319,17 @@
 			  const struct route *route, uint64_t now_ns)
 {
 	flow->priority = route->priority;
-	flow->arrived_ns = now_ns;
+	if (!flow->was_held)
+		flow->arrived_ns = now_ns;
+	flow->was_held = false;
 	flow->objective_deadline_ns =
-		route->objective_ms ? now_ns + route->objective_ms * NS_PER_MS
-				    : 0;
+		route->objective_ms
+			? flow->arrived_ns + route->objective_ms * NS_PER_MS
+			: 0;
 	if (flow->objective_deadline_ns &&
 	    presumed_retransmission(path, flow, now_ns))
 		flow->objective_deadline_ns = now_ns;
-	flow->expires_ns = now_ns + route->timeout_ms * NS_PER_MS;
+	flow->expires_ns = flow->arrived_ns + route->timeout_ms * NS_PER_MS;
 	flow_cache_set_busy(path->flows, flow, true);
 }
 
@@ -340,7 +353,7 @@
 	flow->seq = packet->seq;
 	if (!flow->busy) {
 		begin_request(path, flow, route, now_ns);
-		if (path_queue_request(path, flow, packet))
+		if (path_queue_request(path, flow, packet, now_ns))
 			return true;
 		path_request_sent(path, flow, now_ns);
 	} else if (!flow->waiting) {
@@ -428,16 +441,17 @@
 		now_ns > path->conf.start_ns + path->conf.flow_lifetime_ns;
 
 	if (!packet->cookie) {
-		set_verdict(path, out, PATH_DROP, PATH_no_cookie, NULL);
+		path_set_verdict(path, out, PATH_DROP, PATH_no_cookie, NULL);
 		return;
 	}
 	if (!route) {
-		set_verdict(path, out, fresh ? PATH_RESET : PATH_DROP,
-			    PATH_route_dropped, target);
+		path_set_verdict(path, out, fresh ? PATH_RESET : PATH_DROP,
+				 PATH_route_dropped, target);
 		return;
 	}
 	if (!target) {
-		set_verdict(path, out, PATH_DROP, PATH_unknown_cookie, NULL);
+		path_set_verdict(path, out, PATH_DROP, PATH_unknown_cookie,
+				 NULL);
 		return;
 	}
 	/*
@@ -448,7 +462,8 @@
 	 */
 	if (knows_route_history &&
 	    !route_allows(route, target->advertised.service, now_ns)) {
-		set_verdict(path, out, PATH_DROP, PATH_foreign_cookie, target);
+		path_set_verdict(path, out, PATH_DROP, PATH_foreign_cookie,
+				 target);
 		return;
 	}
 	if (path_must_reset_flows(path, target)) {
@@ -457,18 +472,19 @@
 
 		if (flow)
 			flow_cache_close(path->flows, flow);
-		set_verdict(path, out, PATH_RESET,
-			    target->health == HEALTH_DEAD ? PATH_target_dead
-							  : PATH_target_silent,
-			    target);
+		path_set_verdict(path, out, PATH_RESET,
+				 target->health == HEALTH_DEAD
+					 ? PATH_target_dead
+					 : PATH_target_silent,
+				 target);
 		return;
 	}
 	if (track_packet(path,
 			 find_or_add_flow(path, packet, target, route, now_ns),
 			 packet, route, now_ns))
-		set_verdict(path, out, PATH_WAIT, PATH_waits, target);
+		path_set_verdict(path, out, PATH_WAIT, PATH_waits, target);
 	else
-		set_verdict(path, out, PATH_FORWARD, PATH_pinned, target);
+		path_set_verdict(path, out, PATH_FORWARD, PATH_pinned, target);
 }
 
 /**
@@ -490,14 +506,15 @@
 	out->ack = packet->ack;
 	out->kind = route ? route->kind : ROUTE_REPORT;
 	if (!table)
-		set_verdict(path, out, PATH_DROP, PATH_no_routes_yet, NULL);
+		path_set_verdict(path, out, PATH_DROP, PATH_no_routes_yet,
+				 NULL);
 	else if (!(packet->flags & PACKET_SYN))
 		forward_by_cookie(path, packet, route, fresh, now_ns, out);
 	else if (route)
 		handle_syn(path, packet, route, now_ns, out);
 	else
-		set_verdict(path, out, fresh ? PATH_RESET : PATH_DROP,
-			    PATH_no_route, NULL);
+		path_set_verdict(path, out, fresh ? PATH_RESET : PATH_DROP,
+				 PATH_no_route, NULL);
 	if (out->action == PATH_RESET && packet->flags & PACKET_RST)
 		out->action = PATH_DROP;
 }
--- a/core/packet/flow/path.h
+++ b/core/packet/flow/path.h
@@ -33,6 +33,10 @@
 	X(restarted)      \
 	X(waits)          \
 	X(waited)         \
+	X(held)           \
+	X(admitted)       \
+	X(held_too_long)  \
+	X(overloaded)     \
 	X(expired)        \
 	X(refused)        \
 	X(pinned)         \
@@ -72,6 +76,25 @@
 	uint32_t ack;
 };
 
+/**
+ * struct path_refusals - refusals of openings to a service begin or end
+ * @service: number of the service in the directory
+ * @refusing: they begin; otherwise they end
+ * @held: openings that wait at this entry, for all services
+ * @answers_per_s: requests of this entry that the service answers a second
+ * @predicted_wait_ns: time until the opening that caused the change would be
+ *	admitted
+ * @rate_age_ns: age of @answers_per_s
+ */
+struct path_refusals {
+	uint32_t service;
+	bool refusing;
+	uint32_t held;
+	float answers_per_s;
+	uint64_t predicted_wait_ns;
+	uint64_t rate_age_ns;
+};
+
 /**
  * struct path_port - calls that this module makes
  * @ctx: first argument of each call
@@ -82,6 +105,7 @@
  * @send_queued: forward a packet from the queue to the flow's target; the
  *	packet is valid only during the call
  * @reset: send a reset of a flow to the client
+ * @refusals: refusals of openings to a service begin or end; may be NULL
  * @eject: a target was ejected for its failures and gets no new flows for a
  *	while; @others_failures is the mean number of recently failed requests
  *	at the other targets of its service
@@ -94,6 +118,7 @@
 	void (*send_queued)(void *ctx, const struct flow_state *flow,
 			    const uint8_t *bytes, uint32_t n_bytes);
 	void (*reset)(void *ctx, const struct flow_state *flow);
+	void (*refusals)(void *ctx, const struct path_refusals *change);
 	void (*eject)(void *ctx, const struct target *target,
 		      float others_failures);
 };
@@ -145,6 +170,27 @@
 	float refused_percent;
 };
 
+/**
+ * struct path_admission - admission of openings to one service
+ * @held: openings that wait at this entry
+ * @oldest_ns: age of the oldest of them; 0 when none is held
+ * @answers_per_s: requests of this entry that the service answers a second
+ * @limit_per_slot: requests a slot that its targets take, as learned from
+ *	rejections; 0 before the first
+ * @predicted_wait_ns: predicted wait when refusals last began or ended
+ * @refusing: openings are being refused
+ * @refusing_ns: for how long
+ */
+struct path_admission {
+	uint32_t held;
+	uint64_t oldest_ns;
+	float answers_per_s;
+	float limit_per_slot;
+	uint64_t predicted_wait_ns;
+	bool refusing;
+	uint64_t refusing_ns;
+};
+
 struct path;
 
 struct path *path_new(const struct path_conf *conf, struct directory *directory,
@@ -170,6 +216,8 @@
 uint32_t path_flow_count(const struct path *path);
 uint32_t path_queued_count(const struct path *path);
 struct path_limits path_limits(const struct path *path, uint32_t service);
+struct path_admission path_admission(const struct path *path, uint32_t service,
+				     uint64_t now_ns);
 const struct flow_state *path_find_flow(const struct path *path,
 					const struct flow_key *key);
 float path_feed_load(const struct path *path);
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -2,12 +2,56 @@
 #ifndef CB_PATH_IMPL_H
 #define CB_PATH_IMPL_H
 
+#include "admission.h"
+#include "opening_queue.h"
 #include "outlier.h"
 #include "path.h"
 #include "connect_rtt.h"
+#include "track_record.h"
 #include "window.h"
 #include "work.h"
 
+/* Latest refusals that are remembered, to count clients that come again. */
+#define PATH_REFUSALS_MAX 256
+/* Less urgent than any route. */
+#define PRIORITY_NONE 256
+
+/**
+ * struct refusal - a refused opening
+ * @caller_ip: address of the client; 0 for none
+ * @vip: VIP that it sent to
+ * @refused_ns: when it was refused
+ */
+struct refusal {
+	uint32_t caller_ip;
+	uint64_t vip;
+	uint64_t refused_ns;
+};
+
+/**
+ * struct service_admission - admission of openings to one service
+ * @rate: rate at which it answers requests of this entry
+ * @limit_per_slot: requests a slot that its targets take, as learned from
+ *	rejections; 0 before the first
+ * @limit_reduced_ns: when that was last reduced
+ * @refusing: openings of routes with a priority of at least @refusing_from are
+ *	being refused
+ * @refusing_from: valid while @refusing
+ * @refusing_since_ns: when refusals last began or ended
+ * @reported_ns: when that was last reported; 0 for never
+ * @predicted_wait_ns: predicted wait at that time
+ */
+struct service_admission {
+	struct answer_rate rate;
+	float limit_per_slot;
+	uint64_t limit_reduced_ns;
+	bool refusing;
+	uint8_t refusing_from;
+	uint64_t refusing_since_ns;
+	uint64_t reported_ns;
+	uint64_t predicted_wait_ns;
+};
+
 /**
  * struct path - state of the decisions on packets
  * @conf: settings
@@ -28,6 +72,9 @@
  * @work: time that requests take at their targets, by service
  * @windows: most requests that may be at the targets at once, by service
  * @wait_queue: requests not forwarded yet
+ * @openings: openings that wait for a target with room; owned
+ * @admissions: admission of openings, by service
+ * @refusals: latest refusals, by hash of client and VIP
  * @any_target_loaded: at the last tick, some target had as many requests as
  *	slots
  * @stopping: a planned stop has begun; no request is queued any more
@@ -54,6 +101,9 @@
 	struct service_work work[DIRECTORY_SERVICES_MAX];
 	struct request_window windows[DIRECTORY_SERVICES_MAX];
 	struct wait_queue *wait_queue;
+	struct opening_queue *openings;
+	struct service_admission admissions[DIRECTORY_SERVICES_MAX];
+	struct refusal refusals[PATH_REFUSALS_MAX];
 	bool any_target_loaded;
 	bool stopping;
 	uint64_t stalled_ns;
@@ -67,7 +117,7 @@
 
 /* path_wait.c */
 bool path_queue_request(struct path *path, struct flow_state *flow,
-			const struct packet *packet);
+			const struct packet *packet, uint64_t now_ns);
 void path_request_sent(struct path *path, struct flow_state *flow,
 		       uint64_t now_ns);
 void path_release_queued(struct path *path, uint32_t service, uint64_t now_ns);
@@ -88,6 +138,20 @@
 bool path_route_is_long(const struct path *path, const struct route *route);
 struct target *path_assign_target(struct path *path, const struct flow_key *key,
 				  const struct route *route,
-				  const struct target *avoid, uint64_t now_ns);
+				  const struct target *avoid, bool of_all,
+				  uint64_t now_ns);
+void path_set_verdict(struct path *path, struct path_verdict *out,
+		      uint8_t action, uint8_t reason,
+		      const struct target *target);
+
+/* path_admit.c */
+bool path_admit(struct path *path, const struct packet *packet,
+		const struct route *route, uint64_t now_ns,
+		struct target **target, struct path_verdict *out);
+void path_release_openings(struct path *path, uint32_t service,
+			   uint64_t now_ns);
+void path_tick_admission(struct path *path, uint64_t now_ns);
+void path_record_capacity(struct path *path, const struct target *target,
+			  bool rejected, uint64_t now_ns);
 
 #endif
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -4,8 +4,6 @@
  */
 #include "path_impl.h"
 
-#include "track_record.h"
-
 /* Window of the mean loads, in which a target serves some 20 requests. */
 #define LOAD_WINDOW_NS NS_PER_S
 /* A lower mean load of a target without requests is set to 0. */
@@ -195,7 +193,7 @@
 	    now_ns - flow->opened_ns > path->policy->opening_until_ns)
 		return;
 	target = path_assign_target(path, &flow->key, route, flow->target,
-				    now_ns);
+				    false, now_ns);
 	if (!target || target == flow->target)
 		return;
 	flow_cache_set_target(path->flows, flow, target);
@@ -217,6 +215,7 @@
 			continue;
 		flow->answer_due_ns = 0;
 		if (flow->stage == FLOW_OPENING) {
+			flow_cache_set_opening(flow, false);
 			assign_again(path, flow, now_ns);
 			continue;
 		}
@@ -323,6 +322,7 @@
 		busy += target->busy - target->busy_short;
 	}
 	path_release_all_queued(path, now_ns);
+	path_tick_admission(path, now_ns);
 	update_feed_load(path, feeds, busy);
 	if (now_ns > FLOW_IDLE_TIMEOUT_NS)
 		flow_cache_expire(path->flows, now_ns - FLOW_IDLE_TIMEOUT_NS);
--- a/core/packet/flow/path_wait.c
+++ b/core/packet/flow/path_wait.c
@@ -10,8 +10,6 @@
  */
 #include "path_impl.h"
 
-#include "track_record.h"
-
 #define PERCENT 100
 
 /* Requests of all entries at a target; the share of the peers is as old as
@@ -67,6 +65,7 @@
  * @path: state of the decisions on packets
  * @flow: flow whose request has just begun
  * @packet: first packet of the request, copied
+ * @now_ns: current time
  *
  * Uploads are never queued: the packets after the first would reach the target
  * before it. Neither are requests without a latency objective.
@@ -75,10 +74,10 @@
  * also because the queue is full.
  */
 bool path_queue_request(struct path *path, struct flow_state *flow,
-			const struct packet *packet)
+			const struct packet *packet, uint64_t now_ns)
 {
 	if (flow->kind == ROUTE_UPLOAD || !flow->objective_deadline_ns ||
-	    may_forward(path, flow, flow->arrived_ns))
+	    may_forward(path, flow, now_ns))
 		return false;
 	return wait_queue_add(path->wait_queue, flow, packet->bytes,
 			      packet->n_bytes);
@@ -122,10 +121,13 @@
 	uint64_t elapsed_ns = now_ns - flow->forwarded_ns;
 	uint64_t min_work_ns = w->by_kind[flow->kind].mean_ns *
 			       path->policy->refused_percent / PERCENT;
+	bool is_full =
+		requests_at(flow->target) >= flow->target->advertised.slots;
+
+	path_record_capacity(path, flow->target, small && is_full, now_ns);
 
 	if (small && elapsed_ns < min_work_ns + flow->rtt_ns) {
-		if (requests_at(flow->target) >=
-		    flow->target->advertised.slots) {
+		if (is_full) {
 			path->counts[PATH_refused]++;
 			window_record_refusal(&path->windows[service],
 					      path->policy, running, now_ns);
@@ -309,4 +311,5 @@
 {
 	path->stopping = true;
 	path_release_all_queued(path, now_ns);
+	path_tick_admission(path, now_ns);
 }
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -206,6 +206,22 @@
 		       (double)target->peers_failures, (double)others_failures);
 }
 
+static void log_refusals(void *ctx, const struct path_refusals *change)
+{
+	struct node *node = ctx;
+
+	node->port.log(
+		node->port.ctx, change->refusing ? NODE_WARNING : NODE_INFO,
+		"load.refuse",
+		directory_service_name(node->directory, change->service),
+		"openings are %s: predicted wait %llu ms, %u held, %.1f "
+		"answers a second, updated %llu ms ago",
+		change->refusing ? "refused" : "admitted again",
+		(unsigned long long)(change->predicted_wait_ns / NS_PER_MS),
+		change->held, (double)change->answers_per_s,
+		(unsigned long long)(change->rate_age_ns / NS_PER_MS));
+}
+
 /* Hash of the name of the entry's data centre. */
 uint32_t node_zone(const struct node *node)
 {
@@ -227,6 +243,7 @@
 		.resend = resend,
 		.send_queued = send_queued,
 		.reset = reset_flow,
+		.refusals = log_refusals,
 		.eject = log_ejection,
 	};
 	struct path_conf path = {
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -105,6 +105,8 @@
 /* Size of a sample; 0 to consider all targets. */
 static uint32_t sample_size(const struct assign_query *q)
 {
+	if (q->of_all)
+		return 0;
 	return q->policy->choices < CANDIDATES_MAX ? q->policy->choices
 						   : CANDIDATES_MAX;
 }
--- a/core/packet/target/assign.h
+++ b/core/packet/target/assign.h
@@ -14,6 +14,7 @@
  * @load_control: the decisions of docs/design/load-parts.md apply
  * @is_long: the flow will carry many requests
  * @avoid: target that did not answer an earlier SYN of the flow, or NULL
+ * @of_all: compare all targets instead of policy's choices
  * @feed_load: mean number of slots that an open feed occupies
  * @now_ns: current time
  */
@@ -25,6 +26,7 @@
 	bool load_control;
 	bool is_long;
 	const struct target *avoid;
+	bool of_all;
 	float feed_load;
 	uint64_t now_ns;
 };
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -93,6 +93,8 @@
  * @probe_misses: consecutive probes without an answer
  * @cached_flows: flows in the flow cache that refer to it, closed ones included
  * @flows: of @cached_flows, those that are open or opening
+ * @openings: of @flows, those that are opening, or open without having sent a
+ *	request
  * @feeds: of @flows, the long ones (struct flow_state's is_long)
  * @busy: flows with a request in progress
  * @busy_short: of @busy, those of short flows
@@ -151,6 +153,7 @@
 	uint8_t probe_misses;
 	uint32_t cached_flows;
 	uint32_t flows;
+	uint32_t openings;
 	uint32_t feeds;
 	uint32_t busy;
 	uint32_t busy_short;
