Targets that leave openings unanswered are tried one opening at a time

Cause: the address of a target that ended is given to a process of another service, while the store is away nobody knows. The process accepts connection attempts, so the dead target counts as good again, and ignores openings that name the target. Change: track_record counts openings in a row that a target leaves unanswered while others answer; from two on, or when only a connection attempt shows that a dead target is back, it gets one opening at a time, after 0.5, 1 and 2 s. Peers learn of it as of a failed request. Only with load control.

--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -222,6 +222,22 @@
 	memcpy(flow->resend_packet, packet->bytes, packet->n_bytes);
 }
 
+/*
+ * Record that the flow's target left its opening unanswered; not while no target
+ * answers, since then this VM's own link is the likely cause. Peers learn of it
+ * as of a failed request.
+ */
+void path_record_unanswered(struct path *path, struct flow_state *flow,
+			    uint64_t now_ns)
+{
+	if (!path_load_control(path) ||
+	    path->handshake_ns < flow->forwarded_ns ||
+	    now_ns < flow->forwarded_ns + path_handshake_timeout_ns(path))
+		return;
+	track_record_unanswered(flow->target, now_ns);
+	outlier_record_failure(flow->target, path->policy, now_ns);
+}
+
 /*
  * A retransmitted SYN shows that no answer reached the client. It is assigned
  * to another target, since the first one may be dead or full. If both answer, the
@@ -246,6 +262,7 @@
 		flow = NULL;
 	}
 	if (flow) {
+		path_record_unanswered(path, flow, now_ns);
 		path_suspect(path, flow->target, flow->opened_ns, now_ns);
 		avoid = flow->target;
 	}
@@ -390,6 +407,7 @@
 		flow->ack = packet->ack;
 		flow->seq = packet->seq - 1;
 		flow->answer_due_ns = 0;
+		path->handshake_ns = now_ns;
 		mark_alive(path, flow->target, now_ns);
 	} else if (newer_ack) {
 		uint32_t size_bytes = packet->ack - flow->ack;
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -80,6 +80,7 @@
  * @stopping: a planned stop has begun; no request is queued any more
  * @stalled_ns: when this process last ran again after a stall; 0 for never
  * @connect_rtt: recent round trip times of connection attempts
+ * @handshake_ns: when a handshake was last completed
  * @open_ns: mean duration of a handshake
  * @answered_probe_ns: start of the latest probe that a target accepted; this
  *	VM's own link worked at that time
@@ -108,6 +109,7 @@
 	bool stopping;
 	uint64_t stalled_ns;
 	struct connect_rtt connect_rtt;
+	uint64_t handshake_ns;
 	uint64_t open_ns;
 	uint64_t answered_probe_ns;
 };
@@ -132,6 +134,8 @@
 bool path_must_reset_flows(const struct path *path,
 			   const struct target *target);
 struct health_context path_health_context(struct path *path, uint64_t now_ns);
+void path_record_unanswered(struct path *path, struct flow_state *flow,
+			    uint64_t now_ns);
 void path_suspect(struct path *path, struct target *target, uint64_t since_ns,
 		  uint64_t now_ns);
 bool path_load_control(const struct path *path);
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -216,6 +216,7 @@
 		flow->answer_due_ns = 0;
 		if (flow->stage == FLOW_OPENING) {
 			flow_cache_set_opening(flow, false);
+			path_record_unanswered(path, flow, now_ns);
 			assign_again(path, flow, now_ns);
 			continue;
 		}
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -60,8 +60,8 @@
 
 /*
  * Targets with a lower rank are selected first, whatever their load. The rank
- * is the health; a target that is avoided, ejected, on trial or doubtful for the
- * request ranks one step worse.
+ * is the health; a target that is avoided, ejected, on trial, unresponsive or
+ * doubtful for the request ranks one step worse.
  */
 static uint32_t rank(const struct target *t, const struct assign_query *q,
 		     bool allow_trial)
@@ -70,7 +70,8 @@
 
 	if (t == q->avoid || outlier_is_ejected(t, q->now_ns) ||
 	    (outlier_is_on_trial(t, q->policy, q->now_ns) && !allow_trial) ||
-	    is_doubtful(t, q))
+	    is_doubtful(t, q) ||
+	    (q->load_control && track_record_is_unresponsive(t, q->now_ns)))
 		rank++;
 	return rank;
 }
@@ -87,7 +88,8 @@
 static bool is_spare(const struct target *t, const struct assign_query *q)
 {
 	return is_doubtful(t, q) && t->health == HEALTH_GOOD && t != q->avoid &&
-	       !outlier_is_ejected(t, q->now_ns) && has_free_slot(t);
+	       !outlier_is_ejected(t, q->now_ns) &&
+	       !track_record_is_unresponsive(t, q->now_ns) && has_free_slot(t);
 }
 
 /**
@@ -211,9 +213,10 @@
 	selected = cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
 	if (spare.seen && selected && !has_free_slot(selected))
 		selected = cheapest(&spare, q, NULL, rng);
-	if (selected)
-		cold_spend_credit(selected,
-				  d->services[q->service].cold.flows_per_s,
-				  q->now_ns);
+	if (!selected)
+		return NULL;
+	track_record_assigned(selected, q->now_ns);
+	cold_spend_credit(selected, d->services[q->service].cold.flows_per_s,
+			  q->now_ns);
 	return selected;
 }
--- a/core/packet/target/health.c
+++ b/core/packet/target/health.c
@@ -34,8 +34,10 @@
 	t->last_alive_ns = c->now_ns;
 	t->probe_misses = 0;
 	t->leaving_refused_ns = 0;
-	if (t->health >= HEALTH_SILENT)
+	if (t->health >= HEALTH_SILENT) {
 		t->recovered_ns = c->now_ns;
+		track_record_accepted(t, c->now_ns);
+	}
 	set_health(t, c, HEALTH_GOOD);
 }
 
@@ -51,6 +53,7 @@
 {
 	t->successor_ns = 0;
 	set_alive(t, c);
+	track_record_answered(t);
 }
 
 /**
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -120,6 +120,11 @@
  * @ends: consecutive ends after the first one
  * @avoid_until_ns: gets no requests that may not be repeated until then, unless
  *	others have no free slot
+ * @unanswered: consecutive openings that it left unanswered, or
+ *	TRACK_UNANSWERED_MIN when only a connection attempt has shown it alive
+ *	since its end
+ * @trial_ns: with that many unanswered, when it may be tried with another
+ *	opening
  * @slowness: excess of its service time over the mean of its service, as a part
  *	of that mean, decaying over time
  * @slowness_updated_ns: when @slowness was last updated
@@ -173,6 +178,8 @@
 	uint64_t end_noticed_ns;
 	uint8_t ends;
 	uint64_t avoid_until_ns;
+	uint8_t unanswered;
+	uint64_t trial_ns;
 	float slowness;
 	uint64_t slowness_updated_ns;
 	uint64_t cold_until_ns;
--- a/core/packet/target/track_record.c
+++ b/core/packet/target/track_record.c
@@ -14,6 +14,10 @@
 #define HISTORY_NS (60 * NS_PER_S)
 /* Entries notice the same end within this time, by packets, probes and peers. */
 #define SAME_END_NS NS_PER_S
+/* Time between the openings with which an unresponsive target is tried; doubled
+ * each time, TRIAL_STEPS_MAX times at most. */
+#define TRIAL_NS (500 * NS_PER_MS)
+#define TRIAL_STEPS_MAX 2
 /* Weight of one answer in the relative service time. */
 #define SLOWNESS_WEIGHT 0.125f
 /* One answer counts as at most this multiple of the mean, since single requests
@@ -59,6 +63,74 @@
 	return now_ns < t->avoid_until_ns;
 }
 
+/**
+ * track_record_unanswered() - record that a target left an opening unanswered
+ *	while others answered
+ * @t: target
+ * @now_ns: current time
+ */
+void track_record_unanswered(struct target *t, uint64_t now_ns)
+{
+	uint32_t steps;
+
+	if (t->unanswered < TRACK_UNANSWERED_MIN + TRIAL_STEPS_MAX)
+		t->unanswered++;
+	if (t->unanswered < TRACK_UNANSWERED_MIN)
+		return;
+	steps = t->unanswered - TRACK_UNANSWERED_MIN;
+	t->trial_ns = now_ns + (TRIAL_NS << steps);
+}
+
+/**
+ * track_record_answered() - record that a target answered a packet of a flow
+ * @t: target
+ */
+void track_record_answered(struct target *t)
+{
+	t->unanswered = 0;
+}
+
+/**
+ * track_record_accepted() - record that a process accepts connections at the
+ *	address of a target that was silent or had ended
+ * @t: target
+ * @now_ns: current time
+ *
+ * It may be another process. One opening is tried.
+ */
+void track_record_accepted(struct target *t, uint64_t now_ns)
+{
+	if (t->unanswered < TRACK_UNANSWERED_MIN)
+		t->unanswered = TRACK_UNANSWERED_MIN;
+	if (t->trial_ns < now_ns)
+		t->trial_ns = now_ns;
+}
+
+/**
+ * track_record_is_unresponsive() - whether a target leaves openings unanswered
+ * @t: target
+ * @now_ns: current time
+ *
+ * Return: true until it may be tried with another opening.
+ */
+bool track_record_is_unresponsive(const struct target *t, uint64_t now_ns)
+{
+	return t->unanswered >= TRACK_UNANSWERED_MIN && now_ns < t->trial_ns;
+}
+
+/**
+ * track_record_assigned() - record that an opening was assigned to a target
+ * @t: target
+ * @now_ns: current time
+ *
+ * An unresponsive target gets one opening at a time.
+ */
+void track_record_assigned(struct target *t, uint64_t now_ns)
+{
+	if (t->unanswered >= TRACK_UNANSWERED_MIN)
+		t->trial_ns = now_ns + TRIAL_NS;
+}
+
 /**
  * track_record_failure_cost() - weight of a target's recent failures in the
  *	choice of a target for a request that may not be repeated
--- a/test/packet_track_record_test.c
+++ b/test/packet_track_record_test.c
@@ -155,6 +155,55 @@
 	bed_close(&p.bed);
 }
 
+/*
+ * Guards against openings that nobody answers, for as long as the store is away:
+ * a process of another service got the address of a target that ended. It
+ * accepts connection attempts, and ignores openings meant for that target.
+ */
+static void test_unresponsive_target_is_tried_once_at_a_time(void **state)
+{
+	struct pair p;
+
+	(void)state;
+	open_pair(&p);
+	track_record_accepted(p.flapping, p.bed.now_ns);
+	assert_in_range(count_assigned(&p, ROUTE_FEED, true, p.flapping), 0, 1);
+	track_record_unanswered(p.flapping, p.bed.now_ns);
+	p.bed.now_ns += 900 * MS;
+	assert_int_equal(count_assigned(&p, ROUTE_FEED, true, p.flapping), 0);
+	p.bed.now_ns += 200 * MS;
+	assert_int_equal(count_assigned(&p, ROUTE_FEED, true, p.flapping), 1);
+	track_record_answered(p.flapping);
+	assert_in_range(count_assigned(&p, ROUTE_FEED, true, p.flapping), 2,
+			FLOWS);
+	bed_close(&p.bed);
+}
+
+/* Guards against all targets that count as unresponsive when the link of this
+ * VM was cut, and against a stampede to the first one that answers then. */
+static void test_unanswered_openings_count_only_beside_answers(void **state)
+{
+	struct policy policy = policy_default;
+	struct path_verdict v;
+	struct bed b;
+	struct target *t;
+
+	(void)state;
+	policy.load_control = LOAD_CONTROL_ON;
+	bed_open_with(&b, &policy);
+	t = bed_target(&b, 1, SERVICE, ZONE);
+	bed_syn(&b, ADDR(0x64400001, 1), VIP, 0);
+	bed_advance(&b, 60 * MS);
+	assert_int_equal(t->unanswered, 0);
+	bed_syn(&b, ADDR(0x64400001, 2), VIP, 0);
+	b.now_ns += MS;
+	v = bed_syn(&b, ADDR(0x64400001, 3), VIP, 0);
+	bed_data(&b, ADDR(0x64400001, 3), VIP, v.target->cookie, 1, 1, 0);
+	bed_advance(&b, 60 * MS);
+	assert_int_equal(t->unanswered, 1);
+	bed_close(&b);
+}
+
 /* Guards against a target that is tried again every few seconds for as long as
  * it goes down and up. */
 static void test_each_further_end_doubles_the_time(void **state)
@@ -247,6 +296,10 @@
 			test_unrepeatable_requests_avoid_first_failures),
 		cmocka_unit_test(test_suspicion_outlasts_the_failures),
 		cmocka_unit_test(test_common_failures_are_no_suspicion),
+		cmocka_unit_test(
+			test_unresponsive_target_is_tried_once_at_a_time),
+		cmocka_unit_test(
+			test_unanswered_openings_count_only_beside_answers),
 		cmocka_unit_test(test_each_further_end_doubles_the_time),
 		cmocka_unit_test(test_one_end_counts_once),
 		cmocka_unit_test(test_slow_target_gets_fewer_requests),
