Observed use of routes, answer statistics by service, downloads

The kind of a route was taken to determine how its flows are used, the sizes and times of answers were means by kind over all services, and a download counted as complete at the first of its packets, so that good targets were ejected.

route_use observes for each VIP whether flows carry a second request and how many requests are in progress; with load control this decides which routes are long. answer_stats replaces the means by kind. path_download records the size of a download when it ends. With load control a request that was overdue and is answered after all is taken back from the failures of its target.

test_answer_size_is_compared_within_its_kind moves from packet_outlier_test to packet_answer_stats_test with the function that it checks.

--- a/core/packet/flow/flow_cache.c
+++ b/core/packet/flow/flow_cache.c
@@ -19,6 +19,7 @@
 	uint32_t oldest;
 	struct index *by_key;
 	struct wait_queue *wait_queue;
+	struct route_use *use;
 	uint32_t running[DIRECTORY_SERVICES_MAX]; /* by number of the service */
 };
 
@@ -27,12 +28,14 @@
  * @flows_max: capacity in flows; a full cache evicts the least recently seen
  *	flow
  * @wait_queue: queue of the flows' requests; not owned, must outlive the cache
+ * @use: counts the flows of each route; not owned, must outlive the cache
  *
  * Return: cache, to be freed with flow_cache_free(), or NULL when out of
  * memory.
  */
 struct flow_cache *flow_cache_new(uint32_t flows_max,
-				  struct wait_queue *wait_queue)
+				  struct wait_queue *wait_queue,
+				  struct route_use *use)
 {
 	struct flow_cache *cache = calloc(1, sizeof(*cache));
 
@@ -40,6 +43,7 @@
 		return NULL;
 	cache->flows_max = flows_max;
 	cache->wait_queue = wait_queue;
+	cache->use = use;
 	cache->flows = calloc(flows_max, sizeof(*cache->flows));
 	cache->by_key = index_new(flows_max);
 	cache->free_list = cache->newest = cache->oldest = NONE;
@@ -184,6 +188,7 @@
 		return;
 	flow->busy = busy;
 	flow->target->busy += busy ? 1U : -1U;
+	route_use_count_busy(cache->use, flow->route_slot, busy);
 	if (!flow->is_long)
 		flow->target->busy_short += busy ? 1U : -1U;
 	if (busy)
@@ -193,6 +198,20 @@
 	flow->answer_due_ns = 0;
 }
 
+/**
+ * flow_cache_set_long() - count a flow among the long ones from now on
+ * @flow: flow, not closed
+ */
+void flow_cache_set_long(struct flow_state *flow)
+{
+	if (flow->is_long)
+		return;
+	if (flow->busy)
+		flow->target->busy_short--;
+	flow->is_long = true;
+	flow->target->feeds++;
+}
+
 /**
  * flow_cache_close() - mark a flow as closed; it stays cached so that stray
  *	packets of it are recognised
@@ -206,8 +225,10 @@
 	flow_cache_set_busy(cache, flow, false);
 	flow_cache_set_opening(flow, false);
 	add_to_target_counts(flow, -1);
+	route_use_count_flow(cache->use, flow->route_slot, false);
 	flow->stage = FLOW_CLOSED;
 	flow->answer_due_ns = 0;
+	flow->download_ends_ns = 0;
 }
 
 /**
@@ -216,7 +237,8 @@
  * @flow: flow
  * @to: new target; nothing happens when it is the present one
  *
- * Ends a request in progress, since the new target does not have it.
+ * Ends a request in progress, since the new target does not have it, and the
+ * download that the flow is receiving.
  */
 void flow_cache_set_target(struct flow_cache *cache, struct flow_state *flow,
 			   struct target *to)
@@ -225,6 +247,7 @@
 		return;
 	flow_cache_set_busy(cache, flow, false);
 	flow_cache_set_opening(flow, false);
+	flow->download_ends_ns = 0;
 	if (flow->stage != FLOW_CLOSED)
 		add_to_target_counts(flow, -1);
 	flow->target->cached_flows--;
@@ -291,11 +314,13 @@
 		.stage = stage,
 		.kind = kind,
 		.is_long = is_long,
+		.route_slot = route_use_slot(cache->use, key->vip, kind),
 		.seen_ns = now_ns,
 		.opened_ns = now_ns,
 	};
 	target->cached_flows++;
 	add_to_target_counts(flow, 1);
+	route_use_count_flow(cache->use, flow->route_slot, true);
 	flow_cache_set_opening(flow, stage == FLOW_OPENING);
 	link_newest(cache, flow);
 	index_put(cache->by_key, flow_hash(key), slot_of(cache, flow));
--- a/core/packet/flow/flow_cache.h
+++ b/core/packet/flow/flow_cache.h
@@ -9,12 +9,14 @@
 #define CB_FLOW_CACHE_H
 
 #include "flow_state.h"
+#include "route_use.h"
 #include "wait_queue.h"
 
 struct flow_cache;
 
 struct flow_cache *flow_cache_new(uint32_t flows_max,
-				  struct wait_queue *wait_queue);
+				  struct wait_queue *wait_queue,
+				  struct route_use *use);
 void flow_cache_free(struct flow_cache *cache);
 struct flow_state *flow_cache_find(struct flow_cache *cache,
 				   const struct flow_key *key);
@@ -28,6 +30,7 @@
 			   struct target *to);
 void flow_cache_set_busy(struct flow_cache *cache, struct flow_state *flow,
 			 bool busy);
+void flow_cache_set_long(struct flow_state *flow);
 void flow_cache_set_opening(struct flow_state *flow, bool opening);
 void flow_cache_set_running(struct flow_cache *cache, struct flow_state *flow,
 			    bool running);
--- a/core/packet/flow/flow_state.h
+++ b/core/packet/flow/flow_state.h
@@ -27,13 +27,16 @@
  * @running: the request was forwarded and is neither answered nor overdue;
  *	implies @busy
  * @is_long: the flow carries many requests; set when the flow is added to the
- *	cache
+ *	cache, or at a request when its route turned out to be long
  * @is_opening: counted in the target's openings
+ * @answered_running: @running when the answer to the present download began
  * @was_held: the opening waited at this entry, so that @arrived_ns is already
  *	that of its first request
  * @found_free_slot: when the request was forwarded, the known load of the
  *	target was below its number of slots, so that the time to the answer
  *	contains no queueing at the target
+ * @route_slot: slot of its route in struct route_use
+ * @requests: requests that began on the flow, as far as seen here
  * @priority: priority of the route; 0 is served first
  * @service: service under which the request is counted while @running; kept
  *	apart from the target, which may restart as a target of another service
@@ -53,6 +56,12 @@
  * @opened_ns: when the first packet of the flow came
  * @answer_due_ns: when the target is suspected unless the client's packets have
  *	shown an answer; 0 when none is expected
+ * @failed_ns: when the present request was counted as a failure of the target
+ *	since no answer came in time; 0 when it was not
+ * @answered_ns: when the answer to the present download began
+ * @download_ends_ns: when the download that the flow receives counts as ended
+ *	unless more of it is acknowledged; 0 when it receives none
+ * @download_bytes: bytes of it that were acknowledged
  * @seq: highest sequence number that the client has sent
  * @ack: highest acknowledgement number that the client has sent
  * @resend_packet: the client's last packet without data, which may be sent once
@@ -71,10 +80,13 @@
 	bool running;
 	bool is_long;
 	bool is_opening;
+	bool answered_running;
 	bool was_held;
 	bool found_free_slot;
 	uint8_t priority;
 	uint32_t service;
+	uint32_t route_slot;
+	uint32_t requests;
 	uint32_t waiting;
 	uint64_t arrived_ns;
 	uint64_t objective_deadline_ns;
@@ -84,6 +96,10 @@
 	uint64_t seen_ns;
 	uint64_t opened_ns;
 	uint64_t answer_due_ns;
+	uint64_t failed_ns;
+	uint64_t answered_ns;
+	uint64_t download_ends_ns;
+	uint32_t download_bytes;
 	uint32_t seq;
 	uint32_t ack;
 	uint8_t resend_packet[RESEND_MAX_BYTES];
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -6,10 +6,7 @@
 #include <string.h>
 
 /* Each sample has a weight of 1 / divisor in the moving mean. */
-#define ANSWER_DIVISOR 32
 #define OPEN_DIVISOR 16
-/* Until a feed is seen: one request a second that takes 50 ms. */
-#define FEED_LOAD_INITIAL 0.05f
 
 const char *const path_reason_names[PATH_REASON_COUNT] = {
 #define X(name) #name,
@@ -38,15 +35,16 @@
 	path->directory = directory;
 	path->port = port;
 	path->rng = rng;
-	path->feed_load = FEED_LOAD_INITIAL;
-	for (uint32_t i = 0; i < ROUTE_KINDS; i++)
-		path->answer_ns[i] = path->policy->request_due_max_ns /
-				     path->policy->request_due_means;
+	path->feed_load = ROUTE_USE_LOAD_INITIAL;
 	path->wait_queue = wait_queue_new(path->policy->waiting_max);
-	path->flows = flow_cache_new(conf->flows_max, path->wait_queue);
+	path->use = route_use_new();
+	path->flows =
+		flow_cache_new(conf->flows_max, path->wait_queue, path->use);
+	path->answers = answer_stats_new(path->policy);
 	path->stats = load_stats_new();
 	path->openings = opening_queue_new();
-	if (path->wait_queue && path->flows && path->stats && path->openings)
+	if (path->wait_queue && path->flows && path->stats && path->openings &&
+	    path->use && path->answers)
 		return path;
 	path_free(path);
 	return NULL;
@@ -57,6 +55,8 @@
 	if (!path)
 		return;
 	flow_cache_free(path->flows);
+	route_use_free(path->use);
+	answer_stats_free(path->answers);
 	wait_queue_free(path->wait_queue);
 	opening_queue_free(path->openings);
 	load_stats_free(path->stats);
@@ -161,10 +161,21 @@
 		       : path->policy->opening_due_ns;
 }
 
-uint64_t path_answer_timeout_ns(const struct path *path, uint8_t kind)
+/* Service under which answers on a flow are counted. Without load control all
+ * services are counted as one. */
+uint32_t path_answer_class(const struct path *path,
+			   const struct flow_state *flow)
 {
-	uint64_t due_ns =
-		path->answer_ns[kind] * path->policy->request_due_means;
+	return path_load_control(path) ? flow->target->advertised.service : 0;
+}
+
+uint64_t path_answer_timeout_ns(const struct path *path,
+				const struct flow_state *flow)
+{
+	uint64_t due_ns = answer_stats_time_ns(path->answers,
+					       path_answer_class(path, flow),
+					       flow->kind) *
+			  path->policy->request_due_means;
 
 	if (due_ns < path->policy->request_due_min_ns)
 		return path->policy->request_due_min_ns;
@@ -187,8 +198,9 @@
 /* Whether new flows of a route will carry many requests. */
 bool path_route_is_long(const struct path *path, const struct route *route)
 {
-	(void)path;
-	return route->kind == ROUTE_FEED;
+	if (!path_load_control(path))
+		return route->kind == ROUTE_FEED;
+	return route_use_is_long(path->use, route->vip, route->kind);
 }
 
 struct target *path_assign_target(struct path *path, const struct flow_key *key,
@@ -275,24 +287,28 @@
 			 avoid ? PATH_placed_copy : PATH_placed, target);
 }
 
+/* Handle an acknowledgement of new bytes from the target. */
 static void handle_answer(struct path *path, struct flow_state *flow,
 			  uint32_t size_bytes, uint64_t now_ns)
 {
 	uint64_t elapsed_ns = now_ns - flow->forwarded_ns;
-	uint64_t *mean_ns = &path->answer_ns[flow->kind];
 	bool small;
 
+	if (flow->download_ends_ns)
+		path_continue_download(flow, size_bytes, now_ns);
 	if (!flow->busy)
 		return;
 	histogram_add(&path->latencies[flow->kind].answer_us,
 		      elapsed_ns / NS_PER_US);
-	small = outlier_record_answer_size(&path->sizes, path->policy,
-					   flow->kind, size_bytes);
-	if (small)
-		outlier_record_failure(flow->target, path->policy, now_ns);
-	if (flow->running)
-		path_record_answer(path, flow, small, now_ns);
-	*mean_ns += elapsed_ns / ANSWER_DIVISOR - *mean_ns / ANSWER_DIVISOR;
+	if (flow->kind == ROUTE_DOWNLOAD) {
+		path_begin_download(flow, size_bytes, now_ns);
+	} else {
+		small = path_record_size(path, flow, size_bytes, now_ns);
+		if (flow->running)
+			path_record_answer(path, flow, small, now_ns, now_ns);
+	}
+	answer_stats_record_time(path->answers, path_answer_class(path, flow),
+				 flow->kind, elapsed_ns);
 	flow_cache_set_busy(path->flows, flow, false);
 	path_release_queued(path, flow->target->advertised.service, now_ns);
 	path_release_openings(path, flow->target->advertised.service, now_ns);
@@ -314,10 +330,38 @@
 	return young && first && !flow->rtt_ns;
 }
 
+/* Record a request in the use of its route. */
+static void record_use(struct path *path, struct flow_state *flow,
+		       const struct route *route)
+{
+	flow->requests++;
+	route_use_request(path->use, flow->route_slot, flow->requests);
+	if (path_load_control(path) && path_route_is_long(path, route))
+		flow_cache_set_long(flow);
+}
+
+/*
+ * Record the end of a flow in the use of its route. A flow says nothing when
+ * the client gave up a request, when the target ends its flows, or when the
+ * requests before may have gone through another entry.
+ */
+static void record_use_end(struct path *path, const struct flow_state *flow)
+{
+	const struct target *target = flow->target;
+
+	if (flow->stage == FLOW_OPEN && flow->rtt_ns && !flow->busy &&
+	    target->stage == TARGET_SERVING && target->health == HEALTH_GOOD &&
+	    !directory_is_evacuated(path->directory, target))
+		route_use_end(path->use, flow->route_slot, flow->requests);
+}
+
 /* Start a request of the client. */
 static void begin_request(struct path *path, struct flow_state *flow,
 			  const struct route *route, uint64_t now_ns)
 {
+	path_end_download(path, flow, now_ns);
+	record_use(path, flow, route);
+	flow->failed_ns = 0;
 	flow->priority = route->priority;
 	if (!flow->was_held)
 		flow->arrived_ns = now_ns;
@@ -358,7 +402,7 @@
 		path_request_sent(path, flow, now_ns);
 	} else if (!flow->waiting) {
 		flow->answer_due_ns =
-			now_ns + path_answer_timeout_ns(path, flow->kind);
+			now_ns + path_answer_timeout_ns(path, flow);
 	}
 	return false;
 }
@@ -399,6 +443,8 @@
 		handle_answer(path, flow, size_bytes, now_ns);
 	}
 	if (packet->flags & (PACKET_FIN | PACKET_RST)) {
+		path_end_download(path, flow, now_ns);
+		record_use_end(path, flow);
 		flow_cache_close(path->flows, flow);
 		path_release_queued(path, flow->target->advertised.service,
 				    now_ns);
@@ -583,3 +629,17 @@
 {
 	return path->feed_load;
 }
+
+/**
+ * path_flow_load() - get the mean number of requests in progress of an open
+ *	long flow of a route
+ * @path: state of the decisions on packets
+ * @route: the route
+ *
+ * Return: mean over the flows of the latest seconds; until flows of the route
+ * were open, one request a second that takes 50 ms.
+ */
+float path_flow_load(const struct path *path, const struct route *route)
+{
+	return route_use_flow_load(path->use, route->vip);
+}
--- a/core/packet/flow/path.h
+++ b/core/packet/flow/path.h
@@ -221,6 +221,7 @@
 const struct flow_state *path_find_flow(const struct path *path,
 					const struct flow_key *key);
 float path_feed_load(const struct path *path);
+float path_flow_load(const struct path *path, const struct route *route);
 extern const char *const path_reason_names[PATH_REASON_COUNT];
 
 #endif
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -1,8 +1,9 @@
-/* Private state and functions shared by path.c, path_tick.c and path_wait.c. */
+/* Private state and functions shared by path.c and the files path_*.c. */
 #ifndef CB_PATH_IMPL_H
 #define CB_PATH_IMPL_H
 
 #include "admission.h"
+#include "answer_stats.h"
 #include "opening_queue.h"
 #include "outlier.h"
 #include "path.h"
@@ -13,6 +14,9 @@
 
 /* Latest refusals that are remembered, to count clients that come again. */
 #define PATH_REFUSALS_MAX 256
+/* A download counts as ended after this time without an acknowledgement. A
+ * packet that is lost is sent again after some 200 ms. */
+#define DOWNLOAD_QUIET_NS (500 * NS_PER_MS)
 /* Less urgent than any route. */
 #define PRIORITY_NONE 256
 
@@ -60,11 +64,11 @@
  * @port: calls to the owner
  * @rng: random number generator
  * @flows: flows that sent packets recently
- * @answer_ns: mean time to an answer, by kind of route
  * @counts: decisions, by reason
  * @latencies: durations, by kind of route
  * @stats: counters of requests by service, kind and event; owned
- * @sizes: mean sizes of answers
+ * @answers: sizes of answers and times to them; owned
+ * @use: observed use of each route; owned
  * @outliers_checked_ns: when targets were last checked for an excess of
  *	failures
  * @feed_load: mean number of requests in progress of an open feed, that is, the
@@ -91,11 +95,11 @@
 	struct path_port port;
 	struct rng rng;
 	struct flow_cache *flows;
-	uint64_t answer_ns[ROUTE_KINDS];
 	uint64_t counts[PATH_REASON_COUNT];
 	struct path_latencies latencies[ROUTE_KINDS];
 	struct load_stats *stats;
-	struct answer_sizes sizes;
+	struct answer_stats *answers;
+	struct route_use *use;
 	uint64_t outliers_checked_ns;
 	float feed_load;
 	struct service_work work[DIRECTORY_SERVICES_MAX];
@@ -113,7 +117,20 @@
 };
 
 uint64_t path_handshake_timeout_ns(const struct path *path);
-uint64_t path_answer_timeout_ns(const struct path *path, uint8_t kind);
+uint32_t path_answer_class(const struct path *path,
+			   const struct flow_state *flow);
+uint64_t path_answer_timeout_ns(const struct path *path,
+				const struct flow_state *flow);
+
+/* path_download.c */
+void path_begin_download(struct flow_state *flow, uint32_t size_bytes,
+			 uint64_t now_ns);
+void path_continue_download(struct flow_state *flow, uint32_t size_bytes,
+			    uint64_t now_ns);
+void path_end_download(struct path *path, struct flow_state *flow,
+		       uint64_t now_ns);
+bool path_record_size(struct path *path, struct flow_state *flow,
+		      uint32_t size_bytes, uint64_t now_ns);
 
 /* path_wait.c */
 bool path_queue_request(struct path *path, struct flow_state *flow,
@@ -122,7 +139,7 @@
 		       uint64_t now_ns);
 void path_release_queued(struct path *path, uint32_t service, uint64_t now_ns);
 void path_record_answer(struct path *path, struct flow_state *flow, bool small,
-			uint64_t now_ns);
+			uint64_t answered_ns, uint64_t now_ns);
 void path_release_all_queued(struct path *path, uint64_t now_ns);
 void path_expire_queued(struct path *path, const struct target *target,
 			uint64_t now_ns);
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -10,6 +10,8 @@
 #define LOAD_MIN 0.001f
 /* Weight of one measurement in the mean load of a feed. */
 #define FEED_LOAD_WEIGHT 0.02f
+/* Several ticks, in one of which the end of a download is noticed. */
+#define DOWNLOAD_TICKS_NS (250 * NS_PER_MS)
 /* Interval of the checks for outliers; peers report failures every 200 ms. */
 #define OUTLIER_CHECK_NS (100 * NS_PER_MS)
 /* A flow without packets for this long is removed. Clients retransmit within
@@ -164,16 +166,19 @@
  * @now_ns: current time, after the stall
  *
  * Answers that were due during the stall may be unread in the socket, so none
- * counts as overdue. Otherwise a pause of this VM would make healthy targets
- * suspected.
+ * counts as overdue and no download as ended. Otherwise a pause of this VM would
+ * make healthy targets suspected.
  */
 void path_process_stalled(struct path *path, uint64_t now_ns)
 {
 	struct flow_state *flow = flow_cache_newest(path->flows);
 
 	path->stalled_ns = now_ns;
-	for (; flow; flow = flow_cache_older(path->flows, flow))
+	for (; flow; flow = flow_cache_older(path->flows, flow)) {
 		flow->answer_due_ns = 0;
+		if (flow->download_ends_ns)
+			path_continue_download(flow, 0, now_ns);
+	}
 }
 
 /*
@@ -203,14 +208,28 @@
 	path->port.resend(path->port.ctx, flow, PATH_placed_again);
 }
 
+static uint64_t mean_answer_ns(const struct path *path,
+			       const struct flow_state *flow)
+{
+	return answer_stats_time_ns(path->answers,
+				    path_answer_class(path, flow), flow->kind);
+}
+
 static void check_overdue(struct path *path, uint64_t now_ns)
 {
 	struct flow_state *flow = flow_cache_newest(path->flows);
+	uint64_t due_ns = 2 * path->policy->request_due_max_ns;
+	uint64_t quiet_ns = DOWNLOAD_QUIET_NS + DOWNLOAD_TICKS_NS;
 
 	for (; flow; flow = flow_cache_older(path->flows, flow)) {
-		if (flow->seen_ns + 2 * path->policy->request_due_max_ns <
-		    now_ns)
+		uint64_t age_ns = now_ns - flow->seen_ns;
+
+		if (age_ns > due_ns && age_ns > quiet_ns)
 			break;
+		if (flow->download_ends_ns && flow->download_ends_ns <= now_ns)
+			path_end_download(path, flow, now_ns);
+		if (age_ns > due_ns)
+			continue;
 		if (!flow->answer_due_ns || flow->answer_due_ns > now_ns)
 			continue;
 		flow->answer_due_ns = 0;
@@ -221,9 +240,10 @@
 		}
 		path_suspect(path, flow->target, flow->forwarded_ns, now_ns);
 		outlier_record_failure(flow->target, path->policy, now_ns);
+		flow->failed_ns = now_ns;
 		track_record_service_time(flow->target,
 					  now_ns - flow->forwarded_ns,
-					  path->answer_ns[flow->kind], now_ns);
+					  mean_answer_ns(path, flow), now_ns);
 		flow_cache_set_running(path->flows, flow, false);
 	}
 }
@@ -324,6 +344,7 @@
 	path_release_all_queued(path, now_ns);
 	path_tick_admission(path, now_ns);
 	update_feed_load(path, feeds, busy);
+	route_use_sample(path->use, now_ns);
 	if (now_ns > FLOW_IDLE_TIMEOUT_NS)
 		flow_cache_expire(path->flows, now_ns - FLOW_IDLE_TIMEOUT_NS);
 }
--- a/core/packet/flow/path_wait.c
+++ b/core/packet/flow/path_wait.c
@@ -95,7 +95,7 @@
 	flow->forwarded_ns = now_ns;
 	flow->found_free_slot =
 		requests_at(flow->target) < flow->target->advertised.slots;
-	flow->answer_due_ns = now_ns + path_answer_timeout_ns(path, flow->kind);
+	flow->answer_due_ns = now_ns + path_answer_timeout_ns(path, flow);
 	flow_cache_set_running(path->flows, flow, true);
 }
 
@@ -103,8 +103,9 @@
  * path_record_answer() - update the work time and the window of a service from
  *	an answer
  * @path: state of the decisions on packets
- * @flow: flow of the answered request, which was running
+ * @flow: flow of the answered request, which was running when the answer began
  * @small: the answer is far smaller than the mean
+ * @answered_ns: when the answer began
  * @now_ns: current time
  *
  * A small answer that came faster than a request can be served, from a target
@@ -113,16 +114,18 @@
  * answers don't change the window of the service.
  */
 void path_record_answer(struct path *path, struct flow_state *flow, bool small,
-			uint64_t now_ns)
+			uint64_t answered_ns, uint64_t now_ns)
 {
 	uint32_t service = flow->target->advertised.service;
-	uint32_t running = flow_cache_running_count(path->flows, service);
+	uint32_t ended = !flow->running;
+	uint32_t running =
+		flow_cache_running_count(path->flows, service) + ended;
 	struct service_work *w = &path->work[service];
-	uint64_t elapsed_ns = now_ns - flow->forwarded_ns;
+	uint64_t elapsed_ns = answered_ns - flow->forwarded_ns;
 	uint64_t min_work_ns = w->by_kind[flow->kind].mean_ns *
 			       path->policy->refused_percent / PERCENT;
-	bool is_full =
-		requests_at(flow->target) >= flow->target->advertised.slots;
+	bool is_full = requests_at(flow->target) + (float)ended >=
+		       flow->target->advertised.slots;
 
 	path_record_capacity(path, flow->target, small && is_full, now_ns);
 
--- /dev/null
+++ b/core/packet/target/answer_stats.c
@@ -0,0 +1,108 @@
+#include "answer_stats.h"
+
+#include "directory.h"
+
+#include <stdlib.h>
+
+#define PERCENT 100.0f
+/* Weight of one answer in the moving average of sizes. */
+#define SIZE_WEIGHT 0.03f
+/* Each time has a weight of 1 / divisor in the moving average of times. */
+#define TIME_DIVISOR 32
+
+/**
+ * struct answer_means - moving averages over the answers of one class
+ * @bytes: mean size; 0 before the first answer
+ * @ns: mean time; 0 before the first answer
+ */
+struct answer_means {
+	float bytes;
+	uint64_t ns;
+};
+
+struct answer_stats {
+	const struct policy *policy;
+	struct answer_means means[DIRECTORY_SERVICES_MAX][ROUTE_KINDS];
+};
+
+/**
+ * answer_stats_new() - create averages without any answer
+ * @policy: limits and switches; not owned
+ *
+ * Return: averages, to be freed with answer_stats_free(), or NULL when out of
+ * memory.
+ */
+struct answer_stats *answer_stats_new(const struct policy *policy)
+{
+	struct answer_stats *stats = calloc(1, sizeof(*stats));
+
+	if (stats)
+		stats->policy = policy;
+	return stats;
+}
+
+void answer_stats_free(struct answer_stats *stats)
+{
+	free(stats);
+}
+
+/**
+ * answer_stats_time_ns() - get the mean time to an answer
+ * @stats: averages
+ * @service: number of the service in the directory
+ * @kind: enum route_kind
+ *
+ * Return: mean; before the first answer the time from which the longest
+ * deadline of policy follows.
+ */
+uint64_t answer_stats_time_ns(const struct answer_stats *stats,
+			      uint32_t service, uint8_t kind)
+{
+	uint64_t mean_ns = stats->means[service][kind].ns;
+
+	return mean_ns ? mean_ns
+		       : stats->policy->request_due_max_ns /
+				 stats->policy->request_due_means;
+}
+
+/**
+ * answer_stats_record_time() - record the time to an answer
+ * @stats: averages
+ * @service: number of the service in the directory
+ * @kind: enum route_kind
+ * @answer_ns: from forwarding the request to the client's first
+ *	acknowledgement of the answer
+ */
+void answer_stats_record_time(struct answer_stats *stats, uint32_t service,
+			      uint8_t kind, uint64_t answer_ns)
+{
+	uint64_t mean_ns = answer_stats_time_ns(stats, service, kind);
+
+	stats->means[service][kind].ns =
+		mean_ns + answer_ns / TIME_DIVISOR - mean_ns / TIME_DIVISOR;
+}
+
+/**
+ * answer_stats_record_size() - compare the size of an answer with the mean of
+ *	its class, then add it to the mean
+ * @stats: averages
+ * @service: number of the service in the directory
+ * @kind: enum route_kind
+ * @size_bytes: bytes of the answer that the client acknowledged: at first, or
+ *	of a download until it ended
+ *
+ * Return: true when the answer is smaller than policy's small_percent of the
+ * mean.
+ */
+bool answer_stats_record_size(struct answer_stats *stats, uint32_t service,
+			      uint8_t kind, uint32_t size_bytes)
+{
+	float fraction = (float)stats->policy->small_percent / PERCENT;
+	float *mean_bytes = &stats->means[service][kind].bytes;
+	bool is_small = (float)size_bytes < fraction * *mean_bytes;
+
+	if (*mean_bytes <= 0)
+		*mean_bytes = (float)size_bytes;
+	*mean_bytes += ((float)size_bytes - *mean_bytes) * SIZE_WEIGHT;
+	return is_small;
+}
--- a/core/packet/target/outlier.c
+++ b/core/packet/target/outlier.c
@@ -6,34 +6,6 @@
 /* A suspicious target only gets no requests that may not be repeated, so that
  * chance may rule out more good targets than by ejection. */
 #define SUSPICIOUS_DEVIATIONS 3.0f
-/* Weight of one answer in the moving average of sizes. */
-#define SIZE_WEIGHT 0.03f
-
-/**
- * outlier_record_answer_size() - compare the size of an answer with the mean of
- *	its kind, then add it to the mean
- * @s: averages
- * @policy: limits and switches
- * @kind: enum route_kind
- * @size_bytes: number of bytes in the client's first acknowledgement of the
- *	answer
- *
- * Return: true when the answer is smaller than policy's small_percent of the
- * mean.
- */
-bool outlier_record_answer_size(struct answer_sizes *s,
-				const struct policy *policy, uint8_t kind,
-				uint32_t size_bytes)
-{
-	float fraction = (float)policy->small_percent / PERCENT;
-	float *mean_bytes = &s->mean_bytes[kind];
-	bool is_small = (float)size_bytes < fraction * *mean_bytes;
-
-	if (*mean_bytes <= 0)
-		*mean_bytes = (float)size_bytes;
-	*mean_bytes += ((float)size_bytes - *mean_bytes) * SIZE_WEIGHT;
-	return is_small;
-}
 
 static float decayed_failures(const struct target *t,
 			      const struct policy *policy, uint64_t now_ns)
@@ -56,6 +28,28 @@
 	t->failures_updated_ns = now_ns;
 }
 
+/**
+ * outlier_take_back_failure() - subtract a request that was counted as a failure
+ *	and is answered after all
+ * @t: its target
+ * @policy: limits and switches
+ * @failed_ns: when it was counted
+ *
+ * A few in a hundred requests take many times the mean at good targets too.
+ */
+void outlier_take_back_failure(struct target *t, const struct policy *policy,
+			       uint64_t failed_ns)
+{
+	float age_ns;
+
+	if (t->failures_updated_ns < failed_ns)
+		return;
+	age_ns = (float)(t->failures_updated_ns - failed_ns);
+	t->failures =
+		fmaxf(0, t->failures - expf(-age_ns /
+					    (float)policy->failures_window_ns));
+}
+
 /**
  * outlier_failure_count() - recent failed requests of a target at this entry
  * @t: target
--- a/core/packet/target/outlier.h
+++ b/core/packet/target/outlier.h
@@ -11,19 +11,10 @@
 #include "directory.h"
 #include "policy.h"
 
-/**
- * struct answer_sizes - moving averages of answer sizes
- * @mean_bytes: mean by enum route_kind, 0 before the first answer
- */
-struct answer_sizes {
-	float mean_bytes[ROUTE_KINDS];
-};
-
-bool outlier_record_answer_size(struct answer_sizes *s,
-				const struct policy *policy, uint8_t kind,
-				uint32_t size_bytes);
 void outlier_record_failure(struct target *t, const struct policy *policy,
 			    uint64_t now_ns);
+void outlier_take_back_failure(struct target *t, const struct policy *policy,
+			       uint64_t failed_ns);
 float outlier_failure_count(const struct target *t, const struct policy *policy,
 			    uint64_t now_ns);
 bool outlier_is_ejected(const struct target *t, uint64_t now_ns);
--- /dev/null
+++ b/test/packet_answer_stats_test.c
@@ -0,0 +1,146 @@
+/* Sizes of answers and times to them, by service and kind. */
+#include "packet_bed.h"
+
+#include "answer_stats.h"
+#include "outlier.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#define CALLER ADDR(0x64400001, 1000)
+#define SMALL_BYTES 500
+#define LARGE_BYTES 20000
+
+/* Guards against normal answers to uploads that count as errors: they are far
+ * smaller than those of feeds. */
+static void test_answer_size_is_compared_within_its_kind(void **state)
+{
+	struct answer_stats *s = answer_stats_new(&policy_default);
+
+	(void)state;
+	for (uint32_t i = 0; i < 50; i++) {
+		assert_false(answer_stats_record_size(s, 0, ROUTE_FEED, 2400));
+		assert_false(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 500));
+	}
+	assert_true(answer_stats_record_size(s, 0, ROUTE_FEED, 500));
+	assert_true(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 211));
+	assert_false(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 500));
+	assert_true(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 190));
+	answer_stats_free(s);
+}
+
+/* Guards against small answers of one service that count as errors beside the
+ * large ones of another. */
+static void test_answer_size_is_compared_within_its_service(void **state)
+{
+	struct answer_stats *s = answer_stats_new(&policy_default);
+
+	(void)state;
+	for (uint32_t i = 0; i < 50; i++) {
+		assert_false(answer_stats_record_size(s, 0, ROUTE_FEED,
+						      LARGE_BYTES));
+		assert_false(answer_stats_record_size(s, 1, ROUTE_FEED,
+						      SMALL_BYTES));
+	}
+	assert_true(answer_stats_record_size(s, 0, ROUTE_FEED, SMALL_BYTES));
+	answer_stats_free(s);
+}
+
+/* Guards against deadlines for the requests of one service that follow from the
+ * answer times of another. */
+static void test_times_are_kept_by_service_and_kind(void **state)
+{
+	struct answer_stats *s = answer_stats_new(&policy_default);
+	uint64_t first_ns = answer_stats_time_ns(s, 1, ROUTE_FEED);
+
+	(void)state;
+	for (uint32_t i = 0; i < 300; i++) {
+		answer_stats_record_time(s, 0, ROUTE_FEED, 50 * MS);
+		answer_stats_record_time(s, 0, ROUTE_REPORT, 5 * MS);
+	}
+	assert_in_range(answer_stats_time_ns(s, 0, ROUTE_FEED), 49 * MS,
+			51 * MS);
+	assert_in_range(answer_stats_time_ns(s, 0, ROUTE_REPORT), 4 * MS,
+			6 * MS);
+	assert_int_equal(answer_stats_time_ns(s, 1, ROUTE_FEED), first_ns);
+	answer_stats_free(s);
+}
+
+/* Guards against overdue requests before anything is known: the deadline is then
+ * the longest. */
+static void test_first_deadline_is_the_longest(void **state)
+{
+	struct answer_stats *s = answer_stats_new(&policy_default);
+
+	(void)state;
+	assert_int_equal(answer_stats_time_ns(s, 0, ROUTE_FEED) *
+				 policy_default.request_due_means,
+			 policy_default.request_due_max_ns);
+	answer_stats_free(s);
+}
+
+/* Reports of two services. */
+static void open_bed(struct bed *b, uint8_t load_control)
+{
+	static struct policy policy;
+	struct route_table *t;
+
+	policy = policy_default;
+	policy.load_control = load_control;
+	bed_open_with(b, &policy);
+	t = bed_table(b, 2);
+	t->routes[2].kind = ROUTE_REPORT;
+	directory_set_routes(b->directory, t, b->now_ns);
+	bed_target(b, 1, SERVICE, ZONE);
+	bed_target(b, 2, OTHER_SERVICE, ZONE);
+}
+
+static void send_report(struct bed *b, uint64_t caller, uint64_t vip,
+			uint32_t answer_bytes)
+{
+	struct path_verdict v = bed_open_flow(b, caller, vip);
+
+	bed_data(b, caller, vip, v.target->cookie, 2, 1, 100);
+	b->now_ns += 10 * MS;
+	bed_data(b, caller, vip, v.target->cookie, 3, 1 + answer_bytes, 0);
+}
+
+static float failures_of_mixed_services(uint8_t load_control)
+{
+	struct bed b;
+	float failures;
+
+	open_bed(&b, load_control);
+	for (uint32_t i = 0; i < 20; i++) {
+		send_report(&b, CALLER + 2 * i, REPORT_VIP, SMALL_BYTES);
+		send_report(&b, CALLER + 2 * i + 1, OTHER_VIP, LARGE_BYTES);
+	}
+	failures = directory_by_id(b.directory, 1)->failures;
+	bed_close(&b);
+	return failures;
+}
+
+/* Guards against good targets that count as failing since another service gives
+ * larger answers to the same kind; without load control nothing changes. */
+static void test_sizes_at_another_service_do_not_matter(void **state)
+{
+	(void)state;
+	assert_true(failures_of_mixed_services(LOAD_CONTROL_ON) <= 0);
+	assert_true(failures_of_mixed_services(LOAD_CONTROL_AUTO) > 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_answer_size_is_compared_within_its_kind),
+		cmocka_unit_test(
+			test_answer_size_is_compared_within_its_service),
+		cmocka_unit_test(test_times_are_kept_by_service_and_kind),
+		cmocka_unit_test(test_first_deadline_is_the_longest),
+		cmocka_unit_test(test_sizes_at_another_service_do_not_matter),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/packet_bed.c
+++ b/test/packet_bed.c
@@ -214,6 +214,22 @@
 	return v;
 }
 
+/* The client closes its flow, and acknowledges all up to @ack. */
+void bed_fin(struct bed *b, uint64_t caller, uint64_t vip, uint32_t cookie,
+	     uint32_t seq, uint32_t ack)
+{
+	struct packet k = {
+		.flow = { caller, vip },
+		.cookie = cookie,
+		.seq = seq,
+		.ack = ack,
+		.flags = PACKET_ACK | PACKET_FIN,
+	};
+	struct path_verdict v;
+
+	path_packet(b->path, &k, true, b->now_ns, &v);
+}
+
 /* Open a flow: a SYN, and the client's answer to the target's SYN. */
 struct path_verdict bed_open_flow(struct bed *b, uint64_t caller, uint64_t vip)
 {
--- a/test/packet_bed.h
+++ b/test/packet_bed.h
@@ -72,6 +72,8 @@
 struct path_verdict bed_data(struct bed *b, uint64_t caller, uint64_t vip,
 			     uint32_t cookie, uint32_t seq, uint32_t ack,
 			     uint16_t size_bytes);
+void bed_fin(struct bed *b, uint64_t caller, uint64_t vip, uint32_t cookie,
+	     uint32_t seq, uint32_t ack);
 struct path_verdict bed_open_flow(struct bed *b, uint64_t caller, uint64_t vip);
 void bed_advance(struct bed *b, uint64_t ns);
 void bed_end_probes(struct bed *b, uint64_t id, enum probe_outcome outcome);
