Failures of a target don't send unsafe flows to other data centres

Cause: recent failures counted as load for unsafe requests, also against the penalty of another data centre. Where all targets fail a request now and then, long unsafe flows were opened elsewhere, and lost when a data centre was cut off. Change: failures weigh only among the targets of one data centre; between data centres the load decides, as before.

--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -40,8 +40,6 @@
 
 	if (q->load_control)
 		cost *= track_record_slowness(t, q->now_ns);
-	if (!may_repeat(q))
-		cost += track_record_failure_cost(t, q->policy, q->now_ns);
 	if (t->advertised.zone == q->zone)
 		return cost;
 	return cost + (float)q->policy->zone_penalty_percent / PERCENT;
@@ -53,6 +51,18 @@
 	return directory_by_cookie(d, t->cookie) == t;
 }
 
+/*
+ * Cost in the choice among targets of one data centre. A few failures at all
+ * targets must not send flows to other data centres, where they are lost when
+ * that is cut off; is_doubtful() rules out a target that fails far more.
+ */
+static float risk(const struct target *t, const struct assign_query *q)
+{
+	if (may_repeat(q))
+		return cost(t, q);
+	return cost(t, q) + track_record_failure_cost(t, q->policy, q->now_ns);
+}
+
 static bool is_doubtful(const struct target *t, const struct assign_query *q)
 {
 	return !may_repeat(q) && track_record_is_doubtful(t, q->now_ns);
@@ -117,7 +127,7 @@
 static void keep_cheapest(struct sample *s, struct target *t,
 			  const struct assign_query *q)
 {
-	if (!s->seen || cost(t, q) < cost(s->candidates[0], q))
+	if (!s->seen || risk(t, q) < risk(s->candidates[0], q))
 		s->candidates[0] = t;
 	s->seen = 1;
 }
@@ -140,15 +150,15 @@
 }
 
 /*
- * The cheapest candidate, or @best if none is cheaper. Starts at a random
+ * The cheapest candidate; NULL when there is none. Starts at a random
  * candidate to break ties: candidates are in the order of publication, and at
  * low load, when most targets are idle, the first one published would get twice
  * the flows of the last.
  */
 static struct target *cheapest(const struct sample *s,
-			       const struct assign_query *q,
-			       struct target *best, struct rng *rng)
+			       const struct assign_query *q, struct rng *rng)
 {
+	struct target *best = NULL;
 	uint32_t n = s->seen < sample_size(q) || !sample_size(q)
 			     ? s->seen
 			     : sample_size(q);
@@ -157,7 +167,7 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = s->candidates[(start + i) % n];
 
-		if (!best || cost(t, q) < cost(best, q))
+		if (!best || risk(t, q) < risk(best, q))
 			best = t;
 	}
 	return best;
@@ -190,7 +200,7 @@
 	struct sample near = { 0 }, far = { 0 }, spare = { 0 };
 	bool allow_trial = rng_next(rng) % q->policy->trial_odds == 0;
 	uint32_t best_rank = UINT32_MAX;
-	struct target *selected;
+	struct target *selected, *elsewhere;
 
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
@@ -210,9 +220,12 @@
 		sample_add(t->advertised.zone == q->zone ? &near : &far, t, q,
 			   rng);
 	}
-	selected = cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
+	selected = cheapest(&near, q, rng);
+	elsewhere = cheapest(&far, q, rng);
+	if (!selected || (elsewhere && cost(elsewhere, q) < cost(selected, q)))
+		selected = elsewhere;
 	if (spare.seen && selected && !has_free_slot(selected))
-		selected = cheapest(&spare, q, NULL, rng);
+		selected = cheapest(&spare, q, rng);
 	if (!selected)
 		return NULL;
 	track_record_assigned(selected, q->now_ns);
--- a/test/packet_track_record_test.c
+++ b/test/packet_track_record_test.c
@@ -204,6 +204,29 @@
 	bed_close(&b);
 }
 
+/*
+ * Guards against long unsafe flows at other data centres, where they are lost
+ * when that is cut off, while all targets here fail a request now and then.
+ */
+static void
+test_common_failures_move_no_flow_to_another_data_centre(void **state)
+{
+	struct target *other;
+	struct pair p;
+
+	(void)state;
+	open_pair(&p);
+	other = bed_target(&p.bed, 3, SERVICE, OTHER_ZONE);
+	p.good->peers_failures = 0.8f;
+	p.flapping->peers_failures = 0.9f;
+	assert_int_equal(count_assigned(&p, ROUTE_REPORT, true, p.good) +
+				 count_assigned(&p, ROUTE_REPORT, true,
+						p.flapping),
+			 FLOWS);
+	assert_int_equal(other->advertised.zone == p.good->advertised.zone, 0);
+	bed_close(&p.bed);
+}
+
 /* Guards against a target that is tried again every few seconds for as long as
  * it goes down and up. */
 static void test_each_further_end_doubles_the_time(void **state)
@@ -300,6 +323,8 @@
 			test_unresponsive_target_is_tried_once_at_a_time),
 		cmocka_unit_test(
 			test_unanswered_openings_count_only_beside_answers),
+		cmocka_unit_test(
+			test_common_failures_move_no_flow_to_another_data_centre),
 		cmocka_unit_test(test_each_further_end_doubles_the_time),
 		cmocka_unit_test(test_one_end_counts_once),
 		cmocka_unit_test(test_slow_target_gets_fewer_requests),
