Emulator: flows apart from kinds, downloads, flapping targets, two sites

Cause: the emulator took a feed for a request on a long flow and any other kind for one request per flow, had no downloads and no target that resets requests, so that the load of docs/design/load-parts.md could not be run.

--- a/sim/sim-packets/arrivals.c
+++ b/sim/sim-packets/arrivals.c
@@ -8,6 +8,7 @@
 /* Mean time between requests of a user on the extra route. */
 #define PROBE_NS (100 * NS_PER_MS)
 #define TRIES_TO_FIND_IDLE 8
+#define PERCENT 100.0
 
 static double request_rate(const struct world *w, uint32_t zone, uint32_t class)
 {
@@ -21,6 +22,8 @@
 						 z->phase));
 	if (w->now_ns < w->load_until_ns[zone])
 		per_s *= w->load_factor[zone];
+	if (w->now_ns < w->class_until_ns[class])
+		per_s *= w->class_factor[class];
 	return per_s;
 }
 
@@ -41,19 +44,32 @@
 	return i;
 }
 
-/* Users with a flow that stays open come first, ordered by data centre. */
-static uint32_t first_user(const struct world *w, uint32_t zone)
+/* Number of classes with long flows before a class. */
+static uint32_t long_classes_before(const struct world *w, uint32_t class)
 {
+	uint32_t n = 0;
+
+	for (uint32_t c = 0; c < class; c++)
+		n += w->classes[c].long_flows;
+	return n;
+}
+
+/* Users with a flow that stays open come first, ordered by data centre, then by
+ * class. */
+static uint32_t first_user(const struct world *w, uint32_t zone, uint32_t class)
+{
+	const struct site *s = &w->conf.site;
 	uint32_t first = 0;
 
 	for (uint32_t z = 0; z < zone; z++)
-		first += w->conf.site.zones[z].users;
-	return first;
+		first += s->zones[z].users *
+			 long_classes_before(w, s->n_classes);
+	return first + s->zones[zone].users * long_classes_before(w, class);
 }
 
-static uint32_t select_feed_user(struct world *w, uint32_t zone)
+static uint32_t select_long_user(struct world *w, uint32_t zone, uint32_t class)
 {
-	uint32_t first = first_user(w, zone);
+	uint32_t first = first_user(w, zone, class);
 	uint32_t n = w->conf.site.zones[zone].users;
 	uint32_t user = first;
 
@@ -86,13 +102,17 @@
 					  uint32_t class)
 {
 	const struct site_class *c = &w->classes[class];
-
-	return (struct request_spec){
+	struct request_spec spec = {
 		.arrival_ns = w->now_ns,
 		.work_ns = world_sample(rng, &c->work_ns),
 		.request_bytes = (uint32_t)world_sample(rng, &c->request_bytes),
 		.answer_bytes = (uint32_t)world_sample(rng, &c->answer_bytes),
 	};
+
+	if (c->tail_percent &&
+	    world_random_unit(rng) * PERCENT < c->tail_percent)
+		spec.work_ns *= c->tail_factor;
+	return spec;
 }
 
 static void start_or_queue(struct world *w, uint32_t user,
@@ -112,13 +132,13 @@
 	double gap_s = -log(1 - world_random_unit(&w->arrival_rng)) /
 		       request_rate(w, zone, class);
 	struct request_spec spec = sample_request(w, &w->arrival_rng, class);
-	bool feed = w->classes[class].kind == ROUTE_FEED;
 
 	world_schedule(w, (uint64_t)(gap_s * (double)NS_PER_S), on_arrival,
 		       zone, class, 0);
 	start_or_queue(w,
-		       feed ? select_feed_user(w, zone)
-			    : select_idle_user(w, zone, class),
+		       w->classes[class].long_flows
+			       ? select_long_user(w, zone, class)
+			       : select_idle_user(w, zone, class),
 		       &spec);
 }
 
@@ -154,6 +174,14 @@
 	return true;
 }
 
+static void add_long_users(struct world *w, uint32_t zone, uint32_t class)
+{
+	if (!w->classes[class].long_flows)
+		return;
+	for (uint32_t i = 0; i < w->conf.site.zones[zone].users; i++)
+		add_user(w, zone, class);
+}
+
 /* Create the users with a flow that stays open, then a user of the extra route
  * in each data centre. Users of other classes are created when needed. */
 void arrivals_start(struct world *w)
@@ -161,8 +189,8 @@
 	const struct site *s = &w->conf.site;
 
 	for (uint32_t z = 0; z < s->n_zones; z++)
-		for (uint32_t i = 0; i < s->zones[z].users; i++)
-			add_user(w, z, 0);
+		for (uint32_t c = 0; c < s->n_classes; c++)
+			add_long_users(w, z, c);
 	for (uint32_t z = 0; z < s->n_zones; z++)
 		arrivals_schedule_test_user(w, add_user(w, z,
 							extra_route_index(w)));
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -1,6 +1,7 @@
 /* Entries: the real node, with ports that lead into the emulator. */
 #include "world_state.h"
 
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -381,14 +382,30 @@
 	(void)was;
 }
 
-static void no_log(void *ctx, enum node_log_level level, const char *step,
-		   const char *peer, const char *format, ...)
+static void count_ejection(struct world *w, uint64_t id)
 {
-	(void)ctx;
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		w->targets[i].ejections += w->targets[i].advertised.id == id;
+}
+
+/* Only the target of a line about an ejection is used. */
+static void take_log(void *ctx, enum node_log_level level, const char *step,
+		     const char *peer, const char *format, ...)
+{
+	struct port_ctx *c = ctx;
+	unsigned long long id;
+	char line[256];
+	va_list args;
+
 	(void)level;
-	(void)step;
 	(void)peer;
-	(void)format;
+	if (strcmp(step, "target.eject") != 0)
+		return;
+	va_start(args, format);
+	vsnprintf(line, sizeof(line), format, args);
+	va_end(args);
+	if (sscanf(line, "target %llx", &id) == 1)
+		count_ejection(c->w, id);
 }
 
 static void start_process(void *ctx, struct world *w, uint32_t entry)
@@ -421,7 +438,7 @@
 		.reset = reset_flow,
 		.health = no_health,
 		.decode = store_decode,
-		.log = no_log,
+		.log = take_log,
 	};
 
 	(void)ctx;
--- a/sim/sim-packets/fault_table.c
+++ b/sim/sim-packets/fault_table.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+/* Targets that alternate between down and up: time of each, duration, and one
+ * in how many targets of a service. As in docs/design/load-parts.md. */
+#define FLAP_NS (1760 * NS_PER_MS)
+#define FLAPPING_NS (6 * NS_PER_S)
+#define FLAPPING_PART 10
+
 static uint32_t random_entry(struct world *w)
 {
 	return (uint32_t)(rng_next(&w->rng) % w->n_entries);
@@ -114,6 +120,39 @@
 	fail_targets(w, TARGET_SLOW);
 }
 
+static void on_reset_mode(struct world *w, const struct event *e)
+{
+	world_fail_target(w, (uint32_t)e->arg0, TARGET_RESETS, FLAP_NS);
+}
+
+/* A tenth of the targets, one at least. Their health checks still pass. */
+static void targets_flap(struct world *w)
+{
+	uint32_t flapping = 0, n = 0;
+
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		n += w->targets[i].alive &&
+		     w->targets[i].service == SERVICE_MAIN;
+	for (uint32_t i = 0; i < w->n_targets; i++) {
+		if (!w->targets[i].alive ||
+		    w->targets[i].service != SERVICE_MAIN ||
+		    (flapping && flapping >= n / FLAPPING_PART))
+			continue;
+		flapping++;
+		for (uint64_t at_ns = 0; at_ns < FLAPPING_NS;
+		     at_ns += 2 * FLAP_NS)
+			world_schedule(w, at_ns, on_reset_mode, i, 0, 0);
+	}
+}
+
+/* The class depends only on the seed, so that runs of different policies can be
+ * compared. */
+static void burst_of_one_class(struct world *w)
+{
+	world_scale_class(w, (uint32_t)(w->conf.seed % w->conf.site.n_classes),
+			  2.6, 5 * NS_PER_S);
+}
+
 static void reuse(struct world *w)
 {
 	for (uint32_t i = 0; i < 3; i++)
@@ -627,6 +666,10 @@
 	{ "store_restored_evacuation_over",
 	  "the restored store has lost an evacuation's end",
 	  store_restored_evacuation_over, 0.99 },
+	{ "targets_flap", "a tenth of the targets is down and up by turns",
+	  targets_flap, 0.995 },
+	{ "burst_of_one_class", "one class at 2.6 times its rate for 5 s",
+	  burst_of_one_class, 0.999 },
 };
 
 const uint32_t n_world_faults = sizeof(world_faults) / sizeof(world_faults[0]);
--- a/sim/sim-packets/faults.c
+++ b/sim/sim-packets/faults.c
@@ -258,3 +258,17 @@
 	w->load_factor[zone] = factor;
 	w->load_until_ns[zone] = w->now_ns + ns;
 }
+
+/**
+ * world_scale_class() - scale the request rate of a class in all data centres
+ * @w: emulator
+ * @class: index of the class
+ * @factor: multiplier of the rate
+ * @ns: duration
+ */
+void world_scale_class(struct world *w, uint32_t class, double factor,
+		       uint64_t ns)
+{
+	w->class_factor[class] = factor;
+	w->class_until_ns[class] = w->now_ns + ns;
+}
--- a/sim/sim-packets/main.c
+++ b/sim/sim-packets/main.c
@@ -24,6 +24,8 @@
 	struct arg_int *feeds;
 	struct arg_int *reports;
 	struct arg_str *faults;
+	struct arg_str *site;
+	struct arg_str *load_control;
 	struct arg_lit *recovery;
 	struct arg_lit *evacuation;
 	struct arg_lit *json;
@@ -53,6 +55,11 @@
 				    "reports a second, per data centre (25)"),
 		.faults = arg_strn(NULL, "fault", "NAME", 0, 64,
 				   "fault of --list; default: all"),
+		.site = arg_str0(NULL, "site", "NAME",
+				 "plain, one-request-flows or long-flows "
+				 "(plain); numbers above are of plain"),
+		.load_control = arg_str0(NULL, "load-control", "MODE",
+					 "auto, on or off (auto)"),
 		.recovery = arg_lit0(NULL, "recovery",
 				     "print recovery times after a power "
 				     "loss of all entries"),
@@ -94,9 +101,7 @@
 	       (unsigned long long)r->store_calls, r->imbalance);
 }
 
-/* Return: number of broken rules. */
-static uint64_t run_fault(const struct args *a, const struct world_fault *f,
-			  uint64_t seed)
+static void describe_plain_site(const struct args *a, struct site *s)
 {
 	struct site_size size = {
 		.zones = 3,
@@ -106,11 +111,47 @@
 		.feeds_per_s = number(a->feeds, 90),
 		.reports_per_s = number(a->reports, 25),
 	};
+
+	site_default(s, &size);
+}
+
+/* Return: whether the names of the site and of the mode are known. */
+static bool read_conf(const struct args *a, struct world_conf *conf,
+		      struct policy *policy)
+{
+	static const char *const modes[] = { "auto", "on", "off" };
+	const char *site = a->site->count ? a->site->sval[0] : "plain";
+	const char *mode = a->load_control->count ? a->load_control->sval[0]
+						  : modes[LOAD_CONTROL_AUTO];
+	uint8_t i = 0;
+
+	if (!strcmp(site, "plain"))
+		describe_plain_site(a, &conf->site);
+	else if (!strcmp(site, "one-request-flows"))
+		site_one_request_flows(&conf->site);
+	else if (!strcmp(site, "long-flows"))
+		site_long_flows(&conf->site);
+	else
+		return false;
+	while (i <= LOAD_CONTROL_OFF && strcmp(mode, modes[i]) != 0)
+		i++;
+	*policy = policy_default;
+	policy->load_control = i;
+	conf->policy = policy;
+	return i <= LOAD_CONTROL_OFF;
+}
+
+/* Return: number of broken rules. */
+static uint64_t run_fault(const struct args *a, const struct world_fault *f,
+			  uint64_t seed)
+{
 	struct world_conf conf = { .seed = seed };
+	struct policy policy;
 	struct world_report r;
 	struct world *w;
 
-	site_default(&conf.site, &size);
+	if (!read_conf(a, &conf, &policy))
+		return 1;
 	w = world_new(&conf);
 	if (!w)
 		return 1;
@@ -164,6 +205,8 @@
 static int run_with_args(struct args *a, void **table, int argc, char **argv)
 {
 	int errors = arg_parse(argc, argv, table);
+	struct world_conf conf = { 0 };
+	struct policy policy;
 
 	if (a->help->count) {
 		printf("Usage: sim-packets");
@@ -175,6 +218,11 @@
 		arg_print_errors(stderr, a->end, "sim-packets");
 		return EXIT_USAGE;
 	}
+	if (!read_conf(a, &conf, &policy)) {
+		fprintf(stderr, "sim-packets: --site or --load-control: no "
+				"such value, see --help\n");
+		return EXIT_USAGE;
+	}
 	if (a->list->count) {
 		for (uint32_t i = 0; i < n_world_faults; i++)
 			printf("%-24s %s\n", world_faults[i].name,
@@ -203,10 +251,12 @@
 int main(int argc, char **argv)
 {
 	struct args a = args_new();
-	void *table[] = { a.seeds,   a.first_seed, a.seconds,	 a.entries,
-			  a.targets, a.users,	   a.feeds,	 a.reports,
-			  a.faults,  a.recovery,   a.evacuation, a.json,
-			  a.list,    a.help,	   a.end };
+	void *table[] = { a.seeds,	a.first_seed,	a.seconds,
+			  a.entries,	a.targets,	a.users,
+			  a.feeds,	a.reports,	a.faults,
+			  a.site,	a.load_control, a.recovery,
+			  a.evacuation, a.json,		a.list,
+			  a.help,	a.end };
 	int code = EXIT_USAGE;
 
 	if (!arg_nullcheck(table))
--- a/sim/sim-packets/site.h
+++ b/sim/sim-packets/site.h
@@ -62,6 +62,13 @@
  * @value: of a request that is answered within @objective_ns
  * @late_value: of a request that is answered later
  * @retries: attempts after the first
+ * @long_flows: a client sends its requests on a flow that stays open; otherwise
+ *	each request has a flow of its own
+ * @other_percent: part of the flows that the route leads to @other_service;
+ *	bound.c doesn't consider it
+ * @other_service: index of a second service
+ * @tail_percent: part of the requests that take @tail_factor times as long
+ * @tail_factor: by how much the work of those is longer
  */
 struct site_class {
 	char name[SITE_NAME_BYTES];
@@ -76,13 +83,18 @@
 	double value;
 	double late_value;
 	uint32_t retries;
+	bool long_flows;
+	uint32_t other_percent;
+	uint32_t other_service;
+	uint32_t tail_percent;
+	uint32_t tail_factor;
 };
 
 /**
  * struct site_zone - a data centre
  * @name: name of the data centre
  * @entries: number of entries
- * @users: number of clients with a flow that stays open
+ * @users: number of clients of each class whose flows stay open
  * @per_s: requests a second, by class
  * @amplitude: of the sine wave that the rates follow, as a part of the rate
  * @period_ns: period of that wave; 0 for constant rates
@@ -150,5 +162,7 @@
 };
 
 void site_default(struct site *s, const struct site_size *size);
+void site_one_request_flows(struct site *s);
+void site_long_flows(struct site *s);
 
 #endif
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -13,6 +13,7 @@
 #define PAGE_KEYS 50
 /* Age that an answer to a call may have which allows stale answers. */
 #define STALE_COPY_NS (2 * NS_PER_S)
+#define PERCENT 100
 
 static struct store_key *find_or_add_key(struct world *w, const char *name)
 {
@@ -287,6 +288,8 @@
 	for (uint32_t i = 0; i < v.n_routes; i++)
 		v.routes[i] = (struct route_value){
 			w->classes[i].service,
+			w->classes[i].other_service,
+			w->classes[i].other_percent,
 			w->classes[i].kind,
 			w->classes[i].priority,
 			(uint32_t)(w->classes[i].deadline_ns / NS_PER_MS),
@@ -410,6 +413,22 @@
 	}
 }
 
+static void decode_shares(const struct routes_value *v, uint32_t route,
+			  struct directory *names, struct route *out)
+{
+	const struct route_value *r = &v->routes[route];
+
+	out->n_shares = r->other_percent ? 2 : 1;
+	out->shares[0] = (struct route_share){
+		directory_find_service(names, v->services[r->service]),
+		r->other_percent ? PERCENT - r->other_percent : 1
+	};
+	out->shares[1] = (struct route_share){
+		directory_find_service(names, v->services[r->other_service]),
+		r->other_percent
+	};
+}
+
 /*
  * Decode a configuration. The decoder has no state, so that kinds and services
  * of the site are part of the value. The last route is the extra one, if any.
@@ -437,12 +456,8 @@
 		r->priority = v->routes[i].priority;
 		r->timeout_ms = v->routes[i].timeout_ms;
 		r->objective_ms = v->routes[i].objective_ms;
-		r->n_shares = 1;
-		r->shares[0] = (struct route_share){
-			directory_find_service(
-				names, v->services[v->routes[i].service]),
-			1
-		};
+		t->load_control = t->load_control || r->kind == ROUTE_DOWNLOAD;
+		decode_shares(v, i, names, r);
 	}
 	out->kind = DOCUMENT_ROUTES;
 	out->routes = t;
--- a/sim/sim-packets/targets.c
+++ b/sim/sim-packets/targets.c
@@ -162,7 +162,8 @@
 	users_flow_unknown(w, (uint32_t)(e->arg0 >> 16), (uint16_t)e->arg0);
 }
 
-/* A draining target closes each flow after its next answer. */
+/* A draining target closes each flow after its next answer, except a download,
+ * which the client closes when it has received all of it. */
 static void on_closed(struct world *w, const struct event *e)
 {
 	struct sim_user *u = &w->users[e->arg0 >> 16];
@@ -184,7 +185,8 @@
 	answer(w, &done,
 	       current_mode(w, t) == TARGET_FAILS ? ANSWER_FAILED
 						  : ANSWER_DONE);
-	if (t->leaving_since_ns) {
+	if (t->leaving_since_ns &&
+	    w->classes[w->users[done.user].class].kind != ROUTE_DOWNLOAD) {
 		drop_flow(t, done.user, done.port);
 		world_schedule(w, w->conf.site.client_delay_ns, on_closed,
 			       e->arg1, 0, 0);
@@ -206,6 +208,7 @@
 		return ERROR_NS;
 	case TARGET_SLOW:
 		return work_ns * SLOW_FACTOR;
+	case TARGET_RESETS: /* of requests that started before */
 	case TARGET_WORKS:
 		break;
 	}
@@ -223,7 +226,8 @@
 	t->busy++;
 	t->requests_run++;
 	if (u->request_number == r->request_number &&
-	    w->classes[u->class].kind != ROUTE_FEED && ++u->runs > 1)
+	    !route_kind_is_idempotent(w->classes[u->class].kind) &&
+	    ++u->runs > 1)
 		w->report.doubled++;
 	world_schedule(w, run_time_ns(w, t, r->work_ns), on_done,
 		       (uint64_t)t->process << 32 | target,
@@ -272,6 +276,12 @@
 	w->report.overrun += recent > limit;
 }
 
+static bool may_serve(const struct site_class *c, uint32_t service)
+{
+	return c->service == service ||
+	       (c->other_percent && c->other_service == service);
+}
+
 /* Check the rules for a flow that opens at a target. */
 static void check_rules(struct world *w, const struct sim_target *t,
 			uint32_t entry, const struct sim_user *u)
@@ -280,7 +290,7 @@
 	bool is_undisturbed = w->now_ns > e->disturbed_ns + SETTLE_NS &&
 			      w->now_ns > w->store_disturbed_ns + SETTLE_NS;
 
-	if (t->service != w->classes[u->class].service)
+	if (!may_serve(&w->classes[u->class], t->service))
 		w->report.misrouted++;
 	if (is_undisturbed && t->leaving_since_ns &&
 	    w->now_ns > t->leaving_since_ns + PUBLISH_MAX_NS)
@@ -359,7 +369,8 @@
 				       target, target_cookie(t->advertised.id));
 	} else if (k->flags & PACKET_FIN) {
 		drop_flow(t, k->user, k->port);
-	} else if (!f) {
+	} else if (!f || current_mode(w, t) == TARGET_RESETS) {
+		drop_flow(t, k->user, k->port);
 		world_schedule(w, w->conf.site.client_delay_ns, on_unknown_flow,
 			       flow_id(k->user, k->port), 0, 0);
 	} else if (k->size_bytes) {
@@ -459,9 +470,22 @@
 	world_schedule(w, 3 * NS_PER_S, on_expire, target, 0, 0);
 }
 
+/* Reset all flows; the answers to requests in progress are lost with them. */
+static void reset_flows(struct world *w, uint32_t target)
+{
+	struct sim_target *t = &w->targets[target];
+
+	for (uint32_t i = 0; i < t->n_flows; i++)
+		world_schedule(w, w->conf.site.client_delay_ns, on_unknown_flow,
+			       flow_id(t->flows[i].user, t->flows[i].port), 0,
+			       0);
+	t->n_flows = 0;
+	t->n_queue = 0;
+}
+
 /**
- * world_fail_target() - make a target open flows but fail, ignore or slow down
- *	their requests
+ * world_fail_target() - make a target open flows but fail, ignore, slow down or
+ *	reset their requests
  * @w: emulator
  * @target: index of the target
  * @mode: what happens to the requests
@@ -472,6 +496,8 @@
 {
 	w->targets[target].mode = mode;
 	w->targets[target].mode_until_ns = w->now_ns + ns;
+	if (mode == TARGET_RESETS)
+		reset_flows(w, target);
 }
 
 static void on_reuse(struct world *w, const struct event *e)
--- a/sim/sim-packets/users.c
+++ b/sim/sim-packets/users.c
@@ -11,6 +11,8 @@
 /* Size of an answer that carries an error. */
 #define ERROR_BYTES 200
 #define ACK_PACKETS 2
+/* Packets of a download in the first round trip, RFC 3390. */
+#define DOWNLOAD_FIRST_PACKETS 4
 
 static const uint64_t syn_retransmit_ns[SYN_RETRANSMISSIONS] = {
 	200 * NS_PER_MS, 600 * NS_PER_MS
@@ -29,6 +31,12 @@
 	return &w->classes[u->class];
 }
 
+/* Whether a request may be sent again although it may have run. */
+static bool may_retry(const struct world *w, const struct sim_user *u)
+{
+	return route_kind_is_idempotent(class_of(w, u)->kind);
+}
+
 static void on_arrive(struct world *w, const struct event *e)
 {
 	struct sim_packet k = {
@@ -143,7 +151,7 @@
 				.cause = cause_of(w, u, served),
 			});
 	}
-	if (class_of(w, u)->kind != ROUTE_FEED || !served) {
+	if (!class_of(w, u)->long_flows || !served) {
 		if (u->state == USER_OPEN)
 			send_packet(w, user, PACKET_FIN, u->request_seq, 0);
 		u->state = USER_IDLE;
@@ -316,6 +324,50 @@
 	}
 }
 
+/* Time of a packet to the target and of the next ones back. */
+static uint64_t round_trip_ns(const struct world *w, const struct sim_user *u)
+{
+	return 2 * w->conf.site.client_delay_ns +
+	       world_one_way_ns(w, u->zone, w->targets[u->target].zone);
+}
+
+/* Receive the packets that a target sends in one round trip. The target sends
+ * twice as many in the next one. */
+static void on_download(struct world *w, const struct event *e)
+{
+	uint32_t user = (uint32_t)e->arg0;
+	struct sim_user *u = &w->users[user];
+	const struct sim_target *t;
+	uint64_t bytes = e->arg2 * SEGMENT_BYTES;
+
+	if (!u->has_request || u->request_number != e->arg1 >> 16 ||
+	    u->port != (uint16_t)e->arg1 || u->state != USER_OPEN)
+		return;
+	/* The rest is lost with the target's process. */
+	t = &w->targets[u->target];
+	if (!t->alive || t->process != u->process)
+		return;
+	if (bytes > u->answer_left)
+		bytes = u->answer_left;
+	acknowledge(w, user, (uint32_t)bytes);
+	u->answer_left -= (uint32_t)bytes;
+	if (!u->answer_left)
+		finish_request(w, user, true);
+	else
+		world_schedule(w, round_trip_ns(w, u), on_download, user,
+			       e->arg1, 2 * e->arg2);
+}
+
+static void start_download(struct world *w, uint32_t user)
+{
+	struct sim_user *u = &w->users[user];
+
+	u->answer_left = u->spec.answer_bytes;
+	world_schedule(w, 0, on_download, user,
+		       u->request_number << 16 | u->port,
+		       DOWNLOAD_FIRST_PACKETS);
+}
+
 /* Handle an answer. A request that was refused, or that failed and is
  * idempotent, is retried. */
 void users_answered(struct world *w, uint32_t user, uint16_t port,
@@ -327,13 +379,17 @@
 	    !u->has_request)
 		return;
 	u->acked = u->segments;
+	if (answer == ANSWER_DONE && class_of(w, u)->kind == ROUTE_DOWNLOAD) {
+		start_download(w, user);
+		return;
+	}
 	acknowledge(w, user,
 		    answer == ANSWER_DONE ? u->spec.answer_bytes : ERROR_BYTES);
 	u->was_refused = u->was_refused || answer == ANSWER_REFUSED;
 	u->has_failed = u->has_failed || answer == ANSWER_FAILED;
 	if (answer == ANSWER_DONE)
 		finish_request(w, user, true);
-	else if (answer == ANSWER_FAILED && class_of(w, u)->kind != ROUTE_FEED)
+	else if (answer == ANSWER_FAILED && !may_retry(w, u))
 		finish_request(w, user, false);
 	else
 		start_attempt(w, user);
@@ -349,7 +405,7 @@
 	if (!u->has_request)
 		return;
 	u->was_refused = true;
-	if (opened && class_of(w, u)->kind != ROUTE_FEED)
+	if (opened && !may_retry(w, u))
 		finish_request(w, user, false);
 	else
 		start_attempt(w, user);
--- a/sim/sim-packets/world.c
+++ b/sim/sim-packets/world.c
@@ -239,6 +239,7 @@
 	memcpy(w->classes, s->classes, sizeof(s->classes));
 	w->classes[s->n_classes] = s->classes[s->n_classes > 1 ? 1 : 0];
 	w->classes[s->n_classes].kind = ROUTE_REPORT;
+	w->classes[s->n_classes].long_flows = false;
 }
 
 static void init_hellos(struct world *w)
@@ -368,3 +369,20 @@
 		ready += w->conf.driver.ready(w->conf.driver.ctx, w, i);
 	return ready;
 }
+
+/**
+ * world_most_ejections() - how often the target was ejected that was ejected
+ *	most often
+ * @w: emulator
+ *
+ * Return: ejections of one target by all entries together since the start.
+ */
+uint32_t world_most_ejections(const struct world *w)
+{
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < w->n_targets; i++)
+		if (w->targets[i].ejections > most)
+			most = w->targets[i].ejections;
+	return most;
+}
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -104,8 +104,15 @@
  * @TARGET_FAILS: answers at once with an error
  * @TARGET_HANGS: accepts them and doesn't answer
  * @TARGET_SLOW: takes several times as long
+ * @TARGET_RESETS: resets their flows and doesn't run them
  */
-enum target_mode { TARGET_WORKS, TARGET_FAILS, TARGET_HANGS, TARGET_SLOW };
+enum target_mode {
+	TARGET_WORKS,
+	TARGET_FAILS,
+	TARGET_HANGS,
+	TARGET_SLOW,
+	TARGET_RESETS,
+};
 
 /**
  * enum record_defect - what is wrong with a record that no target wrote
@@ -228,6 +235,7 @@
 uint32_t world_entry_count(const struct world *w);
 uint32_t world_target_count(const struct world *w);
 uint32_t world_ready_count(struct world *w);
+uint32_t world_most_ejections(const struct world *w);
 const struct world_request *world_requests(const struct world *w, uint32_t *n);
 
 /* Faults and planned work. All take effect at once. */
@@ -257,6 +265,8 @@
 void world_drop_route(struct world *w);
 void world_scale_load(struct world *w, uint32_t zone, double factor,
 		      uint64_t ns);
+void world_scale_class(struct world *w, uint32_t class, double factor,
+		       uint64_t ns);
 
 /* The store answers, is slow, refuses half, is silent to half, is down. */
 #define RECOVERY_CONDITIONS 5
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -149,6 +149,7 @@
  * @queue: requests that wait for a slot
  * @n_queue: length of @queue
  * @requests_run: requests started since the report was reset
+ * @ejections: times that an entry ejected it
  */
 struct sim_target {
 	struct target_advertisement advertised;
@@ -172,6 +173,7 @@
 	struct sim_request queue[QUEUE_MAX];
 	uint32_t n_queue;
 	uint64_t requests_run;
+	uint32_t ejections;
 };
 
 /* States of a user's flow. */
@@ -203,6 +205,7 @@
  * @sent: packets sent at least once
  * @acked: packets acknowledged, counted from the first
  * @ack: next byte expected from the target
+ * @answer_left: bytes of a download that haven't arrived
  * @packet_lost: a packet reached no running entry
  * @target_gone: a packet was sent to a target that no longer existed
  * @was_refused: an attempt ended with a refusal or a reset
@@ -233,6 +236,7 @@
 	uint32_t sent;
 	uint32_t acked;
 	uint32_t ack;
+	uint32_t answer_left;
 	bool packet_lost;
 	bool target_gone;
 	bool was_refused;
@@ -255,6 +259,8 @@
 
 struct route_value {
 	uint32_t service;
+	uint32_t other_service;
+	uint32_t other_percent;
 	uint8_t kind;
 	uint8_t priority;
 	uint32_t timeout_ms;
@@ -339,6 +345,8 @@
  * @next_idle_user: where the search for an idle user starts
  * @load_factor: multiplier of the request rates until @load_until_ns
  * @load_until_ns: end of the changed load, by data centre
+ * @class_factor: multiplier of the rates of a class until @class_until_ns
+ * @class_until_ns: end of the changed load, by class
  * @keys: the store's keys; deleted ones stay
  * @n_keys: number of @keys
  * @stale_keys: older copy of @keys, for answers that may be stale
@@ -399,6 +407,8 @@
 	uint32_t next_idle_user[ZONES_MAX][CLASSES_MAX];
 	double load_factor[ZONES_MAX];
 	uint64_t load_until_ns[ZONES_MAX];
+	double class_factor[CLASSES_MAX];
+	uint64_t class_until_ns[CLASSES_MAX];
 	struct store_key keys[STORE_KEYS_MAX];
 	uint32_t n_keys;
 	struct store_key *stale_keys;
--- a/test/packet_link_test.c
+++ b/test/packet_link_test.c
@@ -18,18 +18,18 @@
 {
 	struct site_size size = { 3, 2, 5, 60, 40, 20 };
 	static const struct site_class upload = {
-		"upload",
-		1,
-		ROUTE_UPLOAD,
-		2,
-		{ 5 * NS_PER_MS, 30, 30 * NS_PER_MS },
-		{ 40000, 70, 240000 },
-		{ 300, 0, 0 },
-		1200 * NS_PER_MS,
-		8 * NS_PER_S,
-		1,
-		0.1,
-		2,
+		.name = "upload",
+		.service = 1,
+		.kind = ROUTE_UPLOAD,
+		.priority = 2,
+		.work_ns = { 5 * NS_PER_MS, 30, 30 * NS_PER_MS },
+		.request_bytes = { 40000, 70, 240000 },
+		.answer_bytes = { 300, 0, 0 },
+		.objective_ns = 1200 * NS_PER_MS,
+		.deadline_ns = 8 * NS_PER_S,
+		.value = 1,
+		.late_value = 0.1,
+		.retries = 2,
 	};
 
 	site_default(s, &size);
