Soak test and experiments: downloads, unsafe requests on long flows

Cause: sim-soak had neither downloads nor requests on long flows that may not be repeated, so that its processes never ran with load control; files of sim-experiment could not say whether flows are long. Change: sim-soak adds both classes, 5 a second in each data centre, and draws burst_of_one_class.

--- a/sim/sim-experiment/read_site.c
+++ b/sim/sim-experiment/read_site.c
@@ -15,6 +15,7 @@
 struct class_strings {
 	char name[NAME_MAX_BYTES];
 	char service[NAME_MAX_BYTES];
+	char other_service[NAME_MAX_BYTES];
 	uint8_t kind;
 };
 
@@ -60,6 +61,7 @@
 static const struct field class_string_fields[] = {
 	TEXT(class_strings, name),
 	TEXT(class_strings, service),
+	FIELD(class_strings, "other_service", FIELD_NAME, other_service),
 	FIELD(class_strings, "kind", FIELD_CHOICE, kind, .required = true,
 	      .choices = kinds),
 	{ 0 }
@@ -74,6 +76,12 @@
 	DECIMAL(site_class, "worth", value, 1000),
 	DECIMAL(site_class, "late_worth", late_value, 1000),
 	COUNT(site_class, "retries", retries, 0, 10),
+	FIELD(site_class, "long_flows", FIELD_BOOL, long_flows,
+	      .keep_if_missing = true),
+	FIELD(site_class, "other_percent", FIELD_U32, other_percent, .max = 99),
+	FIELD(site_class, "tail_percent", FIELD_U32, tail_percent, .max = 100),
+	FIELD(site_class, "tail_factor", FIELD_U32, tail_factor, .min = 1,
+	      .max = 100),
 	{ 0 }
 };
 
@@ -200,6 +208,7 @@
 
 		fields_parse(m, "class", &all[i], class_string_fields,
 			     &strings);
+		c->long_flows = strings.kind == ROUTE_FEED;
 		fields_parse(m, "class", &all[i], class_fields, c);
 		fields_report_unknown(m, "class", &all[i]);
 		g_strlcpy(c->name, strings.name, sizeof(c->name));
@@ -210,6 +219,16 @@
 			field_add_mistake(m, &all[i], "class", "service",
 					  "is not defined",
 					  "the name of a service");
+		if (c->other_percent)
+			c->other_service =
+				find_service(s, strings.other_service);
+		if (c->other_service == s->n_services)
+			field_add_mistake(m, &all[i], "class", "other_service",
+					  "is not defined",
+					  "the name of a service");
+		if (c->tail_percent && !c->tail_factor)
+			field_add_mistake(m, &all[i], "class", "tail_factor",
+					  "missing", "a factor above 1");
 		if (!i && c->kind != ROUTE_FEED)
 			field_add_mistake(m, &all[i], "class", "kind",
 					  "is not a feed",
--- a/sim/sim-soak/main.c
+++ b/sim/sim-soak/main.c
@@ -21,6 +21,8 @@
 #define MEAN_FAULT_GAP_NS (1500 * NS_PER_MS)
 /* Least share of the requests served over a run, including its faults. */
 #define MIN_SERVED_SHARE 0.80
+/* Rate of the classes that site_default() doesn't have. */
+#define EXTRA_PER_S 5
 
 enum exit_code { EXIT_OK, EXIT_FAILED, EXIT_USAGE };
 
@@ -54,6 +56,7 @@
 	"add_route",
 	"targets_fail",
 	"targets_hang",
+	"burst_of_one_class",
 };
 
 static void restart_store_servers(struct soak *s);
@@ -228,16 +231,63 @@
 	return !world_broken_rules(&r) && served_share >= MIN_SERVED_SHARE;
 }
 
+/* Adds a class, with a few requests a second in each data centre. */
+static void add_class(struct site *s, const struct site_class *c)
+{
+	for (uint32_t z = 0; z < s->n_zones; z++)
+		s->zones[z].per_s[s->n_classes] = EXTRA_PER_S;
+	s->classes[s->n_classes++] = *c;
+}
+
+/*
+ * The default deployment with downloads, which call for load control, and with
+ * requests on long flows that may not be repeated.
+ */
+static void describe_site(struct site *s)
+{
+	static const struct site_size size = { 2, 2, 5, 40, 40, 10 };
+	static const struct site_class download = {
+		.name = "download",
+		.kind = ROUTE_DOWNLOAD,
+		.priority = 2,
+		.work_ns = { 5 * NS_PER_MS, 50, 30 * NS_PER_MS },
+		.request_bytes = { 200, 0, 0 },
+		.answer_bytes = { 20000, 70, 120000 },
+		.objective_ns = 800 * NS_PER_MS,
+		.deadline_ns = 4 * NS_PER_S,
+		.value = 1,
+		.late_value = 0.3,
+		.retries = 2,
+	};
+	static const struct site_class application = {
+		.name = "application",
+		.kind = ROUTE_REPORT,
+		.priority = 1,
+		.work_ns = { 61 * NS_PER_MS, 50, 366 * NS_PER_MS },
+		.request_bytes = { 900, 50, 5400 },
+		.answer_bytes = { 600, 50, 3600 },
+		.objective_ns = 400 * NS_PER_MS,
+		.deadline_ns = 2500 * NS_PER_MS,
+		.value = 2,
+		.late_value = 0.6,
+		.retries = 2,
+		.long_flows = true,
+	};
+
+	site_default(s, &size);
+	add_class(s, &download);
+	add_class(s, &application);
+}
+
 static bool run_seed(const char *program, const char *dir, uint64_t seed,
 		     const struct fault_plan *plan)
 {
 	static struct soak s; /* too large for the stack */
 	struct rng rng = { hash_u64(seed, 2) | 1 };
-	struct site_size size = { 2, 2, 5, 40, 40, 10 };
 	struct world_conf conf = { .seed = seed };
 	bool passed;
 
-	site_default(&conf.site, &size);
+	describe_site(&conf.site);
 	soak_init(&s, program, dir);
 	conf.driver = processes_driver(&s);
 	s.world = world_new(&conf);
