Emulator: ended targets close idle flows of unsafe requests; bound of two services

Cause: a client with an idle long flow learned only from the reset of its next request that the target had ended, and an unsafe request failed then, although a real target closes its connections when its process ends. The upper bound of earned value left out the second service of a route. Change: targets_close_idle_unsafe() when a process ends, not when its VM fails; slots of a second service count for the bound.

--- a/sim/sim-packets/bound.c
+++ b/sim/sim-packets/bound.c
@@ -133,6 +133,25 @@
 	return total + (double)slots * (double)(to_ns - at_ns);
 }
 
+/* Slot time for the requests of a service's classes. Slots of a second service
+ * that a class may use count for both, which can only raise the bound. */
+static double usable_slot_time_ns(const struct world *w, uint32_t service,
+				  uint64_t from_ns, uint64_t to_ns)
+{
+	bool usable[SERVICES_MAX] = { false };
+	double total = 0;
+
+	usable[service] = true;
+	for (uint32_t c = 0; c < w->conf.site.n_classes; c++)
+		if (w->classes[c].service == service &&
+		    w->classes[c].other_percent)
+			usable[w->classes[c].other_service] = true;
+	for (uint32_t s = 0; s < w->conf.site.n_services; s++)
+		if (usable[s])
+			total += slot_time_ns(w, s, from_ns, to_ns);
+	return total;
+}
+
 static int compare(const void *a, const void *b)
 {
 	const struct candidate *x = a, *y = b;
@@ -187,9 +206,9 @@
 		if (c->objective_ns > latest_ns)
 			latest_ns = c->objective_ns;
 	}
-	return late_total +
-	       best_gain(candidates, n,
-			 slot_time_ns(w, service, from_ns, to_ns + latest_ns));
+	return late_total + best_gain(candidates, n,
+				      usable_slot_time_ns(w, service, from_ns,
+							  to_ns + latest_ns));
 }
 
 /**
--- a/sim/sim-packets/restarts.c
+++ b/sim/sim-packets/restarts.c
@@ -46,6 +46,7 @@
 		return;
 	t->alive = false;
 	t->process++;
+	targets_close_idle_unsafe(w, t);
 	targets_clear(t);
 	targets_report_change(w, target);
 	world_schedule(w, down_ns, on_target_restart, target, 0, 0);
--- a/sim/sim-packets/site.h
+++ b/sim/sim-packets/site.h
@@ -64,8 +64,7 @@
  * @retries: attempts after the first
  * @long_flows: a client sends its requests on a flow that stays open; otherwise
  *	each request has a flow of its own
- * @other_percent: part of the flows that the route leads to @other_service;
- *	bound.c doesn't consider it
+ * @other_percent: part of the flows that the route leads to @other_service
  * @other_service: index of a second service
  * @tail_percent: part of the requests that take @tail_factor times as long
  * @tail_factor: by how much the work of those is longer
--- a/sim/sim-packets/targets.c
+++ b/sim/sim-packets/targets.c
@@ -378,6 +378,25 @@
 	}
 }
 
+/*
+ * Close idle flows whose client can't retry a request: it has to know before its
+ * next one that the flow is gone. Clients with other requests learn it from the
+ * reset of the next one, and retry.
+ */
+void targets_close_idle_unsafe(struct world *w, const struct sim_target *t)
+{
+	for (uint32_t i = 0; i < t->n_flows; i++) {
+		const struct sim_flow *f = &t->flows[i];
+		const struct site_class *c =
+			&w->classes[w->users[f->user].class];
+
+		if (c->long_flows && !route_kind_is_idempotent(c->kind))
+			world_schedule(w, w->conf.site.client_delay_ns,
+				       on_closed, flow_id(f->user, f->port), 0,
+				       0);
+	}
+}
+
 /* End a target's process, and with @vm_down its VM too. */
 void targets_end(struct world *w, uint32_t target, bool vm_down)
 {
@@ -385,6 +404,8 @@
 
 	t->alive = false;
 	t->vm_down = vm_down;
+	if (!vm_down)
+		targets_close_idle_unsafe(w, t);
 	targets_clear(t);
 	t->disturbed_ns = w->now_ns;
 	targets_report_change(w, target);
--- a/sim/sim-packets/world_state.h
+++ b/sim/sim-packets/world_state.h
@@ -501,6 +501,7 @@
 uint32_t targets_find_by_addr(const struct world *w, uint64_t addr);
 void targets_end(struct world *w, uint32_t target, bool vm_down);
 void targets_clear(struct sim_target *t);
+void targets_close_idle_unsafe(struct world *w, const struct sim_target *t);
 
 /* arrivals.c */
 void arrivals_start(struct world *w);
