struct flow_state: the fields of the walk over all flows together

The fields for downloads and the use of routes moved the links away from the times that each tick reads.

--- a/core/packet/flow/flow_state.h
+++ b/core/packet/flow/flow_state.h
@@ -53,14 +53,16 @@
  *	see it
  * @seen_ns: when the last packet of the flow came, or was forwarded from the
  *	queue
- * @opened_ns: when the first packet of the flow came
  * @answer_due_ns: when the target is suspected unless the client's packets have
  *	shown an answer; 0 when none is expected
+ * @download_ends_ns: when the download that the flow receives counts as ended
+ *	unless more of it is acknowledged; 0 when it receives none
+ * @newer: index of the next flow in the list ordered by @seen_ns
+ * @older: index of the previous flow in that list, or of the next free slot
+ * @opened_ns: when the first packet of the flow came
  * @failed_ns: when the present request was counted as a failure of the target
  *	since no answer came in time; 0 when it was not
  * @answered_ns: when the answer to the present download began
- * @download_ends_ns: when the download that the flow receives counts as ended
- *	unless more of it is acknowledged; 0 when it receives none
  * @download_bytes: bytes of it that were acknowledged
  * @seq: highest sequence number that the client has sent
  * @ack: highest acknowledgement number that the client has sent
@@ -68,8 +70,6 @@
  *	more; a SYN if and only if @stage is FLOW_OPENING
  * @resend_bytes: size of @resend_packet; 0 when there is none or it was longer
  *	than RESEND_MAX_BYTES
- * @newer: index of the next flow in the list ordered by @seen_ns
- * @older: index of the previous flow in that list, or of the next free slot
  */
 struct flow_state {
 	struct flow_key key;
@@ -94,18 +94,18 @@
 	uint64_t forwarded_ns;
 	uint64_t rtt_ns;
 	uint64_t seen_ns;
-	uint64_t opened_ns;
 	uint64_t answer_due_ns;
+	uint64_t download_ends_ns;
+	uint32_t newer;
+	uint32_t older;
+	uint64_t opened_ns;
 	uint64_t failed_ns;
 	uint64_t answered_ns;
-	uint64_t download_ends_ns;
 	uint32_t download_bytes;
 	uint32_t seq;
 	uint32_t ack;
 	uint8_t resend_packet[RESEND_MAX_BYTES];
 	uint8_t resend_bytes;
-	uint32_t newer;
-	uint32_t older;
 };
 
 #endif
