Idle open flows and openings during a stall don't count as requests

An open flow without a request counted in its target's openings until it was closed or timed out, so that a client's idle connections took up the room of the target. A stall of the process cancelled the due time of openings, and they counted without end. Both are counted off now: an open flow when its request does not come within the time for a handshake.

--- a/core/packet/flow/flow_cache.c
+++ b/core/packet/flow/flow_cache.c
@@ -123,7 +123,7 @@
  *	first request
  * @flow: flow
  * @opening: true when the opening is forwarded, false when the request is, or
- *	when the handshake is overdue
+ *	when the handshake or the request is overdue
  */
 void flow_cache_set_opening(struct flow_state *flow, bool opening)
 {
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -406,7 +406,10 @@
 		flow->resend_bytes = 0;
 		flow->ack = packet->ack;
 		flow->seq = packet->seq - 1;
-		flow->answer_due_ns = 0;
+		flow->answer_due_ns =
+			path_load_control(path) && flow->is_opening
+				? now_ns + path_handshake_timeout_ns(path)
+				: 0;
 		path->handshake_ns = now_ns;
 		mark_alive(path, flow->target, now_ns);
 	} else if (newer_ack) {
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -172,8 +172,10 @@
 	struct flow_state *flow = flow_cache_newest(path->flows);
 
 	path->stalled_ns = now_ns;
-	for (; flow; flow = flow_cache_older(path->flows, flow))
+	for (; flow; flow = flow_cache_older(path->flows, flow)) {
 		flow->answer_due_ns = 0;
+		flow_cache_set_opening(flow, false);
+	}
 }
 
 /*
@@ -220,6 +222,10 @@
 			assign_again(path, flow, now_ns);
 			continue;
 		}
+		if (flow->is_opening) { /* the client sends no request yet */
+			flow_cache_set_opening(flow, false);
+			continue;
+		}
 		path_suspect(path, flow->target, flow->forwarded_ns, now_ns);
 		outlier_record_failure(flow->target, path->policy, now_ns);
 		track_record_service_time(flow->target,
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -93,8 +93,8 @@
  * @probe_misses: consecutive probes without an answer
  * @cached_flows: flows in the flow cache that refer to it, closed ones included
  * @flows: of @cached_flows, those that are open or opening
- * @openings: of @flows, those that are opening, or open without having sent a
- *	request
+ * @openings: of @flows, those that are opening, or opened shortly ago and have
+ *	not sent a request; not those whose handshake or request is overdue
  * @feeds: of @flows, the long ones (struct flow_state's is_long)
  * @busy: flows with a request in progress
  * @busy_short: of @busy, those of short flows
--- a/test/packet_admission_test.c
+++ b/test/packet_admission_test.c
@@ -404,6 +404,44 @@
 	bed_close(&b);
 }
 
+/* Guards against idle flows, as clients open them ahead of their requests, that
+ * take up the room of a target until they are closed. */
+static void test_idle_open_flow_takes_no_room(void **state)
+{
+	struct target *t;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	t = directory_target_at(b.directory, 0);
+	for (uint32_t i = 1; i <= LIMIT; i++)
+		bed_open_flow(&b, CLIENT(i), VIP);
+	assert_int_equal(t->openings, LIMIT);
+	bed_advance(&b, 2 * S);
+	assert_int_equal(t->openings, 0);
+	assert_int_equal(t->flows, LIMIT + 2);
+	bed_close(&b);
+}
+
+/* Guards against openings that count at a target without end, since a stall of
+ * this process cancels the times at which they are due. */
+static void test_opening_during_a_stall_takes_no_room(void **state)
+{
+	struct target *t;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	t = directory_target_at(b.directory, 0);
+	bed_syn(&b, CLIENT(1), VIP, 0);
+	bed_open_flow(&b, CLIENT(2), VIP);
+	assert_int_equal(t->openings, 2);
+	path_process_stalled(b.path, b.now_ns);
+	bed_advance(&b, 2 * S);
+	assert_int_equal(t->openings, 0);
+	bed_close(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -429,6 +467,8 @@
 		cmocka_unit_test(test_planned_stop_admits_what_is_held),
 		cmocka_unit_test(test_nothing_is_held_without_load_control),
 		cmocka_unit_test(test_limit_is_learned_from_rejections),
+		cmocka_unit_test(test_idle_open_flow_takes_no_room),
+		cmocka_unit_test(test_opening_during_a_stall_takes_no_room),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
