--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -176,6 +176,7 @@
 	path->stalled_ns = now_ns;
 	for (; flow; flow = flow_cache_older(path->flows, flow)) {
 		flow->answer_due_ns = 0;
+		flow_cache_set_opening(flow, false);
 		if (flow->download_ends_ns)
 			path_continue_download(flow, 0, now_ns);
 	}
@@ -239,6 +240,10 @@
 			assign_again(path, flow, now_ns);
 			continue;
 		}
+		if (flow->is_opening) { /* the client sends no request yet */
+			flow_cache_set_opening(flow, false);
+			continue;
+		}
 		path_suspect(path, flow->target, flow->forwarded_ns, now_ns);
 		outlier_record_failure(flow->target, path->policy, now_ns);
 		flow->failed_ns = now_ns;
