Long flows are divided among the targets by their load

The entries chose the less loaded of two random targets for a flow that carries many requests. That balances little, and with more choices all entries choose the same target until the next heartbeat.

With load control, an entry estimates the flows that its peers open unseen, from its own rate and the ages of their figures, divides them such that they even out the loads of up to 16 targets, and draws a target by its share. No target gets more than one flow per slot in a heartbeat, or twice its even share.

--- a/bench/slopes-packets/main.c
+++ b/bench/slopes-packets/main.c
@@ -127,6 +127,32 @@
 	f->path = path_new(&conf, f->directory, port, (struct rng){ 7 });
 }
 
+/* The selection alone, with load control. */
+static void measure_long_flow(struct fixture *f, uint32_t size)
+{
+	struct rng rng = { 7 };
+	struct assign_query q = {
+		.policy = &policy_default,
+		.service = directory_add_service(f->directory, "s"),
+		.kind = ROUTE_FEED,
+		.is_long = true,
+		.feed_load = 0.05f,
+		.unseen_flows = 20,
+		.now_ns = f->now_ns,
+	};
+
+	for (uint32_t on = 0; on < 2; on++) {
+		uint64_t start_ns = clock_ns();
+
+		q.load_control = on;
+		for (uint32_t i = 0; i < FLOWS; i++)
+			assign_target(f->directory, &q, &rng);
+		printf("%s %u %.1f ns\n",
+		       on ? "ns_select_long_targets" : "ns_select_targets",
+		       size, (double)(clock_ns() - start_ns) / FLOWS);
+	}
+}
+
 static void measure_opening(struct fixture *f, const char *name, uint32_t size)
 {
 	static const uint8_t bytes[32];
@@ -202,6 +228,7 @@
 
 		init_fixture(&f, sizes[i]);
 		measure_opening(&f, "ns_open_targets", sizes[i]);
+		measure_long_flow(&f, sizes[i]);
 		measure_open_flows(&f, sizes[i]);
 		measure_tick(&f, sizes[i]);
 		measure_heartbeat(&f, sizes[i]);
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -209,9 +209,23 @@
 		.now_ns = now_ns,
 	};
 
+	if (q.load_control && q.is_long)
+		q.unseen_flows =
+			long_flows_unseen(&path->long_rates[q.service],
+					  &path->peers, path->policy, now_ns);
 	return assign_target(path->directory, &q, &path->rng);
 }
 
+/* Count a flow that this entry opened, for the spreading of long flows. */
+void path_record_opening(struct path *path, const struct flow_state *flow,
+			 uint64_t now_ns)
+{
+	uint32_t service = flow->target->advertised.service;
+
+	if (flow->is_long)
+		long_flows_record_opening(&path->long_rates[service], now_ns);
+}
+
 /* Keep a packet for path_port.resend; only one without data may be resent. */
 static void keep_for_resend(struct flow_state *flow,
 			    const struct packet *packet)
@@ -258,13 +272,15 @@
 		path_set_verdict(path, out, PATH_RESET, PATH_no_target, NULL);
 		return;
 	}
-	if (flow)
+	if (flow) {
 		flow_cache_set_target(path->flows, flow, target);
-	else
+	} else {
 		flow = flow_cache_add(path->flows, &packet->flow, target,
 				      route->kind,
 				      path_route_is_long(path, route),
 				      FLOW_OPENING, now_ns);
+		path_record_opening(path, flow, now_ns);
+	}
 	flow_cache_touch(path->flows, flow, now_ns);
 	flow->forwarded_ns = now_ns;
 	flow->seq = packet->seq;
@@ -578,6 +594,16 @@
 	return flow_cache_find(path->flows, key);
 }
 
+/**
+ * path_set_peers() - set what is known of the peers that place flows too
+ * @path: state of the decisions on packets
+ * @peers: number of the peers and age of their figures
+ */
+void path_set_peers(struct path *path, const struct long_flow_peers *peers)
+{
+	path->peers = *peers;
+}
+
 /* Mean number of requests in progress of an open feed. */
 float path_feed_load(const struct path *path)
 {
--- a/core/packet/flow/path.h
+++ b/core/packet/flow/path.h
@@ -11,6 +11,7 @@
 #include "health.h"
 #include "histogram.h"
 #include "load_stats.h"
+#include "long_flows.h"
 #include "policy.h"
 
 /**
@@ -220,6 +221,7 @@
 				     uint64_t now_ns);
 const struct flow_state *path_find_flow(const struct path *path,
 					const struct flow_key *key);
+void path_set_peers(struct path *path, const struct long_flow_peers *peers);
 float path_feed_load(const struct path *path);
 extern const char *const path_reason_names[PATH_REASON_COUNT];
 
--- a/core/packet/flow/path_admit.c
+++ b/core/packet/flow/path_admit.c
@@ -260,6 +260,7 @@
 	opening_queue_take_turn(path->openings, o.key.vip);
 	flow = flow_cache_add(path->flows, &o.key, target, o.kind, o.is_long,
 			      FLOW_OPENING, now_ns);
+	path_record_opening(path, flow, now_ns);
 	flow->was_held = true;
 	flow->arrived_ns = o.arrived_ns;
 	flow->forwarded_ns = now_ns;
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -3,6 +3,7 @@
 #define CB_PATH_IMPL_H
 
 #include "admission.h"
+#include "long_flows.h"
 #include "opening_queue.h"
 #include "outlier.h"
 #include "path.h"
@@ -69,6 +70,8 @@
  *	failures
  * @feed_load: mean number of requests in progress of an open feed, that is, the
  *	slots it takes
+ * @peers: age of the peers' figures
+ * @long_rates: long flows that this entry opens, by service
  * @work: time that requests take at their targets, by service
  * @windows: most requests that may be at the targets at once, by service
  * @wait_queue: requests not forwarded yet
@@ -98,6 +101,8 @@
 	struct answer_sizes sizes;
 	uint64_t outliers_checked_ns;
 	float feed_load;
+	struct long_flow_peers peers;
+	struct long_flow_rate long_rates[DIRECTORY_SERVICES_MAX];
 	struct service_work work[DIRECTORY_SERVICES_MAX];
 	struct request_window windows[DIRECTORY_SERVICES_MAX];
 	struct wait_queue *wait_queue;
@@ -140,6 +145,8 @@
 				  const struct route *route,
 				  const struct target *avoid, bool of_all,
 				  uint64_t now_ns);
+void path_record_opening(struct path *path, const struct flow_state *flow,
+			 uint64_t now_ns);
 void path_set_verdict(struct path *path, struct path_verdict *out,
 		      uint8_t action, uint8_t reason,
 		      const struct target *target);
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -405,6 +405,7 @@
 {
 	uint64_t to[RECIPIENTS_MAX];
 	struct directory_tick_times clock;
+	struct long_flow_peers peers;
 	uint32_t count;
 
 	node->now_ns = now_ns;
@@ -415,6 +416,9 @@
 		send_hello(node, to, count, NULL, HELLO_UNSOLICITED);
 		expedite_heartbeat(node);
 		loads_sum_peers(node->directory, node->peers, now_ns);
+		peers = loads_peers_of_zone(node->peers, node_zone(node),
+					    now_ns);
+		path_set_peers(node->path, &peers);
 	}
 	node_start_calls(node);
 	documents_tick(node->documents, now_ns);
--- a/core/packet/peers/loads.c
+++ b/core/packet/peers/loads.c
@@ -140,3 +140,33 @@
 		}
 	}
 }
+
+/**
+ * loads_peers_of_zone() - age of the loads that the peers of a data centre
+ *	advertised
+ * @peers: peers
+ * @zone: hash of the name of the data centre
+ * @now_ns: current time
+ *
+ * In a large data centre, each heartbeat goes to some of the peers only. Loads
+ * that loads_sum_peers() ignores count as LOADS_VALID_NS old.
+ */
+struct long_flow_peers loads_peers_of_zone(const struct peer_set *peers,
+					   uint32_t zone, uint64_t now_ns)
+{
+	struct long_flow_peers out = { 0 };
+
+	for (uint32_t i = 0; i < peer_set_count(peers); i++) {
+		const struct peer_vm *p = peer_set_at(peers, i);
+		uint64_t age_ns = now_ns - p->hello_ns;
+
+		if (p->zone != zone || p->leaving ||
+		    p->seen_ns + LOADS_VALID_NS < now_ns)
+			continue;
+		if (age_ns > LOADS_VALID_NS)
+			age_ns = LOADS_VALID_NS;
+		out.n++;
+		out.ages_s += (float)age_ns / (float)NS_PER_S;
+	}
+	return out;
+}
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -3,12 +3,15 @@
 #include "cold.h"
 #include "directory_impl.h"
 
+#include "long_flows.h"
 #include "outlier.h"
 #include "track_record.h"
 
 #define PERCENT 100.0f
 /* Upper bound of policy's choices. */
 #define CANDIDATES_MAX 16
+/* Before any was observed, the load of a flow may be 0. */
+#define FEED_LOAD_MIN 0.001f
 
 /*
  * Load of a target in slots. Long flows are spread by their number,
@@ -18,8 +21,7 @@
 static float load(const struct target *t, const struct assign_query *q)
 {
 	if (q->is_long)
-		return ((float)t->feeds + t->peers_feeds) * q->feed_load +
-		       t->short_mean + t->peers_short;
+		return long_flows_load(t, q->feed_load);
 	return (float)t->running + t->peers_running;
 }
 
@@ -33,13 +35,19 @@
 	return !q->load_control || route_kind_is_idempotent(q->kind);
 }
 
+/* Factor by which a target's load exceeds that of an average target with the
+ * same requests. */
+static float slowness(const struct target *t, const struct assign_query *q)
+{
+	return q->load_control ? track_record_slowness(t, q->now_ns) : 1;
+}
+
 /* Load relative to the slots, with a penalty for another data centre. */
-static float cost(const struct target *t, const struct assign_query *q)
+static float cost_if_slow(const struct target *t, const struct assign_query *q,
+			  float slow)
 {
-	float cost = load(t, q) / slots_of(t);
+	float cost = load(t, q) / slots_of(t) * slow;
 
-	if (q->load_control)
-		cost *= track_record_slowness(t, q->now_ns);
 	if (!may_repeat(q))
 		cost += track_record_failure_cost(t, q->policy, q->now_ns);
 	if (t->advertised.zone == q->zone)
@@ -47,6 +55,11 @@
 	return cost + (float)q->policy->zone_penalty_percent / PERCENT;
 }
 
+static float cost(const struct target *t, const struct assign_query *q)
+{
+	return cost_if_slow(t, q, slowness(t, q));
+}
+
 /* Whether @t is the target that its cookie leads to. */
 static bool is_reachable(const struct directory *d, const struct target *t)
 {
@@ -61,16 +74,17 @@
 /*
  * Targets with a lower rank are selected first, whatever their load. The rank
  * is the health; a target that is avoided, ejected, on trial or doubtful for the
- * request ranks one step worse.
+ * request ranks one step worse. @may_doubt saves two calls for each target when
+ * the request may be repeated.
  */
 static uint32_t rank(const struct target *t, const struct assign_query *q,
-		     bool allow_trial)
+		     bool allow_trial, bool may_doubt)
 {
 	uint32_t rank = t->health;
 
 	if (t == q->avoid || outlier_is_ejected(t, q->now_ns) ||
 	    (outlier_is_on_trial(t, q->policy, q->now_ns) && !allow_trial) ||
-	    is_doubtful(t, q))
+	    (may_doubt && is_doubtful(t, q)))
 		rank++;
 	return rank;
 }
@@ -94,23 +108,43 @@
  * struct sample - random sample of the targets of a group
  * @candidates: sampled targets
  * @seen: targets that were offered to the sample
+ * @size: number of targets that it takes; 0 to keep the cheapest one only
+ * @for_long: it is for long_flows_select()
  *
  * Uniform: each target of the group is equally likely to be in it.
  */
 struct sample {
 	struct target *candidates[CANDIDATES_MAX];
 	uint32_t seen;
+	uint32_t size;
+	bool for_long;
 };
 
+/* Whether the flow goes by the shares of long_flows_select(). */
+static bool is_shared_out(const struct assign_query *q)
+{
+	return q->load_control && q->is_long && !q->of_all &&
+	       q->policy->choices;
+}
+
 /* Size of a sample; 0 to consider all targets. */
 static uint32_t sample_size(const struct assign_query *q)
 {
 	if (q->of_all)
 		return 0;
+	if (is_shared_out(q))
+		return LONG_FLOW_CHOICES;
 	return q->policy->choices < CANDIDATES_MAX ? q->policy->choices
 						   : CANDIDATES_MAX;
 }
 
+static void sample_init(struct sample *s, const struct assign_query *q)
+{
+	s->seen = 0;
+	s->size = sample_size(q);
+	s->for_long = is_shared_out(q);
+}
+
 /* Without sampling the cheapest target is the only candidate. */
 static void keep_cheapest(struct sample *s, struct target *t,
 			  const struct assign_query *q)
@@ -120,19 +154,29 @@
 	s->seen = 1;
 }
 
+/* A random number below @n. The remainder takes too long for the many candidates
+ * of a long flow; other flows keep the numbers that it gives. */
+static uint64_t random_below(const struct sample *s, uint64_t n,
+			     struct rng *rng)
+{
+	if (s->for_long)
+		return ((rng_next(rng) >> 32) * n) >> 32;
+	return rng_next(rng) % n;
+}
+
 /* Reservoir sampling. */
-static void sample_add(struct sample *s, struct target *t,
-		       const struct assign_query *q, struct rng *rng)
+static inline void sample_add(struct sample *s, struct target *t,
+			      const struct assign_query *q, struct rng *rng)
 {
 	uint64_t at = s->seen;
 
-	if (!sample_size(q)) {
+	if (!s->size) {
 		keep_cheapest(s, t, q);
 		return;
 	}
-	if (s->seen >= sample_size(q))
-		at = rng_next(rng) % (s->seen + 1);
-	if (at < sample_size(q))
+	if (s->seen >= s->size)
+		at = random_below(s, s->seen + 1, rng);
+	if (at < s->size)
 		s->candidates[at] = t;
 	s->seen++;
 }
@@ -147,9 +191,7 @@
 			       const struct assign_query *q,
 			       struct target *best, struct rng *rng)
 {
-	uint32_t n = s->seen < sample_size(q) || !sample_size(q)
-			     ? s->seen
-			     : sample_size(q);
+	uint32_t n = s->seen < s->size || !s->size ? s->seen : s->size;
 	uint32_t start = n ? (uint32_t)(rng_next(rng) % n) : 0;
 
 	for (uint32_t i = 0; i < n; i++) {
@@ -161,6 +203,40 @@
 	return best;
 }
 
+static uint32_t add_candidates(struct long_flow_candidate *candidates,
+			       const struct sample *s,
+			       const struct assign_query *q)
+{
+	uint32_t n = s->seen < s->size ? s->seen : s->size;
+	float feed_load =
+		q->feed_load > FEED_LOAD_MIN ? q->feed_load : FEED_LOAD_MIN;
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct target *t = s->candidates[i];
+		float slow = slowness(t, q);
+
+		candidates[i] = (struct long_flow_candidate){
+			.target = t,
+			.cost = cost_if_slow(t, q, slow),
+			.flows_per_cost = slots_of(t) / (feed_load * slow),
+		};
+	}
+	return n;
+}
+
+static struct target *select_for_long(const struct sample *near,
+				      const struct sample *far,
+				      const struct assign_query *q,
+				      struct rng *rng)
+{
+	struct long_flow_candidate candidates[LONG_FLOW_CANDIDATES_MAX];
+	uint32_t n = add_candidates(candidates, near, q);
+
+	n += add_candidates(candidates + n, far, q);
+	return long_flows_select(candidates, n, near->seen + far->seen,
+				 q->unseen_flows, rng);
+}
+
 static bool is_eligible(const struct directory *d, const struct target *t,
 			const struct assign_query *q)
 {
@@ -185,15 +261,19 @@
 {
 	struct target *const *all = NULL;
 	uint32_t n = directory_service_targets(d, q->service, &all);
-	struct sample near = { 0 }, far = { 0 }, spare = { 0 };
+	struct sample near, far, spare;
 	bool allow_trial = rng_next(rng) % q->policy->trial_odds == 0;
+	bool may_doubt = !may_repeat(q);
 	uint32_t best_rank = UINT32_MAX;
 	struct target *selected;
 
+	sample_init(&near, q);
+	sample_init(&far, q);
+	sample_init(&spare, q);
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
-		uint32_t t_rank = rank(t, q, allow_trial);
-		bool t_is_spare = is_spare(t, q);
+		uint32_t t_rank = rank(t, q, allow_trial, may_doubt);
+		bool t_is_spare = may_doubt && is_spare(t, q);
 
 		if ((t_rank > best_rank && !t_is_spare) ||
 		    !is_eligible(d, t, q) || !is_reachable(d, t))
@@ -208,7 +288,11 @@
 		sample_add(t->advertised.zone == q->zone ? &near : &far, t, q,
 			   rng);
 	}
-	selected = cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
+	if (is_shared_out(q))
+		selected = select_for_long(&near, &far, q, rng);
+	else
+		selected =
+			cheapest(&far, q, cheapest(&near, q, NULL, rng), rng);
 	if (spare.seen && selected && !has_free_slot(selected))
 		selected = cheapest(&spare, q, NULL, rng);
 	if (selected)
--- a/core/packet/target/assign.h
+++ b/core/packet/target/assign.h
@@ -16,6 +16,8 @@
  * @avoid: target that did not answer an earlier SYN of the flow, or NULL
  * @of_all: compare all targets instead of policy's choices
  * @feed_load: mean number of slots that an open feed occupies
+ * @unseen_flows: long flows that peers opened to the service since the figures
+ *	that they advertised
  * @now_ns: current time
  */
 struct assign_query {
@@ -28,6 +30,7 @@
 	const struct target *avoid;
 	bool of_all;
 	float feed_load;
+	float unseen_flows;
 	uint64_t now_ns;
 };
 
