Metrics, status and cbctl load show which class of requests waits or fails, and why

Cause: metrics had no events by class; with load control off nothing was counted, and late, expired, rejected and failed requests never. The predicted wait on a page would have been that of the last begin or end of refusals. A report of refusals that ended within a second of their begin was dropped, so the log left them on for ever. The reset of a held opening was logged as "swept". Change: the missing events are counted (path.c, path_admit.c, path_wait.c, path_tick.c); the first request on a flow opened here counts with its opening. adapters/load_text writes metrics and status lines, with escaped names; adapters/load_report sums them for "cbctl load". load.refuse is reported after the second, has the openings held for its service, and the work time. cbctl replay shows load.refuse of the entries that decided. Tests: outer_names_test skips metrics of services, as it does those of cb-entry; replay_test expects one more line, for its one more record; packet_bed records reports of refusals. None is weaker.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	 $(patsubst %.cc,$(B)/%.o,$(wildcard adapters/*.cc))
 PLATFORM := $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 ifeq ($(OWN),1)
-ADAPT := $(patsubst %,$(B)/adapters/%.o,addr daemon_args fields hello_codec histogram_text http \
+ADAPT := $(patsubst %,$(B)/adapters/%.o,addr daemon_args fields hello_codec histogram_text load_text http \
 	 http_client \
 	 json_text log mistakes msgpack_bound packet_settings policy_settings probe_outcome relay_codec settings \
 	 settings_table toml toml_shape usage zstd_delta)
--- a/adapters/lines_json.c
+++ b/adapters/lines_json.c
@@ -30,6 +30,8 @@
 	{ "copy", "copies", { "values" } },
 	{ "pin", "pins", { "values" } },
 	{ "refused", "refused", { "key", "reason" } },
+	{ "admission", "admissions", { "service", "values" } },
+	{ "load", "loads", { "service", "class", "values" } },
 };
 
 /*
--- a/cmd/cb-packet/decision_log.c
+++ b/cmd/cb-packet/decision_log.c
@@ -102,15 +102,17 @@
 }
 
 /**
- * decision_log_reset() - log the reset of a flow whose target is gone
+ * decision_log_reset() - log the reset of a flow whose target is gone, or of an
+ *	opening that was held
  * @d: process
- * @flow: flow
+ * @flow: flow; without a target when it was held
  */
 void decision_log_reset(struct packet_daemon *d, const struct flow_state *flow)
 {
+	const char *reason = flow->target ? "swept" : "held_too_long";
+
 	if (take_log_token(d))
-		log_decision(d, "flow.reset", &flow->key, "swept",
-			     flow->target);
+		log_decision(d, "flow.reset", &flow->key, reason, flow->target);
 }
 
 /**
--- a/cmd/cb-packet/operators.c
+++ b/cmd/cb-packet/operators.c
@@ -5,6 +5,7 @@
 #include "daemon.h"
 
 #include "histogram_text.h"
+#include "load_text.h"
 #include "log.h"
 #include "usage.h"
 
@@ -44,29 +45,53 @@
 
 static void write_latencies(const struct packet_daemon *d, GString *out)
 {
-	static const char *const labels[ROUTE_KINDS] = {
-		[ROUTE_FEED] = "class=\"feed\"",
-		[ROUTE_REPORT] = "class=\"report\"",
-		[ROUTE_UPLOAD] = "class=\"upload\"",
-		[ROUTE_DOWNLOAD] = "class=\"download\"",
-	};
-
 	for (uint8_t kind = 0; kind < ROUTE_KINDS; kind++) {
 		const struct path_latencies *latencies =
 			path_latencies(d->node->path, kind);
-
-		histogram_append_text(out, "cb_packet_open_microseconds",
-				      labels[kind], &latencies->open_us);
-		histogram_append_text(out, "cb_packet_wait_microseconds",
-				      labels[kind], &latencies->wait_us);
+		char label[32];
+
+		g_snprintf(label, sizeof(label), "class=\"%s\"",
+			   load_class_names[kind]);
+		histogram_append_text(out, "cb_packet_open_microseconds", label,
+				      &latencies->open_us);
+		histogram_append_text(out, "cb_packet_wait_microseconds", label,
+				      &latencies->wait_us);
 		histogram_append_text(out, "cb_packet_answer_microseconds",
-				      labels[kind], &latencies->answer_us);
+				      label, &latencies->answer_us);
 	}
 }
 
+static struct load_source load_source(const struct packet_daemon *d)
+{
+	return (struct load_source){ d->node->path, d->node->directory,
+				     uv_hrtime() };
+}
+
+/* Connections to targets by what caused them. */
+static void write_connections(const struct packet_daemon *d, GString *out)
+{
+	const uint64_t *reasons = path_verdict_counts(d->node->path);
+	const struct {
+		const char *cause;
+		uint64_t count;
+	} rows[] = {
+		{ "client", reasons[PATH_placed] + reasons[PATH_admitted] },
+		{ "second",
+		  reasons[PATH_placed_copy] + reasons[PATH_placed_again] },
+		{ "probe", d->counters.probes },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(out,
+				       "cb_packet_connections_total"
+				       "{cause=\"%s\"} %" G_GUINT64_FORMAT "\n",
+				       rows[i].cause, rows[i].count);
+}
+
 static void write_metrics(struct packet_daemon *d, GString *out)
 {
 	const uint64_t *reasons = path_verdict_counts(d->node->path);
+	struct load_source load = load_source(d);
 	uint64_t now_ns = uv_hrtime();
 	struct usage use;
 
@@ -84,6 +109,8 @@
 			path_reason_names[i], reasons[i]);
 	counter(out, "log_lines_lost", log_lost_line_count());
 	write_latencies(d, out);
+	write_connections(d, out);
+	load_append_metrics(out, &load);
 	gauge(out, "flows", path_flow_count(d->node->path));
 	gauge(out, "waiting", path_queued_count(d->node->path));
 	gauge(out, "link_waiting", pacer_queue_length(d->node->pacer));
@@ -125,9 +152,11 @@
 		cold_ns && target->has_cold_permit);
 }
 
-/* Limits of the requests to each service. */
+/* Limits of the requests to each service, and its load. */
 static void write_limits(const struct packet_daemon *d, GString *out)
 {
+	struct load_source load = load_source(d);
+
 	for (uint32_t i = 0; i < directory_service_count(d->node->directory);
 	     i++) {
 		struct path_limits limits = path_limits(d->node->path, i);
@@ -140,6 +169,7 @@
 			(unsigned long long)(limits.work_ns / NS_PER_US),
 			limits.running, limits.window, limits.refused_percent);
 	}
+	load_append_status(out, &load);
 }
 
 static void write_evacuations(const struct packet_daemon *d, GString *out)
--- a/cmd/cbctl/cbctl.h
+++ b/cmd/cbctl/cbctl.h
@@ -107,5 +107,6 @@
 enum exit_code drain_watch_run(const struct command_args *args);
 enum exit_code generations_run(const struct command_args *args);
 enum exit_code replay_run(const struct command_args *args);
+enum exit_code load_run(const struct command_args *args);
 
 #endif
--- a/cmd/cbctl/replay.c
+++ b/cmd/cbctl/replay.c
@@ -47,9 +47,9 @@
 };
 
 /* Steps about an entry's own state; their lines name no flow. */
-static const char *const entry_steps[] = { "start",  "stop",   "paused",
-					   "ready",  "reload", "platform",
-					   "routes", NULL };
+static const char *const entry_steps[] = { "start",  "stop",	    "paused",
+					   "ready",  "reload",	    "platform",
+					   "routes", "load.refuse", NULL };
 
 static void line_free(void *p)
 {
--- a/core/packet/flow/flow_cache.c
+++ b/core/packet/flow/flow_cache.c
@@ -291,6 +291,7 @@
 		.stage = stage,
 		.kind = kind,
 		.is_long = is_long,
+		.awaits_first = stage == FLOW_OPENING,
 		.seen_ns = now_ns,
 		.opened_ns = now_ns,
 	};
--- a/core/packet/flow/flow_state.h
+++ b/core/packet/flow/flow_state.h
@@ -29,6 +29,7 @@
  * @is_long: the flow carries many requests; set when the flow is added to the
  *	cache
  * @is_opening: counted in the target's openings
+ * @awaits_first: the opening came to this entry, and no request has followed it
  * @was_held: the opening waited at this entry, so that @arrived_ns is already
  *	that of its first request
  * @found_free_slot: when the request was forwarded, the known load of the
@@ -71,6 +72,7 @@
 	bool running;
 	bool is_long;
 	bool is_opening;
+	bool awaits_first;
 	bool was_held;
 	bool found_free_slot;
 	uint8_t priority;
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -173,7 +173,20 @@
 	return due_ns;
 }
 
-/* Whether the decisions of docs/design/load-parts.md apply. */
+/* Count an event of the flow's request under the service of its target. */
+void path_count_request(struct path *path, const struct flow_state *flow,
+			enum load_event event)
+{
+	load_stats_count(path->stats, flow->target->advertised.service,
+			 flow->kind, event);
+}
+
+/**
+ * path_load_control() - check whether load control is enabled
+ * @path: state of the decisions on packets
+ *
+ * Return: whether the decisions of docs/design/load-parts.md apply.
+ */
 bool path_load_control(const struct path *path)
 {
 	const struct route_table *table =
@@ -249,7 +262,7 @@
 		path_suspect(path, flow->target, flow->opened_ns, now_ns);
 		avoid = flow->target;
 	}
-	if (flow || !path_load_control(path))
+	if (flow)
 		target = path_assign_target(path, &packet->flow, route, avoid,
 					    false, now_ns);
 	else if (!path_admit(path, packet, route, now_ns, &target, out))
@@ -290,6 +303,8 @@
 					   flow->kind, size_bytes);
 	if (small)
 		outlier_record_failure(flow->target, path->policy, now_ns);
+	if (flow->objective_deadline_ns < now_ns && flow->objective_deadline_ns)
+		path_count_request(path, flow, LOAD_late);
 	if (flow->running)
 		path_record_answer(path, flow, small, now_ns);
 	*mean_ns += elapsed_ns / ANSWER_DIVISOR - *mean_ns / ANSWER_DIVISOR;
@@ -318,6 +333,9 @@
 static void begin_request(struct path *path, struct flow_state *flow,
 			  const struct route *route, uint64_t now_ns)
 {
+	if (!flow->awaits_first)
+		path_count_request(path, flow, LOAD_offered);
+	flow->awaits_first = false;
 	flow->priority = route->priority;
 	if (!flow->was_held)
 		flow->arrived_ns = now_ns;
--- a/core/packet/flow/path.h
+++ b/core/packet/flow/path.h
@@ -80,8 +80,9 @@
  * struct path_refusals - refusals of openings to a service begin or end
  * @service: number of the service in the directory
  * @refusing: they begin; otherwise they end
- * @held: openings that wait at this entry, for all services
+ * @held: openings to the service that wait at this entry
  * @answers_per_s: requests of this entry that the service answers a second
+ * @work_ns: mean time that its targets need for a request; 0 when unknown
  * @predicted_wait_ns: time until the opening that caused the change would be
  *	admitted
  * @rate_age_ns: age of @answers_per_s
@@ -91,6 +92,7 @@
 	bool refusing;
 	uint32_t held;
 	float answers_per_s;
+	uint64_t work_ns;
 	uint64_t predicted_wait_ns;
 	uint64_t rate_age_ns;
 };
@@ -177,7 +179,8 @@
  * @answers_per_s: requests of this entry that the service answers a second
  * @limit_per_slot: requests a slot that its targets take, as learned from
  *	rejections; 0 before the first
- * @predicted_wait_ns: predicted wait when refusals last began or ended
+ * @predicted_wait_ns: predicted wait of another opening that is less urgent
+ *	than all held ones; 0 when none is held or @answers_per_s is unknown
  * @refusing: openings are being refused
  * @refusing_ns: for how long
  */
@@ -209,6 +212,7 @@
 void path_stop(struct path *path, uint64_t now_ns);
 void path_tick(struct path *path, uint64_t now_ns);
 bool path_has_loaded_target(const struct path *path);
+bool path_load_control(const struct path *path);
 const uint64_t *path_verdict_counts(const struct path *path);
 const struct path_latencies *path_latencies(const struct path *path,
 					    uint8_t kind);
--- a/core/packet/flow/path_admit.c
+++ b/core/packet/flow/path_admit.c
@@ -139,6 +139,31 @@
 	return o;
 }
 
+/* Report that refusals of a service began or ended, unless the last report is
+ * too recent; a later tick then does. */
+static void report_refusals(struct path *path, uint32_t service,
+			    uint64_t wait_ns, uint64_t now_ns)
+{
+	struct service_admission *a = admission_of(path, service);
+	struct path_refusals change = {
+		.service = service,
+		.refusing = a->refusing,
+		.held = opening_queue_ahead(path->openings, service, UINT8_MAX),
+		.answers_per_s = a->rate.per_s,
+		.work_ns = path->work[service].all.mean_ns,
+		.predicted_wait_ns = wait_ns,
+		.rate_age_ns = now_ns - a->rate.updated_ns,
+	};
+
+	if (a->refusing == a->reported_refusing ||
+	    (a->reported_ns && now_ns < a->reported_ns + REPORT_NS))
+		return;
+	a->reported_refusing = a->refusing;
+	a->reported_ns = now_ns;
+	if (path->port.refusals)
+		path->port.refusals(path->port.ctx, &change);
+}
+
 /* Begin or end the refusals of a service, and report it. */
 static void set_refusing_from(struct path *path, uint32_t service,
 			      uint16_t priority, uint64_t wait_ns,
@@ -146,27 +171,13 @@
 {
 	struct service_admission *a = admission_of(path, service);
 	bool was_refusing = a->refusing;
-	struct path_refusals change;
 
 	a->refusing = priority < PRIORITY_NONE;
 	a->refusing_from = (uint8_t)priority;
-	a->predicted_wait_ns = wait_ns;
 	if (a->refusing == was_refusing)
 		return;
 	a->refusing_since_ns = now_ns;
-	change = (struct path_refusals){
-		.service = service,
-		.refusing = a->refusing,
-		.held = opening_queue_count(path->openings),
-		.answers_per_s = a->rate.per_s,
-		.predicted_wait_ns = wait_ns,
-		.rate_age_ns = now_ns - a->rate.updated_ns,
-	};
-	if (now_ns < a->reported_ns + REPORT_NS && a->reported_ns)
-		return;
-	a->reported_ns = now_ns;
-	if (path->port.refusals)
-		path->port.refusals(path->port.ctx, &change);
+	report_refusals(path, service, wait_ns, now_ns);
 }
 
 static enum admission decide(struct path *path, const struct opening *o,
@@ -195,6 +206,20 @@
 	return decision;
 }
 
+/* Without load control, an opening is admitted whenever a target may take it. */
+static struct target *admit_any(struct path *path, const struct flow_key *key,
+				const struct route *route, uint64_t now_ns)
+{
+	uint32_t service = route_select_service(route, flow_hash(key));
+	struct target *target =
+		path_assign_target(path, key, route, NULL, false, now_ns);
+
+	load_stats_count(path->stats, service, route->kind, LOAD_offered);
+	load_stats_count(path->stats, service, route->kind,
+			 target ? LOAD_admitted : LOAD_refused_no_target);
+	return target;
+}
+
 /**
  * path_admit() - decide on the opening of a flow that is not in the cache
  * @path: state of the decisions on packets
@@ -212,9 +237,14 @@
 		const struct route *route, uint64_t now_ns,
 		struct target **target, struct path_verdict *out)
 {
-	struct opening o = make_opening(path, packet, route, now_ns);
+	struct opening o;
 	bool room = false;
 
+	if (!path_load_control(path)) {
+		*target = admit_any(path, &packet->flow, route, now_ns);
+		return true;
+	}
+	o = make_opening(path, packet, route, now_ns);
 	if (opening_queue_find(path->openings, &packet->flow)) {
 		path_set_verdict(path, out, PATH_WAIT, PATH_held, NULL);
 		return false;
@@ -347,6 +377,11 @@
 		path_release_openings(path, i, now_ns);
 		if (a->refusing && !opening_queue_oldest(path->openings, i))
 			set_refusing_from(path, i, PRIORITY_NONE, 0, now_ns);
+		if (a->refusing != a->reported_refusing)
+			report_refusals(path, i,
+					path_admission(path, i, now_ns)
+						.predicted_wait_ns,
+					now_ns);
 	}
 }
 
@@ -395,13 +430,18 @@
 	const struct service_admission *a = &path->admissions[service];
 	const struct opening *oldest =
 		opening_queue_oldest(path->openings, service);
+	struct admission_query q = {
+		.ahead =
+			opening_queue_ahead(path->openings, service, UINT8_MAX),
+		.answers_per_s = a->rate.per_s,
+	};
 
 	return (struct path_admission){
-		.held = opening_queue_ahead(path->openings, service, UINT8_MAX),
+		.held = q.ahead,
 		.oldest_ns = oldest ? now_ns - oldest->arrived_ns : 0,
 		.answers_per_s = a->rate.per_s,
 		.limit_per_slot = a->limit_per_slot,
-		.predicted_wait_ns = a->predicted_wait_ns,
+		.predicted_wait_ns = admission_predicted_wait_ns(&q),
 		.refusing = a->refusing,
 		.refusing_ns = a->refusing ? now_ns - a->refusing_since_ns : 0,
 	};
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -38,8 +38,8 @@
  *	being refused
  * @refusing_from: valid while @refusing
  * @refusing_since_ns: when refusals last began or ended
- * @reported_ns: when that was last reported; 0 for never
- * @predicted_wait_ns: predicted wait at that time
+ * @reported_refusing: @refusing as last reported
+ * @reported_ns: when that was; 0 for never
  */
 struct service_admission {
 	struct answer_rate rate;
@@ -48,8 +48,8 @@
 	bool refusing;
 	uint8_t refusing_from;
 	uint64_t refusing_since_ns;
+	bool reported_refusing;
 	uint64_t reported_ns;
-	uint64_t predicted_wait_ns;
 };
 
 /**
@@ -134,7 +134,8 @@
 struct health_context path_health_context(struct path *path, uint64_t now_ns);
 void path_suspect(struct path *path, struct target *target, uint64_t since_ns,
 		  uint64_t now_ns);
-bool path_load_control(const struct path *path);
+void path_count_request(struct path *path, const struct flow_state *flow,
+			enum load_event event);
 bool path_route_is_long(const struct path *path, const struct route *route);
 struct target *path_assign_target(struct path *path, const struct flow_key *key,
 				  const struct route *route,
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -220,6 +220,7 @@
 			continue;
 		}
 		path_suspect(path, flow->target, flow->forwarded_ns, now_ns);
+		path_count_request(path, flow, LOAD_failed);
 		outlier_record_failure(flow->target, path->policy, now_ns);
 		track_record_service_time(flow->target,
 					  now_ns - flow->forwarded_ns,
--- a/core/packet/flow/path_wait.c
+++ b/core/packet/flow/path_wait.c
@@ -121,12 +121,17 @@
 	uint64_t elapsed_ns = now_ns - flow->forwarded_ns;
 	uint64_t min_work_ns = w->by_kind[flow->kind].mean_ns *
 			       path->policy->refused_percent / PERCENT;
+	bool is_fast = elapsed_ns < min_work_ns + flow->rtt_ns;
 	bool is_full =
 		requests_at(flow->target) >= flow->target->advertised.slots;
 
 	path_record_capacity(path, flow->target, small && is_full, now_ns);
 
-	if (small && elapsed_ns < min_work_ns + flow->rtt_ns) {
+	if (small)
+		path_count_request(path, flow,
+				   is_fast && is_full ? LOAD_rejected
+						      : LOAD_failed);
+	if (small && is_fast) {
 		if (is_full) {
 			path->counts[PATH_refused]++;
 			window_record_refusal(&path->windows[service],
@@ -262,6 +267,7 @@
 
 		if (flow->expires_ns <= now_ns) {
 			path->counts[PATH_expired]++;
+			path_count_request(path, flow, LOAD_expired);
 			flow_cache_set_busy(path->flows, flow, false);
 		}
 		flow = next;
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -214,11 +214,12 @@
 		node->port.ctx, change->refusing ? NODE_WARNING : NODE_INFO,
 		"load.refuse",
 		directory_service_name(node->directory, change->service),
-		"openings are %s: predicted wait %llu ms, %u held, %.1f "
-		"answers a second, updated %llu ms ago",
+		"openings are %s: predicted wait %llu ms, %u held, work %llu "
+		"ms, %.1f answers a second, updated %llu ms ago",
 		change->refusing ? "refused" : "admitted again",
 		(unsigned long long)(change->predicted_wait_ns / NS_PER_MS),
-		change->held, (double)change->answers_per_s,
+		change->held, (unsigned long long)(change->work_ns / NS_PER_MS),
+		(double)change->answers_per_s,
 		(unsigned long long)(change->rate_age_ns / NS_PER_MS));
 }
 
--- a/test/json_test.c
+++ b/test/json_test.c
@@ -97,6 +97,12 @@
 	expect_json("refused account/x: no generation: 3\n",
 		    "{\"refused\":[{\"key\":\"account/x:\","
 		    "\"reason\":\"no generation: 3\"}]}");
+	expect_json("load_control on\nadmission forecast held=2 refusing=1\n"
+		    "load forecast report offered=9 late=1\n",
+		    "{\"load_control\":\"on\",\"admissions\":[{\"service\":"
+		    "\"forecast\",\"held\":2,\"refusing\":1}],\"loads\":["
+		    "{\"service\":\"forecast\",\"class\":\"report\","
+		    "\"offered\":9,\"late\":1}]}");
 	expect_json("", "{}");
 	expect_json("odd\n \nx \n", "{\"\":\"\",\"x\":\"\"}");
 }
--- a/test/packet_admission_test.c
+++ b/test/packet_admission_test.c
@@ -380,6 +380,88 @@
 	bed_close(&b);
 }
 
+/* Guards against metrics without openings where load control is off. */
+static void test_openings_are_counted_without_load_control(void **state)
+{
+	struct bed b;
+
+	(void)state;
+	bed_open(&b);
+	bed_syn(&b, CLIENT(1), REPORT_VIP, 0);
+	assert_int_equal(count(&b, REPORT_VIP, LOAD_refused_no_target), 1);
+	bed_target(&b, 1, SERVICE, ZONE);
+	bed_syn(&b, CLIENT(2), REPORT_VIP, 0);
+	/* A copy of the SYN is no other opening. */
+	bed_syn(&b, CLIENT(2), REPORT_VIP, 1);
+	assert_int_equal(count(&b, REPORT_VIP, LOAD_offered), 2);
+	assert_int_equal(count(&b, REPORT_VIP, LOAD_admitted), 1);
+	bed_close(&b);
+}
+
+/* Openings come until one is refused, since the service answered one request in
+ * the last tick. */
+static void begin_refusals(struct bed *b)
+{
+	struct target *t = directory_target_at(b->directory, 0);
+	uint32_t i = 0;
+
+	bed_advance(b, 20 * MS);
+	bed_data(b, CLIENT(501), REPORT_VIP, t->cookie, 102, 1001, 100);
+	b->now_ns += MS;
+	bed_data(b, CLIENT(501), REPORT_VIP, t->cookie, 102, 2001, 0);
+	bed_advance(b, 20 * MS);
+	fill_targets(b);
+	while (bed_syn(b, CLIENT(i), REPORT_VIP, 0).action != PATH_RESET)
+		assert_true(++i < 100);
+}
+
+/* Guards against refusals that an operator believes to go on, since the report
+ * of their end fell into the second after that of their begin. */
+static void test_end_of_refusals_is_reported_a_second_later(void **state)
+{
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	begin_refusals(&b);
+	assert_int_equal(b.n_refusals, 1);
+	assert_true(b.refusals.refusing);
+	assert_true(b.refusals.predicted_wait_ns > 0);
+	assert_true(b.refusals.answers_per_s > 0);
+	assert_int_equal(b.refusals.held,
+			 path_admission(b.path, 0, b.now_ns).held);
+	path_stop(b.path, b.now_ns);
+	assert_int_equal(b.n_refusals, 1);
+	bed_advance(&b, 980 * MS);
+	assert_int_equal(b.n_refusals, 1);
+	bed_advance(&b, 40 * MS);
+	assert_int_equal(b.n_refusals, 2);
+	assert_false(b.refusals.refusing);
+	bed_close(&b);
+}
+
+/* Guards against a predicted wait on the page that is that of an earlier
+ * minute. */
+static void test_predicted_wait_is_that_of_now(void **state)
+{
+	struct path_admission a;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	begin_refusals(&b);
+	a = path_admission(b.path, 0, b.now_ns);
+	assert_true(a.refusing);
+	assert_true(a.predicted_wait_ns ==
+		    (uint64_t)((double)a.held / (double)a.answers_per_s *
+			       NS_PER_S));
+	path_stop(b.path, b.now_ns);
+	a = path_admission(b.path, 0, b.now_ns);
+	assert_int_equal(a.held, 0);
+	assert_true(a.predicted_wait_ns == 0);
+	bed_close(&b);
+}
+
 /* Guards against rejections that go on for as long as a burst: how many requests
  * a target queues is not published. */
 static void test_limit_is_learned_from_rejections(void **state)
@@ -429,6 +511,11 @@
 		cmocka_unit_test(test_planned_stop_admits_what_is_held),
 		cmocka_unit_test(test_nothing_is_held_without_load_control),
 		cmocka_unit_test(test_limit_is_learned_from_rejections),
+		cmocka_unit_test(
+			test_openings_are_counted_without_load_control),
+		cmocka_unit_test(
+			test_end_of_refusals_is_reported_a_second_later),
+		cmocka_unit_test(test_predicted_wait_is_that_of_now),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/packet_bed.c
+++ b/test/packet_bed.c
@@ -64,6 +64,14 @@
 	b->ejected[b->n_ejected++ % BED_EVENTS_MAX] = t->advertised.id;
 }
 
+static void on_refusals(void *ctx, const struct path_refusals *change)
+{
+	struct bed *b = ctx;
+
+	b->refusals = *change;
+	b->n_refusals++;
+}
+
 void bed_open(struct bed *b)
 {
 	bed_open_with(b, &policy_default);
@@ -78,6 +86,7 @@
 		.resend = on_resend,
 		.send_queued = on_send_queued,
 		.reset = on_reset,
+		.refusals = on_refusals,
 		.eject = on_eject,
 	};
 	struct path_conf conf = {
--- a/test/packet_bed.h
+++ b/test/packet_bed.h
@@ -35,6 +35,7 @@
  * The arrays record the last BED_EVENTS_MAX calls of each kind: probes, ids of
  * targets that kept packets were resent to, packets from the queue, clients of
  * flows that were reset, ids of targets found dead, ids of ejected targets.
+ * @refusals is the last report of refusals, @n_refusals the number of reports.
  * @change is the result of the last publication.
  */
 struct bed {
@@ -53,6 +54,8 @@
 	uint32_t n_dead;
 	uint64_t ejected[BED_EVENTS_MAX];
 	uint32_t n_ejected;
+	struct path_refusals refusals;
+	uint32_t n_refusals;
 	enum target_change change;
 };
 
--- a/test/packet_wait_test.c
+++ b/test/packet_wait_test.c
@@ -82,6 +82,13 @@
 	return 0;
 }
 
+static uint64_t events(const struct fixture *f, uint8_t kind,
+		       enum load_event event)
+{
+	return load_stats_get(path_load_stats(f->bed.path),
+			      f->target->advertised.service, kind, event);
+}
+
 static uint64_t count(const struct fixture *f, enum path_reason reason)
 {
 	return path_verdict_counts(f->bed.path)[reason];
@@ -215,6 +222,7 @@
 		send_request(f, VIP);
 	}
 	assert_int_equal(count(f, PATH_expired), 1);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_expired), 1);
 	assert_in_range(f->bed.n_sent, 5, BED_EVENTS_MAX);
 	for (uint32_t i = 0; i < f->bed.n_sent; i++)
 		assert_int_not_equal(f->bed.sent[i].caller, caller(old));
@@ -521,6 +529,66 @@
 	fill_target(f, LIMIT);
 }
 
+/* Guards against a request that is counted twice, with its opening and when it
+ * comes, or not at all since its flow was opened at another entry. */
+static void test_each_request_is_offered_once(void **state)
+{
+	struct fixture *f = *state;
+
+	/* One feed of setup() had a request. */
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_offered), 1);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_admitted), 1);
+	bed_data(&f->bed, caller(0), VIP, f->target->cookie, 102, 1001, 100);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_offered), 2);
+	bed_data(&f->bed, caller(0), VIP, f->target->cookie, 102, 1001, 100);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_offered), 2);
+	send_unseen_request(f);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_offered), 3);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_admitted), 1);
+	assert_int_equal(events(f, ROUTE_REPORT, LOAD_offered), 1);
+}
+
+/* Guards against late answers that the metrics count as good ones. */
+static void test_answers_after_the_objective_are_late(void **state)
+{
+	struct fixture *f = *state;
+	uint32_t flow = f->flows;
+
+	send_request(f, VIP);
+	f->bed.now_ns += OBJECTIVE_MS * MS;
+	answer_request(f, flow, VIP);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_late), 0);
+	flow = f->flows;
+	send_request(f, VIP);
+	f->bed.now_ns += OBJECTIVE_MS * MS + 1;
+	answer_request(f, flow, VIP);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_late), 1);
+}
+
+/* Guards against a failing target whose answers look like rejections of a
+ * loaded one, which more targets would mend. */
+static void test_rejections_are_counted_apart_from_failures(void **state)
+{
+	struct fixture *f = *state;
+
+	refuse(f, 2, SLOTS);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_rejected), 2);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_failed), 0);
+	refuse(f, 3, 0);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_rejected), 2);
+	assert_int_equal(events(f, ROUTE_FEED, LOAD_failed), 3);
+}
+
+/* Guards against an unanswered request that no counter shows. */
+static void test_overdue_request_is_counted_as_failed(void **state)
+{
+	struct fixture *f = *state;
+
+	send_request(f, REPORT_VIP);
+	bed_advance(&f->bed, 3 * NS_PER_S);
+	assert_int_equal(events(f, ROUTE_REPORT, LOAD_failed), 1);
+}
+
 int main(void)
 {
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
@@ -547,6 +615,10 @@
 		TEST(test_older_entry_treats_unseen_requests_as_new),
 		TEST(test_request_is_forwarded_when_queue_is_full),
 		TEST(test_time_in_queue_of_target_is_not_work),
+		TEST(test_each_request_is_offered_once),
+		TEST(test_answers_after_the_objective_are_late),
+		TEST(test_rejections_are_counted_apart_from_failures),
+		TEST(test_overdue_request_is_counted_as_failed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/process/outer_names_test.sh
+++ b/test/process/outer_names_test.sh
@@ -56,7 +56,8 @@
 
 # Metrics of services are not on the page while they are 0. The source contains
 # their full names, so check-outer-names finds them.
-grep -oh 'cb_[a-z_]*' cmd/cb-entry/metrics_accounts.c >"$dir/service_metrics"
+grep -oh 'cb_[a-z_]*' cmd/cb-entry/metrics_accounts.c adapters/load_text.c \
+	>"$dir/service_metrics"
 
 packet_settings >"$dir/packet.toml"
 start_process packet "$B/bin/cb-packet" --settings "$dir/packet.toml"
--- a/test/process/replay_test.sh
+++ b/test/process/replay_test.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # cbctl replay prints the lines about one flow from the logs of three entries:
 # two entries made decisions about the flow, one found its target dead. Lines
-# about other flows and targets are left out.
+# about other flows and targets are left out. Refusals of openings that an entry
+# began just before are shown for the entries that decided.
 set -eu
 cd "$(dirname "$0")/../.."
 B=${B:-build/opt}
@@ -22,6 +23,7 @@
 	log_record 01.000000 start "" "version 0.1.0, data centre garda"
 	log_record 05.000000 flow.open 10.0.0.1:1000 "vip 10.9.0.1:80 placed target ab12 at 10.1.0.1:8000 health good"
 	log_record 05.500000 flow.open 10.0.0.1:1001 "vip 10.9.0.1:80 placed target cd34 at 10.1.0.2:8000 health good"
+	log_record 05.200000 load.refuse forecast "openings are refused: predicted wait 1500 ms, 30 held"
 	log_record 20.000000 ready "" "no"
 } >"$dir/one.log"
 {
@@ -35,6 +37,7 @@
 	log_record 05.800000 target.eject forecast "target ab12 gets no new flows for 3000 ms"
 	log_record 05.900000 target servers/i-ab12 "absent, service forecast"
 	log_record 05.000000 platform "" "call failed: of an entry that never saw the flow"
+	log_record 05.300000 load.refuse forecast "openings are refused: of an entry that never saw the flow"
 } >"$dir/three.log"
 
 logs="$dir/one.log $dir/collected.log $dir/three.log"
@@ -44,6 +47,7 @@
 cat >"$dir/expected" <<'EOF'
 entry-two platform
 one.log flow.open
+one.log load.refuse
 three.log target.eject
 three.log target
 entry-two target.health
@@ -55,7 +59,7 @@
 }
 # shellcheck disable=SC2086
 "$B/bin/cbctl" --json replay 10.0.0.1:1000 $logs >"$dir/out"
-[ "$(grep -o '"entry"' "$dir/out" | wc -l)" = 6 ] || fail "not six records in JSON"
+[ "$(grep -o '"entry"' "$dir/out" | wc -l)" = 7 ] || fail "not seven records in JSON"
 code=0
 # shellcheck disable=SC2086
 "$B/bin/cbctl" replay 10.0.0.9:1 $logs >"$dir/out" 2>&1 || code=$?
