--- a/core/packet/flow/flow_cache.c
+++ b/core/packet/flow/flow_cache.c
@@ -315,6 +315,7 @@
 		.kind = kind,
 		.is_long = is_long,
 		.route_slot = route_use_slot(cache->use, key->vip, kind),
+		.awaits_first = stage == FLOW_OPENING,
 		.seen_ns = now_ns,
 		.opened_ns = now_ns,
 	};
--- a/core/packet/flow/flow_state.h
+++ b/core/packet/flow/flow_state.h
@@ -30,6 +30,7 @@
  *	cache, or at a request when its route turned out to be long
  * @is_opening: counted in the target's openings
  * @answered_running: @running when the answer to the present download began
+ * @awaits_first: the opening came to this entry, and no request has followed it
  * @was_held: the opening waited at this entry, so that @arrived_ns is already
  *	that of its first request
  * @found_free_slot: when the request was forwarded, the known load of the
@@ -81,6 +82,7 @@
 	bool is_long;
 	bool is_opening;
 	bool answered_running;
+	bool awaits_first;
 	bool was_held;
 	bool found_free_slot;
 	uint8_t priority;
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -184,7 +184,20 @@
 	return due_ns;
 }
 
-/* Whether the decisions of docs/design/load-parts.md apply. */
+/* Count an event of the flow's request under the service of its target. */
+void path_count_request(struct path *path, const struct flow_state *flow,
+			enum load_event event)
+{
+	load_stats_count(path->stats, flow->target->advertised.service,
+			 flow->kind, event);
+}
+
+/**
+ * path_load_control() - check whether load control is enabled
+ * @path: state of the decisions on packets
+ *
+ * Return: whether the decisions of docs/design/load-parts.md apply.
+ */
 bool path_load_control(const struct path *path)
 {
 	const struct route_table *table =
@@ -217,7 +230,9 @@
 		.is_long = path_route_is_long(path, route),
 		.avoid = avoid,
 		.of_all = of_all,
-		.feed_load = path->feed_load,
+		.feed_load = path_load_control(path)
+				     ? path_flow_load(path, route)
+				     : path->feed_load,
 		.now_ns = now_ns,
 	};
 
@@ -292,7 +307,7 @@
 		path_suspect(path, flow->target, flow->opened_ns, now_ns);
 		avoid = flow->target;
 	}
-	if (flow || !path_load_control(path))
+	if (flow)
 		target = path_assign_target(path, &packet->flow, route, avoid,
 					    false, now_ns);
 	else if (!path_admit(path, packet, route, now_ns, &target, out))
@@ -333,6 +348,8 @@
 		return;
 	histogram_add(&path->latencies[flow->kind].answer_us,
 		      elapsed_ns / NS_PER_US);
+	if (flow->objective_deadline_ns < now_ns && flow->objective_deadline_ns)
+		path_count_request(path, flow, LOAD_late);
 	if (flow->kind == ROUTE_DOWNLOAD) {
 		path_begin_download(flow, size_bytes, now_ns);
 	} else {
@@ -395,6 +412,9 @@
 	path_end_download(path, flow, now_ns);
 	record_use(path, flow, route);
 	flow->failed_ns = 0;
+	if (!flow->awaits_first)
+		path_count_request(path, flow, LOAD_offered);
+	flow->awaits_first = false;
 	flow->priority = route->priority;
 	if (!flow->was_held)
 		flow->arrived_ns = now_ns;
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -67,8 +67,7 @@
 {
 	if (may_repeat(q))
 		return cost(t, q);
-	return cost(t, q) +
-	       track_record_failure_cost(t, q->policy, q->now_ns);
+	return cost(t, q) + track_record_failure_cost(t, q->policy, q->now_ns);
 }
 
 /* Whether @t is the target that its cookie leads to. */
