packet_download_test: first acknowledgements of different sizes

With equal first acknowledgements the test also passed where a download counted as complete at the first one; it fails then now.

--- a/test/packet_download_test.c
+++ b/test/packet_download_test.c
@@ -58,8 +58,8 @@
 	}
 }
 
-/* Guards against good targets that are ejected for downloads, whose first packet
- * is far smaller than a whole one. */
+/* Guards against good targets that are ejected for downloads: a client
+ * acknowledges one packet at first, or many together. */
 static void test_download_is_no_small_answer(void **state)
 {
 	struct target *t;
@@ -67,7 +67,14 @@
 
 	(void)state;
 	t = open_bed(&b);
-	download(&b, 20);
+	for (uint32_t i = 0; i < 20; i++) {
+		request(&b, CALLER + i);
+		ack(&b, CALLER + i, (i % 2 ? PACKETS : 1) * PACKET_BYTES);
+		b.now_ns += MS;
+		ack(&b, CALLER + i, PACKETS * PACKET_BYTES);
+		bed_fin(&b, CALLER + i, REPORT_VIP, t->cookie, 3,
+			1 + PACKETS * PACKET_BYTES);
+	}
 	assert_true(t->failures <= 0);
 	bed_close(&b);
 }
