Good targets are not ejected for sizes and times that vary

Cause: 15 in 100 good answers are below the part of the mean size that counts as small where sizes vary by 0.6; and a few requests that take seven times as long hold all slots of a target, so that those behind them are overdue together. Change: with load control an answer is small only if it is also two deviations of the logarithm below the mean; an overdue request that found no free slot counts as half a failure.

--- a/core/packet/flow/path_download.c
+++ b/core/packet/flow/path_download.c
@@ -21,12 +21,14 @@
 {
 	bool small = answer_stats_record_size(path->answers,
 					      path_answer_class(path, flow),
-					      flow->kind, size_bytes);
+					      flow->kind, size_bytes,
+					      path_load_control(path));
 
 	if (small)
 		outlier_record_failure(flow->target, path->policy, now_ns);
 	else if (flow->failed_ns && path_load_control(path))
 		outlier_take_back_failure(flow->target, path->policy,
+					  path_overdue_weight(flow),
 					  flow->failed_ns);
 	flow->failed_ns = 0;
 	return small;
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -156,6 +156,7 @@
 bool path_must_reset_flows(const struct path *path,
 			   const struct target *target);
 struct health_context path_health_context(struct path *path, uint64_t now_ns);
+float path_overdue_weight(const struct flow_state *flow);
 void path_record_unanswered(struct path *path, struct flow_state *flow,
 			    uint64_t now_ns);
 void path_suspect(struct path *path, struct target *target, uint64_t since_ns,
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -8,6 +8,8 @@
 #define LOAD_WINDOW_NS NS_PER_S
 /* A lower mean load of a target without requests is set to 0. */
 #define LOAD_MIN 0.001f
+/* Weight of an overdue request that found no free slot at its target. */
+#define WEIGHT_BEHIND_OTHERS 0.5f
 /* Weight of one measurement in the mean load of a feed. */
 #define FEED_LOAD_WEIGHT 0.02f
 /* Several ticks, in one of which the end of a download is noticed. */
@@ -216,6 +218,25 @@
 				    path_answer_class(path, flow), flow->kind);
 }
 
+/*
+ * How much an overdue request counts as a failure with load control. A few
+ * requests that take far longer than others hold all slots of a good target, and
+ * those that found no free slot are late together with them.
+ */
+float path_overdue_weight(const struct flow_state *flow)
+{
+	return flow->found_free_slot ? 1 : WEIGHT_BEHIND_OTHERS;
+}
+
+static void record_overdue_failure(struct path *path, struct flow_state *flow,
+				   uint64_t now_ns)
+{
+	float weight = path_load_control(path) ? path_overdue_weight(flow) : 1;
+
+	outlier_record_weighted(flow->target, path->policy, weight, now_ns);
+	flow->failed_ns = now_ns;
+}
+
 static void check_overdue(struct path *path, uint64_t now_ns)
 {
 	struct flow_state *flow = flow_cache_newest(path->flows);
@@ -246,8 +267,7 @@
 		}
 		path_suspect(path, flow->target, flow->forwarded_ns, now_ns);
 		path_count_request(path, flow, LOAD_failed);
-		outlier_record_failure(flow->target, path->policy, now_ns);
-		flow->failed_ns = now_ns;
+		record_overdue_failure(path, flow, now_ns);
 		track_record_service_time(flow->target,
 					  now_ns - flow->forwarded_ns,
 					  mean_answer_ns(path, flow), now_ns);
--- a/core/packet/target/answer_stats.c
+++ b/core/packet/target/answer_stats.c
@@ -2,21 +2,34 @@
 
 #include "directory.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #define PERCENT 100.0f
 /* Weight of one answer in the moving average of sizes. */
 #define SIZE_WEIGHT 0.03f
+/* Answers from which the spread of their sizes is known well enough. */
+#define SPREAD_ANSWERS_MIN 32
+/* An answer is far smaller than usual from this many standard deviations of the
+ * logarithm below the mean: of good log-normal answers, 2 in 100 are. With a
+ * part of the mean alone, 15 in 100 are where the deviation is 0.6. */
+#define SMALL_DEVIATIONS 2.0f
 /* Each time has a weight of 1 / divisor in the moving average of times. */
 #define TIME_DIVISOR 32
 
 /**
  * struct answer_means - moving averages over the answers of one class
  * @bytes: mean size; 0 before the first answer
+ * @log_bytes: mean of the natural logarithm of the sizes
+ * @log_variance: variance of that logarithm
+ * @n: number of sizes, up to SPREAD_ANSWERS_MIN
  * @ns: mean time; 0 before the first answer
  */
 struct answer_means {
 	float bytes;
+	float log_bytes;
+	float log_variance;
+	uint32_t n;
 	uint64_t ns;
 };
 
@@ -82,6 +95,33 @@
 		mean_ns + answer_ns / TIME_DIVISOR - mean_ns / TIME_DIVISOR;
 }
 
+/* Smallest logarithm of a size that is usual. */
+static float log_bytes_min(const struct answer_means *m)
+{
+	if (m->n < SPREAD_ANSWERS_MIN)
+		return INFINITY;
+	return m->log_bytes - SMALL_DEVIATIONS * sqrtf(m->log_variance);
+}
+
+/* Add a size to the spread. Sizes that are not usual count as one deviation below
+ * the mean: failures would otherwise widen the spread until they are usual. */
+static void record_spread(struct answer_means *m, float log_bytes)
+{
+	float least = log_bytes_min(m);
+	float weight, difference;
+
+	if (m->n < SPREAD_ANSWERS_MIN)
+		m->n++;
+	else if (log_bytes < least)
+		log_bytes = m->log_bytes - sqrtf(m->log_variance);
+	weight = fmaxf(SIZE_WEIGHT, 1 / (float)m->n);
+	difference = log_bytes - m->log_bytes;
+	m->log_bytes += difference * weight;
+	m->log_variance +=
+		(difference * difference * (1 - weight) - m->log_variance) *
+		weight;
+}
+
 /**
  * answer_stats_record_size() - compare the size of an answer with the mean of
  *	its class, then add it to the mean
@@ -90,17 +130,22 @@
  * @kind: enum route_kind
  * @size_bytes: bytes of the answer that the client acknowledged: at first, or
  *	of a download until it ended
+ * @by_spread: compare it with the spread of the sizes, too
  *
  * Return: true when the answer is smaller than policy's small_percent of the
- * mean.
+ * mean, and with @by_spread also far smaller than most.
  */
 bool answer_stats_record_size(struct answer_stats *stats, uint32_t service,
-			      uint8_t kind, uint32_t size_bytes)
+			      uint8_t kind, uint32_t size_bytes, bool by_spread)
 {
+	struct answer_means *m = &stats->means[service][kind];
 	float fraction = (float)stats->policy->small_percent / PERCENT;
-	float *mean_bytes = &stats->means[service][kind].bytes;
-	bool is_small = (float)size_bytes < fraction * *mean_bytes;
+	float *mean_bytes = &m->bytes;
+	float log_bytes = logf((float)size_bytes + 1);
+	bool is_small = (float)size_bytes < fraction * *mean_bytes &&
+			(!by_spread || log_bytes < log_bytes_min(m));
 
+	record_spread(m, log_bytes);
 	if (*mean_bytes <= 0)
 		*mean_bytes = (float)size_bytes;
 	*mean_bytes += ((float)size_bytes - *mean_bytes) * SIZE_WEIGHT;
--- a/core/packet/target/answer_stats.h
+++ b/core/packet/target/answer_stats.h
@@ -16,6 +16,7 @@
 void answer_stats_record_time(struct answer_stats *stats, uint32_t service,
 			      uint8_t kind, uint64_t answer_ns);
 bool answer_stats_record_size(struct answer_stats *stats, uint32_t service,
-			      uint8_t kind, uint32_t size_bytes);
+			      uint8_t kind, uint32_t size_bytes,
+			      bool by_spread);
 
 #endif
--- a/core/packet/target/outlier.c
+++ b/core/packet/target/outlier.c
@@ -6,6 +6,8 @@
 /* A suspicious target only gets no requests that may not be repeated, so that
  * chance may rule out more good targets than by ejection. */
 #define SUSPICIOUS_DEVIATIONS 3.0f
+/* Two failures within half a second; one alone is chance too often. */
+#define SUSPICIOUS_FAILURES 1.75f
 
 static float decayed_failures(const struct target *t,
 			      const struct policy *policy, uint64_t now_ns)
@@ -24,7 +26,20 @@
 void outlier_record_failure(struct target *t, const struct policy *policy,
 			    uint64_t now_ns)
 {
-	t->failures = decayed_failures(t, policy, now_ns) + 1;
+	outlier_record_weighted(t, policy, 1, now_ns);
+}
+
+/**
+ * outlier_record_weighted() - count a request that may have failed
+ * @t: its target
+ * @policy: limits and switches
+ * @weight: how much it counts; 1 for a failed request
+ * @now_ns: current time
+ */
+void outlier_record_weighted(struct target *t, const struct policy *policy,
+			     float weight, uint64_t now_ns)
+{
+	t->failures = decayed_failures(t, policy, now_ns) + weight;
 	t->failures_updated_ns = now_ns;
 }
 
@@ -33,21 +48,21 @@
  *	and is answered after all
  * @t: its target
  * @policy: limits and switches
+ * @weight: how much it counted
  * @failed_ns: when it was counted
  *
  * A few in a hundred requests take many times the mean at good targets too.
  */
 void outlier_take_back_failure(struct target *t, const struct policy *policy,
-			       uint64_t failed_ns)
+			       float weight, uint64_t failed_ns)
 {
 	float age_ns;
 
 	if (t->failures_updated_ns < failed_ns)
 		return;
 	age_ns = (float)(t->failures_updated_ns - failed_ns);
-	t->failures =
-		fmaxf(0, t->failures - expf(-age_ns /
-					    (float)policy->failures_window_ns));
+	weight *= expf(-age_ns / (float)policy->failures_window_ns);
+	t->failures = fmaxf(0, t->failures - weight);
 }
 
 /**
@@ -149,8 +164,8 @@
  * @policy: limits and switches
  * @now_ns: current time
  *
- * Return: true from as many failures as eject a target on trial, or
- * SUSPICIOUS_DEVIATIONS standard deviations above the mean of the others.
+ * Return: true from SUSPICIOUS_FAILURES, and SUSPICIOUS_DEVIATIONS standard
+ * deviations above the mean of the others.
  */
 bool outlier_is_suspicious(const struct directory *d, const struct target *t,
 			   const struct policy *policy, uint64_t now_ns)
@@ -158,7 +173,7 @@
 	float failures = total_failures(t, policy, now_ns);
 	float others;
 
-	if (failures < (float)policy->failures_min_trial)
+	if (failures < SUSPICIOUS_FAILURES)
 		return false;
 	others = mean_failures_of_others(d, t, policy, now_ns);
 	return failures > others + SUSPICIOUS_DEVIATIONS * sqrtf(others);
--- a/core/packet/target/outlier.h
+++ b/core/packet/target/outlier.h
@@ -13,8 +13,10 @@
 
 void outlier_record_failure(struct target *t, const struct policy *policy,
 			    uint64_t now_ns);
+void outlier_record_weighted(struct target *t, const struct policy *policy,
+			     float weight, uint64_t now_ns);
 void outlier_take_back_failure(struct target *t, const struct policy *policy,
-			       uint64_t failed_ns);
+			       float weight, uint64_t failed_ns);
 float outlier_failure_count(const struct target *t, const struct policy *policy,
 			    uint64_t now_ns);
 bool outlier_is_ejected(const struct target *t, uint64_t now_ns);
--- a/test/packet_answer_stats_test.c
+++ b/test/packet_answer_stats_test.c
@@ -4,6 +4,7 @@
 #include "answer_stats.h"
 #include "outlier.h"
 
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -21,13 +22,15 @@
 
 	(void)state;
 	for (uint32_t i = 0; i < 50; i++) {
-		assert_false(answer_stats_record_size(s, 0, ROUTE_FEED, 2400));
-		assert_false(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 500));
+		assert_false(answer_stats_record_size(s, 0, ROUTE_FEED, 2400,
+						      false));
+		assert_false(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 500,
+						      false));
 	}
-	assert_true(answer_stats_record_size(s, 0, ROUTE_FEED, 500));
-	assert_true(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 211));
-	assert_false(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 500));
-	assert_true(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 190));
+	assert_true(answer_stats_record_size(s, 0, ROUTE_FEED, 500, false));
+	assert_true(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 211, false));
+	assert_false(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 500, false));
+	assert_true(answer_stats_record_size(s, 0, ROUTE_UPLOAD, 190, false));
 	answer_stats_free(s);
 }
 
@@ -40,11 +43,65 @@
 	(void)state;
 	for (uint32_t i = 0; i < 50; i++) {
 		assert_false(answer_stats_record_size(s, 0, ROUTE_FEED,
-						      LARGE_BYTES));
+						      LARGE_BYTES, false));
 		assert_false(answer_stats_record_size(s, 1, ROUTE_FEED,
-						      SMALL_BYTES));
+						      SMALL_BYTES, false));
 	}
-	assert_true(answer_stats_record_size(s, 0, ROUTE_FEED, SMALL_BYTES));
+	assert_true(
+		answer_stats_record_size(s, 0, ROUTE_FEED, SMALL_BYTES, false));
+	answer_stats_free(s);
+}
+
+/* A log-normal size with a deviation of 0.6 of its logarithm, mean 1,000. */
+static uint32_t draw_size(struct rng *rng)
+{
+	double u = 0;
+
+	for (uint32_t i = 0; i < 12; i++)
+		u += (double)(rng_next(rng) >> 11) / (double)(1ULL << 53);
+	return (uint32_t)(835 * exp(0.6 * (u - 6)));
+}
+
+/* Guards against good targets that are ejected since the sizes of good answers
+ * vary: 15 in 100 are below the part of the mean that counts as small. */
+static void test_sizes_that_vary_are_no_failures(void **state)
+{
+	struct answer_stats *s = answer_stats_new(&policy_default);
+	struct rng rng = { 5 };
+	uint32_t small = 0, small_by_mean = 0;
+
+	(void)state;
+	for (uint32_t i = 0; i < 4000; i++) {
+		uint32_t bytes = draw_size(&rng);
+
+		small +=
+			answer_stats_record_size(s, 0, ROUTE_FEED, bytes, true);
+		small_by_mean += answer_stats_record_size(s, 1, ROUTE_FEED,
+							  bytes, false);
+	}
+	assert_in_range(small, 1, 4000 * 4 / 100);
+	assert_in_range(small_by_mean, 4000 * 10 / 100, 4000);
+	answer_stats_free(s);
+}
+
+/* Guards against errors that pass as good answers once there are many: half of
+ * all answers fail here. */
+static void test_errors_stay_far_smaller_than_usual(void **state)
+{
+	struct answer_stats *s = answer_stats_new(&policy_default);
+	struct rng rng = { 5 };
+	uint32_t errors = 0;
+
+	(void)state;
+	for (uint32_t i = 0; i < 200; i++)
+		answer_stats_record_size(s, 0, ROUTE_FEED, draw_size(&rng),
+					 true);
+	for (uint32_t i = 0; i < 100; i++) {
+		answer_stats_record_size(s, 0, ROUTE_FEED, draw_size(&rng),
+					 true);
+		errors += answer_stats_record_size(s, 0, ROUTE_FEED, 100, true);
+	}
+	assert_in_range(errors, 90, 100);
 	answer_stats_free(s);
 }
 
@@ -137,6 +194,8 @@
 		cmocka_unit_test(test_answer_size_is_compared_within_its_kind),
 		cmocka_unit_test(
 			test_answer_size_is_compared_within_its_service),
+		cmocka_unit_test(test_sizes_that_vary_are_no_failures),
+		cmocka_unit_test(test_errors_stay_far_smaller_than_usual),
 		cmocka_unit_test(test_times_are_kept_by_service_and_kind),
 		cmocka_unit_test(test_first_deadline_is_the_longest),
 		cmocka_unit_test(test_sizes_at_another_service_do_not_matter),
--- a/test/packet_outlier_test.c
+++ b/test/packet_outlier_test.c
@@ -343,15 +343,15 @@
 	(void)state;
 	outlier_record_failure(&t, &policy_default, NS_PER_S);
 	outlier_record_failure(&t, &policy_default, 2 * NS_PER_S);
-	outlier_take_back_failure(&t, &policy_default, NS_PER_S);
+	outlier_take_back_failure(&t, &policy_default, 1, NS_PER_S);
 	alone = outlier_failure_count(&t, &policy_default, 3 * NS_PER_S);
 	t = (struct target){ 0 };
 	outlier_record_failure(&t, &policy_default, 2 * NS_PER_S);
 	assert_float_equal(
 		alone, outlier_failure_count(&t, &policy_default, 3 * NS_PER_S),
 		0.0001);
-	outlier_take_back_failure(&t, &policy_default, 2 * NS_PER_S);
-	outlier_take_back_failure(&t, &policy_default, 2 * NS_PER_S);
+	outlier_take_back_failure(&t, &policy_default, 1, 2 * NS_PER_S);
+	outlier_take_back_failure(&t, &policy_default, 1, 2 * NS_PER_S);
 	assert_true(t.failures >= 0);
 }
 
