The predicted wait goes by the openings that are admitted

Cause: the prediction divided what is held by the rate of answers, but requests on open flows take most of the slots that answers free. Change: while openings are held, the rate at which they are admitted takes the place of the rate of answers, which it begins with. Measured: packet_admission_test, with a test that fails without it.

--- a/core/packet/flow/admission.h
+++ b/core/packet/flow/admission.h
@@ -19,8 +19,8 @@
  * struct admission_query - an opening and the figures of its service
  * @has_room: a target can answer a request within the latency objective
  * @ahead: openings held before this one
- * @answers_per_s: requests of this entry that the service answers a second; 0
- *	when unknown
+ * @answers_per_s: held openings that can be admitted a second, as answers free
+ *	slots; 0 when unknown
  * @work_ns: mean time that targets need for such a request; 0 when unknown
  * @timeout_ns: longest time that the request may take
  * @refusing: openings like this one are being refused
--- a/core/packet/flow/path_admit.c
+++ b/core/packet/flow/path_admit.c
@@ -29,6 +29,12 @@
 	return &path->admissions[service];
 }
 
+/* Rate at which held openings of a service can expect to be admitted. */
+static float expected_rate(const struct service_admission *a)
+{
+	return a->admitted.per_s > 0 ? a->admitted.per_s : a->rate.per_s;
+}
+
 /* Requests at @target, with the flows that are about to bring one. */
 static float requests_at(const struct target *target)
 {
@@ -149,7 +155,7 @@
 		.service = service,
 		.refusing = a->refusing,
 		.held = opening_queue_ahead(path->openings, service, UINT8_MAX),
-		.answers_per_s = a->rate.per_s,
+		.answers_per_s = expected_rate(a),
 		.work_ns = path->work[service].all.mean_ns,
 		.predicted_wait_ns = wait_ns,
 		.rate_age_ns = now_ns - a->rate.updated_ns,
@@ -189,7 +195,7 @@
 		.has_room = room,
 		.ahead = opening_queue_ahead(path->openings, o->service,
 					     o->priority),
-		.answers_per_s = a->rate.per_s,
+		.answers_per_s = expected_rate(a),
 		.work_ns = path->work[o->service].by_kind[o->kind].mean_ns,
 		.timeout_ns = route->timeout_ms * NS_PER_MS,
 		.refusing = a->refusing && o->priority >= a->refusing_from,
@@ -299,6 +305,7 @@
 	memcpy(flow->resend_packet, o.bytes, o.n_bytes);
 	if (path->policy->opening_due_ns)
 		flow->answer_due_ns = now_ns + path_handshake_timeout_ns(path);
+	admission_of(path, o.service)->admitted.count++;
 	path->counts[PATH_admitted]++;
 	load_stats_count(path->stats, o.service, o.kind, LOAD_admitted);
 	path->port.resend(path->port.ctx, flow, PATH_admitted);
@@ -357,6 +364,24 @@
 		;
 }
 
+/* Update the rates of a service. That of admissions begins at the rate of answers
+ * when an opening is held. */
+static void update_rates(struct path *path, uint32_t service, uint64_t now_ns)
+{
+	struct service_admission *a = admission_of(path, service);
+	bool holds = opening_queue_oldest(path->openings, service) != NULL;
+
+	if (a->rate.updated_ns || a->rate.count)
+		answer_rate_update(&a->rate, now_ns);
+	if (!holds)
+		a->admitted = (struct answer_rate){ 0 };
+	else if (a->admitted.per_s > 0)
+		answer_rate_update(&a->admitted, now_ns);
+	else
+		a->admitted = (struct answer_rate){ .per_s = a->rate.per_s,
+						    .updated_ns = now_ns };
+}
+
 /**
  * path_tick_admission() - refuse openings that were held for too long, admit
  *	others, and update the rates of answers
@@ -373,8 +398,7 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct service_admission *a = admission_of(path, i);
 
-		if (a->rate.updated_ns || a->rate.count)
-			answer_rate_update(&a->rate, now_ns);
+		update_rates(path, i, now_ns);
 		path_release_openings(path, i, now_ns);
 		if (a->refusing && !opening_queue_oldest(path->openings, i))
 			set_refusing_from(path, i, PRIORITY_NONE, 0, now_ns);
@@ -434,7 +458,7 @@
 	struct admission_query q = {
 		.ahead =
 			opening_queue_ahead(path->openings, service, UINT8_MAX),
-		.answers_per_s = a->rate.per_s,
+		.answers_per_s = expected_rate(a),
 	};
 
 	return (struct path_admission){
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -36,6 +36,8 @@
 /**
  * struct service_admission - admission of openings to one service
  * @rate: rate at which it answers requests of this entry
+ * @admitted: rate at which held openings are admitted, while any is held; lower
+ *	than @rate when requests on open flows take the slots that get free
  * @limit_per_slot: requests a slot that its targets take, as learned from
  *	rejections; 0 before the first
  * @limit_reduced_ns: when that was last reduced
@@ -48,6 +50,7 @@
  */
 struct service_admission {
 	struct answer_rate rate;
+	struct answer_rate admitted;
 	float limit_per_slot;
 	uint64_t limit_reduced_ns;
 	bool refusing;
--- a/test/packet_admission_test.c
+++ b/test/packet_admission_test.c
@@ -325,6 +325,33 @@
 	bed_close(&b);
 }
 
+/*
+ * Guards against openings that are all held as long as a client waits, since
+ * the prediction goes by answers whose slots requests on open flows take.
+ */
+static void test_prediction_goes_by_admissions_while_some_are_held(void **state)
+{
+	struct target *t;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	t = directory_target_at(b.directory, 0);
+	t->peers_running = 4 * LIMIT;
+	bed_syn(&b, CLIENT(1), REPORT_VIP, 0);
+	for (uint32_t i = 2; i < 50; i++) {
+		/* An answer every 20 ms on an open flow; none is admitted. */
+		bed_data(&b, CLIENT(500), VIP, t->cookie, 2 + 100 * i,
+			 1001 + 1000 * i, 100);
+		bed_advance(&b, 20 * MS);
+	}
+	for (uint32_t i = 60; i < 90; i++)
+		bed_syn(&b, CLIENT(i), REPORT_VIP, 0);
+	assert_true(count(&b, REPORT_VIP, LOAD_refused_timeout) > 0);
+	assert_int_equal(count(&b, REPORT_VIP, LOAD_admitted), 1);
+	bed_close(&b);
+}
+
 /* Guards against a latency objective that begins anew when an opening was held:
  * its client has waited all the while. */
 static void test_objective_counts_from_the_first_syn(void **state)
@@ -545,6 +572,8 @@
 			test_opening_is_refused_before_its_client_gives_up),
 		cmocka_unit_test(test_free_slot_goes_to_the_most_urgent),
 		cmocka_unit_test(test_admitted_openings_count_at_their_target),
+		cmocka_unit_test(
+			test_prediction_goes_by_admissions_while_some_are_held),
 		cmocka_unit_test(test_objective_counts_from_the_first_syn),
 		cmocka_unit_test(test_planned_stop_admits_what_is_held),
 		cmocka_unit_test(test_nothing_is_held_without_load_control),
