Openings that stay held are not accounted to a target

Cause: each try to release a held opening spent cold credit and postponed the trial of an unresponsive target, though nothing was sent; and the pass over all targets could take a cheap target without a free slot while another had one. Change: assign_select() chooses, assign_record() accounts; with of_all, targets with a free slot go first, openings counted. Measured: packet_admission_test, two tests that failed before.

--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -216,10 +216,11 @@
 	return route_use_is_long(path->use, route->vip, route->kind);
 }
 
-struct target *path_assign_target(struct path *path, const struct flow_key *key,
-				  const struct route *route,
-				  const struct target *avoid, bool of_all,
-				  uint64_t now_ns)
+static struct assign_query make_query(const struct path *path,
+				      const struct flow_key *key,
+				      const struct route *route,
+				      const struct target *avoid,
+				      uint64_t now_ns)
 {
 	struct assign_query q = {
 		.policy = path->policy,
@@ -229,17 +230,47 @@
 		.load_control = path_load_control(path),
 		.is_long = path_route_is_long(path, route),
 		.avoid = avoid,
-		.of_all = of_all,
-		.feed_load = path_load_control(path)
-				     ? path_flow_load(path, route)
-				     : path->feed_load,
+		.feed_load = path->feed_load,
 		.now_ns = now_ns,
 	};
 
-	if (q.load_control && q.is_long)
+	if (!q.load_control)
+		return q;
+	q.feed_load = path_flow_load(path, route);
+	if (q.is_long)
 		q.unseen_flows =
 			long_flows_unseen(&path->long_rates[q.service],
 					  &path->peers, path->policy, now_ns);
+	return q;
+}
+
+/**
+ * path_select_target() - select a target for a flow that may not be opened yet
+ * @path: state of the decisions on packets
+ * @key: client address and VIP
+ * @route: route of the flow
+ * @of_all: compare all targets, as in struct assign_query
+ * @now_ns: current time
+ *
+ * Return: target, to be passed to assign_record() when the flow is opened there;
+ * NULL when none can take the flow.
+ */
+struct target *path_select_target(struct path *path, const struct flow_key *key,
+				  const struct route *route, bool of_all,
+				  uint64_t now_ns)
+{
+	struct assign_query q = make_query(path, key, route, NULL, now_ns);
+
+	q.of_all = of_all;
+	return assign_select(path->directory, &q, &path->rng);
+}
+
+struct target *path_assign_target(struct path *path, const struct flow_key *key,
+				  const struct route *route,
+				  const struct target *avoid, uint64_t now_ns)
+{
+	struct assign_query q = make_query(path, key, route, avoid, now_ns);
+
 	return assign_target(path->directory, &q, &path->rng);
 }
 
@@ -309,7 +340,7 @@
 	}
 	if (flow)
 		target = path_assign_target(path, &packet->flow, route, avoid,
-					    false, now_ns);
+					    now_ns);
 	else if (!path_admit(path, packet, route, now_ns, &target, out))
 		return;
 	if (!target) {
--- a/core/packet/flow/path_admit.c
+++ b/core/packet/flow/path_admit.c
@@ -6,6 +6,8 @@
  */
 #include "path_impl.h"
 
+#include "assign.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -80,11 +82,10 @@
 				    bool *has_room_out)
 {
 	struct target *target =
-		path_assign_target(path, &o->key, route, NULL, false, now_ns);
+		path_select_target(path, &o->key, route, false, now_ns);
 
 	if (target && !has_room(path, target, o, now_ns))
-		target = path_assign_target(path, &o->key, route, NULL, true,
-					    now_ns);
+		target = path_select_target(path, &o->key, route, true, now_ns);
 	*has_room_out = target && has_room(path, target, o, now_ns);
 	return target;
 }
@@ -218,7 +219,7 @@
 {
 	uint32_t service = route_select_service(route, flow_hash(key));
 	struct target *target =
-		path_assign_target(path, key, route, NULL, false, now_ns);
+		path_assign_target(path, key, route, NULL, now_ns);
 
 	load_stats_count(path->stats, service, route->kind, LOAD_offered);
 	load_stats_count(path->stats, service, route->kind,
@@ -281,6 +282,7 @@
 		break;
 	}
 	load_stats_count(path->stats, o.service, o.kind, LOAD_admitted);
+	assign_record(path->directory, *target, now_ns);
 	return true;
 }
 
@@ -294,6 +296,7 @@
 
 	opening_queue_remove(path->openings, held);
 	opening_queue_take_turn(path->openings, o.key.vip);
+	assign_record(path->directory, target, now_ns);
 	flow = flow_cache_add(path->flows, &o.key, target, o.kind, o.is_long,
 			      FLOW_OPENING, now_ns);
 	path_record_opening(path, flow, now_ns);
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -169,7 +169,9 @@
 bool path_route_is_long(const struct path *path, const struct route *route);
 struct target *path_assign_target(struct path *path, const struct flow_key *key,
 				  const struct route *route,
-				  const struct target *avoid, bool of_all,
+				  const struct target *avoid, uint64_t now_ns);
+struct target *path_select_target(struct path *path, const struct flow_key *key,
+				  const struct route *route, bool of_all,
 				  uint64_t now_ns);
 void path_record_opening(struct path *path, const struct flow_state *flow,
 			 uint64_t now_ns);
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -201,7 +201,7 @@
 	    now_ns - flow->opened_ns > path->policy->opening_until_ns)
 		return;
 	target = path_assign_target(path, &flow->key, route, flow->target,
-				    false, now_ns);
+				    now_ns);
 	if (!target || target == flow->target)
 		return;
 	flow_cache_set_target(path->flows, flow, target);
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -100,9 +100,11 @@
 	return rank;
 }
 
+/* Whether @t has a free slot beside the flows that are about to bring a request. */
 static bool has_free_slot(const struct target *t)
 {
-	return (float)t->running + t->peers_running < slots_of(t);
+	return (float)t->running + t->peers_running + (float)t->openings <
+	       slots_of(t);
 }
 
 /*
@@ -139,6 +141,16 @@
 	       q->policy->choices;
 }
 
+/*
+ * Whether @t goes before all targets without a free slot: the cheapest target may
+ * have none, since the cost has other parts than the requests there.
+ */
+static bool is_free(const struct target *t, const struct assign_query *q,
+		    uint32_t t_rank)
+{
+	return q->of_all && t_rank == HEALTH_GOOD && has_free_slot(t);
+}
+
 /* Size of a sample; 0 to consider all targets. */
 static uint32_t sample_size(const struct assign_query *q)
 {
@@ -274,21 +286,19 @@
 }
 
 /**
- * assign_target() - select the target of a new flow
+ * assign_select() - select a target for a new flow, which may not be opened yet
  * @d: directory
  * @q: the flow
  * @rng: random source
  *
- * Spends credit of the selected target if it is cold.
- *
  * Return: target, owned by @d; NULL when none can take the flow.
  */
-struct target *assign_target(const struct directory *d,
+struct target *assign_select(const struct directory *d,
 			     const struct assign_query *q, struct rng *rng)
 {
 	struct target *const *all = NULL;
 	uint32_t n = directory_service_targets(d, q->service, &all);
-	struct sample near, far, spare;
+	struct sample near, far, spare, idle;
 	bool allow_trial = rng_next(rng) % q->policy->trial_odds == 0;
 	bool may_doubt = !may_repeat(q);
 	uint32_t best_rank = UINT32_MAX;
@@ -297,6 +307,7 @@
 	sample_init(&near, q);
 	sample_init(&far, q);
 	sample_init(&spare, q);
+	sample_init(&idle, q);
 	for (uint32_t i = 0; i < n; i++) {
 		struct target *t = all[i];
 		uint32_t t_rank = rank(t, q, allow_trial, may_doubt);
@@ -307,6 +318,8 @@
 			continue;
 		if (t_is_spare)
 			sample_add(&spare, t, q, rng);
+		if (is_free(t, q, t_rank))
+			sample_add(&idle, t, q, rng);
 		if (t_rank > best_rank)
 			continue;
 		if (t_rank < best_rank)
@@ -319,12 +332,45 @@
 		selected = select_for_long(&near, &far, q, rng);
 	else
 		selected = select_for_short(&near, &far, q, rng);
-	if (spare.seen && selected && !has_free_slot(selected))
-		selected = cheapest(&spare, q, rng);
-	if (!selected)
-		return NULL;
-	track_record_assigned(selected, q->now_ns);
-	cold_spend_credit(selected, d->services[q->service].cold.flows_per_s,
-			  q->now_ns);
+	if (!selected || has_free_slot(selected))
+		return selected;
+	if (idle.seen)
+		return cheapest(&idle, q, rng);
+	return spare.seen ? cheapest(&spare, q, rng) : selected;
+}
+
+/**
+ * assign_record() - account for a new flow at its target
+ * @d: directory
+ * @target: target
+ * @now_ns: current time
+ *
+ * Spends credit of the target if it is cold.
+ */
+void assign_record(const struct directory *d, struct target *target,
+		   uint64_t now_ns)
+{
+	uint32_t service = target->advertised.service;
+
+	track_record_assigned(target, now_ns);
+	cold_spend_credit(target, d->services[service].cold.flows_per_s,
+			  now_ns);
+}
+
+/**
+ * assign_target() - select the target of a new flow and account for the flow
+ * @d: directory
+ * @q: the flow
+ * @rng: random source
+ *
+ * Return: target, owned by @d; NULL when none can take the flow.
+ */
+struct target *assign_target(const struct directory *d,
+			     const struct assign_query *q, struct rng *rng)
+{
+	struct target *selected = assign_select(d, q, rng);
+
+	if (selected)
+		assign_record(d, selected, q->now_ns);
 	return selected;
 }
--- a/core/packet/target/assign.h
+++ b/core/packet/target/assign.h
@@ -14,7 +14,8 @@
  * @load_control: the decisions of docs/design/load-parts.md apply
  * @is_long: the flow will carry many requests
  * @avoid: target that did not answer an earlier SYN of the flow, or NULL
- * @of_all: compare all targets instead of policy's choices
+ * @of_all: compare all targets instead of policy's choices; those with a free
+ *	slot go before the others
  * @feed_load: mean number of slots that an open feed occupies
  * @unseen_flows: long flows that peers opened to the service since the figures
  *	that they advertised
@@ -34,6 +35,10 @@
 	uint64_t now_ns;
 };
 
+struct target *assign_select(const struct directory *d,
+			     const struct assign_query *q, struct rng *rng);
+void assign_record(const struct directory *d, struct target *target,
+		   uint64_t now_ns);
 struct target *assign_target(const struct directory *d,
 			     const struct assign_query *q, struct rng *rng);
 
--- a/test/packet_admission_test.c
+++ b/test/packet_admission_test.c
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "opening_queue.h"
 #include "policy.h"
+#include "track_record.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -551,6 +552,55 @@
 	bed_close(&b);
 }
 
+/* Guards against flows that a cold target or an unresponsive one can't get later,
+ * since openings that stayed held were accounted for as if sent to it. */
+static void test_held_opening_is_not_accounted_to_a_target(void **state)
+{
+	struct target *t;
+	struct bed b;
+	uint64_t trial_ns;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	t = directory_target_at(b.directory, 0);
+	fill_targets(&b);
+	track_record_accepted(t, b.now_ns);
+	trial_ns = t->trial_ns;
+	bed_syn(&b, CLIENT(1), REPORT_VIP, 0);
+	bed_advance(&b, 200 * MS);
+	assert_int_equal(path_admission(b.path, 0, b.now_ns).held, 1);
+	assert_true(t->trial_ns == trial_ns);
+	t->peers_running = 0;
+	bed_advance(&b, 20 * MS);
+	assert_int_equal(b.n_resent, 1);
+	assert_true(t->trial_ns > b.now_ns);
+	bed_close(&b);
+}
+
+/* Guards against openings that wait while a target has a free slot: the number of
+ * long flows, their mean load, the data centre and the service time may make
+ * another target the cheapest one. */
+static void test_no_opening_waits_beside_a_free_slot(void **state)
+{
+	struct target *busy, *idle;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 2, LOAD_CONTROL_ON);
+	busy = directory_target_at(b.directory, 0);
+	idle = directory_target_at(b.directory, 1);
+	busy->peers_running = LIMIT;
+	idle->peers_feeds = 1000;
+	assert_ptr_equal(bed_syn(&b, CLIENT(1), VIP, 0).target, idle);
+	idle->slowness = 8;
+	idle->slowness_updated_ns = b.now_ns;
+	idle->peers_running = 2 - (float)idle->running - (float)idle->openings;
+	busy->peers_running = LIMIT;
+	assert_int_equal(bed_syn(&b, CLIENT(2), REPORT_VIP, 0).action,
+			 PATH_FORWARD);
+	bed_close(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -585,6 +635,9 @@
 		cmocka_unit_test(
 			test_end_of_refusals_is_reported_a_second_later),
 		cmocka_unit_test(test_predicted_wait_is_that_of_now),
+		cmocka_unit_test(
+			test_held_opening_is_not_accounted_to_a_target),
+		cmocka_unit_test(test_no_opening_waits_beside_a_free_slot),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
