Admission: five faults found in the review

Cause and change, each with a test that failed before: a packet of an open flow came while its opening was held, and the flow was reset at the end of the wait: the held opening is dropped instead; an answer handled before the first tick after a pause admitted an expired opening: it is refused; a new opening took a slot that a more urgent held one waited for: held ones go first, and a new one waits while one as urgent is held; the rate of answers sank to nothing while nobody asked, and the first openings after that were refused: it rests meanwhile, and during a stall; an opening whose first SYN went to another entry was held longer than its client waits: copies tell the time since. Also: a slot freed by FIN or RST admits at once, what is held is admitted when load control is switched off, a bound on the predicted wait.

--- a/core/packet/flow/admission.c
+++ b/core/packet/flow/admission.c
@@ -1,9 +1,13 @@
 #include "admission.h"
 
+#include <math.h>
+
 /* Refusals end when the predicted time is below this part of the timeout, so
  * that they don't begin and end with each answer. */
 #define RESUME_PERCENT 80
 #define PERCENT 100
+/* Longer than any timeout. */
+#define WAIT_MAX_S 3600.0
 /* Time constant of the rate of answers: long enough for some answers at a small
  * entry, short against the timeouts of seconds. */
 #define RATE_WINDOW_NS (500 * NS_PER_MS)
@@ -13,14 +17,16 @@
  *	be admitted
  * @q: opening
  *
- * Return: nanoseconds; 0 when the rate of answers is unknown.
+ * Return: nanoseconds, WAIT_MAX_S at most; 0 when the rate is unknown.
  */
 uint64_t admission_predicted_wait_ns(const struct admission_query *q)
 {
+	double wait_s;
+
 	if (q->answers_per_s <= 0)
 		return 0;
-	return (uint64_t)((double)q->ahead / (double)q->answers_per_s *
-			  NS_PER_S);
+	wait_s = (double)q->ahead / (double)q->answers_per_s;
+	return (uint64_t)(fmin(wait_s, WAIT_MAX_S) * NS_PER_S);
 }
 
 /**
--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -536,6 +536,8 @@
 		flow_cache_close(path->flows, flow);
 		path_release_queued(path, flow->target->advertised.service,
 				    now_ns);
+		path_release_openings(path, flow->target->advertised.service,
+				      now_ns);
 		return false;
 	}
 	keep_for_resend(flow, packet);
@@ -552,6 +554,7 @@
 	struct flow_state *flow = flow_cache_find(path->flows, &packet->flow);
 
 	if (!flow) {
+		path_forget_opening(path, &packet->flow);
 		flow = flow_cache_add(path->flows, &packet->flow, target,
 				      route->kind,
 				      path_route_is_long(path, route),
--- a/core/packet/flow/path_admit.c
+++ b/core/packet/flow/path_admit.c
@@ -118,10 +118,22 @@
 	load_stats_count(path->stats, o->service, o->kind, event);
 }
 
+/* Time since a client's first SYN by the number of copies sent before this one;
+ * the earlier ones may have gone to other entries. */
+static uint64_t since_first_syn_ns(uint32_t copies)
+{
+	static const uint64_t since_ns[] = { 0, 200 * NS_PER_MS,
+					     600 * NS_PER_MS };
+	uint32_t last = sizeof(since_ns) / sizeof(since_ns[0]) - 1;
+
+	return since_ns[copies < last ? copies : last];
+}
+
 static struct opening make_opening(const struct path *path,
 				   const struct packet *packet,
 				   const struct route *route, uint64_t now_ns)
 {
+	uint64_t first_ns = now_ns - since_first_syn_ns(packet->ack);
 	struct opening o = {
 		.key = packet->flow,
 		.service =
@@ -129,16 +141,16 @@
 		.kind = route->kind,
 		.priority = route->priority,
 		.is_long = path_route_is_long(path, route),
-		.arrived_ns = now_ns,
+		.arrived_ns = first_ns,
 		.objective_deadline_ns =
-			now_ns + route->objective_ms * NS_PER_MS,
+			first_ns + route->objective_ms * NS_PER_MS,
 		.seq = packet->seq,
 	};
 	uint64_t timeout_ns = route->timeout_ms * NS_PER_MS;
 
-	o.expires_ns = now_ns + (timeout_ns < ADMISSION_HOLD_MAX_NS
-					 ? timeout_ns
-					 : ADMISSION_HOLD_MAX_NS);
+	o.expires_ns = first_ns + (timeout_ns < ADMISSION_HOLD_MAX_NS
+					   ? timeout_ns
+					   : ADMISSION_HOLD_MAX_NS);
 	if (packet->n_bytes <= RESEND_MAX_BYTES) {
 		o.n_bytes = (uint8_t)packet->n_bytes;
 		memcpy(o.bytes, packet->bytes, packet->n_bytes);
@@ -259,7 +271,10 @@
 	load_stats_count(path->stats, o.service, o.kind, LOAD_offered);
 	if (is_repeat(path, &o.key, now_ns))
 		load_stats_count(path->stats, o.service, o.kind, LOAD_repeated);
+	path_release_openings(path, o.service, now_ns);
 	*target = choose_target(path, &o, route, now_ns, &room);
+	if (opening_queue_ahead(path->openings, o.service, o.priority))
+		room = false;
 	if (!*target) {
 		record_refusal(path, &o, LOAD_refused_no_target, now_ns);
 		return true;
@@ -341,6 +356,10 @@
 
 	if (!o)
 		return false;
+	if (o->expires_ns <= now_ns) {
+		refuse_held(path, o, LOAD_refused_expired, now_ns);
+		return true;
+	}
 	route = route_table_find(table, o->key.vip);
 	target = route ? choose_target(path, o, route, now_ns, &room) : NULL;
 	if (!target) {
@@ -362,8 +381,10 @@
  */
 void path_release_openings(struct path *path, uint32_t service, uint64_t now_ns)
 {
+	bool to_any = path->stopping || !path_load_control(path);
+
 	while (opening_queue_count(path->openings) &&
-	       release_next(path, service, path->stopping, now_ns))
+	       release_next(path, service, to_any, now_ns))
 		;
 }
 
@@ -374,7 +395,10 @@
 	struct service_admission *a = admission_of(path, service);
 	bool holds = opening_queue_oldest(path->openings, service) != NULL;
 
-	if (a->rate.updated_ns || a->rate.count)
+	if (!holds && !a->rate.count &&
+	    !flow_cache_running_count(path->flows, service))
+		a->rate.updated_ns = now_ns; /* nobody asks for answers */
+	else
 		answer_rate_update(&a->rate, now_ns);
 	if (!holds)
 		a->admitted = (struct answer_rate){ 0 };
@@ -413,6 +437,40 @@
 	}
 }
 
+/**
+ * path_forget_opening() - drop the held opening of a flow whose target is known
+ * @path: state of the decisions on packets
+ * @key: client address and VIP; nothing happens when it has no held opening
+ *
+ * A packet other than a SYN shows that the flow is open, through another entry
+ * or since before a restart. It must not be reset.
+ */
+void path_forget_opening(struct path *path, const struct flow_key *key)
+{
+	const struct opening *o = opening_queue_find(path->openings, key);
+
+	if (o)
+		opening_queue_remove(path->openings, o);
+}
+
+/**
+ * path_resume_admission() - leave a stall of the process out of the rates
+ * @path: state of the decisions on packets
+ * @now_ns: current time, after the stall
+ */
+void path_resume_admission(struct path *path, uint64_t now_ns)
+{
+	uint32_t n = directory_service_count(path->directory);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct service_admission *a = admission_of(path, i);
+
+		a->rate.updated_ns = now_ns;
+		if (a->admitted.updated_ns)
+			a->admitted.updated_ns = now_ns;
+	}
+}
+
 /**
  * path_record_capacity() - learn from an answer how many requests a target takes
  * @path: state of the decisions on packets
--- a/core/packet/flow/path_impl.h
+++ b/core/packet/flow/path_impl.h
@@ -185,6 +185,8 @@
 		struct target **target, struct path_verdict *out);
 void path_release_openings(struct path *path, uint32_t service,
 			   uint64_t now_ns);
+void path_forget_opening(struct path *path, const struct flow_key *key);
+void path_resume_admission(struct path *path, uint64_t now_ns);
 void path_tick_admission(struct path *path, uint64_t now_ns);
 void path_record_capacity(struct path *path, const struct target *target,
 			  bool rejected, uint64_t now_ns);
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -176,6 +176,7 @@
 	struct flow_state *flow = flow_cache_newest(path->flows);
 
 	path->stalled_ns = now_ns;
+	path_resume_admission(path, now_ns);
 	for (; flow; flow = flow_cache_older(path->flows, flow)) {
 		flow->answer_due_ns = 0;
 		flow_cache_set_opening(flow, false);
--- a/test/packet_admission_test.c
+++ b/test/packet_admission_test.c
@@ -601,6 +601,104 @@
 	bed_close(&b);
 }
 
+/* Guards against refusals when demand begins again: without requests the rate of
+ * answers sank to nothing. */
+static void test_idle_time_does_not_lower_the_rate(void **state)
+{
+	struct target *t;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	t = directory_target_at(b.directory, 0);
+	for (uint32_t i = 20; i < 60; i++) {
+		bed_open_flow(&b, CLIENT(i), REPORT_VIP);
+		bed_data(&b, CLIENT(i), REPORT_VIP, t->cookie, 2, 1, 100);
+		bed_advance(&b, 40 * MS);
+		bed_data(&b, CLIENT(i), REPORT_VIP, t->cookie, 2, 1001, 0);
+	}
+	bed_advance(&b, 10 * S);
+	t->peers_running = 100;
+	for (uint32_t i = 1; i < 4; i++)
+		assert_int_equal(bed_syn(&b, CLIENT(i), REPORT_VIP, 0).reason,
+				 PATH_held);
+	bed_close(&b);
+}
+
+/* Guards against the reset of an open flow: a packet with a cookie shows that
+ * the held opening was answered through another entry. */
+static void test_flow_that_is_open_is_not_refused(void **state)
+{
+	struct target *t;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	t = directory_target_at(b.directory, 0);
+	fill_targets(&b);
+	bed_syn(&b, CLIENT(1), REPORT_VIP, 0);
+	bed_data(&b, CLIENT(1), REPORT_VIP, t->cookie, 2, 1, 100);
+	bed_advance(&b, 1400 * MS);
+	assert_int_equal(count(&b, REPORT_VIP, LOAD_refused_expired), 0);
+	for (uint32_t i = 0; i < b.n_resets; i++)
+		assert_true(b.resets[i] != CLIENT(1));
+	bed_close(&b);
+}
+
+/* Guards against a less urgent opening that takes the slot which a heartbeat
+ * showed free, while a more urgent one is held until the next tick. */
+static void test_new_opening_does_not_overtake_an_urgent_one(void **state)
+{
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	fill_targets(&b);
+	bed_syn(&b, CLIENT(1), REPORT_VIP, 0);
+	directory_target_at(b.directory, 0)->peers_running = LIMIT - 1;
+	bed_syn(&b, CLIENT(2), VIP, 0);
+	assert_int_equal(count(&b, REPORT_VIP, LOAD_admitted), 2);
+	assert_int_equal(count(&b, VIP, LOAD_admitted), 1);
+	bed_close(&b);
+}
+
+/* Guards against work for clients that gave up while this process was paused:
+ * an answer is handled before the first tick. */
+static void test_pause_admits_no_expired_opening(void **state)
+{
+	struct target *t;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	t = directory_target_at(b.directory, 0);
+	bed_open_flow(&b, CLIENT(7), REPORT_VIP);
+	bed_data(&b, CLIENT(7), REPORT_VIP, t->cookie, 2, 1, 100);
+	fill_targets(&b);
+	bed_syn(&b, CLIENT(1), REPORT_VIP, 0);
+	b.now_ns += 5 * S;
+	t->peers_running = 0;
+	bed_data(&b, CLIENT(7), REPORT_VIP, t->cookie, 2, 1001, 0);
+	assert_int_equal(b.n_resent, 0);
+	assert_int_equal(count(&b, REPORT_VIP, LOAD_refused_expired), 1);
+	bed_close(&b);
+}
+
+/* Guards against openings that are held longer than their clients wait: the
+ * first SYN and a copy went to another entry. */
+static void test_holding_counts_from_the_first_copy(void **state)
+{
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, 1, LOAD_CONTROL_ON);
+	fill_targets(&b);
+	bed_syn(&b, CLIENT(1), REPORT_VIP, 2);
+	bed_advance(&b, 720 * MS);
+	assert_int_equal(b.n_resets, 1);
+	bed_close(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -638,6 +736,12 @@
 		cmocka_unit_test(
 			test_held_opening_is_not_accounted_to_a_target),
 		cmocka_unit_test(test_no_opening_waits_beside_a_free_slot),
+		cmocka_unit_test(test_idle_time_does_not_lower_the_rate),
+		cmocka_unit_test(test_flow_that_is_open_is_not_refused),
+		cmocka_unit_test(
+			test_new_opening_does_not_overtake_an_urgent_one),
+		cmocka_unit_test(test_pause_admits_no_expired_opening),
+		cmocka_unit_test(test_holding_counts_from_the_first_copy),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
