--- a/core/packet/flow/path_admit.c
+++ b/core/packet/flow/path_admit.c
@@ -16,9 +16,11 @@
 #define REPEAT_NS NS_PER_S
 /* Refusals that begin and end more often are not reported each time. */
 #define REPORT_NS NS_PER_S
-/* Part to which a target's limit shrinks when it rejects a request for lack of
- * capacity, and by how much it grows with each answer, in requests a slot. */
+/* Part to which the learned limit of requests a slot shrinks with a rejection:
+ * little, since peers' requests there are known only as of their heartbeats. */
 #define LIMIT_SHRINK 0.9f
+/* By how much it grows with each answer: from a rejection to the next one takes
+ * some hundred answers. */
 #define LIMIT_GROW 0.005f
 /* Rejections within this time come from the same excess. */
 #define LIMIT_PAUSE_NS (100 * NS_PER_MS)
@@ -49,7 +51,8 @@
 	return target->advertised.slots ? target->advertised.slots : 1;
 }
 
-/* Whether @target can answer another request within its latency objective. */
+/* Whether @target can answer another request within its latency objective; not
+ * only if it has a free slot. */
 static bool has_room(const struct path *path, const struct target *target,
 		     const struct opening *o, uint64_t now_ns)
 {
--- a/core/packet/flow/path_tick.c
+++ b/core/packet/flow/path_tick.c
@@ -325,10 +325,10 @@
 		return;
 	if (outlier_is_suspicious(path->directory, target, path->policy,
 				  now_ns))
-		track_record_end(target, now_ns);
+		track_record_avoid(target, now_ns);
 	if (outlier_eject_if_failing(path->directory, target, path->policy,
 				     now_ns, &others_failures)) {
-		track_record_end(target, target->ejected_until_ns);
+		track_record_avoid(target, target->ejected_until_ns);
 		path->port.eject(path->port.ctx, target, others_failures);
 	}
 }
--- a/core/packet/target/health.c
+++ b/core/packet/target/health.c
@@ -11,7 +11,7 @@
 		return;
 	t->health = health;
 	if (health >= HEALTH_SILENT && before < HEALTH_SILENT)
-		track_record_end(t, c->now_ns);
+		track_record_avoid(t, c->now_ns);
 	c->port->changed(c->port->ctx, t, before);
 }
 
--- a/core/packet/target/outlier.c
+++ b/core/packet/target/outlier.c
@@ -3,8 +3,9 @@
 #include <math.h>
 
 #define PERCENT 100.0f
-/* A suspicious target only gets no requests that may not be repeated, so that
- * chance may rule out more good targets than by ejection. */
+/* Standard deviations of a Poisson count, one less than for an ejection: a
+ * suspicious target only gets no requests that may not be repeated, so that
+ * chance may rule out more good targets. */
 #define SUSPICIOUS_DEVIATIONS 3.0f
 /* Two failures within half a second; one alone is chance too often. */
 #define SUSPICIOUS_FAILURES 1.75f
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -115,9 +115,9 @@
  * @ejected_until_ns: gets no new flows until then because of its failures; 0
  *	when it was never ejected
  * @ejections: consecutive ejections after the first one
- * @end_noticed_ns: when its process was last seen to end, or its last ejection
- *	was over; 0 for never
- * @ends: consecutive ends after the first one
+ * @avoided_ns: when its process was last seen to end, it was last suspicious, or
+ *	its last ejection was over; 0 for never
+ * @avoidances: consecutive times that it was avoided after the first
  * @avoid_until_ns: gets no requests that may not be repeated until then, unless
  *	others have no free slot
  * @unanswered: consecutive openings that it left unanswered, or
@@ -175,8 +175,8 @@
 	float peers_failures;
 	uint64_t ejected_until_ns;
 	uint8_t ejections;
-	uint64_t end_noticed_ns;
-	uint8_t ends;
+	uint64_t avoided_ns;
+	uint8_t avoidances;
 	uint64_t avoid_until_ns;
 	uint8_t unanswered;
 	uint64_t trial_ns;
--- a/core/packet/target/track_record.c
+++ b/core/packet/target/track_record.c
@@ -4,16 +4,16 @@
 
 #include <math.h>
 
-/* A target is avoided for this long after its first end: longer than a first
- * ejection, since targets that go down and up by turns are often down again
- * when that is over. Doubled for each further end, AVOID_STEPS_MAX times at
- * most. */
+/* How long a target is avoided at first: longer than a first ejection, since
+ * targets that go down and up by turns are often down again when that is over.
+ * Doubled for each further outage, AVOID_STEPS_MAX times at most. */
 #define AVOID_NS (6 * NS_PER_S)
 #define AVOID_STEPS_MAX 3
-/* Ends that are further apart have different causes. */
+/* Outages that are further apart have different causes. */
 #define HISTORY_NS (60 * NS_PER_S)
-/* Entries notice the same end within this time, by packets, probes and peers. */
-#define SAME_END_NS NS_PER_S
+/* Entries notice the same outage within this time, by packets, probes and
+ * peers. */
+#define SAME_OUTAGE_NS NS_PER_S
 /* Time between the openings with which an unresponsive target is tried; doubled
  * each time, TRIAL_STEPS_MAX times at most. */
 #define TRIAL_NS (500 * NS_PER_MS)
@@ -28,30 +28,31 @@
 #define SLOWNESS_DECAY_NS (10 * NS_PER_S)
 
 /**
- * track_record_end() - record that a target's process ended, that it is
- *	suspicious, or that it was ejected
+ * track_record_avoid() - send no requests that may not be repeated to a target
+ *	for some time, since its process ended, it is suspicious, or it was
+ *	ejected
  * @t: target
- * @ended_ns: when that was noticed; for an ejection, when it is over
+ * @since_ns: when that was noticed; for an ejection, when it is over
  *
- * A target that is reported again within SAME_END_NS is still in the same
+ * A target that is reported again within SAME_OUTAGE_NS is still in the same
  * outage: the time for which it is avoided begins anew, without doubling.
  */
-void track_record_end(struct target *t, uint64_t ended_ns)
+void track_record_avoid(struct target *t, uint64_t since_ns)
 {
-	bool known = t->end_noticed_ns != 0;
-
-	if (!known || ended_ns > t->end_noticed_ns + HISTORY_NS)
-		t->ends = 0;
-	else if (ended_ns > t->end_noticed_ns + SAME_END_NS &&
-		 t->ends < AVOID_STEPS_MAX)
-		t->ends++;
-	if (ended_ns > t->end_noticed_ns)
-		t->end_noticed_ns = ended_ns;
-	t->avoid_until_ns = t->end_noticed_ns + (AVOID_NS << t->ends);
+	bool known = t->avoided_ns != 0;
+
+	if (!known || since_ns > t->avoided_ns + HISTORY_NS)
+		t->avoidances = 0;
+	else if (since_ns > t->avoided_ns + SAME_OUTAGE_NS &&
+		 t->avoidances < AVOID_STEPS_MAX)
+		t->avoidances++;
+	if (since_ns > t->avoided_ns)
+		t->avoided_ns = since_ns;
+	t->avoid_until_ns = t->avoided_ns + (AVOID_NS << t->avoidances);
 }
 
 /**
- * track_record_is_doubtful() - whether a target ended or was ejected lately
+ * track_record_is_doubtful() - whether a target is avoided
  * @t: target
  * @now_ns: current time
  *
--- a/core/packet/target/track_record.h
+++ b/core/packet/target/track_record.h
@@ -20,7 +20,7 @@
  * a single packet may be lost. */
 #define TRACK_UNANSWERED_MIN 2
 
-void track_record_end(struct target *t, uint64_t ended_ns);
+void track_record_avoid(struct target *t, uint64_t since_ns);
 bool track_record_is_doubtful(const struct target *t, uint64_t now_ns);
 float track_record_failure_cost(const struct target *t,
 				const struct policy *policy, uint64_t now_ns);
--- a/test/packet_track_record_test.c
+++ b/test/packet_track_record_test.c
@@ -56,7 +56,7 @@
 	(void)state;
 	open_pair(&p);
 	p.flapping->ejected_until_ns = 110 * S;
-	track_record_end(p.flapping, p.flapping->ejected_until_ns);
+	track_record_avoid(p.flapping, p.flapping->ejected_until_ns);
 	p.bed.now_ns = 115500 * MS;
 	assert_false(outlier_is_ejected(p.flapping, p.bed.now_ns));
 	assert_int_equal(count_assigned(&p, ROUTE_REPORT, true, p.flapping), 0);
@@ -75,7 +75,7 @@
 
 	(void)state;
 	open_pair(&p);
-	track_record_end(p.flapping, p.bed.now_ns);
+	track_record_avoid(p.flapping, p.bed.now_ns);
 	p.flapping->peers_failures = 2;
 	assert_in_range(count_assigned(&p, ROUTE_REPORT, false, p.flapping), 1,
 			FLOWS);
@@ -90,7 +90,7 @@
 
 	(void)state;
 	open_pair(&p);
-	track_record_end(p.flapping, p.bed.now_ns);
+	track_record_avoid(p.flapping, p.bed.now_ns);
 	p.good->peers_running = p.good->advertised.slots;
 	assert_int_equal(count_assigned(&p, ROUTE_REPORT, true, p.flapping),
 			 FLOWS);
@@ -229,7 +229,7 @@
 
 /* Guards against a target that is tried again every few seconds for as long as
  * it goes down and up. */
-static void test_each_further_end_doubles_the_time(void **state)
+static void test_each_further_outage_doubles_the_time(void **state)
 {
 	static const uint64_t seconds[] = { 6, 12, 24, 48, 48 };
 	struct target t = { 0 };
@@ -237,7 +237,7 @@
 
 	(void)state;
 	for (size_t i = 0; i < sizeof(seconds) / sizeof(seconds[0]); i++) {
-		track_record_end(&t, now_ns);
+		track_record_avoid(&t, now_ns);
 		assert_true(track_record_is_doubtful(
 			&t, now_ns + seconds[i] * S - 1));
 		assert_false(
@@ -245,21 +245,21 @@
 		now_ns += 2 * S;
 	}
 	now_ns += 120 * S;
-	track_record_end(&t, now_ns);
+	track_record_avoid(&t, now_ns);
 	assert_false(track_record_is_doubtful(&t, now_ns + 6 * S));
 }
 
 /* Guards against one end that counts several times, as packets, probes and
  * peers show it one after the other. */
-static void test_one_end_counts_once(void **state)
+static void test_one_outage_counts_once(void **state)
 {
 	struct target t = { 0 };
 
 	(void)state;
-	track_record_end(&t, 10 * S);
-	track_record_end(&t, 10 * S + 300 * MS);
-	track_record_end(&t, 10 * S + 100 * MS);
-	assert_int_equal(t.ends, 0);
+	track_record_avoid(&t, 10 * S);
+	track_record_avoid(&t, 10 * S + 300 * MS);
+	track_record_avoid(&t, 10 * S + 100 * MS);
+	assert_int_equal(t.avoidances, 0);
 	assert_true(t.avoid_until_ns == 16 * S + 300 * MS);
 }
 
@@ -325,8 +325,8 @@
 			test_unanswered_openings_count_only_beside_answers),
 		cmocka_unit_test(
 			test_common_failures_move_no_flow_to_another_data_centre),
-		cmocka_unit_test(test_each_further_end_doubles_the_time),
-		cmocka_unit_test(test_one_end_counts_once),
+		cmocka_unit_test(test_each_further_outage_doubles_the_time),
+		cmocka_unit_test(test_one_outage_counts_once),
 		cmocka_unit_test(test_slow_target_gets_fewer_requests),
 		cmocka_unit_test(test_single_long_request_matters_little),
 		cmocka_unit_test(test_fast_target_counts_as_average),
