--- a/core/packet/flow/path.c
+++ b/core/packet/flow/path.c
@@ -161,12 +161,19 @@
 		       : path->policy->opening_due_ns;
 }
 
-/* Service under which answers on a flow are counted. Without load control all
- * services are counted as one. */
+_Static_assert(ANSWER_CLASSES_MAX >= ROUTE_USE_MAX, "a class for each route");
+
+/*
+ * Class under which answers on a flow are counted: its route, since routes of
+ * one kind and service may have answers of other sizes. Without load control all
+ * routes are counted as one.
+ */
 uint32_t path_answer_class(const struct path *path,
 			   const struct flow_state *flow)
 {
-	return path_load_control(path) ? flow->target->advertised.service : 0;
+	if (!path_load_control(path) || flow->route_slot == ROUTE_USE_NONE)
+		return 0;
+	return flow->route_slot;
 }
 
 uint64_t path_answer_timeout_ns(const struct path *path,
--- a/core/packet/target/answer_stats.c
+++ b/core/packet/target/answer_stats.c
@@ -1,6 +1,6 @@
 #include "answer_stats.h"
 
-#include "directory.h"
+#include "route_table.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -35,7 +35,7 @@
 
 struct answer_stats {
 	const struct policy *policy;
-	struct answer_means means[DIRECTORY_SERVICES_MAX][ROUTE_KINDS];
+	struct answer_means means[ANSWER_CLASSES_MAX][ROUTE_KINDS];
 };
 
 /**
@@ -62,16 +62,16 @@
 /**
  * answer_stats_time_ns() - get the mean time to an answer
  * @stats: averages
- * @service: number of the service in the directory
+ * @answer_class: number below ANSWER_CLASSES_MAX
  * @kind: enum route_kind
  *
  * Return: mean; before the first answer the time from which the longest
  * deadline of policy follows.
  */
 uint64_t answer_stats_time_ns(const struct answer_stats *stats,
-			      uint32_t service, uint8_t kind)
+			      uint32_t answer_class, uint8_t kind)
 {
-	uint64_t mean_ns = stats->means[service][kind].ns;
+	uint64_t mean_ns = stats->means[answer_class][kind].ns;
 
 	return mean_ns ? mean_ns
 		       : stats->policy->request_due_max_ns /
@@ -81,17 +81,17 @@
 /**
  * answer_stats_record_time() - record the time to an answer
  * @stats: averages
- * @service: number of the service in the directory
+ * @answer_class: number below ANSWER_CLASSES_MAX
  * @kind: enum route_kind
  * @answer_ns: from forwarding the request to the client's first
  *	acknowledgement of the answer
  */
-void answer_stats_record_time(struct answer_stats *stats, uint32_t service,
+void answer_stats_record_time(struct answer_stats *stats, uint32_t answer_class,
 			      uint8_t kind, uint64_t answer_ns)
 {
-	uint64_t mean_ns = answer_stats_time_ns(stats, service, kind);
+	uint64_t mean_ns = answer_stats_time_ns(stats, answer_class, kind);
 
-	stats->means[service][kind].ns =
+	stats->means[answer_class][kind].ns =
 		mean_ns + answer_ns / TIME_DIVISOR - mean_ns / TIME_DIVISOR;
 }
 
@@ -126,7 +126,7 @@
  * answer_stats_record_size() - compare the size of an answer with the mean of
  *	its class, then add it to the mean
  * @stats: averages
- * @service: number of the service in the directory
+ * @answer_class: number below ANSWER_CLASSES_MAX
  * @kind: enum route_kind
  * @size_bytes: bytes of the answer that the client acknowledged: at first, or
  *	of a download until it ended
@@ -135,10 +135,10 @@
  * Return: true when the answer is smaller than policy's small_percent of the
  * mean, and with @by_spread also far smaller than most.
  */
-bool answer_stats_record_size(struct answer_stats *stats, uint32_t service,
+bool answer_stats_record_size(struct answer_stats *stats, uint32_t answer_class,
 			      uint8_t kind, uint32_t size_bytes, bool by_spread)
 {
-	struct answer_means *m = &stats->means[service][kind];
+	struct answer_means *m = &stats->means[answer_class][kind];
 	float fraction = (float)stats->policy->small_percent / PERCENT;
 	float *mean_bytes = &m->bytes;
 	float log_bytes = logf((float)size_bytes + 1);
--- a/test/packet_answer_stats_test.c
+++ b/test/packet_answer_stats_test.c
@@ -188,6 +188,26 @@
 	assert_true(failures_of_mixed_services(LOAD_CONTROL_AUTO) > 1);
 }
 
+/* Guards against good targets that are ejected since a route of the same service
+ * and kind always has short answers. */
+static void test_sizes_of_another_route_do_not_matter(void **state)
+{
+	struct route_table *t;
+	struct bed b;
+
+	(void)state;
+	open_bed(&b, LOAD_CONTROL_ON);
+	t = bed_table(&b, 3);
+	t->routes[2].kind = ROUTE_REPORT;
+	t->routes[2].shares[0].service = t->routes[1].shares[0].service;
+	directory_set_routes(b.directory, t, b.now_ns);
+	for (uint32_t i = 0; i < 100; i++)
+		send_report(&b, CALLER + i, i % 10 ? OTHER_VIP : REPORT_VIP,
+			    i % 10 ? LARGE_BYTES : SMALL_BYTES);
+	assert_true(directory_by_id(b.directory, 1)->failures <= 0);
+	bed_close(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -199,6 +219,7 @@
 		cmocka_unit_test(test_times_are_kept_by_service_and_kind),
 		cmocka_unit_test(test_first_deadline_is_the_longest),
 		cmocka_unit_test(test_sizes_at_another_service_do_not_matter),
+		cmocka_unit_test(test_sizes_of_another_route_do_not_matter),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
