Slots of a target by which loads are divided: one function

Cause: assign, long_flows and path_admit each had the same slots_of(); found when the whole change was read once more. Change: target_slots() in target.h. No change of behaviour.

--- a/core/packet/flow/path_admit.c
+++ b/core/packet/flow/path_admit.c
@@ -46,11 +46,6 @@
 	       (float)target->openings;
 }
 
-static float slots_of(const struct target *target)
-{
-	return target->advertised.slots ? target->advertised.slots : 1;
-}
-
 /* Whether @target can answer another request within its latency objective; not
  * only if it has a free slot. */
 static bool has_room(const struct path *path, const struct target *target,
@@ -70,8 +65,8 @@
 	float learned = path->admissions[service].limit_per_slot;
 
 	if (learned > 0)
-		limit = fminf(limit, learned * slots_of(target));
-	return requests_at(target) < fmaxf(limit, slots_of(target));
+		limit = fminf(limit, learned * target_slots(target));
+	return requests_at(target) < fmaxf(limit, target_slots(target));
 }
 
 /*
@@ -489,7 +484,7 @@
 {
 	struct service_admission *a =
 		admission_of(path, target->advertised.service);
-	float at = requests_at(target) / slots_of(target);
+	float at = requests_at(target) / target_slots(target);
 
 	a->rate.count += !rejected;
 	if (!rejected) {
--- a/core/packet/target/assign.c
+++ b/core/packet/target/assign.c
@@ -25,11 +25,6 @@
 	return (float)t->running + t->peers_running;
 }
 
-static float slots_of(const struct target *t)
-{
-	return t->advertised.slots ? t->advertised.slots : 1;
-}
-
 static bool may_repeat(const struct assign_query *q)
 {
 	return !q->load_control || route_kind_is_idempotent(q->kind);
@@ -46,7 +41,7 @@
 static float cost_if_slow(const struct target *t, const struct assign_query *q,
 			  float slow)
 {
-	float cost = load(t, q) / slots_of(t) * slow;
+	float cost = load(t, q) / target_slots(t) * slow;
 
 	if (t->advertised.zone == q->zone)
 		return cost;
@@ -104,7 +99,7 @@
 static bool has_free_slot(const struct target *t)
 {
 	return (float)t->running + t->peers_running + (float)t->openings <
-	       slots_of(t);
+	       target_slots(t);
 }
 
 /*
@@ -242,7 +237,7 @@
 		candidates[i] = (struct long_flow_candidate){
 			.target = t,
 			.cost = cost_if_slow(t, q, slow),
-			.flows_per_cost = slots_of(t) / (feed_load * slow),
+			.flows_per_cost = target_slots(t) / (feed_load * slow),
 		};
 	}
 	return n;
--- a/core/packet/target/long_flows.c
+++ b/core/packet/target/long_flows.c
@@ -73,11 +73,6 @@
 	       t->peers_short;
 }
 
-static float slots_of(const struct target *t)
-{
-	return t->advertised.slots ? t->advertised.slots : 1;
-}
-
 /*
  * The cost that all candidates reach at most when @flows are added where the
  * cost is lowest. Newton's method: each step drops the candidates above the
@@ -118,7 +113,7 @@
 
 	for (uint32_t i = 0; i < n; i++) {
 		struct long_flow_candidate *c = &candidates[i];
-		float most = most_per_slot * slots_of(c->target);
+		float most = most_per_slot * target_slots(c->target);
 
 		if (c->is_full)
 			continue;
@@ -140,7 +135,7 @@
 	float rest = flows, all_slots = 0, full = 1, most_per_slot;
 
 	for (uint32_t i = 0; i < n; i++) {
-		all_slots += slots_of(candidates[i].target);
+		all_slots += target_slots(candidates[i].target);
 		candidates[i].is_full = false;
 	}
 	most_per_slot =
--- a/core/packet/target/target.h
+++ b/core/packet/target/target.h
@@ -192,6 +192,12 @@
 	uint32_t index;
 };
 
+/* Slots by which a load is divided; 1 for a record without slots. */
+static inline float target_slots(const struct target *t)
+{
+	return t->advertised.slots ? t->advertised.slots : 1;
+}
+
 static inline struct incarnation target_incarnation(const struct target *t)
 {
 	return (struct incarnation){ t->advertised.id,
