--- a/review/standins/play.sh
+++ b/review/standins/play.sh
@@ -66,6 +66,7 @@
 for ((i = 1; i <= entries; i++)); do
 	"$entry" --settings "$tmp/$i.conf" >"$folder/entry-$i.log" 2>&1 &
 	pids="$pids $!"
+	disown
 done
 wait $bed_pid
 result=$?
--- a/review/standins/scenario.c
+++ b/review/standins/scenario.c
@@ -174,27 +174,26 @@
 	answered++;
 }
 
-static int by_random(const void *a, const void *b)
+static int by_key(const void *a, const void *b)
 {
 	const struct endpoint *x = *(struct endpoint *const *)a;
 	const struct endpoint *y = *(struct endpoint *const *)b;
-	uint64_t hx = (x->id ^ bed.random) * 0x9e3779b97f4a7c15u;
-	uint64_t hy = (y->id ^ bed.random) * 0x9e3779b97f4a7c15u;
 
-	return (hx > hy) - (hx < hy);
+	return strcmp(y->key, x->key);
 }
 
-/* @percent of the endpoints of svc-vault drain and leave. */
+/* @percent of the endpoints of svc-vault drain and leave, the last ones by key. */
 static void scale_in(uint32_t percent, uint64_t linger_us)
 {
 	struct endpoint *all[ENDPOINTS_MAX];
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < n_endpoints; i++)
-		if (!strcmp(endpoints[i]->service, "svc-vault"))
+		if (!strcmp(endpoints[i]->service, "svc-vault") &&
+		    endpoints[i]->state == ENDPOINT_READY)
 			all[n++] = endpoints[i];
-	qsort(all, n, sizeof(all[0]), by_random);
-	for (uint32_t i = 0; i < n * percent / 100; i++)
+	qsort(all, n, sizeof(all[0]), by_key);
+	for (uint32_t i = 0; i < n * percent / 100 && i < n; i++)
 		endpoint_drain(all[i], linger_us);
 }
 
@@ -216,8 +215,8 @@
 }
 
 /*
- * partial: a large deployment. A storm of configurations, while some endpoints
- * drain; no faults.
+ * partial: a large deployment. A storm of configurations, near the end of which
+ * some endpoints drain, twice; no faults.
  */
 static void partial_step(uint64_t us)
 {
@@ -225,12 +224,13 @@
 		more_routes = 1680;
 		write_config();
 	}
-	if (at(2, 10 * SECOND, us) && bed.trouble)
+	if ((at(2, 10 * SECOND, us) || at(4, 28 * SECOND, us)) && bed.trouble)
 		start_storm(9, us);
-	if (at(3, 10 * SECOND + 620 * MS, us))
-		scale_in(13, 14 * SECOND);
+	if (at(3, 10 * SECOND + 620 * MS, us) ||
+	    at(5, 28 * SECOND + 620 * MS, us))
+		scale_in(6, 14 * SECOND);
 	storm_step(us, 80 * MS, false);
-	if (at(4, 25 * SECOND, us))
+	if (at(6, 43 * SECOND, us))
 		finish();
 }
 
