--- a/review/standins/scenario.c
+++ b/review/standins/scenario.c
@@ -11,6 +11,9 @@
 #define MS 1000ull
 #define SECOND (1000 * MS)
 #define IDLE_ROUTES 120
+#define NAME_DIGITS 7
+/* The largest value that the store takes: value-bytes. */
+#define VALUE_BYTES 1048576
 /* Answers of the store begin after 4 ms; a page has 500 items or 1 MB. */
 #define ANSWER_US (4 * MS)
 #define PAGE_ITEMS 500
@@ -49,38 +52,38 @@
 static uint32_t broken, opened, ran, resets, answered;
 
 static void append_route(FILE *f, uint32_t host, uint16_t port,
-			 const char *kind, const char *service, uint32_t n)
+			 const char *kind, const char *service, uint32_t n,
+			 uint32_t name_digits)
 {
 	fprintf(f,
-		"%s{\"name\":\"r-%07x\",\"host\":\"%u.%u.%u.%u\","
+		"%s{\"name\":\"r-%0*x\",\"host\":\"%u.%u.%u.%u\","
 		"\"prefix\":\"/%u/\",\"kind\":\"%s\",\"timeout-ms\":3000,"
 		"\"target-latency-ms\":600,\"priority\":1,\"service\":\"%s\","
 		"\"retry-attempts\":2}",
-		n ? "," : "", n, host >> 24, host >> 16 & 255, host >> 8 & 255,
-		host & 255, port, kind, service);
+		n ? "," : "", (int)name_digits, n, host >> 24, host >> 16 & 255,
+		host >> 8 & 255, host & 255, port, kind, service);
 }
 
-/* The operator writes the newest configuration in full. */
-static void write_config(void)
+/* @more_digits: for the name of the first route; @n_routes is set. */
+static char *make_config(uint32_t name_digits, uint32_t more_digits,
+			 uint32_t *n_routes, size_t *n_bytes)
 {
 	char *text;
-	size_t n_text;
-	FILE *f = open_memstream(&text, &n_text);
+	FILE *f = open_memstream(&text, n_bytes);
 	uint32_t n = 0;
 
-	version += 1 + next_random() % 3;
 	fprintf(f, "{\"version\":%lu,\"routes\":[", (unsigned long)version);
 	append_route(f, traffic_vip.ip, traffic_vip.port, "unsafe", "svc-vault",
-		     n++);
+		     n++, name_digits + more_digits);
 	if (has_dropped)
 		append_route(f, dropped_vip.ip, dropped_vip.port, "unsafe",
-			     "svc-vault", n++);
+			     "svc-vault", n++, name_digits);
 	if (has_added)
 		append_route(f, added_vip.ip, added_vip.port, "unsafe",
-			     "svc-vault", n++);
+			     "svc-vault", n++, name_digits);
 	for (uint32_t i = 0; i < IDLE_ROUTES + more_routes; i++)
 		append_route(f, 0xc6120100 + (i / 200 << 8) + i % 200, 443,
-			     "unsafe", "svc-live", n++);
+			     "unsafe", "svc-live", n++, name_digits);
 	fprintf(f,
 		"],\"services\":[{\"name\":\"svc-live\",\"health-check-path\":"
 		"\"/health\",\"connection-limit\":2000},{\"name\":"
@@ -89,10 +92,31 @@
 		"%u}}",
 		idle_timeout_ms);
 	fclose(f);
+	*n_routes = n;
+	return text;
+}
+
+/* The operator writes the newest configuration in full. @exact_bytes: its size,
+ * to which the names of routes are made long enough; 0 for short names. */
+static void write_config(uint32_t exact_bytes)
+{
+	uint32_t n, digits = NAME_DIGITS, more = 0;
+	size_t n_bytes;
+	char *text;
+
+	version += 1 + next_random() % 3;
+	text = make_config(digits, 0, &n, &n_bytes);
+	if (exact_bytes) {
+		more = exact_bytes - (uint32_t)n_bytes;
+		digits += more / n;
+		more %= n;
+		free(text);
+		text = make_config(digits, more, &n, &n_bytes);
+	}
 	note("operator: version %lu, revision %lu, %u routes, %zu bytes",
 	     (unsigned long)version,
-	     (unsigned long)store_put("op/config", text, (uint32_t)n_text), n,
-	     n_text);
+	     (unsigned long)store_put("op/config", text, (uint32_t)n_bytes), n,
+	     n_bytes);
 	free(text);
 	last_change_us = now_us();
 }
@@ -113,7 +137,7 @@
 			has_dropped = false;
 			has_added = true;
 		}
-		write_config();
+		write_config(0);
 	}
 }
 
@@ -222,7 +246,7 @@
 {
 	if (at(1, 5 * SECOND, us)) {
 		more_routes = 1680;
-		write_config();
+		write_config(0);
 	}
 	if ((at(2, 10 * SECOND, us) || at(4, 28 * SECOND, us)) && bed.trouble)
 		start_storm(9, us);
@@ -234,6 +258,38 @@
 		finish();
 }
 
+/* Flows on the added and the dropped route, to each entry. */
+static void probe_routes(uint64_t us)
+{
+	static uint64_t next_us;
+
+	if (us < next_us)
+		return;
+	next_us = us + 500 * MS;
+	for (uint32_t e = 1; e <= bed.n_entries; e++) {
+		clients_probe(e, added_vip, TAG_ADDED);
+		clients_probe(e, dropped_vip, TAG_DROPPED);
+	}
+}
+
+/*
+ * largest: a configuration of the largest size that the store takes. Without
+ * trouble it has one byte less.
+ */
+static void largest_step(uint64_t us)
+{
+	if (at(1, 4 * SECOND, us)) {
+		more_routes = 1680;
+		has_dropped = false;
+		has_added = true;
+		write_config(bed.trouble ? VALUE_BYTES : VALUE_BYTES - 1);
+	}
+	if (phase == 1)
+		probe_routes(us);
+	if (at(2, 20 * SECOND, us))
+		finish();
+}
+
 /*
  * silent: a storm of configurations; in it the open connections to the store go
  * silent, new ones work.
@@ -242,7 +298,7 @@
 {
 	if (at(1, 4 * SECOND, us)) {
 		more_routes = 1680;
-		write_config();
+		write_config(0);
 	}
 	if (at(2, 9 * SECOND, us))
 		start_storm(25, us);
@@ -252,17 +308,8 @@
 		note("the open connections to the store are silent now");
 	}
 	storm_step(us, 80 * MS, true);
-	if (phase >= 3 && !storm_left && us >= t0_us + 12 * SECOND) {
-		static uint64_t next_us;
-
-		if (us >= next_us) {
-			for (uint32_t e = 1; e <= bed.n_entries; e++) {
-				clients_probe(e, added_vip, TAG_ADDED);
-				clients_probe(e, dropped_vip, TAG_DROPPED);
-			}
-			next_us = us + 500 * MS;
-		}
-	}
+	if (phase >= 3 && !storm_left && us >= t0_us + 12 * SECOND)
+		probe_routes(us);
 	if (at(4, 35 * SECOND, us))
 		finish();
 }
@@ -270,6 +317,8 @@
 static const struct plan plans[] = {
 	{ "partial", 480, 120, 2500000, 6 * SECOND, 6 * SECOND, 6 * SECOND,
 	  partial_step },
+	{ "largest", 14, 4, 0, 6 * SECOND, 6 * SECOND, 6 * SECOND,
+	  largest_step },
 	{ "silent", 14, 4, 0, 6 * SECOND, 6 * SECOND, 6 * SECOND, silent_step },
 };
 
@@ -320,7 +369,7 @@
 	store.link_bytes_per_s = plan->link_bytes_per_s;
 	store_open(&store);
 	clients_open();
-	write_config();
+	write_config(0);
 	for (uint32_t i = 0; i < plan->live + plan->vault; i++)
 		endpoint_add(i < plan->live ? "svc-live" : "svc-vault",
 			     i % ZONES);
