--- a/review/standins/scenario.c
+++ b/review/standins/scenario.c
@@ -34,9 +34,9 @@
 	void (*step)(uint64_t us);
 };
 
-static const struct vip traffic_vip = { 0xc6120001, 443 }; /* 198.18.0.1 */
-static const struct vip dropped_vip = { 0xc6120001, 8080 };
-static const struct vip added_vip = { 0xc6120001, 8443 };
+static const struct vip traffic_vip = { 0x7f120001, 443 }; /* 127.18.0.1 */
+static const struct vip dropped_vip = { 0x7f120001, 8080 };
+static const struct vip added_vip = { 0x7f120001, 8443 };
 static const struct plan *plan;
 static pid_t waiter;
 static uint64_t t0_us; /* all entries are ready */
@@ -82,7 +82,7 @@
 		append_route(f, added_vip.ip, added_vip.port, "unsafe",
 			     "svc-vault", n++, name_digits);
 	for (uint32_t i = 0; i < IDLE_ROUTES + more_routes; i++)
-		append_route(f, 0xc6120100 + (i / 200 << 8) + i % 200, 443,
+		append_route(f, 0x7f120100 + (i / 200 << 8) + i % 200, 443,
 			     "unsafe", "svc-live", n++, name_digits);
 	fprintf(f,
 		"],\"services\":[{\"name\":\"svc-live\",\"health-check-path\":"
@@ -379,7 +379,7 @@
 static void begin(uint64_t us)
 {
 	static const struct traffic t[] = {
-		{ { 0xc6120001, 443 }, 100, TAG_TRAFFIC }
+		{ { 0x7f120001, 443 }, 100, TAG_TRAFFIC }
 	};
 	int status;
 
