An advertised position means everything up to it

Cause: documents_put() raised the newest position, which peers compare, with each document of a listing. After the first of two pages it was advertised; what the second page brought was below it, so that no peer asked for it. Evidence: counter documents_late and its log line, added first. Change: the newest position is that of the latest change at or below the synced position. The same cause elsewhere: changes between two pages, pages that are seconds old, a peer's answer that fails halfway, the state of a peer that has listed only a part of a new epoch. Tests: four in packet_node_test failed before (three without the change of documents.c, one without that of node_fetch_begin()). Two assertions in packet_documents_test asked for a newest position that nothing had synced; the tests sync it now, and one also checks the value before. In packet_node_test test_changes_are_advertised_at_once answered a watch that had not begun.

--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -103,6 +103,7 @@
 	X(peer_calls)            \
 	X(peer_calls_failed)     \
 	X(documents_refused)     \
+	X(documents_late)        \
 	X(ejections)             \
 	X(held_up)               \
 	X(paused)
@@ -171,6 +172,8 @@
  *	applied
  * @refusals_since_ns: start of the second in which @refusals are counted
  * @refusals: documents refused in that second
+ * @newest_before: newest position before the answer that is being applied
+ * @late_logged: value of the counter documents_late when it was last logged
  * @counters: counters for the metrics
  */
 struct node {
@@ -208,6 +211,8 @@
 	uint32_t services_named;
 	uint64_t refusals_since_ns;
 	uint32_t refusals;
+	struct position newest_before;
+	uint64_t late_logged;
 	struct node_counters counters;
 };
 
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -76,11 +76,34 @@
 static void put_document(struct node *node, const struct document *doc,
 			 enum document_origin origin)
 {
-	if (documents_put(node->documents, doc, origin, node->now_ns) ==
-	    -ENOMEM)
+	struct position newest = node->newest_before;
+	int err = documents_put(node->documents, doc, origin, node->now_ns);
+
+	if (err == -ENOMEM)
 		node->port.log(node->port.ctx, NODE_ERROR, "document", doc->key,
 			       "revision %llu not stored: out of memory",
 			       (unsigned long long)doc->revision);
+	if (!err && doc->epoch == newest.epoch &&
+	    doc->revision <= newest.revision)
+		node->counters.documents_late++;
+}
+
+/*
+ * Peers that know the advertised position do not fetch changes below it, and
+ * keep the earlier versions.
+ */
+static void log_late(struct node *node)
+{
+	uint64_t late = node->counters.documents_late - node->late_logged;
+
+	node->late_logged = node->counters.documents_late;
+	if (late)
+		node->port.log(
+			node->port.ctx, NODE_WARNING, "documents", NULL,
+			"%llu changes at or below revision %llu, which was "
+			"advertised before",
+			(unsigned long long)late,
+			(unsigned long long)node->newest_before.revision);
 }
 
 /* The epoch of a document of the platform is in the header of the answer. */
@@ -203,6 +226,7 @@
 	if (!can_apply_answer(node, epoch))
 		return false;
 	node->answer_epoch = epoch;
+	node->newest_before = documents_newest(node->documents);
 	if (node->step == SOURCE_LIST && !node->list_first_revision)
 		documents_list_begin(node->documents);
 	return true;
@@ -292,6 +316,7 @@
 	bool changed;
 
 	node->now_ns = now_ns;
+	log_late(node);
 	if (outcome == SOURCE_GONE)
 		record_behind(node);
 	if (outcome == SOURCE_OK) {
@@ -338,7 +363,8 @@
  * Of two listings at once each would lack documents that only the other names.
  * So an entry without a snapshot abandons its own listing, and another one
  * refuses that of the peer. A peer in an earlier epoch is refused as well: what
- * it has was retained when the later epoch began.
+ * it has was retained when the later epoch began. So is one that has no complete
+ * state itself.
  *
  * Return: whether to apply the documents.
  */
@@ -346,8 +372,10 @@
 		      uint64_t now_ns)
 {
 	node->now_ns = now_ns;
-	if (head->through.epoch < documents_complete(node->documents).epoch)
+	if (!head->through.revision ||
+	    head->through.epoch < documents_complete(node->documents).epoch)
 		return false;
+	node->newest_before = documents_newest(node->documents);
 	if (!head->is_full_state)
 		return true;
 	if (node->source.listing && node_has_snapshot(node))
@@ -371,6 +399,7 @@
 
 	node->now_ns = now_ns;
 	node->fetching = false;
+	log_late(node);
 	if (!head) {
 		node->counters.peer_calls_failed++;
 		return;
--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -7,7 +7,9 @@
 #include <string.h>
 
 /*
- * @complete, @synced, @newest and @floor are revisions of @epoch;
+ * @complete, @synced, @newest, @latest and @floor are revisions of @epoch.
+ * @latest is that of the latest stored change; it exceeds @synced after the
+ * first pages of a listing, when earlier changes may still be unknown.
  * @retained_digest was computed when @change_count was @digest_change_count.
  */
 struct documents {
@@ -22,6 +24,7 @@
 	uint64_t complete;
 	uint64_t synced;
 	uint64_t newest;
+	uint64_t latest;
 	uint64_t floor;
 	uint64_t change_count;
 	uint64_t retained_digest;
@@ -172,6 +175,43 @@
 	       (!a->size_bytes || !memcmp(a->value, b->value, a->size_bytes));
 }
 
+/* Revision of the latest stored change of the epoch that is at or below
+ * @limit; 0 for none. */
+static uint64_t latest_up_to(const struct documents *docs, uint64_t limit)
+{
+	uint64_t latest = 0;
+
+	for (uint32_t i = 0; i < docs->n; i++) {
+		const struct document *doc = docs->all[i];
+
+		if (doc->epoch == docs->epoch && doc->revision <= limit &&
+		    doc->revision > latest)
+			latest = doc->revision;
+	}
+	return latest;
+}
+
+static void raise_latest(struct documents *docs, struct position at)
+{
+	if (at.epoch == docs->epoch && at.revision > docs->latest)
+		docs->latest = at.revision;
+}
+
+/*
+ * Raise the newest position to the latest change that every earlier one is
+ * known of. Peers take the newest position as a promise of everything up to it,
+ * and fetch nothing that arrives below it later.
+ */
+static void raise_newest(struct documents *docs)
+{
+	uint64_t newest = docs->latest <= docs->synced
+				  ? docs->latest
+				  : latest_up_to(docs, docs->synced);
+
+	if (newest > docs->newest)
+		docs->newest = newest;
+}
+
 /* Revisions of the earlier epoch have no meaning in the new one. */
 static void enter_epoch(struct documents *docs, uint64_t epoch, uint64_t now_ns)
 {
@@ -184,10 +224,7 @@
 	docs->newest = 0;
 	docs->floor = 0;
 	docs->change_count++;
-	for (uint32_t i = 0; i < docs->n; i++)
-		if (docs->all[i]->epoch == epoch &&
-		    docs->all[i]->revision > docs->newest)
-			docs->newest = docs->all[i]->revision;
+	docs->latest = latest_up_to(docs, UINT64_MAX);
 }
 
 static bool may_retain(const struct documents *docs, uint64_t now_ns)
@@ -316,7 +353,7 @@
 	doc->forget_ns = now_ns + docs->expiry.deleted_ns;
 	if (origin == DOCUMENT_LISTED)
 		doc->listing = docs->listing;
-	documents_raise_newest(docs, document_position(doc));
+	raise_latest(docs, document_position(doc));
 	docs->change_count++;
 	if (!same)
 		report_change(docs, doc);
@@ -374,7 +411,7 @@
 		if (doc->epoch == at.epoch || !may_retain(docs, now_ns))
 			delete_at(docs, doc, at, now_ns);
 	}
-	documents_raise_newest(docs, at);
+	raise_latest(docs, at);
 	docs->floor = floor.revision;
 	if (at.revision > docs->complete)
 		docs->complete = at.revision;
@@ -397,6 +434,7 @@
 		docs->synced = at.revision;
 	if (at.revision > docs->complete)
 		docs->complete = at.revision;
+	raise_newest(docs);
 }
 
 /**
@@ -404,12 +442,13 @@
  *	its changes
  * @docs: replica of the documents
  * @newest: newest position of the peer; the document may be gone, when it was a
- *	deletion that has expired since
+ *	deletion that has expired since. What exceeds documents_synced() is
+ *	ignored.
  */
 void documents_raise_newest(struct documents *docs, struct position newest)
 {
-	if (newest.epoch == docs->epoch && newest.revision > docs->newest)
-		docs->newest = newest.revision;
+	raise_latest(docs, newest);
+	raise_newest(docs);
 }
 
 /**
@@ -520,11 +559,15 @@
 }
 
 /**
- * documents_newest() - latest position of a known document
+ * documents_newest() - position of the latest change before which none is
+ *	missing
  * @docs: replica of the documents
  *
  * Peers compare it to see whether there is anything to fetch.
  * documents_synced() would not do: it grows with every heartbeat of a target.
+ * Changes after documents_synced() don't count, such as those of the first
+ * pages of a listing: an entry that fetched these would not ask for what the
+ * later pages bring.
  *
  * Return: position in the current epoch; revision 0 for none.
  */
--- a/test/packet_documents_test.c
+++ b/test/packet_documents_test.c
@@ -143,6 +143,7 @@
 	(void)state;
 	put(s, "a", 2, "x", DOCUMENT_CHANGED);
 	put(s, "a", 4, NULL, DOCUMENT_CHANGED);
+	documents_advance_synced(s, at(4), NS_PER_S);
 	documents_tick(s, NS_PER_S + KEEP_DELETED_NS - 1);
 	assert_non_null(find(s, "a"));
 	documents_tick(s, NS_PER_S + KEEP_DELETED_NS);
@@ -213,6 +214,8 @@
 	assert_string_equal((char *)find(s, "a")->value, "28");
 	assert_int_equal(put_in_epoch(s, 1, "a", 27, "26", DOCUMENT_CHANGED),
 			 -EALREADY);
+	assert_int_equal(documents_newest(s).revision, 23);
+	documents_advance_synced(s, (struct position){ 2, 26 }, NS_PER_S);
 	assert_int_equal(documents_newest(s).revision, 26);
 	documents_free(s);
 }
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -410,6 +410,102 @@
 			 TARGET_SERVING);
 }
 
+/* Peers would keep using a target that drains: they fetch between two pages,
+ * and the second page brings a change that is older than one of the first. */
+static void test_position_between_pages_is_not_advertised(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .boot = 1, .reply = true };
+	struct answer_head head = { .revision = 20, .more = true };
+
+	strcpy(head.last_key, "routes");
+	apply_listing(f);
+	advance(f, 400 * MS);
+	node_answer_end(f->node, SOURCE_GONE, &head, f->now_ns);
+	advance(f, 40 * MS);
+	node_answer_begin(f->node, 0, f->now_ns);
+	put_document(f, node_take_listed, "routes", 19, "4");
+	node_answer_end(f->node, SOURCE_OK, &head, f->now_ns);
+	node_receive_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.last.newest.revision, 10);
+	head.more = false;
+	head.revision = 23;
+	node_answer_begin(f->node, 0, f->now_ns);
+	put_document(f, node_take_listed, "t/1", 18, "bad");
+	put_document(f, node_take_listed, "t/2", 22, "x");
+	node_answer_end(f->node, SOURCE_OK, &head, f->now_ns);
+	assert_int_equal(f->calls.last.newest.revision, 19);
+	assert_int_equal(f->node->counters.documents_late, 0);
+}
+
+/* Peers would not fetch a change: it was written to a key of the first page
+ * after that page was read, and before a change that the second page brought. */
+static void test_change_between_pages_is_advertised(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .boot = 1, .reply = true };
+	struct answer_head head = { .revision = 10, .more = true };
+
+	strcpy(head.last_key, "routes");
+	advance(f, 40 * MS);
+	node_answer_begin(f->node, 0, f->now_ns);
+	put_document(f, node_take_listed, "routes", 5, "3");
+	node_answer_end(f->node, SOURCE_OK, &head, f->now_ns);
+	head.more = false;
+	head.revision = 12;
+	node_answer_begin(f->node, 0, f->now_ns);
+	put_document(f, node_take_listed, "t/1", 12, "x");
+	node_answer_end(f->node, SOURCE_OK, &head, f->now_ns);
+	node_receive_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.last.newest.revision, 5);
+	advance(f, 400 * MS);
+	assert_int_equal(f->calls.watch_after, 10);
+	node_answer_begin(f->node, 0, f->now_ns);
+	put_document(f, node_take_changed, "routes", 11, "4");
+	put_document(f, node_take_changed, "t/1", 12, "x");
+	node_answer_end(f->node, SOURCE_OK, &head, f->now_ns);
+	assert_int_equal(f->calls.last.newest.revision, 12);
+	assert_int_equal(f->node->counters.documents_late, 0);
+}
+
+/* What a peer sent before its answer turned out to be invalid must not hide the
+ * rest: the entry would not ask again. */
+static void test_cut_answer_of_peer_is_fetched_again(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .newest = { 0, 21 }, .boot = 1 };
+	struct relay_head head = { .through = { 0, 30 }, .newest = { 0, 21 } };
+
+	apply_listing(f);
+	node_receive_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.fetches, 1);
+	assert_true(node_fetch_begin(f->node, &head, f->now_ns));
+	put_document(f, node_take_relayed, "routes", 21, "4");
+	node_fetch_end(f->node, NULL, f->now_ns);
+	node_receive_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.fetches, 2);
+	assert_true(node_fetch_begin(f->node, &head, f->now_ns));
+	put_document(f, node_take_relayed, "routes", 21, "4");
+	put_document(f, node_take_relayed, "t/2", 20, "x");
+	node_fetch_end(f->node, &head, f->now_ns);
+	assert_non_null(directory_by_id(f->node->directory, 2));
+	node_receive_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.fetches, 2);
+}
+
+/* An entry would lose its snapshot with the documents of a peer that entered an
+ * epoch and has read only a part of it. */
+static void test_incomplete_state_of_peer_is_refused(void **state)
+{
+	struct fixture *f = *state;
+	struct relay_head head = { .through = { 2, 0 },
+				   .newest = { 2, 19 },
+				   .is_full_state = true };
+
+	apply_listing(f);
+	assert_false(node_fetch_begin(f->node, &head, f->now_ns));
+}
+
 /*
  * An entry without documents gets them from a peer sooner than by its listing.
  * It abandons the listing, and only the peer's documents count.
@@ -616,6 +712,8 @@
 
 	apply_listing(f);
 	node_receive_hello(f->node, &h, f->now_ns);
+	advance(f, 400 * MS);
+	assert_int_equal(f->calls.watches, 1);
 	before = f->calls.hellos;
 	node_answer_begin(f->node, 0, f->now_ns);
 	put_document(f, node_take_changed, "routes", 20, "4");
@@ -1062,6 +1160,10 @@
 		TEST(test_ready_after_first_listing),
 		TEST(test_not_ready_while_behind_a_peer),
 		TEST(test_state_of_peer_is_refused_while_listing),
+		TEST(test_position_between_pages_is_not_advertised),
+		TEST(test_change_between_pages_is_advertised),
+		TEST(test_cut_answer_of_peer_is_fetched_again),
+		TEST(test_incomplete_state_of_peer_is_refused),
 		TEST(test_state_of_peer_replaces_first_listing),
 		TEST(test_ready_with_state_of_one_peer),
 		TEST(test_reply_to_heartbeat_requests_no_reply),
