--- a/test/users_platform_test.c
+++ b/test/users_platform_test.c
@@ -224,6 +224,32 @@
 	}
 }
 
+static void receive_size(void *ctx, const struct document *d)
+{
+	*(uint32_t *)ctx = d->size_bytes;
+}
+
+/* Pass a value of @n bytes through a page of a listing. Return: size of the
+ * value that arrives, in bytes. */
+static uint32_t received_size_bytes(const char *key, uint32_t n)
+{
+	char *value = g_malloc0(n);
+	char *base64 = g_base64_encode((guchar *)value, n);
+	char *body =
+		g_strdup_printf("{\"items\":[{\"key\":\"%s\",\"value\":\"%s\","
+				"\"revision\":4}],\"store-revision\":5}",
+				key, base64);
+	uint32_t size_bytes = UINT32_MAX;
+	struct document_sink sink = { &size_bytes, receive_size };
+	struct answer_head head;
+
+	assert_int_equal(users_read_list(body, strlen(body), sink, &head), 0);
+	g_free(body);
+	g_free(base64);
+	g_free(value);
+	return size_bytes;
+}
+
 /* Values of other programs in the store must not take memory. */
 static void test_unused_keys_and_oversized_values_take_no_memory(void **state)
 {
@@ -245,6 +271,23 @@
 	g_free(big);
 }
 
+/* The padding of base64 must not count: the largest value would be refused, and
+ * the configuration before it would stay in force. */
+static void test_value_limit_is_exact(void **state)
+{
+	static const char *const keys[] = { "op/config", "servers/i-2",
+					    "op/evacuate/z" };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		uint32_t max_bytes = users_value_max_bytes(keys[i]);
+
+		for (uint32_t n = max_bytes - 3; n <= max_bytes + 3; n++)
+			assert_int_equal(received_size_bytes(keys[i], n),
+					 n <= max_bytes ? n : 0);
+	}
+}
+
 static void test_deletion_in_a_watch_is_decoded(void **state)
 {
 	static const char body[] =
@@ -660,6 +703,7 @@
 		cmocka_unit_test(test_malformed_value_arrives_empty),
 		cmocka_unit_test(
 			test_unused_keys_and_oversized_values_take_no_memory),
+		cmocka_unit_test(test_value_limit_is_exact),
 		cmocka_unit_test(test_deletion_in_a_watch_is_decoded),
 		cmocka_unit_test(test_malformed_answer_is_rejected),
 		cmocka_unit_test(test_target_is_decoded),
