--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 ADAPT := $(patsubst %,$(B)/adapters/%.o,addr daemon_args fields hello_codec histogram_text load_text http \
 	 http_client \
 	 json_text log mistakes msgpack_bound packet_settings policy_settings probe_outcome relay_codec settings \
-	 settings_table toml toml_shape usage zstd_delta)
+	 settings_table source_outcome toml toml_shape usage zstd_delta)
 endif
 # Simulators without their main(), for tests of their modules.
 SIMS := $(patsubst %.c,$(B)/%.o,$(filter-out %/main.c,$(wildcard sim/*.c sim/*/*.c)))
--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -9,8 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A page of a listing has up to 1 MB before base64 and JSON. */
-#define BODY_MAX_BYTES (8U << 20)
 #define READ_BYTES 65536
 /* Longest pause within an answer, allowing for a congested link. */
 #define STALL_MS 1500
@@ -85,6 +83,7 @@
 {
 	struct http_reply reply = {
 		.err = err,
+		.begun = client->first_byte_ns,
 		.status = err ? 0 : (int)client->parser.status_code,
 		.body = client->body->str,
 		.size_bytes = client->body->len,
@@ -113,7 +112,7 @@
 {
 	struct http_client *client = parser->data;
 
-	if (client->body->len + size_bytes > BODY_MAX_BYTES)
+	if (client->body->len + size_bytes > HTTP_BODY_MAX_BYTES)
 		return -EMSGSIZE;
 	g_string_append_len(client->body, data, (gssize)size_bytes);
 	return 0;
@@ -169,10 +168,17 @@
 {
 	http_parser_execute(&client->parser, &parser_callbacks, data,
 			    size_bytes);
-	if (HTTP_PARSER_ERRNO(&client->parser) == HPE_PAUSED) {
+	switch (HTTP_PARSER_ERRNO(&client->parser)) {
+	case HPE_OK:
+		return;
+	case HPE_PAUSED:
 		http_parser_pause(&client->parser, 0);
 		end_call(client, 0);
-	} else if (HTTP_PARSER_ERRNO(&client->parser) != HPE_OK) {
+		return;
+	case HPE_CB_body:
+		end_call(client, -EMSGSIZE);
+		return;
+	default:
 		end_call(client, -EPROTO);
 	}
 }
--- a/adapters/http_client.h
+++ b/adapters/http_client.h
@@ -9,11 +9,16 @@
 
 #include <uv.h>
 
+/* A page of a listing has up to 1 MB before base64 and JSON, or a single value
+ * of 1 MB beside others. */
+#define HTTP_BODY_MAX_BYTES (8U << 20)
+
 /**
  * struct http_reply - result of a call; its pointers are valid in the handler
  * @err: 0; or a negative error when no complete answer was received:
- *	-ETIMEDOUT, -ECONNREFUSED, -ECONNRESET, -EPROTO (also for a body above
- *	the limit), -EBUSY or another one of libuv
+ *	-ETIMEDOUT, -ECONNREFUSED, -ECONNRESET, -EPROTO, -EMSGSIZE for a body
+ *	above HTTP_BODY_MAX_BYTES, -EBUSY or another one of libuv
+ * @begun: bytes of the answer arrived
  * @status: HTTP status when @err is 0, otherwise 0
  * @body: body with a terminating zero byte
  * @size_bytes: size of @body without the zero byte
@@ -23,6 +28,7 @@
  */
 struct http_reply {
 	int err;
+	bool begun;
 	int status;
 	const char *body;
 	size_t size_bytes;
--- a/cmd/cb-packet/sync.c
+++ b/cmd/cb-packet/sync.c
@@ -4,8 +4,9 @@
  */
 #include "daemon.h"
 
-#include "relay_codec.h"
 #include "log.h"
+#include "relay_codec.h"
+#include "source_outcome.h"
 
 #include <errno.h>
 #include <string.h>
@@ -19,34 +20,31 @@
 #define WATCH_MARGIN_MS 600
 #define PEER_TIMEOUT_MS 800
 #define HTTP_OK 200
-#define HTTP_GONE 410
 
 static enum source_outcome read_platform_answer(struct packet_daemon *d,
 						const struct http_reply *reply,
 						uint64_t now_ns,
 						struct answer_head *head)
 {
+	enum source_outcome outcome =
+		source_outcome_from_reply(reply, d->node->step);
 	bool is_list = d->node->step == SOURCE_LIST;
 	struct document_sink to = { d->node, is_list ? node_take_listed
 						     : node_take_changed };
 	uint64_t epoch;
 	int err;
 
-	if (!reply->err && reply->status == HTTP_GONE)
-		return SOURCE_GONE;
-	if (reply->err == -EBUSY)
-		return SOURCE_DEFERRED;
-	if (reply->err || reply->status != HTTP_OK)
-		return SOURCE_FAILED;
+	if (outcome != SOURCE_OK)
+		return outcome;
 	if (d->platform->read_epoch(reply->header, &epoch))
-		return SOURCE_FAILED;
+		return SOURCE_UNREADABLE;
 	if (!node_answer_begin(d->node, epoch, now_ns))
 		return SOURCE_GONE;
 	err = is_list ? d->platform->read_list(reply->body, reply->size_bytes,
 					       to, head)
 		      : d->platform->read_changes(reply->body,
 						  reply->size_bytes, to, head);
-	return err ? SOURCE_FAILED : SOURCE_OK;
+	return err ? SOURCE_UNREADABLE : SOURCE_OK;
 }
 
 static void on_platform_reply(void *ctx, const struct http_reply *reply)
@@ -63,6 +61,12 @@
 			 "call failed: %s, status %d",
 			 reply->err ? uv_strerror(reply->err) : "answered",
 			 reply->status);
+	if (outcome == SOURCE_UNREADABLE)
+		log_line(LOG_WARNING, "platform", NULL,
+			 "answer to a %s unreadable after %zu bytes: %s",
+			 d->node->step == SOURCE_LIST ? "listing" : "watch",
+			 reply->size_bytes,
+			 uv_strerror(reply->err ? reply->err : -EPROTO));
 	node_answer_end(d->node, outcome, &head, now_ns);
 }
 
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -100,6 +100,7 @@
 	X(platform_calls_failed) \
 	X(platform_lists)        \
 	X(platform_behind)       \
+	X(platform_unreadable)   \
 	X(peer_calls)            \
 	X(peer_calls_failed)     \
 	X(documents_refused)     \
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -312,6 +312,7 @@
 		     const struct answer_head *head, uint64_t now_ns)
 {
 	struct position at = { 0 };
+	bool failed = outcome == SOURCE_FAILED || outcome == SOURCE_UNREADABLE;
 	struct source_view v;
 	bool changed;
 
@@ -319,12 +320,13 @@
 	log_late(node);
 	if (outcome == SOURCE_GONE)
 		record_behind(node);
+	node->counters.platform_unreadable += outcome == SOURCE_UNREADABLE;
 	if (outcome == SOURCE_OK) {
 		apply_answer_head(node, head);
 		at = (struct position){ node->answer_epoch, head->revision };
 	}
 	if (outcome != SOURCE_DEFERRED)
-		record_contact(node, outcome != SOURCE_FAILED, at);
+		record_contact(node, !failed, at);
 	changed = position_after(documents_newest(node->documents),
 				 node->advertised);
 	v = source_view_of(node);
@@ -333,7 +335,7 @@
 		   changed, &v);
 	if (!node->source.listing)
 		node->list_first_revision = 0;
-	if (changed || outcome == SOURCE_FAILED)
+	if (changed || failed)
 		node_advertise(node, NULL);
 	node->advertised = documents_newest(node->documents);
 	node_start_calls(node);
--- a/core/packet/publish/source.c
+++ b/core/packet/publish/source.c
@@ -193,6 +193,19 @@
 	source->listing = false;
 }
 
+/*
+ * Replace the request whose answer was unreadable by the other kind: a watch by
+ * a listing, which has the last value of each document only, and a listing by a
+ * watch.
+ */
+static void change_step(struct source *source)
+{
+	if (source->listing)
+		source->listing = false;
+	else
+		restart_listing(source);
+}
+
 /*
  * Pause before the listing that follows a SOURCE_GONE: none at first. When the
  * next watch fails in the same way, a listing does not help, and without a
@@ -249,6 +262,14 @@
 		source->next_ns = now_ns + gone_wait_ns(source);
 		return;
 	}
+	if (outcome == SOURCE_UNREADABLE &&
+	    (!source->listing || view->complete)) {
+		change_step(source);
+		source->next_ns = now_ns;
+		if (source->failures++)
+			source->next_ns += RETRY_FIRST_NS << doublings;
+		return;
+	}
 	/* Only the failed page is requested again. If the listing began anew,
 	 * one of many pages would never end at a platform that refuses some
 	 * calls. */
--- a/core/packet/publish/source.h
+++ b/core/packet/publish/source.h
@@ -19,11 +19,19 @@
 /**
  * enum source_outcome - how a call ended
  * @SOURCE_OK: the answer was processed
- * @SOURCE_FAILED: no answer, an error status, or a malformed answer
+ * @SOURCE_FAILED: no answer, or an error status
+ * @SOURCE_UNREADABLE: the answer is too large or malformed, or to a watch and
+ *	cut off. Asking again would not help: the answer to a watch only grows.
  * @SOURCE_GONE: the platform no longer has the history asked for; list again
  * @SOURCE_DEFERRED: the request was not sent, see source_may_send()
  */
-enum source_outcome { SOURCE_OK, SOURCE_FAILED, SOURCE_GONE, SOURCE_DEFERRED };
+enum source_outcome {
+	SOURCE_OK,
+	SOURCE_FAILED,
+	SOURCE_UNREADABLE,
+	SOURCE_GONE,
+	SOURCE_DEFERRED
+};
 
 /**
  * struct source_view - input of the decisions
@@ -64,7 +72,7 @@
  * @exact: no page of a listing may be stale; otherwise only its first page may
  *	not
  * @transfer_ns: time between the first and the last byte of the last answer
- * @failures: consecutive failed calls
+ * @failures: consecutive calls that failed or had an unreadable answer
  * @gone_count: calls with outcome SOURCE_GONE since a watch was answered
  * @deferrals: calls with outcome SOURCE_DEFERRED
  */
--- a/test/http_client_test.c
+++ b/test/http_client_test.c
@@ -8,6 +8,8 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,7 +29,9 @@
 	struct http_client *client;
 	uint32_t done;
 	int err;
+	bool begun;
 	int status;
+	size_t size_bytes;
 	char body[64];
 	struct http_request *unanswered;
 	uint32_t connected;
@@ -48,6 +52,11 @@
 	}
 	if (!strcmp(path, "/missing"))
 		return 404;
+	if (!strcmp(path, "/large")) {
+		g_string_set_size(body, strtoul(query, NULL, 10));
+		memset(body->str, 'x', body->len);
+		return 200;
+	}
 	g_string_printf(body, "%s %s", path, query);
 	return 200;
 }
@@ -58,6 +67,8 @@
 
 	fixture->done++;
 	fixture->err = r->err;
+	fixture->begun = r->begun;
+	fixture->size_bytes = r->size_bytes;
 	fixture->status = r->status;
 	if (r->size_bytes < sizeof(fixture->body))
 		strcpy(fixture->body, r->body);
@@ -300,6 +311,30 @@
 	assert_int_equal(fixture->err, -ETIMEDOUT);
 }
 
+/* An answer above the limit must be told from a platform that fails: repeating
+ * the request would not help. */
+static void test_body_limit_is_exact(void **state)
+{
+	struct fixture *fixture = *state;
+	char path[32];
+
+	for (uint32_t n = HTTP_BODY_MAX_BYTES - 1; n <= HTTP_BODY_MAX_BYTES + 1;
+	     n++) {
+		snprintf(path, sizeof(path), "/large?%u", n);
+		get(fixture, SERVER, path, LONG_MS);
+		assert_true(fixture->begun);
+		if (n <= HTTP_BODY_MAX_BYTES) {
+			assert_int_equal(fixture->err, 0);
+			assert_int_equal(fixture->size_bytes, n);
+		} else {
+			assert_int_equal(fixture->err, -EMSGSIZE);
+			assert_true(fixture->size_bytes <= n);
+		}
+	}
+	get(fixture, SERVER, "/a?", LONG_MS);
+	assert_int_equal(fixture->err, 0);
+}
+
 static void test_truncated_and_malformed_answers_are_errors(void **state)
 {
 	struct fixture *fixture = *state;
@@ -307,8 +342,10 @@
 	expect_raw_answer(fixture,
 			  "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
 			  -ECONNRESET);
+	assert_true(fixture->begun);
 	expect_raw_answer(fixture, "nonsense\r\n\r\n", -EPROTO);
 	expect_raw_answer(fixture, "", -ECONNRESET);
+	assert_false(fixture->begun);
 }
 
 int main(void)
@@ -322,6 +359,7 @@
 		TEST(test_reconnects_after_server_closed),
 		TEST(test_slow_answer_is_not_aborted_while_bytes_arrive),
 		TEST(test_answer_that_stalls_times_out),
+		TEST(test_body_limit_is_exact),
 		TEST(test_truncated_and_malformed_answers_are_errors),
 	};
 
--- a/test/packet_source_test.c
+++ b/test/packet_source_test.c
@@ -355,6 +355,71 @@
 	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
 }
 
+/* An entry would ask for the same changes until the platform has dropped them:
+ * the answer is larger than the entry accepts and grows with each change. */
+static void test_unreadable_watch_is_followed_by_listing(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 9, 0);
+
+	(void)state;
+	source_begin(&s, SOURCE_WATCH);
+	source_end(&s, SOURCE_UNREADABLE, false, false, &v);
+	assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+	assert_true(s.exact);
+	source_begin(&s, SOURCE_LIST);
+	source_end(&s, SOURCE_OK, true, true, &v);
+	source_begin(&s, SOURCE_LIST);
+	source_end(&s, SOURCE_OK, false, true, &v);
+	assert_int_equal(s.failures, 0);
+	v.now_ns = s.next_ns;
+	assert_int_equal(source_next(&s, &v), SOURCE_WATCH);
+}
+
+/* Neither request may be repeated when the other one has not been tried, nor
+ * may the two alternate as fast as the platform answers. */
+static void test_unreadable_answers_alternate_with_pauses(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 9, 0);
+	enum source_step step = SOURCE_WATCH;
+	uint64_t pause_ns = 0;
+
+	(void)state;
+	for (uint32_t i = 0; i < 8; i++) {
+		assert_int_equal(source_next(&s, &v), step);
+		source_begin(&s, step);
+		source_end(&s, SOURCE_UNREADABLE, false, false, &v);
+		assert_true(s.next_ns - v.now_ns >= pause_ns);
+		pause_ns = s.next_ns - v.now_ns;
+		v.now_ns = s.next_ns;
+		step = step == SOURCE_WATCH ? SOURCE_LIST : SOURCE_WATCH;
+	}
+	assert_in_range(pause_ns, 400 * MS, NS_PER_S);
+}
+
+/* Without a position there is nothing to watch: the page is requested again,
+ * and the listing does not go on without end. */
+static void test_unreadable_page_of_first_listing_is_retried(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 0, 0, 0);
+
+	(void)state;
+	source_begin(&s, SOURCE_LIST);
+	source_end(&s, SOURCE_OK, true, true, &v);
+	for (uint32_t i = 0; i < 8; i++) {
+		assert_true(s.listing);
+		v.now_ns = s.next_ns;
+		assert_int_equal(source_next(&s, &v), SOURCE_LIST);
+		source_begin(&s, SOURCE_LIST);
+		source_end(&s, SOURCE_UNREADABLE, false, false, &v);
+		assert_true(s.next_ns > v.now_ns);
+	}
+	assert_false(s.listing);
+	assert_true(s.relist);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -380,6 +445,10 @@
 		cmocka_unit_test(test_failed_calls_back_off),
 		cmocka_unit_test(test_process_without_documents_backs_off_less),
 		cmocka_unit_test(test_repeatedly_compacted_history_backs_off),
+		cmocka_unit_test(test_unreadable_watch_is_followed_by_listing),
+		cmocka_unit_test(test_unreadable_answers_alternate_with_pauses),
+		cmocka_unit_test(
+			test_unreadable_page_of_first_listing_is_retried),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
