No port of an entry reports a result before it returns

Callers saw: one record of a target at an address that the kernel refuses to connect to ended every entry, and again after each start. Cause: probes_start() reported the refused connection inside the call, and the health check started the next probe inside that outcome, without end. Change: a refused attempt is reported as silent when its time is over; a probe that can't be started returns an error instead of an outcome; http_client_get() reports a failed start from the loop. Records with an address that no target can have are refused. Counter probes_unreachable.

--- a/adapters/http_client.c
+++ b/adapters/http_client.c
@@ -32,11 +32,13 @@
 /**
  * struct http_client - HTTP client
  * @loop: event loop
- * @timer: ends a call whose answer doesn't begin in time or stalls
+ * @timer: ends a call whose answer doesn't begin in time or stalls, or that
+ *	could not be started
  * @handler: called at the end of calls
  * @connection: current connection, or NULL
  * @server: address that @connection is made to
  * @is_busy: a call is in progress
+ * @start_err: why the call could not be started
  * @parser: state of the HTTP parser
  * @body: body of the answer
  * @request: text of the request
@@ -53,6 +55,7 @@
 	struct connection *connection;
 	uint64_t server;
 	bool is_busy;
+	int start_err;
 	http_parser parser;
 	GString *body;
 	GString *request;
@@ -108,6 +111,13 @@
 	end_call(timer->data, -ETIMEDOUT);
 }
 
+static void on_start_failed(uv_timer_t *timer)
+{
+	struct http_client *client = timer->data;
+
+	end_call(client, client->start_err);
+}
+
 static int on_body(http_parser *parser, const char *data, size_t size_bytes)
 {
 	struct http_client *client = parser->data;
@@ -213,7 +223,7 @@
 		end_call(conn->client, status);
 }
 
-static void send_request(struct http_client *client)
+static int send_request(struct http_client *client)
 {
 	uv_write_t *write = malloc(sizeof(*write));
 	uv_buf_t buf = uv_buf_init(client->request->str,
@@ -225,16 +235,16 @@
 	if (write)
 		err = uv_write(write, (uv_stream_t *)&client->connection->tcp,
 			       &buf, 1, on_written);
-	if (!err)
-		return;
-	free(write);
-	end_call(client, err);
+	if (err)
+		free(write);
+	return err;
 }
 
 static void on_connect(uv_connect_t *connect, int status)
 {
 	struct connection *conn = connect->data;
 	struct http_client *client = conn->client;
+	int err;
 
 	if (!client)
 		return;
@@ -251,7 +261,9 @@
 		end_call(client, -EBUSY);
 		return;
 	}
-	send_request(client);
+	err = send_request(client);
+	if (err)
+		end_call(client, err);
 }
 
 static int start_connect(struct http_client *client, uint64_t server)
@@ -314,14 +326,13 @@
  * With a limit, a large answer would never be complete over a slow link, and
  * each new attempt would fill the link.
  *
- * Return: 0, and the handler is called at the end; -EBUSY while a call is in
- * progress; another negative error when the call could not be started.
+ * Return: 0, and the handler is called at the end, never before this function
+ * returns; -EBUSY while a call is in progress.
  */
 int http_client_get(struct http_client *client, uint64_t server,
 		    const char *path, uint64_t timeout_ms)
 {
 	char host[32];
-	int err;
 
 	if (client->is_busy)
 		return -EBUSY;
@@ -334,18 +345,13 @@
 	    (client->server != server || !client->connection->is_connected))
 		close_connection(client);
 	client->is_busy = true;
-	uv_timer_start(&client->timer, on_timeout, timeout_ms, 0);
-	if (client->connection) {
-		send_request(client);
-		return 0;
-	}
-	err = start_connect(client, server);
-	if (!err)
-		return 0;
-	client->is_busy = false;
-	uv_timer_stop(&client->timer);
-	close_connection(client);
-	return err;
+	client->start_err = client->connection ? send_request(client)
+					       : start_connect(client, server);
+	if (client->start_err)
+		uv_timer_start(&client->timer, on_start_failed, 0, 0);
+	else
+		uv_timer_start(&client->timer, on_timeout, timeout_ms, 0);
+	return 0;
 }
 
 /**
--- a/adapters/platform.c
+++ b/adapters/platform.c
@@ -18,14 +18,11 @@
  * @client: HTTP client
  * @server: endpoint of the platform
  * @handler: receives answers
- * @failure_timer: reports a call that could not be started. The handler must
- *	not be called from within platform_call()
  */
 struct platform {
 	struct http_client *client;
 	uint64_t server;
 	struct platform_handler handler;
-	uv_timer_t failure_timer;
 };
 
 static void on_done(void *ctx, const struct http_reply *reply)
@@ -41,14 +38,6 @@
 	platform->handler.answer(platform->handler.ctx, &answer);
 }
 
-static void on_failed(uv_timer_t *timer)
-{
-	struct reader_answer no_answer = { .body = "" };
-	struct platform *platform = timer->data;
-
-	platform->handler.answer(platform->handler.ctx, &no_answer);
-}
-
 int platform_open(uv_loop_t *loop, const char *url,
 		  struct platform_handler handler, struct platform **out)
 {
@@ -69,8 +58,6 @@
 		return err;
 	}
 	http_client_capture_header(platform->client, "X-Revision");
-	uv_timer_init(loop, &platform->failure_timer);
-	platform->failure_timer.data = platform;
 	*out = platform;
 	return 0;
 }
@@ -99,10 +86,9 @@
 {
 	GString *path = call_path(call, key, after);
 
-	if (http_client_get(platform->client, platform->server, path->str,
-			    call == CALL_WATCH ? WATCH_TIMEOUT_MS
-					       : CALL_TIMEOUT_MS))
-		uv_timer_start(&platform->failure_timer, on_failed, 0, 0);
+	http_client_get(platform->client, platform->server, path->str,
+			call == CALL_WATCH ? WATCH_TIMEOUT_MS
+					   : CALL_TIMEOUT_MS);
 	g_string_free(path, TRUE);
 }
 
@@ -113,17 +99,10 @@
 void platform_cancel(struct platform *platform)
 {
 	http_client_cancel(platform->client);
-	uv_timer_stop(&platform->failure_timer);
-}
-
-static void on_closed(uv_handle_t *handle)
-{
-	free(handle->data);
 }
 
 /**
- * platform_close() - close the client; its memory is freed by the next
- *	iteration of the loop
+ * platform_close() - close the client
  * @platform: client, or NULL
  */
 void platform_close(struct platform *platform)
@@ -132,5 +111,5 @@
 		return;
 	platform_cancel(platform);
 	http_client_close(platform->client);
-	uv_close((uv_handle_t *)&platform->failure_timer, on_closed);
+	free(platform);
 }
--- a/adapters/probe_outcome.c
+++ b/adapters/probe_outcome.c
@@ -10,7 +10,8 @@
  * reset after the handshake means that a process accepted the connection and
  * closed it, as a target does that has as many connections as it allows.
  * Treating it as ended would reset the flows of live targets during a load
- * spike.
+ * spike. An address that the kernel refuses to connect to counts as one that
+ * doesn't answer.
  *
  * Return: the outcome; PROBE_INCONCLUSIVE when this VM lacks resources for the
  * attempt.
@@ -26,6 +27,10 @@
 	case UV_ETIMEDOUT:
 	case UV_EHOSTUNREACH:
 	case UV_ENETUNREACH:
+	case UV_ENETDOWN:
+	case UV_EACCES:
+	case UV_EPERM:
+	case UV_EINVAL:
 		return PROBE_SILENT;
 	default:
 		return PROBE_INCONCLUSIVE;
--- a/bench/slopes-packets/main.c
+++ b/bench/slopes-packets/main.c
@@ -21,6 +21,13 @@
 
 static const uint32_t sizes[] = { 5, 50, 500, 5000 };
 
+static int ignore_probe(void *ctx, const struct target *t)
+{
+	(void)ctx;
+	(void)t;
+	return 0;
+}
+
 static void ignore_target(void *ctx, const struct target *t)
 {
 	(void)ctx;
@@ -100,7 +107,7 @@
 	struct path_conf conf = { .flows_max = FLOWS,
 				  .flow_lifetime_ns = 60 * NS_PER_S };
 	struct path_port port = {
-		.health = { NULL, ignore_target, ignore_target, ignore_health },
+		.health = { NULL, ignore_probe, ignore_target, ignore_health },
 		.resend = ignore_resend,
 		.send_queued = ignore_send,
 		.reset = ignore_flow,
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -36,6 +36,7 @@
 	X(probes)              \
 	X(probes_refused)      \
 	X(probes_silent)       \
+	X(probes_unreachable)  \
 	X(decisions_not_logged)
 
 struct packet_counters {
@@ -208,7 +209,7 @@
 void sync_fetch(void *ctx, uint64_t peer, struct position after);
 
 /* probes.c: connections that test whether a target is running. */
-void probes_start(void *ctx, const struct target *target);
+int probes_start(void *ctx, const struct target *target);
 void probes_tick(struct packet_daemon *d, uint64_t now_ns);
 void probes_close(struct packet_daemon *d);
 
--- a/cmd/cb-packet/probes.c
+++ b/cmd/cb-packet/probes.c
@@ -6,6 +6,7 @@
 #include "daemon.h"
 #include "probe_outcome.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 
@@ -64,12 +65,27 @@
 	}
 }
 
+/*
+ * The network may refuse an attempt at once, for example without a route to the
+ * target. It is reported as silent when its time is over: reported now, the next
+ * attempt would follow at once, and the attempts would fill the processor.
+ */
+static void note_unreachable(struct probe *p)
+{
+	p->daemon->counters.probes_unreachable++;
+}
+
 static void on_connect(uv_connect_t *connect, int status)
 {
 	struct probe *p = connect->data;
+	enum probe_outcome outcome = probe_outcome_from_status(status);
 
-	if (status != UV_ECANCELED)
-		finish_probe(p, probe_outcome_from_status(status));
+	if (status == UV_ECANCELED)
+		return;
+	if (outcome == PROBE_SILENT)
+		note_unreachable(p);
+	else
+		finish_probe(p, outcome);
 }
 
 static uint32_t find_free_slot(const struct packet_daemon *d)
@@ -99,10 +115,11 @@
  * @ctx: struct packet_daemon
  * @target: target
  *
- * The outcome goes to node_probe_ended(). It is PROBE_INCONCLUSIVE when no slot
- * is free.
+ * Return: 0, and the outcome goes to node_probe_ended() later; -EBUSY when no
+ * slot is free, or another negative error when this VM lacks resources for the
+ * attempt.
  */
-void probes_start(void *ctx, const struct target *target)
+int probes_start(void *ctx, const struct target *target)
 {
 	struct packet_daemon *d = ctx;
 	uint32_t slot = make_free_slot(d);
@@ -112,18 +129,14 @@
 		.sin_port = htons(ADDR_PORT(target->advertised.addr)),
 		.sin_addr.s_addr = htonl(ADDR_IP(target->advertised.addr)),
 	};
-	struct incarnation incarnation = target_incarnation(target);
 	int err;
 
-	if (!p) {
-		node_probe_ended(d->node, &incarnation, PROBE_INCONCLUSIVE,
-				 d->now_ns, d->now_ns);
-		return;
-	}
+	if (!p)
+		return slot < PROBES_MAX ? -ENOMEM : -EBUSY;
 	d->counters.probes++;
 	d->probes[slot] = p;
 	p->daemon = d;
-	p->incarnation = incarnation;
+	p->incarnation = target_incarnation(target);
 	p->start_ns = uv_hrtime();
 	p->deadline_ns =
 		p->start_ns + path_probe_timeout_ns(d->node->path, p->start_ns);
@@ -132,8 +145,14 @@
 	p->connect.data = p;
 	err = uv_tcp_connect(&p->connect, &p->tcp, (struct sockaddr *)&to,
 			     on_connect);
-	if (err)
-		finish_probe(p, probe_outcome_from_status(err));
+	if (!err)
+		return 0;
+	if (probe_outcome_from_status(err) == PROBE_SILENT) {
+		note_unreachable(p);
+		return 0;
+	}
+	release_probe(d, p);
+	return err;
 }
 
 /**
--- a/cmd/cb-packet/sync.c
+++ b/cmd/cb-packet/sync.c
@@ -80,13 +80,8 @@
 static void call_platform(struct packet_daemon *d, const char *path,
 			  uint64_t timeout_ms)
 {
-	int err = http_client_get(d->platform_client, d->settings.platform,
-				  path, timeout_ms);
-
-	if (err)
-		on_platform_reply(d, &(struct http_reply){ .err = err,
-							   .body = "",
-							   .header = "" });
+	http_client_get(d->platform_client, d->settings.platform, path,
+			timeout_ms);
 }
 
 /**
@@ -191,7 +186,6 @@
 	struct packet_daemon *d = ctx;
 	struct relay_base base = relay_select_base(d->node->documents);
 	char path[URL_PATH_MAX_BYTES];
-	int err;
 
 	g_snprintf(path, sizeof(path),
 		   "/documents?epoch=%" G_GUINT64_FORMAT
@@ -201,12 +195,9 @@
 		   after.epoch, after.revision, base.key_hash, base.since.epoch,
 		   base.since.revision);
 	d->fetch_peer = peer;
-	err = http_client_get(d->peer_client,
-			      ADDR(ADDR_IP(peer), ADDR_PORT(d->settings.http)),
-			      path, PEER_TIMEOUT_MS);
-	if (err)
-		on_peer_reply(d,
-			      &(struct http_reply){ .err = err, .body = "" });
+	http_client_get(d->peer_client,
+			ADDR(ADDR_IP(peer), ADDR_PORT(d->settings.http)), path,
+			PEER_TIMEOUT_MS);
 }
 
 /**
--- a/core/packet/node.c
+++ b/core/packet/node.c
@@ -144,11 +144,11 @@
 	send_hello(node, to, count, dead, HELLO_UNSOLICITED);
 }
 
-static void probe_target(void *ctx, const struct target *target)
+static int probe_target(void *ctx, const struct target *target)
 {
 	struct node *node = ctx;
 
-	node->port.probe(node->port.ctx, target);
+	return node->port.probe(node->port.ctx, target);
 }
 
 static void resend(void *ctx, const struct flow_state *flow, uint8_t reason)
--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -50,6 +50,10 @@
 
 /**
  * struct node_port - calls that an entry makes
+ *
+ * No call may report its result before it returns: the entry would be entered
+ * again in the middle of a decision.
+ *
  * @ctx: first argument of each call
  * @list: request a page of the platform's listing, from the first key or from
  *	the one after @after_key. @exact demands the present state; otherwise
@@ -62,7 +66,9 @@
  * @fetch: request the documents that changed after @after from a peer;
  *	node_fetch_end() reports the end of the call
  * @hello: send a heartbeat to the @n_to peers in @to
- * @probe: connect to a target; node_probe_ended() reports the outcome
+ * @probe: connect to a target; node_probe_ended() reports the outcome. Return:
+ *	0, or a negative error when no attempt was started and no outcome
+ *	follows.
  * @resend: send the flow's kept packet (resend_packet) to its target; @reason
  *	is one of enum path_reason
  * @send_queued: forward a packet from the queue to the flow's target; the
@@ -80,7 +86,7 @@
 	void (*fetch)(void *ctx, uint64_t peer, struct position after);
 	void (*hello)(void *ctx, const uint64_t *to, uint32_t n_to,
 		      const struct hello *hello);
-	void (*probe)(void *ctx, const struct target *target);
+	int (*probe)(void *ctx, const struct target *target);
 	void (*resend)(void *ctx, const struct flow_state *flow,
 		       uint8_t reason);
 	void (*send_queued)(void *ctx, const struct flow_state *flow,
--- a/core/packet/target/health.c
+++ b/core/packet/target/health.c
@@ -15,6 +15,14 @@
 	c->port->changed(c->port->ctx, t, before);
 }
 
+static void record_inconclusive(struct target *t,
+				const struct health_context *c)
+{
+	t->probe_pending = false;
+	if (t->health == HEALTH_SUSPECTED)
+		set_health(t, c, HEALTH_GOOD);
+}
+
 /**
  * health_send_probe() - probe a target, unless a probe is pending
  * @t: target
@@ -26,7 +34,8 @@
 		return;
 	t->probe_pending = true;
 	t->probe_sent_ns = c->now_ns;
-	c->port->probe(c->port->ctx, t);
+	if (c->port->probe(c->port->ctx, t))
+		record_inconclusive(t, c);
 }
 
 static void set_alive(struct target *t, const struct health_context *c)
@@ -178,8 +187,7 @@
 			t->next_probe_ns = c->now_ns + c->policy->look_again_ns;
 		break;
 	case PROBE_INCONCLUSIVE:
-		if (t->health == HEALTH_SUSPECTED)
-			set_health(t, c, HEALTH_GOOD);
+		record_inconclusive(t, c);
 		break;
 	}
 }
--- a/core/packet/target/health.h
+++ b/core/packet/target/health.h
@@ -31,15 +31,16 @@
 /**
  * struct health_port - callbacks of the module
  * @ctx: passed to each callback
- * @probe: start a connection attempt to the target; its outcome goes to
- *	health_record_probe()
+ * @probe: start a connection attempt to the target. Return: 0, and the outcome
+ *	goes to health_record_probe() later, never during the call; a negative
+ *	error when no attempt was started.
  * @dead: this entry found the target dead; peers are to be notified
  * @changed: the target's health changed; @before is the previous enum
  *	target_health
  */
 struct health_port {
 	void *ctx;
-	void (*probe)(void *ctx, const struct target *t);
+	int (*probe)(void *ctx, const struct target *t);
 	void (*dead)(void *ctx, const struct target *t);
 	void (*changed)(void *ctx, const struct target *t, uint8_t before);
 };
--- a/fuzz/users_fuzz.c
+++ b/fuzz/users_fuzz.c
@@ -6,6 +6,8 @@
 #include "relay_codec.h"
 #include "users_platform.h"
 
+#include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -59,6 +61,36 @@
 	free(copy);
 }
 
+/* A valid record of a target at any address: accepted if a target can be there.
+ */
+static void fuzz_address(const uint8_t *data, uint32_t size,
+			 struct directory *directory)
+{
+	struct document document = { .revision = 1, .key = "servers/i-12" };
+	struct decoded_document decoded;
+	const char *problem;
+	char json[256];
+	bool is_valid;
+	uint16_t port;
+	int err;
+
+	if (size < 6)
+		return;
+	port = (uint16_t)(data[4] << 8 | data[5]);
+	document.size_bytes = (uint32_t)snprintf(
+		json, sizeof(json),
+		"{\"service\":\"s\",\"address\":\"%u.%u.%u.%u:%u\","
+		"\"zone\":\"z\",\"version\":\"1\",\"slots\":1,"
+		"\"state\":\"ready\",\"cold-remaining-ms\":0,"
+		"\"sequence\":1}",
+		data[0], data[1], data[2], data[3], port);
+	document.value = (uint8_t *)json;
+	is_valid = data[0] > 0 && data[0] < 224 && port;
+	err = users_read_document(&document, directory, &decoded, &problem);
+	if (err != (is_valid ? 0 : -EPROTO))
+		abort();
+}
+
 static void fuzz_epoch(const uint8_t *data, uint32_t size)
 {
 	char text[64] = "";
@@ -87,7 +119,7 @@
 	struct relay_head relay;
 	struct hello hello;
 
-	switch (decoder % 7) {
+	switch (decoder % 8) {
 	case 0:
 		fuzz_packet(data, size);
 		break;
@@ -106,6 +138,9 @@
 	case 5:
 		hello_decode(data, size, &hello);
 		break;
+	case 6:
+		fuzz_address(data, size, directory);
+		break;
 	default:
 		relay_decode(data, size, port, &relay);
 		break;
--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -193,20 +193,21 @@
 				 w->now_ns);
 }
 
-static void probe(void *ctx, const struct target *t)
+static int probe(void *ctx, const struct target *t)
 {
 	struct port_ctx *c = ctx;
 	uint32_t at = targets_find_by_addr(c->w, t->advertised.addr);
-	const struct sim_target *s = &c->w->targets[at];
+	const struct sim_target *s =
+		at != UINT32_MAX ? &c->w->targets[at] : NULL;
 	enum probe_outcome outcome = PROBE_ACCEPTED;
 	uint64_t round_trip_ns =
-		2 * world_one_way_ns(c->w, c->entry->zone, s->zone);
+		s ? 2 * world_one_way_ns(c->w, c->entry->zone, s->zone) : 0;
 	uint64_t timeout_ns =
 		path_probe_timeout_ns(c->entry->node->path, c->w->now_ns);
 	uint64_t delay_ns = link_delay_ns(c->w, c->entry, SYN_BYTES);
 	uint32_t index =
 		attempt_alloc(c->w, (uint32_t)(c->entry - c->w->entries), t);
-	bool lost = s->vm_down || delay_ns == UINT64_MAX ||
+	bool lost = !s || s->vm_down || delay_ns == UINT64_MAX ||
 		    world_is_partitioned(c->w, c->entry->zone, s->zone);
 
 	c->w->report.probes++;
@@ -217,10 +218,11 @@
 		world_schedule(c->w, timeout_ns, on_probed, index, PROBE_SILENT,
 			       0);
 	if (lost)
-		return;
+		return 0;
 	if (!s->alive)
 		outcome = PROBE_REFUSED;
 	world_schedule(c->w, round_trip_ns, on_probed, index, outcome, 0);
+	return 0;
 }
 
 static uint32_t find_user(const struct world *w, const struct flow_key *flow)
@@ -250,7 +252,11 @@
 	uint32_t at = targets_find_by_addr(w, t->advertised.addr);
 	const struct sim_target *s = &w->targets[at];
 	uint32_t bytes = k->size_bytes + HEADER_BYTES;
-	uint64_t delay_ns = link_delay_ns(w, e, bytes + ENCAPSULATION_BYTES);
+	uint64_t delay_ns;
+
+	if (at == UINT32_MAX)
+		return; /* no route to the address */
+	delay_ns = link_delay_ns(w, e, bytes + ENCAPSULATION_BYTES);
 
 	if (s->zone != e->zone)
 		w->report.cross_dc_bytes += bytes;
--- a/sim/sim-packets/fault_table.c
+++ b/sim/sim-packets/fault_table.c
@@ -250,6 +250,22 @@
 					   random_target(w), false);
 }
 
+/* Two addresses that the kernel refuses to connect to, and one of each kind that
+ * no target can have. */
+static void unreachable_targets(struct world *w)
+{
+	static const uint64_t addrs[] = {
+		ADDR(0x7fffffff, 9), /* 127.255.255.255, broadcast */
+		ADDR(0x7f000000, 9), /* 127.0.0.0, network */
+		ADDR(0xe0000001, 9), /* 224.0.0.1, multicast */
+		ADDR(0xffffffff, 9), /* limited broadcast */
+		ADDR(0, 9),	     ADDR(0x7f000001, 0),
+	};
+
+	for (size_t i = 0; i < sizeof(addrs) / sizeof(addrs[0]); i++)
+		world_write_unreachable_record(w, random_target(w), addrs[i]);
+}
+
 static void foreign_entries_in_place(struct world *w)
 {
 	for (uint32_t i = DEFECT_NONE + 1; i < DEFECT_KINDS; i++)
@@ -603,6 +619,8 @@
 	  late_entries, 0.995 },
 	{ "foreign_entries", "invalid records under keys of their own",
 	  foreign_entries, 0.999 },
+	{ "unreachable_targets", "targets at addresses without a route",
+	  unreachable_targets, 0.98 },
 	{ "foreign_entries_in_place",
 	  "invalid records in place of those of targets",
 	  foreign_entries_in_place, 0.995 },
--- a/sim/sim-packets/restarts.c
+++ b/sim/sim-packets/restarts.c
@@ -79,6 +79,24 @@
 		       t->advertised.started_ms, ++t->advertised.sequence);
 }
 
+/**
+ * world_write_unreachable_record() - publish a target at an address that cannot
+ *	be reached
+ * @w: emulator
+ * @like: index of the target whose other fields the record has
+ * @addr: the address
+ */
+void world_write_unreachable_record(struct world *w, uint32_t like,
+				    uint64_t addr)
+{
+	struct target_value v;
+
+	store_target_value(w, &w->targets[like], &v);
+	v.advertised.id = ++w->last_id;
+	v.advertised.addr = addr;
+	store_write_target(w, v.advertised.id, &v);
+}
+
 /**
  * world_write_foreign_record() - write an invalid record of a target
  * @w: emulator
--- a/sim/sim-packets/store.c
+++ b/sim/sim-packets/store.c
@@ -464,6 +464,13 @@
 	return 0;
 }
 
+/* Whether a target can have the address: a unicast one, and a port. */
+static bool is_endpoint(uint64_t addr)
+{
+	return ADDR_PORT(addr) && ADDR_IP(addr) >> 24 &&
+	       ADDR_IP(addr) >> 24 < 224;
+}
+
 int store_decode(const struct document *d, struct directory *names,
 		 struct decoded_document *out, const char **problem)
 {
@@ -489,6 +496,8 @@
 	*problem = "not a target's";
 	if (v.defect && v.defect != DEFECT_NO_START_TIME)
 		return v.defect == DEFECT_SERVICE ? -ENOENT : -EPROTO;
+	if (!is_endpoint(v.advertised.addr))
+		return -EPROTO;
 	v.advertised.id = out->target.id;
 	v.advertised.key_hash = out->target.key_hash;
 	out->target = v.advertised;
--- a/sim/sim-packets/targets.c
+++ b/sim/sim-packets/targets.c
@@ -70,7 +70,7 @@
 	return i;
 }
 
-/* Index of the target that currently has an address. */
+/* Index of the target that currently has an address, UINT32_MAX for none. */
 uint32_t targets_find_by_addr(const struct world *w, uint64_t addr)
 {
 	uint32_t i = ADDR_IP(addr) - TARGET_IP;
@@ -79,9 +79,7 @@
 	for (uint32_t k = w->n_targets; k-- > i + 1;)
 		if (w->targets[k].advertised.addr == addr)
 			return k;
-	if (i >= w->n_targets)
-		abort(); /* bug in the emulator */
-	return i;
+	return i < w->n_targets ? i : UINT32_MAX;
 }
 
 static struct sim_flow *find_flow(struct sim_target *t, uint32_t user,
--- a/sim/sim-packets/world.h
+++ b/sim/sim-packets/world.h
@@ -258,6 +258,8 @@
 void world_delay_record(struct world *w, uint32_t target, uint64_t delay_ns);
 void world_write_foreign_record(struct world *w, enum record_defect defect,
 				uint32_t target, bool under_its_key);
+void world_write_unreachable_record(struct world *w, uint32_t like,
+				    uint64_t addr);
 void world_release_target(struct world *w, uint32_t target);
 void world_reuse_address(struct world *w, uint32_t target);
 void world_evacuate(struct world *w, uint32_t zone, bool on);
--- a/sim/sim-soak/main.c
+++ b/sim/sim-soak/main.c
@@ -57,6 +57,7 @@
 	"targets_fail",
 	"targets_hang",
 	"burst_of_one_class",
+	"unreachable_targets",
 };
 
 static void restart_store_servers(struct soak *s);
--- a/sim/sim-soak/processes.c
+++ b/sim/sim-soak/processes.c
@@ -208,11 +208,10 @@
 		struct soak_entry *e = &s->entries[i];
 
 		if (e->readiness_client &&
-		    !http_client_is_busy(e->readiness_client) &&
-		    http_client_get(e->readiness_client,
-				    ADDR(PEER_IP + i, READY_PORT), "/readiness",
-				    READY_TIMEOUT_MS))
-			e->ready = false;
+		    !http_client_is_busy(e->readiness_client))
+			http_client_get(e->readiness_client,
+					ADDR(PEER_IP + i, READY_PORT),
+					"/readiness", READY_TIMEOUT_MS);
 	}
 }
 
--- a/test/http_client_test.c
+++ b/test/http_client_test.c
@@ -17,6 +17,8 @@
 
 #define SERVER ADDR(loopback_host(), 17090)
 #define RAW_SERVER ADDR(loopback_host(), 17091)
+/* The kernel refuses to connect to a broadcast address. */
+#define REFUSED_SERVER ADDR(0x7fffffff, 9)
 #define LONG_MS 5000
 #define SHORT_MS 50
 #define LOOP_RUNS_MAX 20000
@@ -183,6 +185,24 @@
 	assert_int_equal(fixture->err, 0);
 }
 
+/* A handler that starts the next call would recurse without end, if it were
+ * called by the function that starts a call. */
+static void test_failed_start_is_reported_after_the_call(void **state)
+{
+	struct fixture *fixture = *state;
+
+	assert_int_equal(http_client_get(fixture->client, REFUSED_SERVER, "/a",
+					 LONG_MS),
+			 0);
+	assert_int_equal(fixture->done, 0);
+	assert_true(http_client_is_busy(fixture->client));
+	for (uint32_t i = 0; i < LOOP_RUNS_MAX && !fixture->done; i++)
+		uv_run(&fixture->loop, UV_RUN_NOWAIT);
+	assert_int_equal(fixture->err, -ENETUNREACH);
+	get(fixture, SERVER, "/a?", LONG_MS);
+	assert_int_equal(fixture->err, 0);
+}
+
 static void test_refused_connection_is_an_error(void **state)
 {
 	struct fixture *fixture = *state;
@@ -355,6 +375,7 @@
 		TEST(test_calls_share_one_connection),
 		TEST(test_handler_may_reject_a_new_connection),
 		TEST(test_silent_server_ends_with_timeout),
+		TEST(test_failed_start_is_reported_after_the_call),
 		TEST(test_refused_connection_is_an_error),
 		TEST(test_reconnects_after_server_closed),
 		TEST(test_slow_answer_is_not_aborted_while_bytes_arrive),
--- a/test/packet_bed.c
+++ b/test/packet_bed.c
@@ -10,12 +10,15 @@
 
 static const uint8_t syn_bytes[HEADER_BYTES];
 
-static void on_probe(void *ctx, const struct target *t)
+static int on_probe(void *ctx, const struct target *t)
 {
 	struct bed *b = ctx;
 
+	if (b->probe_err)
+		return b->probe_err;
 	b->probes[b->n_probes++ % BED_EVENTS_MAX] =
 		(struct bed_probe){ target_incarnation(t), b->now_ns, false };
+	return 0;
 }
 
 static void on_resend(void *ctx, const struct flow_state *f, uint8_t reason)
--- a/test/packet_bed.h
+++ b/test/packet_bed.h
@@ -36,7 +36,8 @@
  * targets that kept packets were resent to, packets from the queue, clients of
  * flows that were reset, ids of targets found dead, ids of ejected targets.
  * @refusals is the last report of refusals, @n_refusals the number of reports.
- * @change is the result of the last publication.
+ * @change is the result of the last publication, @probe_err what the port
+ * returns for a probe.
  */
 struct bed {
 	struct directory *directory;
@@ -44,6 +45,7 @@
 	uint64_t now_ns;
 	struct bed_probe probes[BED_EVENTS_MAX];
 	uint32_t n_probes;
+	int probe_err;
 	uint64_t resent_to[BED_EVENTS_MAX];
 	uint32_t n_resent;
 	struct bed_sent sent[BED_EVENTS_MAX];
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -87,10 +87,11 @@
 	f->calls.last = *h;
 }
 
-static void on_probe(void *ctx, const struct target *t)
+static int on_probe(void *ctx, const struct target *t)
 {
 	(void)ctx;
 	(void)t;
+	return 0;
 }
 
 static void on_resend(void *ctx, const struct flow_state *f, uint8_t reason)
--- a/test/packet_path_test.c
+++ b/test/packet_path_test.c
@@ -349,6 +349,33 @@
 	bed_close(&b);
 }
 
+/* A target that this VM has no room to probe would count as pending for good,
+ * and never be found dead. */
+static void test_target_is_probed_later_without_room_now(void **state)
+{
+	struct bed b;
+	struct path_verdict v;
+
+	(void)state;
+	bed_open(&b);
+	bed_target(&b, 1, SERVICE, ZONE);
+	v = bed_open_flow(&b, CALLER, VIP);
+	b.probe_err = -EBUSY;
+	b.now_ns += 100 * MS;
+	bed_data(&b, CALLER, VIP, v.target->cookie, 2, 2, 100);
+	bed_advance(&b, 500 * MS);
+	assert_int_equal(bed_pending_probes(&b), 0);
+	assert_int_equal(v.target->health, HEALTH_GOOD);
+	assert_int_equal(b.n_resets, 0);
+	b.probe_err = 0;
+	bed_data(&b, CALLER, VIP, v.target->cookie, 2, 2, 100);
+	bed_advance(&b, 500 * MS);
+	assert_int_equal(bed_pending_probes(&b), 1);
+	bed_end_probes(&b, 1, PROBE_REFUSED);
+	assert_int_equal(b.n_dead, 1);
+	bed_close(&b);
+}
+
 /*
  * An open flow would be reset while its target serves: the link delays packets
  * by 60 ms, so that probes of a near target are answered just before the time
@@ -729,6 +756,7 @@
 		cmocka_unit_test(test_full_link_of_this_vm_resets_no_flows),
 		cmocka_unit_test(
 			test_silent_target_resets_flows_when_witness_answers),
+		cmocka_unit_test(test_target_is_probed_later_without_room_now),
 		cmocka_unit_test(test_late_probe_answer_shows_target_alive),
 		cmocka_unit_test(
 			test_late_witness_answer_does_not_cover_later_probes),
--- a/test/probe_outcome_test.c
+++ b/test/probe_outcome_test.c
@@ -37,6 +37,18 @@
 			 PROBE_SILENT);
 }
 
+/* An entry would go on opening flows at an address that it cannot reach. */
+static void refused_address_means_silent(void **state)
+{
+	static const int statuses[] = { UV_ENETDOWN, UV_EACCES, UV_EPERM,
+					UV_EINVAL };
+
+	(void)state;
+	for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++)
+		assert_int_equal(probe_outcome_from_status(statuses[i]),
+				 PROBE_SILENT);
+}
+
 static void local_resource_shortage_is_inconclusive(void **state)
 {
 	(void)state;
@@ -52,6 +64,7 @@
 		cmocka_unit_test(reset_after_handshake_means_alive),
 		cmocka_unit_test(refused_connection_means_ended),
 		cmocka_unit_test(timeout_and_unreachable_mean_silent),
+		cmocka_unit_test(refused_address_means_silent),
 		cmocka_unit_test(local_resource_shortage_is_inconclusive),
 	};
 
