A refused destination costs only its own datagram

Callers saw: packets of other flows lost, and retransmitted after 200 ms, when they left in one batch with a packet to an address that the kernel refuses. Cause: sendmmsg() stops at the first datagram with an error; the rest of the batch, or all of it, was dropped. Change: the batch is a module of its own (adapters/send_batch), which goes on after such a datagram, and stops when the socket is full. Test: send_batch_test, seven patterns of refused and good destinations; failed before (0 of 7 sent when the first one is refused).

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 ifeq ($(OWN),1)
 ADAPT := $(patsubst %,$(B)/adapters/%.o,addr daemon_args fields hello_codec histogram_text load_text http \
 	 http_client \
-	 json_text log mistakes msgpack_bound packet_settings policy_settings probe_outcome relay_codec settings \
+	 json_text log mistakes msgpack_bound packet_settings policy_settings probe_outcome relay_codec send_batch settings \
 	 settings_table source_outcome toml toml_shape usage zstd_delta)
 endif
 # Simulators without their main(), for tests of their modules.
--- a/cmd/cb-packet/clients.c
+++ b/cmd/cb-packet/clients.c
@@ -32,38 +32,19 @@
  * clients_flush() - send the batch of outgoing datagrams
  * @d: process
  *
- * Datagrams that the socket doesn't accept are counted and dropped.
+ * Datagrams that the socket doesn't accept are counted and dropped: the link is
+ * full, and the sender retransmits, or their destination can't be reached.
  */
 void clients_flush(struct packet_daemon *d)
 {
-	struct send_batch *batch = &d->batch;
-	struct sockaddr_in to[DATAGRAM_BATCH];
-	struct iovec parts[DATAGRAM_BATCH][2];
-	struct mmsghdr messages[DATAGRAM_BATCH] = { 0 };
-	int sent;
+	uint32_t n = d->batch.n;
+	uint32_t sent;
 
-	if (!batch->n)
+	if (!n)
 		return;
-	for (uint32_t i = 0; i < batch->n; i++) {
-		to[i] = sockaddr_from_addr(batch->to[i]);
-		parts[i][0] =
-			(struct iovec){ batch->head[i], batch->head_bytes[i] };
-		parts[i][1] = (struct iovec){ (void *)batch->data[i],
-					      batch->data_bytes[i] };
-		messages[i].msg_hdr = (struct msghdr){
-			.msg_name = &to[i],
-			.msg_namelen = sizeof(to[i]),
-			.msg_iov = parts[i],
-			.msg_iovlen = batch->data_bytes[i] ? 2 : 1,
-		};
-	}
-	sent = sendmmsg(d->clients_fd, messages, batch->n, 0);
-	if (sent < 0)
-		sent = 0;
-	/* No queue here: the link is full, and the sender retransmits. */
-	d->counters.datagrams_sent += (uint32_t)sent;
-	d->counters.datagrams_unsent += batch->n - (uint32_t)sent;
-	batch->n = 0;
+	sent = send_batch_flush(d->clients_fd, &d->batch);
+	d->counters.datagrams_sent += sent;
+	d->counters.datagrams_unsent += n - sent;
 }
 
 static uint32_t next_batch_slot(struct packet_daemon *d)
--- a/cmd/cb-packet/daemon.h
+++ b/cmd/cb-packet/daemon.h
@@ -10,11 +10,10 @@
 #include "node.h"
 #include "packet_settings.h"
 #include "relay_codec.h"
+#include "send_batch.h"
 
 #include <uv.h>
 
-/* Datagrams of one recvmmsg() or sendmmsg(). */
-#define DATAGRAM_BATCH 64
 /* Size of a receive buffer; longer datagrams are truncated. */
 #define PACKET_BUFFER_BYTES 1536
 #define PROBES_MAX 64
@@ -45,24 +44,6 @@
 #undef X
 };
 
-/**
- * struct send_batch - outgoing datagrams that clients_flush() sends
- * @n: number of datagrams
- * @to: their destinations
- * @head: first part of each, copied
- * @head_bytes: size of each first part
- * @data: second part of each, not copied
- * @data_bytes: size of each second part, 0 for none
- */
-struct send_batch {
-	uint32_t n;
-	uint64_t to[DATAGRAM_BATCH];
-	uint8_t head[DATAGRAM_BATCH][RESET_MAX_BYTES];
-	uint32_t head_bytes[DATAGRAM_BATCH];
-	const uint8_t *data[DATAGRAM_BATCH];
-	uint32_t data_bytes[DATAGRAM_BATCH];
-};
-
 /**
  * struct relay_cache - encoded documents for peers
  * @body: all documents, for peers that have none; NULL before the first request
