Documents of peers that can't be read are fetched with pauses

Cause: after a failed or refused answer of a peer the next call followed with the next tick or heartbeat, without end where the peer runs another release. Change: pauses from the second failure in a row on (50 to 400 ms); after three failures the entry reads the platform itself until no peer is ahead. Tests: one each in packet_node_test (100 calls in 2 s before, 5 to 10 allowed) and packet_source_test; both failed before.

--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -158,6 +158,9 @@
  * @advertised: newest position that was advertised to the neighbours outside
  *	the regular heartbeats
  * @fetching: a call to a peer is pending
+ * @fetch_failures: consecutive calls to peers that failed, or whose documents
+ *	were refused; 0 once no peer is ahead
+ * @fetch_next_ns: earliest time of the next call to a peer
  * @fetching_other_zone: that peer is in another data centre
  * @fetching_retained: digest of what that peer retains from earlier epochs
  * @retained_fetched: digest of what the peer that answered last retained
@@ -201,6 +204,8 @@
 	uint64_t answer_epoch;
 	struct position advertised;
 	bool fetching;
+	uint32_t fetch_failures;
+	uint64_t fetch_next_ns;
 	bool fetching_other_zone;
 	uint64_t fetching_retained;
 	uint64_t retained_fetched;
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -4,6 +4,12 @@
 #include <errno.h>
 #include <string.h>
 
+/* Pause after the second call to a peer in a row that failed; doubled after each
+ * further one. The first is followed by another call at once, which usually
+ * goes to another peer. */
+#define FETCH_RETRY_NS (50 * NS_PER_MS)
+#define FETCH_DOUBLINGS 3
+
 static struct source_view source_view_of(const struct node *node)
 {
 	return (struct source_view){
@@ -19,6 +25,7 @@
 			node->now_ns),
 		.live_peers = peer_set_count_live(node->peers, node->now_ns),
 		.fetching = node->fetching,
+		.fetch_failures = node->fetch_failures,
 		.random = hash_u64(node->now_ns,
 				   node->conf.self ^ node->conf.boot),
 	};
@@ -33,6 +40,8 @@
 		return;
 	peer = peer_set_find_ahead_of(node->peers, &own, node->now_ns);
 	if (!peer)
+		node->fetch_failures = 0;
+	if (!peer || node->now_ns < node->fetch_next_ns)
 		return;
 	node->fetching = true;
 	node->fetching_retained = peer->retained_digest;
@@ -387,6 +396,19 @@
 	return true;
 }
 
+static void record_fetch_failure(struct node *node)
+{
+	uint32_t repeats = node->fetch_failures++;
+
+	node->counters.peer_calls_failed++;
+	if (!repeats)
+		return;
+	repeats--;
+	if (repeats > FETCH_DOUBLINGS)
+		repeats = FETCH_DOUBLINGS;
+	node->fetch_next_ns = node->now_ns + (FETCH_RETRY_NS << repeats);
+}
+
 /**
  * node_fetch_end() - handle the end of a call to a peer
  * @node: entry
@@ -403,9 +425,10 @@
 	node->fetching = false;
 	log_late(node);
 	if (!head) {
-		node->counters.peer_calls_failed++;
+		record_fetch_failure(node);
 		return;
 	}
+	node->fetch_failures = 0;
 	if (head->is_full_state)
 		documents_list_end(node->documents, head->through, head->floor,
 				   now_ns);
--- a/core/packet/publish/source.c
+++ b/core/packet/publish/source.c
@@ -44,6 +44,9 @@
 /* After this many failures the first page of the listing may be older than the
  * history that the platform keeps, and the listing begins again. */
 #define LISTING_FAILURES 8
+/* After this many failures in a row, an entry that peers are ahead of reads the
+ * platform itself: it may run another release, and not understand them. */
+#define FETCH_FAILURES 3
 /* An entry without documents serves no client, so it retries more often. */
 #define RETRY_DOUBLINGS_FIRST 1
 
@@ -92,6 +95,8 @@
 		return view->now_ns >= first_call_ns(source, view);
 	if (!view->policy->one_reader)
 		return true;
+	if (view->fetch_failures >= FETCH_FAILURES)
+		return true;
 	if (view->readers_before >= READING_ZONES)
 		return false;
 	if (!view->rank &&
--- a/core/packet/publish/source.h
+++ b/core/packet/publish/source.h
@@ -47,6 +47,7 @@
  * @live_peers: number of live peers
  * @readers_before: number of data centres with a reader that precede this one
  * @fetching: a call to a peer with newer documents is in progress
+ * @fetch_failures: consecutive calls to such peers that failed
  * @random: random number, different at each VM
  */
 struct source_view {
@@ -59,6 +60,7 @@
 	uint32_t live_peers;
 	uint32_t readers_before;
 	bool fetching;
+	uint32_t fetch_failures;
 	uint64_t random;
 };
 
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -494,6 +494,31 @@
 	assert_int_equal(f->calls.fetches, 2);
 }
 
+/* A peer whose documents are refused each time would be asked as fast as it
+ * answers. */
+static void test_refused_documents_are_fetched_less_often(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .newest = { 0, 21 }, .boot = 1 };
+	uint32_t fetches = 0;
+
+	apply_listing(f);
+	for (uint32_t i = 0; i < 100; i++) {
+		node_receive_hello(f->node, &h, f->now_ns);
+		if (f->calls.fetches > fetches)
+			node_fetch_end(f->node, NULL, f->now_ns);
+		fetches = f->calls.fetches;
+		advance(f, 20 * MS);
+	}
+	assert_in_range(fetches, 5, 10);
+	assert_int_equal(f->node->counters.peer_calls_failed, fetches);
+	/* What the platform says of that position ends the series. */
+	h.newest.revision = 10;
+	node_receive_hello(f->node, &h, f->now_ns);
+	advance(f, 20 * MS);
+	assert_int_equal(f->node->fetch_failures, 0);
+}
+
 /* An entry would lose its snapshot with the documents of a peer that entered an
  * epoch and has read only a part of it. */
 static void test_incomplete_state_of_peer_is_refused(void **state)
@@ -1164,6 +1189,7 @@
 		TEST(test_position_between_pages_is_not_advertised),
 		TEST(test_change_between_pages_is_advertised),
 		TEST(test_cut_answer_of_peer_is_fetched_again),
+		TEST(test_refused_documents_are_fetched_less_often),
 		TEST(test_incomplete_state_of_peer_is_refused),
 		TEST(test_state_of_peer_replaces_first_listing),
 		TEST(test_ready_with_state_of_one_peer),
--- a/test/packet_source_test.c
+++ b/test/packet_source_test.c
@@ -398,6 +398,22 @@
 	assert_in_range(pause_ns, 400 * MS, NS_PER_S);
 }
 
+/* Peers that are ahead run another release, and their documents are unreadable
+ * here: the entry would keep what it has. */
+static void test_entry_reads_when_peers_are_unreadable(void **state)
+{
+	struct source s = { .start_ns = START_NS };
+	struct source_view v = view(START_NS + NS_PER_S, 5, 9, START_NS);
+
+	(void)state;
+	v.readers_before = 2;
+	v.others_contact_ns = v.now_ns;
+	v.fetch_failures = 2;
+	assert_int_equal(source_next(&s, &v), SOURCE_WAIT);
+	v.fetch_failures = 3;
+	assert_int_equal(source_next(&s, &v), SOURCE_WATCH);
+}
+
 /* Without a position there is nothing to watch: the page is requested again,
  * and the listing does not go on without end. */
 static void test_unreadable_page_of_first_listing_is_retried(void **state)
@@ -447,6 +463,7 @@
 		cmocka_unit_test(test_repeatedly_compacted_history_backs_off),
 		cmocka_unit_test(test_unreadable_watch_is_followed_by_listing),
 		cmocka_unit_test(test_unreadable_answers_alternate_with_pauses),
+		cmocka_unit_test(test_entry_reads_when_peers_are_unreadable),
 		cmocka_unit_test(
 			test_unreadable_page_of_first_listing_is_retried),
 	};
