An older state of a peer doesn't bring back deleted documents

Callers would see: flows to a target that is gone, at entries that started lately. Cause: an entry asks a peer and lists the store; the listing ends first and lacks a key that was deleted. node_fetch_begin() then accepted the peer's older state, which has the key, and set the floor back. Nothing brought the deletion. Change: an answer that a listing has overtaken since the call began is refused; its positions count, as this entry knows as much. The counter of late changes is kept by the documents and leaves out deletions of what is not known. Tests: two in packet_node_test, which failed before.

--- a/core/packet/node.h
+++ b/core/packet/node.h
@@ -161,6 +161,7 @@
  * @fetch_failures: consecutive calls to peers that failed, or whose documents
  *	were refused; 0 once no peer is ahead
  * @fetch_next_ns: earliest time of the next call to a peer
+ * @fetch_after: position up to which everything was known when it began
  * @fetching_other_zone: that peer is in another data centre
  * @fetching_retained: digest of what that peer retains from earlier epochs
  * @retained_fetched: digest of what the peer that answered last retained
@@ -182,8 +183,6 @@
  *	applied
  * @refusals_since_ns: start of the second in which @refusals are counted
  * @refusals: documents refused in that second
- * @newest_before: newest position before the answer that is being applied
- * @late_logged: value of the counter documents_late when it was last logged
  * @counters: counters for the metrics
  */
 struct node {
@@ -204,6 +203,7 @@
 	uint64_t answer_epoch;
 	struct position advertised;
 	bool fetching;
+	struct position fetch_after;
 	uint32_t fetch_failures;
 	uint64_t fetch_next_ns;
 	bool fetching_other_zone;
@@ -223,8 +223,6 @@
 	uint32_t services_named;
 	uint64_t refusals_since_ns;
 	uint32_t refusals;
-	struct position newest_before;
-	uint64_t late_logged;
 	struct node_counters counters;
 };
 
--- a/core/packet/node_calls.c
+++ b/core/packet/node_calls.c
@@ -46,9 +46,9 @@
 	node->fetching = true;
 	node->fetching_retained = peer->retained_digest;
 	node->fetching_other_zone = peer->zone != node_zone(node);
+	node->fetch_after = documents_synced(node->documents);
 	node->counters.peer_calls++;
-	node->port.fetch(node->port.ctx, peer->addr,
-			 documents_synced(node->documents));
+	node->port.fetch(node->port.ctx, peer->addr, node->fetch_after);
 }
 
 static void start_watch(struct node *node, const struct source_view *v)
@@ -85,16 +85,11 @@
 static void put_document(struct node *node, const struct document *doc,
 			 enum document_origin origin)
 {
-	struct position newest = node->newest_before;
-	int err = documents_put(node->documents, doc, origin, node->now_ns);
-
-	if (err == -ENOMEM)
+	if (documents_put(node->documents, doc, origin, node->now_ns) ==
+	    -ENOMEM)
 		node->port.log(node->port.ctx, NODE_ERROR, "document", doc->key,
 			       "revision %llu not stored: out of memory",
 			       (unsigned long long)doc->revision);
-	if (!err && doc->epoch == newest.epoch &&
-	    doc->revision <= newest.revision)
-		node->counters.documents_late++;
 }
 
 /*
@@ -103,16 +98,17 @@
  */
 static void log_late(struct node *node)
 {
-	uint64_t late = node->counters.documents_late - node->late_logged;
+	uint64_t before = node->counters.documents_late;
 
-	node->late_logged = node->counters.documents_late;
-	if (late)
+	node->counters.documents_late = documents_late_count(node->documents);
+	if (node->counters.documents_late > before)
 		node->port.log(
 			node->port.ctx, NODE_WARNING, "documents", NULL,
 			"%llu changes at or below revision %llu, which was "
 			"advertised before",
-			(unsigned long long)late,
-			(unsigned long long)node->newest_before.revision);
+			(unsigned long long)(node->counters.documents_late -
+					     before),
+			(unsigned long long)node->advertised.revision);
 }
 
 /* The epoch of a document of the platform is in the header of the answer. */
@@ -235,7 +231,6 @@
 	if (!can_apply_answer(node, epoch))
 		return false;
 	node->answer_epoch = epoch;
-	node->newest_before = documents_newest(node->documents);
 	if (node->step == SOURCE_LIST && !node->list_first_revision)
 		documents_list_begin(node->documents);
 	return true;
@@ -363,6 +358,20 @@
 	node->list_first_revision = 0;
 }
 
+/*
+ * Whether a peer sent documents of a position that a listing of the platform has
+ * overtaken since the call began. They may have been deleted, and a listing does
+ * not show what was: they would be added again, for good.
+ */
+static bool is_overtaken(const struct node *node, const struct relay_head *head)
+{
+	struct position known = documents_complete(node->documents);
+
+	return position_after(known, head->through) &&
+	       (head->is_full_state ||
+		position_after(known, node->fetch_after));
+}
+
 /**
  * node_fetch_begin() - start to apply the documents of a peer, which follow by
  *	node_take_relay_listed() when @head->is_full_state, otherwise by
@@ -374,8 +383,8 @@
  * Of two listings at once each would lack documents that only the other names.
  * So an entry without a snapshot abandons its own listing, and another one
  * refuses that of the peer. A peer in an earlier epoch is refused as well: what
- * it has was retained when the later epoch began. So is one that has no complete
- * state itself.
+ * it has was retained when the later epoch began. So are one that has no complete
+ * state itself, and one that this entry's listing has overtaken.
  *
  * Return: whether to apply the documents.
  */
@@ -386,7 +395,12 @@
 	if (!head->through.revision ||
 	    head->through.epoch < documents_complete(node->documents).epoch)
 		return false;
-	node->newest_before = documents_newest(node->documents);
+	if (is_overtaken(node, head)) {
+		documents_advance_synced(node->documents, head->through,
+					 now_ns);
+		documents_raise_newest(node->documents, head->newest);
+		return false;
+	}
 	if (!head->is_full_state)
 		return true;
 	if (node->source.listing && node_has_snapshot(node))
--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -10,6 +10,7 @@
  * @complete, @synced, @newest, @latest and @floor are revisions of @epoch.
  * @latest is that of the latest stored change; it exceeds @synced after the
  * first pages of a listing, when earlier changes may still be unknown.
+ * @late_count counts changes at or below @newest, which had been advertised.
  * @retained_digest was computed when @change_count was @digest_change_count.
  */
 struct documents {
@@ -26,6 +27,7 @@
 	uint64_t newest;
 	uint64_t latest;
 	uint64_t floor;
+	uint64_t late_count;
 	uint64_t change_count;
 	uint64_t retained_digest;
 	uint64_t digest_change_count;
@@ -295,6 +297,16 @@
 	       may_retain(docs, now_ns);
 }
 
+/* Whether a change comes after a position was advertised that includes it. A
+ * deletion of what is not known here changes nothing. */
+static bool is_late(const struct documents *docs, const struct document *doc,
+		    const struct document *update)
+{
+	return update->epoch == docs->epoch &&
+	       update->revision <= docs->newest &&
+	       !(update->deleted && (!doc || doc->deleted));
+}
+
 /**
  * documents_put() - merge a version of a document
  * @docs: replica of the documents
@@ -329,6 +341,7 @@
 		return -EALREADY;
 	if (!docs->complete && !docs->synced)
 		enter_epoch(docs, update->epoch, now_ns);
+	docs->late_count += is_late(docs, doc, update);
 	if (doc)
 		same = update->epoch > doc->epoch && same_value(doc, update);
 	else
@@ -615,6 +628,18 @@
 	return docs->change_count;
 }
 
+/**
+ * documents_late_count() - number of changes that came too late
+ * @docs: replica of the documents
+ *
+ * Return: number of changes stored at or below documents_newest(). Peers that
+ * have that position don't fetch them.
+ */
+uint64_t documents_late_count(const struct documents *docs)
+{
+	return docs->late_count;
+}
+
 /**
  * documents_is_retained() - whether a document is retained from an earlier
  *	epoch
--- a/core/packet/publish/documents.h
+++ b/core/packet/publish/documents.h
@@ -128,6 +128,7 @@
 struct position documents_floor(const struct documents *docs);
 uint64_t documents_epoch_start_ns(const struct documents *docs);
 uint64_t documents_change_count(const struct documents *docs);
+uint64_t documents_late_count(const struct documents *docs);
 uint64_t documents_retained_digest(struct documents *docs);
 bool documents_is_retained(const struct documents *docs,
 			   const struct document *doc);
--- a/test/packet_node_test.c
+++ b/test/packet_node_test.c
@@ -519,6 +519,60 @@
 	assert_int_equal(f->node->fetch_failures, 0);
 }
 
+/* A deleted target would get flows for good: the entry lists the platform
+ * without it while a peer, which is behind, sends it. */
+static void test_state_of_overtaken_peer_is_refused(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .newest = { 0, 8 }, .boot = 1 };
+	struct relay_head head = { .through = { 0, 9 },
+				   .newest = { 0, 8 },
+				   .is_full_state = true };
+
+	node_receive_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.fetches, 1);
+	advance(f, 1100 * MS);
+	node_receive_hello(f->node, &h, f->now_ns);
+	apply_listing(f);
+	assert_int_equal(documents_synced(f->node->documents).revision, 10);
+	assert_false(node_fetch_begin(f->node, &head, f->now_ns));
+	head.is_full_state = false;
+	assert_false(node_fetch_begin(f->node, &head, f->now_ns));
+	node_fetch_end(f->node, NULL, f->now_ns);
+	/* Nor does the entry ask for what it knows to be older. */
+	node_receive_hello(f->node, &h, f->now_ns);
+	assert_int_equal(f->calls.fetches, 1);
+}
+
+/* A listing with old pages is not known to be current; that it is as new as a
+ * peer's state is enough to be ready. */
+static void test_old_listing_that_overtook_a_peer_counts(void **state)
+{
+	struct fixture *f = *state;
+	struct hello h = { .from = PEER, .newest = { 0, 8 }, .boot = 1 };
+	struct relay_head head = { .through = { 0, 9 },
+				   .newest = { 0, 8 },
+				   .is_full_state = true };
+	struct answer_head page = { .revision = 20, .more = true };
+
+	strcpy(page.last_key, "routes");
+	advance(f, 40 * MS);
+	node_answer_begin(f->node, 0, f->now_ns);
+	put_document(f, node_take_listed, "routes", 5, "3");
+	node_answer_end(f->node, SOURCE_OK, &page, f->now_ns);
+	node_receive_hello(f->node, &h, f->now_ns);
+	page = (struct answer_head){ .revision = 12 };
+	node_answer_begin(f->node, 0, f->now_ns);
+	put_document(f, node_take_listed, "t/1", 6, "x");
+	node_answer_end(f->node, SOURCE_OK, &page, f->now_ns);
+	assert_false(f->node->ready);
+	assert_false(node_fetch_begin(f->node, &head, f->now_ns));
+	node_fetch_end(f->node, NULL, f->now_ns);
+	advance(f, 20 * MS);
+	assert_true(f->node->ready);
+	assert_int_equal(documents_synced(f->node->documents).revision, 9);
+}
+
 /* An entry would lose its snapshot with the documents of a peer that entered an
  * epoch and has read only a part of it. */
 static void test_incomplete_state_of_peer_is_refused(void **state)
@@ -1190,6 +1244,8 @@
 		TEST(test_change_between_pages_is_advertised),
 		TEST(test_cut_answer_of_peer_is_fetched_again),
 		TEST(test_refused_documents_are_fetched_less_often),
+		TEST(test_state_of_overtaken_peer_is_refused),
+		TEST(test_old_listing_that_overtook_a_peer_counts),
 		TEST(test_incomplete_state_of_peer_is_refused),
 		TEST(test_state_of_peer_replaces_first_listing),
 		TEST(test_ready_with_state_of_one_peer),
