The path of a request holds the longest key, escaped

Callers would see: entries that start and never get ready, when the last key of a page is longer than 512 bytes in escaped form (200 bytes, 600 escaped). Cause: the path was cut, so that the next page began too early, for ever. Change: the size of the path follows from the limit of keys.

--- a/core/packet/platform_port.h
+++ b/core/packet/platform_port.h
@@ -10,8 +10,9 @@
 #include "documents.h"
 #include "packet.h"
 
-/* Longest path and query of a request to the platform, with the final NUL. */
-#define URL_PATH_MAX_BYTES 512
+/* Longest path and query of a request to the platform, with the final NUL: a key
+ * of which each byte is escaped as "%XX", and 200 bytes for the rest. */
+#define URL_PATH_MAX_BYTES (3 * DOCUMENT_KEY_MAX_BYTES + 200)
 /* Largest header of an encapsulated packet, and largest reset. */
 #define ENCAPSULATION_MAX_BYTES 16
 #define RESET_MAX_BYTES 64
--- a/test/packet_relay_test.c
+++ b/test/packet_relay_test.c
@@ -110,24 +110,30 @@
 	documents_free(to);
 }
 
-/* Puts a large value of which a few bytes depend on the revision. */
-static void put_large(struct documents *s, uint64_t revision)
+/* Puts a value of which a few bytes depend on the revision. */
+static void put_value(struct documents *s, uint64_t revision,
+		      uint32_t size_bytes)
 {
 	struct document d = { .key = KEY,
 			      .revision = revision,
 			      .created = 1,
-			      .size_bytes = LARGE_BYTES };
+			      .size_bytes = size_bytes };
 	struct rng rng = { 77 };
 
-	d.value = malloc(LARGE_BYTES);
-	for (uint32_t i = 0; i < LARGE_BYTES; i++)
+	d.value = malloc(size_bytes);
+	for (uint32_t i = 0; i < size_bytes; i++)
 		d.value[i] = (uint8_t)rng_next(&rng);
-	memcpy(d.value + LARGE_BYTES / 2, &revision, sizeof(revision));
+	memcpy(d.value + size_bytes / 2, &revision, sizeof(revision));
 	documents_put(s, &d, DOCUMENT_CHANGED, NOW_NS);
 	documents_advance_synced(s, at(revision), NOW_NS);
 	free(d.value);
 }
 
+static void put_large(struct documents *s, uint64_t revision)
+{
+	put_value(s, revision, LARGE_BYTES);
+}
+
 struct pair {
 	struct documents *from;
 	struct documents *to;
@@ -188,6 +194,19 @@
 	assert_memory_equal(a->value, b->value, a->size_bytes);
 }
 
+/* An entry that starts would have no configuration, and one that runs would keep
+ * the earlier one, if the largest value did not fit into a peer's answer. */
+static void test_largest_value_passes_a_peer(void **state)
+{
+	struct pair *p = *state;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		put_value(p->from, 5 + i, (1 << 20) - 2 + i);
+		assert_int_equal(fetch(p), 0);
+		assert_same(p);
+	}
+}
+
 /*
  * On links of 2 Mbit/s, a leaving target gets flows for five more seconds. A
  * configuration of 1,250 routes changes three times a second, and sending it
@@ -471,6 +490,8 @@
 			setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			test_base_of_other_epoch_is_ignored, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_largest_value_passes_a_peer, setup, teardown),
 		cmocka_unit_test(test_relay_sends_documents_that_peer_lacks),
 		TEST(test_change_of_large_document_is_sent_as_delta),
 		TEST(test_two_changes_are_sent_as_one_delta),
--- a/test/users_platform_test.c
+++ b/test/users_platform_test.c
@@ -681,8 +681,16 @@
 static void test_request_paths(void **state)
 {
 	char path[URL_PATH_MAX_BYTES];
+	char key[DOCUMENT_KEY_MAX_BYTES + 1] = "";
 
 	(void)state;
+	/* Cut off, the next page would begin too early, and never end. */
+	memset(key, '%', DOCUMENT_KEY_MAX_BYTES);
+	users_list_path(key, false, path);
+	assert_true(g_str_has_prefix(path, "/kv-range?prefix=&allow-stale=1"
+					   "&after=%25%25"));
+	assert_int_equal(strlen(strstr(path, "after=")),
+			 strlen("after=") + 3 * DOCUMENT_KEY_MAX_BYTES);
 	users_list_path(NULL, true, path);
 	assert_string_equal(path, "/kv-range?prefix=");
 	users_list_path("a b", true, path);
