Process tests wait for a log file that doesn't exist yet

Cause: grep prints no number for a missing file, the comparison of an empty one fails, and the loop of wait_for_lines() ends as if the lines were there. All its users (outer_names_test.sh, two_builds_test.sh, reload_test.sh) were affected. Change: no number counts as 0.

--- a/test/process/pages.sh
+++ b/test/process/pages.sh
@@ -34,8 +34,9 @@
 
 # wait_for_lines FILE COUNT TEXT: waits up to 60 s for COUNT lines with TEXT.
 wait_for_lines() {
-	local i=0
-	while [ "$(grep -c "$3" "$1" 2>/dev/null)" -lt "$2" ]; do
+	local i=0 n
+	# Without the file grep prints no number.
+	while n=$(grep -c "$3" "$1" 2>/dev/null); [ "${n:-0}" -lt "$2" ]; do
 		i=$((i + 1))
 		[ "$i" -gt 600 ] && return 1
 		sleep 0.1
