A state encoded for peers is encoded again when the position rises

Callers would see: entries that start next to a peer that has just listed the store refuse its state until a document changes. Cause: the whole state is encoded once for all entries that start, until a document changes; encoded before the entry had a position, it named none. Change: documents_change_count() grows with the newest position, too. Test: test_new_position_invalidates_encoded_state, failed before.

--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -210,8 +210,10 @@
 				  ? docs->latest
 				  : latest_up_to(docs, docs->synced);
 
-	if (newest > docs->newest)
-		docs->newest = newest;
+	if (newest <= docs->newest)
+		return;
+	docs->newest = newest;
+	docs->change_count++;
 }
 
 /* Revisions of the earlier epoch have no meaning in the new one. */
@@ -620,8 +622,9 @@
  * documents_change_count() - number of changes so far
  * @docs: replica of the documents
  *
- * Return: number that grows with each change of a document, an epoch or a
- * @stale_at.
+ * Return: number that grows with each change of a document, an epoch, a
+ * @stale_at or the newest position. An encoded state is out of date when it has
+ * grown.
  */
 uint64_t documents_change_count(const struct documents *docs)
 {
--- a/test/packet_documents_test.c
+++ b/test/packet_documents_test.c
@@ -136,6 +136,24 @@
 	documents_free(s);
 }
 
+/* Entries that start would refuse the state of a peer without end: it was encoded
+ * before the peer had a position, and sent again afterwards. */
+static void test_new_position_invalidates_encoded_state(void **state)
+{
+	struct documents *s = new_documents();
+	uint64_t before;
+
+	(void)state;
+	put(s, "a", 2, "x", DOCUMENT_CHANGED);
+	before = documents_change_count(s);
+	documents_advance_synced(s, at(2), NS_PER_S);
+	assert_true(documents_change_count(s) > before);
+	before = documents_change_count(s);
+	documents_advance_synced(s, at(5), NS_PER_S);
+	assert_int_equal(documents_change_count(s), before);
+	documents_free(s);
+}
+
 static void test_expired_deletion_raises_floor(void **state)
 {
 	struct documents *s = new_documents();
@@ -463,6 +481,7 @@
 		cmocka_unit_test(test_listing_deletes_missing_documents),
 		cmocka_unit_test(
 			test_peer_update_between_pages_hides_no_deletion),
+		cmocka_unit_test(test_new_position_invalidates_encoded_state),
 		cmocka_unit_test(test_expired_deletion_raises_floor),
 		cmocka_unit_test(test_reused_revision_of_new_epoch_is_stored),
 		cmocka_unit_test(
