--- a/sim/sim-packets/entries.c
+++ b/sim/sim-packets/entries.c
@@ -250,12 +250,13 @@
 			   const struct target *t, const struct sim_packet *k)
 {
 	uint32_t at = targets_find_by_addr(w, t->advertised.addr);
-	const struct sim_target *s = &w->targets[at];
 	uint32_t bytes = k->size_bytes + HEADER_BYTES;
+	const struct sim_target *s;
 	uint64_t delay_ns;
 
 	if (at == UINT32_MAX)
 		return; /* no route to the address */
+	s = &w->targets[at];
 	delay_ns = link_delay_ns(w, e, bytes + ENCAPSULATION_BYTES);
 
 	if (s->zone != e->zone)
