documents_raise_newest(): say when a later position counts

The comment said that it is ignored; it counts once the synced position reaches it. No code changes; formatter and lint pass.

--- a/core/packet/publish/documents.c
+++ b/core/packet/publish/documents.c
@@ -457,8 +457,8 @@
  *	its changes
  * @docs: replica of the documents
  * @newest: newest position of the peer; the document may be gone, when it was a
- *	deletion that has expired since. What exceeds documents_synced() is
- *	ignored.
+ *	deletion that has expired since. What exceeds documents_synced()
+ *	counts once that has reached it.
  */
 void documents_raise_newest(struct documents *docs, struct position newest)
 {
